--- a/packages/link/__tests__/link.spec.ts
+++ b/packages/link/__tests__/link.spec.ts
@@ -31,7 +31,7 @@
 				received.push(message);
 				link.send(message);
 			},
-			onClose() {/* The client's side judges. */},
+			onClose: () => undefined,
 		}),
 		onReject(error) {
 			rejected.push(error);
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -58,18 +58,19 @@
 	}
 
 	#open(socket: WebSocket, inbox: Inbox, peer: string, onLink: LinkServerOptions['onLink']): void {
-		let listener: LinkListener | undefined;
+		const listeners: LinkListener[] = [];
 		const link = new Link(socket, inbox, peer, {
 			onMessage(message) {
-				listener?.onMessage(message);
+				listeners[0]?.onMessage(message);
 			},
 			onClose: error => {
 				this.#links.delete(link);
-				listener?.onClose(error);
+				listeners[0]?.onClose(error);
 			},
 		});
 		this.#links.add(link);
-		listener = onLink(link);
+		// The link exists before its listener does, which may send on it at once.
+		listeners.push(onLink(link));
 		link.start();
 	}
 }
