Bound a link in silence, in backlog and in what strangers may send

Cause: heartbeats, redial and the bound on a slow reader had fixed figures and no tests; each message cost a write of its own; a message of an unknown kind tore the link; keys were fixed at the start.

A relay that forgets a connection proves detection and replacement.

--- a/packages/link/__tests__/link.spec.ts
+++ b/packages/link/__tests__/link.spec.ts
@@ -1,91 +1,300 @@
-import {createServer, type Server} from 'node:http';
+import {once} from 'node:events';
+import {connect, type AddressInfo} from 'node:net';
+import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {Random} from '@wasabiusher/shared';
+import {Packr} from 'msgpackr';
+import {WebSocket, WebSocketServer} from 'ws';
 import {
-	LinkClient, LinkServer, type Link, type LinkError, type Message,
+	createNonce, createProof, decodeMessage, encodeMessage, linkPath, protocolVersion, type Identity, type Message,
 } from '../src/index.js';
+import {
+	createCaller, createEcho, createRelay, waitUntil,
+} from './fixtures.js';
 
-type Pair = {
-	client: LinkClient;
-	received: Message[];
-	rejected: LinkError[];
-	close(): void;
-};
+const entry: Identity = {name: 'entry-1', keys: ['k1']};
+const agent: Identity = {name: 'agent-1', keys: ['k1']};
+const digest: Message = {kind: 'digest', configurationVersion: 7};
 
-async function listenAnywhere(server: Server): Promise<string> {
+/** A peer that speaks by hand: sends what the test gives it once it has the challenge. */
+async function speakRaw(address: string, respond: (challenge: Extract<Message, {kind: 'challenge'}>) => Uint8Array[]): Promise<WebSocket> {
+	const socket = new WebSocket(`ws://${address}${linkPath}`);
 	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
+		socket.once('message', data => {
+			for (const frame of respond(decodeMessage(data as Uint8Array) as Extract<Message, {kind: 'challenge'}>)) {
+				socket.send(frame);
+			}
+
+			resolve();
+		});
 	});
-	const address = server.address();
-	return `127.0.0.1:${typeof address === 'object' ? address!.port : ''}`;
+	return socket;
 }
 
-async function createPair(clientKey: string, serverKeys: [string, ...string[]]): Promise<Pair & {outcome: Promise<LinkError | undefined>}> {
-	const http = createServer();
-	const received: Message[] = [];
-	const rejected: LinkError[] = [];
-	const server = new LinkServer(http, {
-		identity: {name: 'agent-1', keys: serverKeys},
-		onLink: (link: Link) => ({
-			onMessage(message) {
-				received.push(message);
-				link.send(message);
-			},
-			onClose: () => undefined,
-		}),
-		onReject(error) {
-			rejected.push(error);
-		},
-	});
-	const address = await listenAnywhere(http);
-	let client: LinkClient | undefined;
-	const outcome = new Promise<LinkError | undefined>(resolve => {
-		client = new LinkClient({
-			address,
-			identity: {name: 'entry-1', keys: [clientKey]},
-			random: new Random(1),
-			onUp() {
-				client!.send({kind: 'digest', configurationVersion: 7});
-			},
-			onDown: resolve,
-			onMessage() {
-				resolve(undefined);
-			},
-		});
+function createHello(nonce: string, key = 'k1', protocol = protocolVersion): Uint8Array {
+	const own = createNonce();
+	const proof = createProof(key, {side: 'hello', sender: 'raw', nonces: [nonce, own]});
+	return encodeMessage({
+		kind: 'hello', protocol, sender: 'raw', nonce: own, proof,
 	});
-	return {
-		client: client!,
-		received,
-		rejected,
-		outcome,
-		close() {
-			client!.close();
-			server.close();
-			http.close();
-		},
-	};
 }
 
 describe('link', () => {
-	it('carries a message there and back', async () => {
-		const pair = await createPair('k1', ['k1']);
-		expect(await pair.outcome).to.equal(undefined);
-		expect(pair.received).to.deep.equal([{kind: 'digest', configurationVersion: 7}]);
-		pair.close();
+	const closers: Array<() => void> = [];
+
+	async function openEcho(...given: Parameters<typeof createEcho>) {
+		const echo = await createEcho(...given);
+		closers.push(() => {
+			echo.close();
+		});
+		return echo;
+	}
+
+	function openCaller(...given: Parameters<typeof createCaller>) {
+		const caller = createCaller(...given);
+		closers.push(() => {
+			caller.client.close();
+		});
+		return caller;
+	}
+
+	async function openRaw(...given: Parameters<typeof speakRaw>) {
+		const socket = await speakRaw(...given);
+		closers.push(() => {
+			socket.terminate();
+		});
+		return socket;
+	}
+
+	afterEach(() => {
+		for (const close of closers.splice(0)) {
+			close();
+		}
+	});
+
+	it('carries messages there and back in order, many to a frame', async () => {
+		const echo = await openEcho(agent);
+		const caller = openCaller(echo.address, entry);
+		await waitUntil(() => caller.ups === 1);
+		const sent = Array.from({length: 500}, (_, index): Message => ({kind: 'digest', configurationVersion: index}));
+		for (const message of sent) {
+			caller.client.send(message);
+		}
+
+		await waitUntil(() => caller.received.length === sent.length);
+		expect(caller.received).to.deep.equal(sent);
 	});
 
 	it('accepts an older key while two are valid', async () => {
-		const pair = await createPair('old', ['new', 'old']);
-		await pair.outcome;
-		pair.close();
-		expect(pair.rejected).to.deep.equal([]);
+		const echo = await openEcho({...agent, keys: ['new', 'k1']});
+		const caller = openCaller(echo.address, entry);
+		await waitUntil(() => caller.ups === 1);
+		expect(echo.rejected).to.deep.equal([]);
+	});
+
+	it('takes replaced keys at the next handshake, without a restart', async () => {
+		let keys: [string, ...string[]] = ['k1'];
+		const echo = await openEcho({name: 'agent-1', keys: () => keys});
+		const first = openCaller(echo.address, entry);
+		await waitUntil(() => first.ups === 1);
+		keys = ['k2'];
+		const second = openCaller(echo.address, {name: 'entry-2', keys: ['k2']});
+		await waitUntil(() => second.ups === 1);
+		const late = openCaller(echo.address, {name: 'entry-3', keys: ['k1']});
+		await waitUntil(() => late.downs.length > 0);
+		expect(echo.rejected.map(({code}) => code)).to.deep.equal(['unauthorized']);
+		expect(first.client.isUp, 'a link that is up stays up').to.equal(true);
 	});
 
 	it('refuses a peer with a wrong key', async () => {
-		const pair = await createPair('wrong', ['k1']);
-		await pair.outcome;
-		pair.close();
-		expect(pair.rejected.map(error => error.code)).to.deep.equal(['unauthorized']);
-		expect(pair.received).to.deep.equal([]);
+		const echo = await openEcho(agent);
+		const caller = openCaller(echo.address, {name: 'entry-1', keys: ['wrong']});
+		await waitUntil(() => caller.downs.length === 1);
+		expect(echo.rejected.map(({code}) => code)).to.deep.equal(['unauthorized']);
+		expect(echo.links).to.deep.equal([]);
+	});
+
+	it('does not trust an accepting end without the key', async () => {
+		const impostor = new WebSocketServer({host: '127.0.0.1', port: 0, path: linkPath});
+		closers.push(() => {
+			impostor.close();
+		});
+		impostor.on('connection', socket => {
+			socket.send(encodeMessage({kind: 'challenge', protocol: protocolVersion, nonce: createNonce()}));
+			socket.on('message', () => {
+				socket.send(encodeMessage({
+					kind: 'welcome', protocol: protocolVersion, sender: 'agent-1', proof: createNonce(),
+				}));
+			});
+		});
+		await once(impostor, 'listening');
+		const caller = openCaller(`127.0.0.1:${(impostor.address() as AddressInfo).port}`, entry);
+		await waitUntil(() => caller.downs.length === 1);
+		expect(caller.downs[0]?.code).to.equal('unauthorized');
+		expect(caller.ups).to.equal(0);
+	});
+
+	it('refuses a replayed hello', async () => {
+		const echo = await openEcho(agent);
+		let hello: Uint8Array | undefined;
+		await openRaw(echo.address, ({nonce}) => {
+			hello = createHello(nonce);
+			return [hello];
+		});
+		await waitUntil(() => echo.links.length === 1);
+		await openRaw(echo.address, () => [hello!]);
+		await waitUntil(() => echo.rejected.length === 1);
+		expect(echo.rejected[0]!.code).to.equal('unauthorized');
+		expect(echo.links).to.have.lengthOf(1);
+	});
+
+	it('refuses another version of the protocol', async () => {
+		const echo = await openEcho(agent);
+		await openRaw(echo.address, ({nonce}) => [createHello(nonce, 'k1', protocolVersion + 1)]);
+		await waitUntil(() => echo.rejected.length === 1);
+		expect(echo.rejected[0]!.code).to.equal('protocol');
+	});
+
+	it('refuses any message before the hello', async () => {
+		const echo = await openEcho(agent);
+		await openRaw(echo.address, () => [encodeMessage(digest)]);
+		await waitUntil(() => echo.rejected.length === 1);
+		expect(echo.received).to.deep.equal([]);
+	});
+
+	it('cuts off a stranger that sends more than a hello', async () => {
+		const echo = await openEcho(agent);
+		await openRaw(echo.address, () => [new Uint8Array(1024 * 1024)]);
+		await waitUntil(() => echo.rejected.length === 1);
+		expect(echo.rejected[0]!.code).to.equal('closed');
+	});
+
+	it('drops and reports a message of an unknown kind, and goes on', async () => {
+		const echo = await openEcho(agent);
+		await openRaw(echo.address, ({nonce}) => [createHello(nonce), new Packr({useRecords: false}).pack({kind: 'added-later'}), encodeMessage(digest)]);
+		await waitUntil(() => echo.received.length === 1);
+		expect(echo.unknown.map(({code}) => code)).to.deep.equal(['unknown-kind']);
+		expect(echo.received).to.deep.equal([digest]);
+	});
+
+	it('closes a link on a malformed message, with the field in the error', async () => {
+		const echo = await openEcho(agent);
+		await openRaw(echo.address, ({nonce}) => [createHello(nonce), new Packr({useRecords: false}).pack({kind: 'digest', configurationVersion: 'x'}), encodeMessage(digest)]);
+		await waitUntil(() => echo.closed.length === 1);
+		expect(echo.closed[0]!.code).to.equal('malformed');
+		expect(echo.closed[0]!.message).to.contain('configurationVersion');
+		expect(echo.received).to.deep.equal([]);
+	});
+
+	it('closes a link whose peer does not read, before what waits grows without bound', async () => {
+		const maxBufferedBytes = 4 * 1024 * 1024;
+		const echo = await openEcho(agent, {maxBufferedBytes});
+		const raw = await openRaw(echo.address, ({nonce}) => [createHello(nonce)]);
+		raw.pause();
+		await waitUntil(() => echo.links.length === 1);
+		const link = echo.links[0]!;
+		const chunk: Message = {
+			kind: 'part', request: 'r', attempt: 1, sequence: 0, event: {kind: 'body', chunk: new Uint8Array(256 * 1024)},
+		};
+		let mostWaiting = 0;
+		await waitUntil(() => {
+			mostWaiting = Math.max(mostWaiting, link.bufferedBytes);
+			link.send(chunk);
+			return link.isClosed;
+		});
+		expect(echo.closed[0]!.code).to.equal('slow-reader');
+		expect(mostWaiting).to.be.at.most(maxBufferedBytes);
+	});
+
+	describe('under a paused clock', () => {
+		let clock: Clock;
+
+		beforeEach(() => {
+			// I/O stays real, so `setImmediate` and `nextTick` do too.
+			clock = install({toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance']});
+		});
+
+		afterEach(() => {
+			clock.uninstall();
+		});
+
+		/** Lets a heartbeat go there and back. */
+		async function beat(caller: ReturnType<typeof createCaller>): Promise<void> {
+			clock.tick(1000);
+			const count = caller.received.length;
+			caller.client.send(digest);
+			await waitUntil(() => caller.received.length > count);
+		}
+
+		it('detects that a link has gone silent, at both ends, and replaces it', async () => {
+			const echo = await openEcho(agent);
+			const relay = await createRelay(echo.address);
+			closers.push(() => {
+				relay.close();
+			});
+			const caller = openCaller(relay.address, entry);
+			await waitUntil(() => caller.ups === 1 && echo.links.length === 1);
+			for (let beats = 0; beats < 6; beats += 1) {
+				// Beats follow one another.
+				// eslint-disable-next-line no-await-in-loop
+				await beat(caller);
+			}
+
+			expect(caller.downs, 'a link that is heard stays').to.deep.equal([]);
+			relay.forgetAll();
+			clock.tick(3000);
+			expect(caller.downs, 'three beats are not too many').to.deep.equal([]);
+			clock.tick(1000);
+			expect(caller.downs.map(error => error?.code)).to.deep.equal(['silent']);
+			expect(echo.closed.map(error => error?.code)).to.deep.equal(['silent']);
+			clock.tick(200);
+			await waitUntil(() => caller.ups === 2);
+			await beat(caller);
+		});
+
+		it('does not hold a connection that never says hello', async () => {
+			const echo = await openEcho(agent);
+			const socket = new WebSocket(`ws://${echo.address}${linkPath}`);
+			await new Promise(resolve => {
+				socket.once('message', resolve);
+			});
+			clock.tick(5000);
+			await waitUntil(() => echo.rejected.length === 1);
+			expect(echo.rejected[0]!.code).to.equal('silent');
+		});
+
+		it('waits longer before each redial, and dials no more once closed', async () => {
+			const echo = await openEcho({name: 'agent-1', keys: ['other']});
+			const caller = openCaller(echo.address, entry);
+			const waits: number[] = [];
+			const isWaiting = () => caller.downs.length === waits.length + 1 && clock.countTimers() === 1;
+			while (waits.length < 8) {
+				// Dials follow one another.
+				// eslint-disable-next-line no-await-in-loop
+				await waitUntil(isWaiting);
+				const before = clock.now;
+				clock.next();
+				waits.push(clock.now - before);
+			}
+
+			for (const [index, waitMs] of waits.entries()) {
+				const meanMs = Math.min(2000, 100 * (2 ** index));
+				expect(waitMs).to.be.within((meanMs * 0.5) - 1, (meanMs * 1.5) + 1);
+			}
+
+			caller.client.close();
+			await waitUntil(() => clock.countTimers() === 0);
+			expect(clock.countTimers(), 'timers left').to.equal(0);
+		});
+	});
+
+	it('answers nothing to a peer that does not speak its protocol', async () => {
+		const echo = await openEcho(agent);
+		const [host, port] = echo.address.split(':');
+		const socket = connect(Number(port), host);
+		socket.end('not http\r\n\r\n');
+		await new Promise(resolve => {
+			socket.resume().once('close', resolve);
+		});
+		expect(echo.links).to.deep.equal([]);
 	});
 });
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -3,29 +3,27 @@
  */
 import {WebSocket} from 'ws';
 import type {Random} from '@wasabiusher/shared';
-import {maxMessageBytes} from './codec.js';
+import {maxFrameBytes} from './codec.js';
 import {LinkError} from './errors.js';
 import {offerHandshake, type Identity} from './handshake.js';
 import {Inbox} from './inbox.js';
+import {defaultLinkLimits, type LinkLimits} from './limits.js';
 import {Link} from './link.js';
 import type {Message} from './messages.js';
 import {linkPath} from './server.js';
 
-/** First wait before dialling again, in milliseconds; doubled up to the greatest. */
-const firstRedialMs = 100;
-
-/** Greatest wait, in milliseconds; a host that comes back is in use within seconds. */
-const maxRedialMs = 2000;
-
 export type LinkClientOptions = {
 	/** `ip:port` of the accepting end. */
 	address: string;
 	identity: Identity;
 	/** Spreads redials, so that many processes do not dial at once. */
 	random: Random;
+	limits?: Partial<LinkLimits>;
 	onUp(peer: string): void;
 	onDown(error?: LinkError): void;
 	onMessage(message: Message): void;
+	/** A message of an unknown kind came and was dropped. */
+	onUnknown?(error: LinkError): void;
 };
 
 /** Keeps one link open until it is closed on purpose. */
@@ -34,11 +32,14 @@
 	#link: Link | undefined;
 	#socket: WebSocket | undefined;
 	#timer: NodeJS.Timeout | undefined;
-	#redialMs = firstRedialMs;
+	readonly #limits: LinkLimits;
+	#redialMs: number;
 	#isClosed = false;
 
 	constructor(options: LinkClientOptions) {
 		this.#options = options;
+		this.#limits = {...defaultLinkLimits, ...options.limits};
+		this.#redialMs = this.#limits.firstRedialMs;
 		void this.#dial();
 	}
 
@@ -60,38 +61,52 @@
 	}
 
 	async #dial(): Promise<void> {
-		const {address, identity, onUp, onDown, onMessage} = this.#options;
-		const socket = new WebSocket(`ws://${address}${linkPath}`, {maxPayload: maxMessageBytes, perMessageDeflate: false});
+		const {address, identity} = this.#options;
+		const socket = new WebSocket(`ws://${address}${linkPath}`, {maxPayload: maxFrameBytes, perMessageDeflate: false});
 		const inbox = new Inbox(socket);
 		this.#socket = socket;
 		try {
-			const peer = await offerHandshake(socket, inbox, identity);
-			this.#redialMs = firstRedialMs;
-			const link = new Link(socket, inbox, peer, {
-				onMessage,
-				onClose: error => {
-					this.#link = undefined;
-					onDown(error);
-					this.#redialLater();
-				},
-			});
-			this.#link = link;
-			onUp(peer);
-			link.start();
+			const peer = await offerHandshake(socket, inbox, identity, this.#limits.handshakeMs);
+			this.#open(socket, inbox, peer);
 		} catch (error) {
 			socket.terminate();
-			onDown(error instanceof LinkError ? error : new LinkError('protocol', String(error), error));
-			this.#redialLater();
+			this.#fail(error instanceof LinkError ? error : new LinkError('protocol', String(error), error));
 		}
 	}
 
+	#open(socket: WebSocket, inbox: Inbox, peer: string): void {
+		const {onUp, onMessage, onUnknown} = this.#options;
+		const upAt = performance.now();
+		const onClose = (error?: LinkError) => {
+			this.#link = undefined;
+			// A link that falls at once is no reason to dial without a pause.
+			if (performance.now() - upAt >= this.#limits.maxRedialMs) {
+				this.#redialMs = this.#limits.firstRedialMs;
+			}
+
+			this.#fail(error);
+		};
+
+		const link = new Link({
+			socket, inbox, peer, listener: {onMessage, onUnknown, onClose}, limits: this.#limits,
+		});
+		this.#link = link;
+		onUp(peer);
+		link.start();
+	}
+
+	#fail(error?: LinkError): void {
+		this.#redialLater();
+		this.#options.onDown(error);
+	}
+
 	#redialLater(): void {
 		if (this.#isClosed) {
 			return;
 		}
 
 		const waitMs = this.#redialMs * (0.5 + this.#options.random.next());
-		this.#redialMs = Math.min(maxRedialMs, this.#redialMs * 2);
+		this.#redialMs = Math.min(this.#limits.maxRedialMs, this.#redialMs * 2);
 		this.#timer = setTimeout(() => {
 			void this.#dial();
 		}, waitMs);
--- a/packages/link/src/inbox.ts
+++ b/packages/link/src/inbox.ts
@@ -28,10 +28,10 @@
 			this.#accept(toBytes(data));
 		});
 		socket.on('close', () => {
-			this.#fail(new LinkError('protocol', 'closed by the peer'));
+			this.#fail(new LinkError('closed', 'closed by the peer'));
 		});
 		socket.on('error', error => {
-			this.#fail(new LinkError('protocol', error.message, error));
+			this.#fail(new LinkError('closed', error.message, error));
 		});
 	}
 
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -1,24 +1,33 @@
 /**
- * One established link: typed messages, heartbeats and detection of silence.
+ * One established link: typed messages, heartbeats, detection of silence and a bound
+ * on what waits for a slow reader.
  */
-import {type Buffer} from 'node:buffer';
 import type {WebSocket} from 'ws';
-import {decodeMessage, encodeMessage} from './codec.js';
+import {checkMessage, encodeMessage, unpackFrame} from './codec.js';
 import {LinkError} from './errors.js';
 import type {Inbox} from './inbox.js';
+import {defaultLinkLimits, type LinkLimits} from './limits.js';
 import type {Message} from './messages.js';
-
-/** How often a ping is sent, in milliseconds: small beside the deadlines of interactive calls. */
-export const heartbeatMs = 1000;
-
-/** Pings without any sign of life after which a link counts as silent; one may be late, three are not. */
-export const missedHeartbeats = 3;
+import {Outbox} from './outbox.js';
 
 /** What the owner of a link hears of it. */
 export type LinkListener = {
 	onMessage(message: Message): void;
 	/** Called once; `error` tells why, if it was not closed on purpose. */
 	onClose(error?: LinkError): void;
+	/** A message of an unknown kind came from a newer peer and was dropped. */
+	onUnknown?(error: LinkError): void;
+};
+
+/** What a link is made of. */
+export type LinkParts = {
+	socket: WebSocket;
+	/** Of the same socket; what it holds already is delivered once `start` is called. */
+	inbox: Inbox;
+	/** The proven name of the other end. */
+	peer: string;
+	listener: LinkListener;
+	limits?: Partial<LinkLimits>;
 };
 
 /** A link over a socket whose handshake is done. */
@@ -28,24 +37,31 @@
 	readonly #socket: WebSocket;
 	readonly #inbox: Inbox;
 	readonly #listener: LinkListener;
+	readonly #limits: LinkLimits;
+	readonly #outbox: Outbox;
 	readonly #timer: NodeJS.Timeout;
 	#lastHeardAt = performance.now();
 	#isClosed = false;
 
-	/** @param inbox - of the same socket; what it holds already is delivered once `start` is called */
-	constructor(socket: WebSocket, inbox: Inbox, peer: string, listener: LinkListener) {
+	constructor({
+		socket, inbox, peer, listener, limits,
+	}: LinkParts) {
 		this.peer = peer;
 		this.#socket = socket;
 		this.#inbox = inbox;
 		this.#listener = listener;
+		this.#limits = {...defaultLinkLimits, ...limits};
+		this.#outbox = new Outbox(frame => {
+			socket.send(frame);
+		});
 		this.#timer = setInterval(() => {
 			this.#beat();
-		}, heartbeatMs);
+		}, this.#limits.heartbeatMs);
 		socket.on('close', () => {
-			this.close();
+			this.close(new LinkError('closed', `closed by ${peer}`));
 		});
 		socket.on('error', error => {
-			this.close(new LinkError('protocol', error.message, error));
+			this.close(new LinkError('closed', error.message, error));
 		});
 	}
 
@@ -58,17 +74,26 @@
 
 	/** Bytes accepted by `send` and not yet written to the network. */
 	get bufferedBytes(): number {
-		return this.#socket.bufferedAmount;
+		return this.#outbox.bytes + this.#socket.bufferedAmount;
 	}
 
 	get isClosed(): boolean {
 		return this.#isClosed;
 	}
 
-	/** Sends a message; silently dropped on a closed link, whose owner has been told. */
+	/**
+	 * Sends a message; silently dropped on a closed link, whose owner has been told.
+	 * Throws `LinkError` (`too-large`), which leaves the link as it is.
+	 */
 	send(message: Message): void {
-		if (!this.#isClosed) {
-			this.#socket.send(encodeMessage(message));
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#outbox.push(encodeMessage(message));
+		const {maxBufferedBytes} = this.#limits;
+		if (this.bufferedBytes > maxBufferedBytes) {
+			this.close(new LinkError('slow-reader', `${this.bufferedBytes} bytes wait for ${this.peer}, expected at most ${maxBufferedBytes}`));
 		}
 	}
 
@@ -80,11 +105,13 @@
 
 		this.#isClosed = true;
 		clearInterval(this.#timer);
+		this.#outbox.clear();
 		this.#socket.terminate();
 		this.#listener.onClose(error);
 	}
 
 	#beat(): void {
+		const {heartbeatMs, missedHeartbeats} = this.#limits;
 		const silentMs = performance.now() - this.#lastHeardAt;
 		if (silentMs > heartbeatMs * missedHeartbeats) {
 			this.close(new LinkError('silent', `nothing heard from ${this.peer} for ${Math.round(silentMs)} ms`));
@@ -94,17 +121,21 @@
 		this.send({kind: 'ping', sentAt: performance.now()});
 	}
 
-	#receive(data: Uint8Array): void {
-		if (this.#isClosed) {
-			return;
-		}
-
+	#receive(frame: Uint8Array): void {
 		this.#lastHeardAt = performance.now();
-		let message: Message;
 		try {
-			message = decodeMessage(data);
+			for (const value of unpackFrame(frame)) {
+				this.#receiveValue(value);
+			}
 		} catch (error) {
-			this.close(error instanceof LinkError ? error : new LinkError('malformed', String(error), error));
+			// What was missed is asked for again on the next link.
+			this.close(error instanceof LinkError ? error : new LinkError('protocol', String(error), error));
+		}
+	}
+
+	#receiveValue(value: unknown): void {
+		const message = this.#check(value);
+		if (!message || this.#isClosed) {
 			return;
 		}
 
@@ -114,4 +145,18 @@
 			this.#listener.onMessage(message);
 		}
 	}
+
+	/** A newer peer may send kinds that were added since; what is malformed is a fault. */
+	#check(value: unknown): Message | undefined {
+		try {
+			return checkMessage(value);
+		} catch (error) {
+			if (error instanceof LinkError && error.code === 'unknown-kind') {
+				this.#listener.onUnknown?.(error);
+				return undefined;
+			}
+
+			throw error;
+		}
+	}
 }
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -150,3 +150,16 @@
 
 /** The message of one kind. */
 export type MessageOf<Kind extends MessageKind> = Extract<Message, {kind: Kind}>;
+
+const knownKinds: ReadonlySet<string> = new Set(messageKindsSchema.options.map(option => option.shape.kind.value));
+
+/** Whether this version of the protocol knows a kind of message. */
+export function isMessageKind(kind: string): kind is MessageKind {
+	return knownKinds.has(kind);
+}
+
+/**
+ * Parts after which an entry acknowledges at the latest, and always after `finished`.
+ * A quarter of the window of an answer, so that a stream is never held up by it.
+ */
+export const acknowledgeEvery = 16;
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -1,12 +1,13 @@
 /**
  * The accepting end of links.
  */
-import type {Server} from 'node:http';
+import type {IncomingMessage, Server} from 'node:http';
 import {WebSocketServer, type WebSocket} from 'ws';
-import {maxMessageBytes} from './codec.js';
+import {maxFrameBytes} from './codec.js';
 import {LinkError} from './errors.js';
 import {acceptHandshake, type Identity} from './handshake.js';
 import {Inbox} from './inbox.js';
+import {defaultLinkLimits, type LinkLimits} from './limits.js';
 import {Link, type LinkListener} from './link.js';
 
 /** Path of links on a server that may have other routes. */
@@ -14,23 +15,35 @@
 
 export type LinkServerOptions = {
 	identity: Identity;
+	limits?: Partial<LinkLimits>;
 	/** Called with each established link; returns who listens to it. */
 	onLink(link: Link): LinkListener;
 	/** Called with each handshake that failed, to be counted. */
 	onReject(error: LinkError): void;
 };
 
+/** Most bytes that a peer may send before it has proved its key; a hello has some 200. */
+const maxHelloBytes = 4096;
+
+/** Most handshakes at a time; strangers can't make the process hold more than their sockets. */
+const maxHandshakes = 256;
+
 /** Accepts links on an HTTP server until that server is closed; `close` ends the open ones. */
 export class LinkServer {
 	readonly #sockets: WebSocketServer;
+	readonly #options: LinkServerOptions;
+	readonly #limits: LinkLimits;
 	readonly #links = new Set<Link>();
+	#handshakes = 0;
 
-	constructor(server: Server, {identity, onLink, onReject}: LinkServerOptions) {
+	constructor(server: Server, options: LinkServerOptions) {
+		this.#options = options;
+		this.#limits = {...defaultLinkLimits, ...options.limits};
 		this.#sockets = new WebSocketServer({
-			server, path: linkPath, maxPayload: maxMessageBytes, perMessageDeflate: false,
+			server, path: linkPath, maxPayload: maxFrameBytes, perMessageDeflate: false,
 		});
-		this.#sockets.on('connection', socket => {
-			void this.#accept(socket, {identity, onLink, onReject});
+		this.#sockets.on('connection', (socket, request) => {
+			void this.#accept(socket, request);
 		});
 	}
 
@@ -43,34 +56,68 @@
 			link.close();
 		}
 
+		for (const socket of this.#sockets.clients) {
+			socket.terminate();
+		}
+
 		this.#sockets.close();
 	}
 
-	async #accept(socket: WebSocket, {identity, onLink, onReject}: LinkServerOptions): Promise<void> {
+	async #accept(socket: WebSocket, request: IncomingMessage): Promise<void> {
+		const stopCounting = limitBytes(socket, request);
 		const inbox = new Inbox(socket);
+		this.#handshakes += 1;
 		try {
-			const peer = await acceptHandshake(socket, inbox, identity);
-			this.#open(socket, inbox, peer, onLink);
+			if (this.#handshakes > maxHandshakes) {
+				throw new LinkError('protocol', `more than ${maxHandshakes} handshakes at a time`);
+			}
+
+			const peer = await acceptHandshake(socket, inbox, this.#options.identity, this.#limits.handshakeMs);
+			this.#open(socket, inbox, peer);
 		} catch (error) {
 			socket.terminate();
-			onReject(error instanceof LinkError ? error : new LinkError('protocol', String(error), error));
+			this.#options.onReject(error instanceof LinkError ? error : new LinkError('protocol', String(error), error));
+		} finally {
+			stopCounting();
+			this.#handshakes -= 1;
 		}
 	}
 
-	#open(socket: WebSocket, inbox: Inbox, peer: string, onLink: LinkServerOptions['onLink']): void {
+	#open(socket: WebSocket, inbox: Inbox, peer: string): void {
 		const listeners: LinkListener[] = [];
-		const link = new Link(socket, inbox, peer, {
+		const listener: LinkListener = {
 			onMessage(message) {
 				listeners[0]?.onMessage(message);
 			},
+			onUnknown(error) {
+				listeners[0]?.onUnknown?.(error);
+			},
 			onClose: error => {
 				this.#links.delete(link);
 				listeners[0]?.onClose(error);
 			},
+		};
+		const link = new Link({
+			socket, inbox, peer, listener, limits: this.#limits,
 		});
 		this.#links.add(link);
 		// The link exists before its listener does, which may send on it at once.
-		listeners.push(onLink(link));
+		listeners.push(this.#options.onLink(link));
 		link.start();
 	}
 }
+
+/** Cuts off a peer that sends too much before its handshake is done; returns how to lift the limit. */
+function limitBytes(socket: WebSocket, {socket: connection}: IncomingMessage): () => void {
+	const start = connection.bytesRead;
+	const check = () => {
+		if (connection.bytesRead - start > maxHelloBytes) {
+			socket.terminate();
+		}
+	};
+
+	connection.on('data', check);
+	return () => {
+		connection.off('data', check);
+	};
+}
