Run both deployments in one process with npm start

Cause: there was no way to see the system work. Conclusion: closing waits for kept-alive connections and has to be mended; weights that are published are not yet loaded.

--- a/packages/embedded/src/deployment.ts
+++ b/packages/embedded/src/deployment.ts
@@ -10,7 +10,11 @@
 	dataCentres: string[];
 	entries: number;
 	engines: number;
-	ledgers: number;
+	/** Plain endpoints. */
+	plains: number;
+	/** Names of the two services, as the configuration has them. */
+	modelService: string;
+	plainService: string;
 	/** Requests that an engine batches. */
 	slots: number;
 	tokenMs: number;
@@ -18,9 +22,6 @@
 	models: Record<string, number>;
 };
 
-/** Names of the services that the stand-ins serve. */
-export const serviceNames = {model: 'models', plain: 'ledger'} as const;
-
 /** A running deployment. */
 export class Deployment {
 	readonly platform = new PlatformServer();
@@ -38,7 +39,7 @@
 	}
 
 	async start(): Promise<void> {
-		const {engines, ledgers, entries, models, slots, tokenMs} = this.#size;
+		const {engines, plains, entries, models, slots, tokenMs} = this.#size;
 		this.#platformOrigin = await this.platform.start();
 		for (const [model, version] of Object.entries(models)) {
 			this.platform.publish(model, version);
@@ -46,7 +47,7 @@
 
 		await Promise.all([
 			...createRange(engines).map(async index => this.#startEngine(index, {slots, tokenMs, models})),
-			...createRange(ledgers).map(async index => this.#startLedger(index)),
+			...createRange(plains).map(async index => this.#startLedger(index)),
 		]);
 		await Promise.all(createRange(entries).map(async index => this.#startEntry(index)));
 	}
@@ -62,7 +63,12 @@
 		const engine = new EngineServer(settings);
 		this.engines.push(engine);
 		await this.#startAgent({
-			name: `agent-engine-${index}`, service: serviceNames.model, endpointKind: 'model', endpoint: await engine.start(), limit: settings.slots, dataCentre: this.#placeOf(index),
+			name: `agent-${this.#size.modelService}-${index}`,
+			service: this.#size.modelService,
+			endpointKind: 'model',
+			endpoint: await engine.start(),
+			limit: settings.slots,
+			dataCentre: this.#placeOf(index),
 		});
 	}
 
@@ -70,7 +76,7 @@
 		const ledger = new LedgerServer();
 		this.ledgers.push(ledger);
 		await this.#startAgent({
-			name: `agent-ledger-${index}`, service: serviceNames.plain, endpointKind: 'plain', endpoint: await ledger.start(), dataCentre: this.#placeOf(index),
+			name: `agent-${this.#size.plainService}-${index}`, service: this.#size.plainService, endpointKind: 'plain', endpoint: await ledger.start(), dataCentre: this.#placeOf(index),
 		});
 	}
 
--- /dev/null
+++ b/packages/embedded/src/sites.ts
@@ -0,0 +1,64 @@
+/**
+ * The two deployments that the demo runs, in the sizes of those who use the system.
+ */
+import type {DeploymentSize} from './deployment.js';
+
+export type Site = {
+	title: string;
+	/** File of the example configuration, in `examples/`. */
+	example: string;
+	size: DeploymentSize;
+	/** Plain service that takes postings, and the profile for them. */
+	posting: {service: string; profile: string; caller: string};
+	/** Model that callers ask, and the profile for it. */
+	query: {model: string; profile: string; caller: string; prompt: string};
+	/** What the trainer draws. */
+	rollout: {model: string; profile: string; trainer: string; prompts: string[]};
+};
+
+/** Both sites have three data centres, six engines and four plain endpoints. */
+const commonSize = {
+	entries: 3, engines: 6, plains: 4, slots: 16, tokenMs: 5,
+};
+
+/** The sites by the name of their example. */
+export const sites = {
+	'petroleum-office': {
+		title: 'Petroleum reserve office',
+		example: 'petroleum-office.yaml',
+		size: {
+			...commonSize, dataCentres: ['tomakomai', 'muroran', 'ishikari'], modelService: 'inference', plainService: 'ledger', models: {drift: 1},
+		},
+		posting: {service: 'ledger', profile: 'dip-posting', caller: 'gauge-clerk'},
+		query: {
+			model: 'drift', profile: 'audit-query', caller: 'auditor', prompt: 'Which tanks drifted since the last dip?',
+		},
+		rollout: {
+			model: 'drift', profile: 'drift-rollout', trainer: 'drift-trainer', prompts: ['tank 11', 'tank 12', 'tank 14', 'tank 21', 'tank 22', 'tank 30', 'tank 31', 'tank 40'],
+		},
+	},
+	moosbrugger: {
+		title: 'Trail reports',
+		example: 'moosbrugger.yaml',
+		size: {
+			...commonSize, dataCentres: ['innsbruck-a', 'innsbruck-b', 'hall-kufstein'], modelService: 'models', plainService: 'reports', models: {trail: 1},
+		},
+		posting: {service: 'reports', profile: 'closure-report', caller: 'ranger'},
+		query: {
+			model: 'trail', profile: 'ranger-query', caller: 'ranger', prompt: 'Is the bridge at the upper ford passable?',
+		},
+		rollout: {
+			model: 'trail', profile: 'hazard-rollout',
+			trainer: 'hazard-trainer',
+			prompts: ['snow bridge', 'rockfall', 'washed-out path', 'fallen tree', 'loose cable', 'flooded ford', 'icy ledge', 'closed hut'],
+		},
+	},
+} as const satisfies Record<string, {size: DeploymentSize} & Record<string, unknown>>;
+
+export type SiteName = keyof typeof sites;
+
+/** Looks a site up with its general type. */
+export function findSite(name: SiteName): Site {
+	const site = sites[name];
+	return {...site, rollout: {...site.rollout, prompts: [...site.rollout.prompts]}, size: {...site.size, dataCentres: [...site.size.dataCentres]}};
+}
