--- /dev/null
+++ b/packages/decisions/src/concurrency-limit.ts
@@ -0,0 +1,150 @@
+/**
+ * How many requests an endpoint may hold at once.
+ *
+ * Load pattern: an endpoint's real capacity differs from its setting and changes with the lengths of
+ * what it runs. Without this, too much is sent, each request slows all others, and urgent ones wait
+ * behind what was already sent. The limit follows the measured latency: it grows by a little while
+ * the limit is used and latency stays near its floor, and shrinks by a factor when it does not
+ * (additive increase, multiplicative decrease: Chiu and Jain, 1989).
+ */
+import type {PriorityClass} from '@wasabiusher/shared';
+
+/** Bounds and start of a limit, in requests. */
+export type LimitBounds = {min: number; max: number; initial: number};
+
+/**
+ * Latency over its floor at which the limit shrinks. Continuous batching slows each request by up to about
+ * twice at a full batch, which is wanted; beyond it requests wait inside the endpoint.
+ */
+const latencyTolerance = 2;
+
+/** Factor of each decrease, customary for latency-driven limits (0.9 rather than TCP's 0.5, as nothing is lost yet). */
+const decreaseFactor = 0.9;
+
+/** Decreases that may follow one another, at most one in each of these times the latency floor. */
+const decreaseIntervals = 1;
+
+/** Growth of the floor for each measurement, so that a floor from a lighter time is forgotten: doubles in 700. */
+const floorGrowth = 1.001;
+
+/** Fraction of the limit that must be in use before it grows; an unused limit proves nothing. */
+const growthUse = 0.8;
+
+/**
+ * Part of the limit that is kept from each class, so that a more urgent one finds a slot at once.
+ * With 8 slots, one is kept free for interactive callers.
+ */
+export const classHeadroom: Readonly<Record<PriorityClass, number>> = {interactive: 0, rollout: 0.125, background: 0.25};
+
+/** The limit of one endpoint. */
+export class ConcurrencyLimit {
+	readonly #bounds: LimitBounds;
+	#limit: number;
+	#floorMs = Number.POSITIVE_INFINITY;
+	#lastDecreaseAt = Number.NEGATIVE_INFINITY;
+
+	constructor(bounds: LimitBounds) {
+		this.#bounds = bounds;
+		this.#limit = bounds.initial;
+	}
+
+	/** Requests, a whole number. */
+	get limit(): number {
+		return Math.floor(this.#limit);
+	}
+
+	/** Requests that may be in flight when one of this class starts; always at least one. */
+	limitFor(name: PriorityClass): number {
+		return Math.max(1, Math.floor(this.#limit * (1 - classHeadroom[name])));
+	}
+
+	/**
+	 * Learns from a finished request.
+	 *
+	 * @param latencyMs - time at the endpoint, divided by the work if that differs much between requests
+	 * @param inFlight - requests there when it started
+	 * @param hasFailed - refused or timed out for want of capacity
+	 */
+	record(latencyMs: number, inFlight: number, hasFailed: boolean, now: number): void {
+		this.#floorMs = Math.min(latencyMs, this.#floorMs * floorGrowth);
+		if (hasFailed || latencyMs > latencyTolerance * this.#floorMs) {
+			this.#decrease(now);
+		} else if (inFlight >= growthUse * this.limit) {
+			// One more for each limit's worth of good measurements.
+			this.#limit = Math.min(this.#bounds.max, this.#limit + (1 / this.#limit));
+		}
+	}
+
+	#decrease(now: number): void {
+		if (now - this.#lastDecreaseAt < decreaseIntervals * this.#floorMs) {
+			return;
+		}
+
+		this.#lastDecreaseAt = now;
+		this.#limit = Math.max(this.#bounds.min, this.#limit * decreaseFactor);
+	}
+}
+
+/** A load report of an endpoint; it is older than its arrival. */
+export type LoadReport = {
+	/** Requests held when it was measured, by whoever sent them. */
+	load: number;
+	/** When it was measured, on the clock of `now`; the arrival less the stated lag. */
+	measuredAt: number;
+};
+
+/**
+ * Changes kept to correct a report with. An entry sends some requests a second to each endpoint, so
+ * these cover minutes; beyond them the older half is dropped and this entry's own open requests are the floor.
+ */
+const maxChanges = 1024;
+
+/**
+ * What an endpoint holds now, from a report that lags.
+ *
+ * Without the correction an entry goes on sending to the endpoint that was idle when last heard of,
+ * until the report shows the pile that this made.
+ */
+export class LaggingLoad {
+	#report: LoadReport = {load: 0, measuredAt: Number.NEGATIVE_INFINITY};
+	#changes: Array<{at: number; by: 1 | -1}> = [];
+	#since = 0;
+	#own = 0;
+
+	/** A request was sent there. */
+	recordSent(now: number): void {
+		this.#change(1, now);
+	}
+
+	/** A request sent there has ended. */
+	recordEnded(now: number): void {
+		this.#change(-1, now);
+	}
+
+	/** Takes a report; one older than the last is ignored. */
+	receive(report: LoadReport): void {
+		if (report.measuredAt >= this.#report.measuredAt) {
+			this.#report = report;
+			this.#keep(this.#changes.filter(({at}) => at > report.measuredAt));
+		}
+	}
+
+	/** Requests there now: the report, corrected by what was sent and has ended since; never less than this entry's own. */
+	get load(): number {
+		return Math.max(this.#own, this.#report.load + this.#since);
+	}
+
+	#change(by: 1 | -1, now: number): void {
+		this.#own += by;
+		this.#since += by;
+		this.#changes.push({at: now, by});
+		if (this.#changes.length > maxChanges) {
+			this.#keep(this.#changes.slice(maxChanges / 2));
+		}
+	}
+
+	#keep(changes: Array<{at: number; by: 1 | -1}>): void {
+		this.#changes = changes;
+		this.#since = changes.reduce((sum, {by}) => sum + by, 0);
+	}
+}
--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -1,73 +1,154 @@
 /**
- * The waiting line of an executor: weighted fair among callers by work, urgent classes first.
+ * The waiting line of an executor: urgent classes first, weighted fair among callers by work.
  *
  * Load pattern: one caller, or one class, sends far more than its share. Without this
  * its requests fill the line and all others wait behind them.
+ *
+ * Classes go in strict order of urgency, but each less urgent class that has waiters is
+ * owed a floor of the work served, so that none starves. Share that a class or caller
+ * leaves idle is used by the others at once, and is taken back at the next `pop` after
+ * it returns: within the time until the next slot is free, as running work is not stopped.
+ */
+import {priorityClasses, type PriorityClass} from '@wasabiusher/shared';
+import {CallerLine, type Entry, type Ticket} from './caller-line.js';
+
+export type {Ticket} from './caller-line.js';
+
+/** Bounds of what one caller may have waiting. */
+export type CallerBounds = {
+	/** Jobs. */
+	count: number;
+	/** Work, in the unit of the tickets' cost. */
+	work: number;
+};
+
+/** What one caller, or all, have waiting. */
+export type Backlog = {count: number; work: number};
+
+/**
+ * Least part of the work served that a class is owed while it has waiters. 10% keeps
+ * rollouts moving through an interactive flood; background work, for which nobody waits, gets half
+ * of that. Together they leave 85% to interactive callers at the worst.
  */
-import type {PriorityClass} from '@wasabiusher/shared';
-
-/** What the order is decided by. */
-export type Ticket = {
-	/** Names the entry, to take it out again. */
-	id: string;
-	class: PriorityClass;
-	/** 0 is the least urgent. */
-	priority: number;
-	/** Whose turn it uses up. */
-	caller: string;
-	/** Weight of the caller's profile. */
-	share: number;
-	/** Work, in tokens or calls. */
-	cost: number;
+export const classFloors: Readonly<Record<PriorityClass, number>> = {interactive: 0, rollout: 0.1, background: 0.05};
+
+const unbounded: CallerBounds = {count: Number.POSITIVE_INFINITY, work: Number.POSITIVE_INFINITY};
+
+type Class<Job> = {
+	floor: number;
+	line: CallerLine<Job>;
+	/** Work owed to it. */
+	credit: number;
 };
 
-type Waiting<Job> = {ticket: Ticket; job: Job; tag: number};
+const emptyBacklog: Readonly<Backlog> = {count: 0, work: 0};
 
-/** Jobs in fair order; start-time fair queueing (Goyal, Vin and Cheng, 1996) within each class. */
+/** Jobs in fair order; each operation takes O(log callers). */
 export class FairQueue<Job> {
-	readonly #waiting: Array<Waiting<Job>> = [];
-	readonly #finishTags = new Map<string, number>();
-	#virtualTime = 0;
+	readonly #bounds: CallerBounds;
+	readonly #classes: ReadonlyArray<Class<Job>>;
+	readonly #entries = new Map<string, Entry<Job>>();
+	readonly #backlogs = new Map<string, Backlog>();
+	#work = 0;
+
+	/** @param bounds - of what one caller may have waiting; none by default */
+	constructor(bounds: CallerBounds = unbounded) {
+		this.#bounds = bounds;
+		this.#classes = priorityClasses.map(name => ({floor: classFloors[name], line: new CallerLine<Job>(), credit: 0}));
+	}
 
 	get size(): number {
-		return this.#waiting.length;
+		return this.#entries.size;
 	}
 
 	/** Work that waits, in the unit of the tickets' cost. */
 	get work(): number {
-		return this.#waiting.reduce((sum, {ticket}) => sum + ticket.cost, 0);
+		return this.#work;
 	}
 
-	push(ticket: Ticket, job: Job): void {
-		const flow = `${ticket.class}/${ticket.caller}`;
-		const tag = Math.max(this.#virtualTime, this.#finishTags.get(flow) ?? 0);
-		this.#finishTags.set(flow, tag + (ticket.cost / ticket.share));
-		this.#waiting.push({ticket, job, tag});
+	/** What a caller has waiting. */
+	backlogOf(caller: string): Readonly<Backlog> {
+		return this.#backlogs.get(caller) ?? emptyBacklog;
+	}
+
+	/** Adds a job; false if its caller's bound is met or its id is already there. */
+	push(ticket: Ticket, job: Job): boolean {
+		const backlog = this.backlogOf(ticket.caller);
+		const isOver = backlog.count + 1 > this.#bounds.count || backlog.work + ticket.cost > this.#bounds.work;
+		// One job may exceed the bound in work by itself, or it could never run.
+		if (this.#entries.has(ticket.id) || (isOver && backlog.count > 0)) {
+			return false;
+		}
+
+		const entry: Entry<Job> = {ticket, job};
+		this.#entries.set(ticket.id, entry);
+		this.#findClass(ticket).line.push(entry);
+		this.#count(ticket, 1);
+		return true;
 	}
 
 	/** Takes the job whose turn it is. */
 	pop(): Job | undefined {
-		const [first] = this.#waiting.toSorted(compareWaiting);
-		if (!first) {
+		const next = this.#chooseClass();
+		if (!next) {
 			return undefined;
 		}
 
-		this.#waiting.splice(this.#waiting.indexOf(first), 1);
-		this.#virtualTime = Math.max(this.#virtualTime, first.tag);
-		return first.job;
+		const {ticket, job} = next.line.pop()!;
+		this.#settleCredits(next, ticket.cost);
+		this.#forget(ticket);
+		return job;
 	}
 
 	/** Takes out a job whose turn has not come; undefined if it is not there. */
 	remove(id: string): Job | undefined {
-		const index = this.#waiting.findIndex(({ticket}) => ticket.id === id);
-		return index === -1 ? undefined : this.#waiting.splice(index, 1)[0]!.job;
+		const entry = this.#entries.get(id);
+		if (!entry) {
+			return undefined;
+		}
+
+		const {line} = this.#findClass(entry.ticket);
+		line.remove(entry);
+		this.#forget(entry.ticket);
+		return entry.job;
 	}
-}
 
-const classOrder: Readonly<Record<PriorityClass, number>> = {interactive: 0, rollout: 1, background: 2};
+	#findClass({class: name}: Ticket): Class<Job> {
+		return this.#classes[priorityClasses.indexOf(name)]!;
+	}
+
+	/** A class that is owed its next job goes first, else the most urgent. */
+	#chooseClass(): Class<Job> | undefined {
+		const owed = this.#classes.find(({line, credit}) => line.first && credit >= line.first.ticket.cost && credit > 0);
+		return owed ?? this.#classes.find(({line}) => !line.isEmpty);
+	}
 
-function compareWaiting<Job>(a: Waiting<Job>, b: Waiting<Job>): number {
-	return classOrder[a.ticket.class] - classOrder[b.ticket.class]
-		|| b.ticket.priority - a.ticket.priority
-		|| a.tag - b.tag;
+	#settleCredits(served: Class<Job>, cost: number): void {
+		const servedIndex = this.#classes.indexOf(served);
+		for (const [index, other] of this.#classes.entries()) {
+			if (other.line.isEmpty) {
+				// Nothing is owed to a class that doesn't wait, so none can be saved up.
+				other.credit = 0;
+			} else if (index > servedIndex) {
+				other.credit += other.floor * cost;
+			}
+		}
+
+		served.credit = Math.max(0, served.credit - cost);
+	}
+
+	#forget(ticket: Ticket): void {
+		this.#entries.delete(ticket.id);
+		this.#count(ticket, -1);
+	}
+
+	#count({caller, cost}: Ticket, sign: 1 | -1): void {
+		const {count, work} = this.backlogOf(caller);
+		this.#work = this.#entries.size === 0 ? 0 : this.#work + (sign * cost);
+		if (count + sign === 0) {
+			this.#backlogs.delete(caller);
+		} else {
+			this.#backlogs.set(caller, {count: count + sign, work: work + (sign * cost)});
+		}
+	}
 }
--- /dev/null
+++ b/packages/decisions/src/poison.ts
@@ -0,0 +1,147 @@
+/**
+ * Finds the request that crashes each endpoint that runs it.
+ *
+ * Load pattern: now and then a single request crashes its endpoint, and its caller sends it again. Without this
+ * each retry and each re-send takes down one more endpoint, with all that runs there. What was in flight at a crash
+ * is suspect, by a fingerprint of its content. A suspect runs again only by itself, at the one endpoint that
+ * `chooseIsolation` names whichever entry asks, so that copies sent through several entries meet there. A second
+ * crash quarantines it; finishing anywhere clears it.
+ */
+import {orderByRank} from '@wasabiusher/shared';
+
+/** How a request with some fingerprint may run. */
+export type Verdict
+	= | {kind: 'free'}
+		/** Alone, and not where it was when an endpoint crashed. */
+		| {kind: 'isolate'; avoid: readonly string[]}
+		| {kind: 'quarantined'; retryAfterMs: number};
+
+/** A crash, named the same by all that hear of it. */
+export type Crash = {
+	endpoint: string;
+	/** Tells one run of the endpoint's process from the next. */
+	incarnation: string;
+	/** Fingerprints of what was in flight there. */
+	fingerprints: readonly string[];
+};
+
+/** What entries tell one another of a fingerprint; times are left over, as their clocks differ. */
+export type Suspicion = {
+	fingerprint: string;
+	/** `<endpoint>@<incarnation>` of each crash at which it was in flight. */
+	crashes: readonly string[];
+	/** Those of them that a later finish has cleared it of. */
+	cleared: readonly string[];
+	remainingMs: number;
+	/** Terms of quarantine so far. */
+	terms: number;
+};
+
+type Row = {crashes: Set<string>; cleared: Set<string>; until: number; terms: number};
+
+/** Crashes of different runs at which a request must have been in flight to be quarantined. */
+const crashesToQuarantine = 2;
+
+/** How long a suspect is remembered, in milliseconds: callers that send again do so within minutes. */
+const suspicionMs = 600_000;
+
+/** First term of quarantine, in milliseconds, doubled by each that follows a further crash, up to a day. */
+const firstTermMs = 600_000;
+const maxTermMs = 86_400_000;
+
+/** Fingerprints remembered; an endpoint holds some hundred requests, so this covers a hundred crashes. Some 5 MB. */
+const maxRows = 10_000;
+
+/** Judges requests by what crashed. */
+export class PoisonGuard {
+	readonly #rows = new Map<string, Row>();
+
+	/** How a request may run now. */
+	judge(fingerprint: string, now: number): Verdict {
+		const row = this.#rows.get(fingerprint);
+		const crashes = row ? listActive(row) : [];
+		if (!row || crashes.length === 0 || (now >= row.until && row.terms === 0)) {
+			return {kind: 'free'};
+		}
+
+		// After its term it is tried again, but alone.
+		return crashes.length >= crashesToQuarantine && now < row.until
+			? {kind: 'quarantined', retryAfterMs: row.until - now}
+			: {kind: 'isolate', avoid: crashes.map(crash => crash.slice(0, crash.lastIndexOf('@')))};
+	}
+
+	/** Suspects what was in flight at a crash; one that was heard of already changes nothing. */
+	recordCrash({endpoint, incarnation, fingerprints}: Crash, now: number): void {
+		for (const fingerprint of new Set(fingerprints)) {
+			this.#addCrashes(fingerprint, [`${endpoint}@${incarnation}`], now);
+		}
+	}
+
+	/** It finished, so it was not what crashed an endpoint. */
+	recordFinished(fingerprint: string): void {
+		const row = this.#rows.get(fingerprint);
+		if (row) {
+			row.cleared = new Set([...row.cleared, ...row.crashes]);
+		}
+	}
+
+	/** What to tell other entries. */
+	list(now: number): Suspicion[] {
+		return [...this.#rows].map(([fingerprint, {crashes, cleared, until, terms}]) => ({
+			fingerprint, crashes: [...crashes], cleared: [...cleared], remainingMs: Math.max(0, until - now), terms,
+		}));
+	}
+
+	/** Takes what another entry tells; in any order and any number of times. */
+	merge(suspicions: readonly Suspicion[], now: number): void {
+		for (const {fingerprint, crashes, cleared, remainingMs, terms} of suspicions) {
+			this.#addCrashes(fingerprint, crashes, now);
+			const row = this.#rows.get(fingerprint)!;
+			row.cleared = new Set([...row.cleared, ...cleared]);
+			row.terms = Math.max(row.terms, terms);
+			row.until = Math.max(row.until, now + remainingMs);
+		}
+	}
+
+	#addCrashes(fingerprint: string, crashes: readonly string[], now: number): void {
+		const row = this.#rows.get(fingerprint) ?? {
+			crashes: new Set(), cleared: new Set(), until: 0, terms: 0,
+		};
+		const isNew = crashes.some(crash => !row.crashes.has(crash) && !row.cleared.has(crash));
+		row.crashes = new Set([...row.crashes, ...crashes]);
+		this.#rows.delete(fingerprint);
+		this.#rows.set(fingerprint, row);
+		if (isNew) {
+			extendTerm(row, now);
+		}
+
+		if (this.#rows.size > maxRows) {
+			const [oldest] = this.#rows.keys();
+			this.#rows.delete(oldest!);
+		}
+	}
+}
+
+function extendTerm(row: Row, now: number): void {
+	if (listActive(row).length < crashesToQuarantine) {
+		row.until = Math.max(row.until, now + suspicionMs);
+		return;
+	}
+
+	row.until = now + Math.min(maxTermMs, firstTermMs * (2 ** row.terms));
+	row.terms += 1;
+}
+
+function listActive({crashes, cleared}: Row): string[] {
+	return [...crashes].filter(crash => !cleared.has(crash));
+}
+
+/**
+ * The endpoint at which a suspect runs alone: the same whichever entry asks.
+ *
+ * @param avoid - endpoints that crashed with it in flight
+ */
+export function chooseIsolation(fingerprint: string, endpoints: readonly string[], avoid: readonly string[]): string | undefined {
+	const [first] = orderByRank(fingerprint, endpoints.filter(endpoint => !avoid.includes(endpoint)));
+	return first;
+}
--- a/packages/decisions/src/routing.ts
+++ b/packages/decisions/src/routing.ts
@@ -2,30 +2,120 @@
  * Where a request is sent.
  *
  * Load pattern: endpoints differ in speed and in what waits at them. Without this,
- * work piles up at the slowest while others stand idle.
+ * work piles up at the slowest while others stand idle. Each decision compares the estimated time at
+ * a few candidates drawn by chance: many entries that all took the best of the same lagging reports would
+ * send it a herd (Mitzenmacher, 2001). An endpoint that caches the prompt's prefix joins the comparison
+ * as long as its load stays within a bound of the mean (bounded loads: Mirrokni, Thorup and Zadimoghaddam, 2018).
  */
 import type {Random} from '@wasabiusher/shared';
 
 /** An endpoint as routing sees it. */
 export type Candidate = {
 	id: string;
-	/** Requests in flight that this entry sent there, and what the endpoint reported besides. */
+	/** Requests there, corrected for the lag of its report. */
 	load: number;
 	/** Requests that it runs at once. */
 	limit: number;
+	dataCentre?: string;
+	/** Measured time of a request like this there, in milliseconds; 1 if not known. */
+	serviceMs?: number;
+	/** Part of the request's work that its cache saves, from 0 to 1. */
+	cached?: number;
+	/** Refuses new work; dropped at once, whatever the membership list says. */
+	isLeaving?: boolean;
+	/** Out of use on its own evidence. */
+	isEjected?: boolean;
 };
 
-/** Picks the least loaded candidate for its limit; ties by chance. Undefined when there is none. */
-export function chooseEndpoint(candidates: readonly Candidate[], random: Random): Candidate | undefined {
+/** How a request is to be routed. */
+export type RoutingOptions = {
+	/** Data centre of this entry; without it all candidates count as near. */
+	dataCentre?: string;
+	/** What the way to another data centre costs, in milliseconds. */
+	spillMs?: number;
+	/** Candidates compared, besides the one with the most cached. */
+	choices?: number;
+};
+
+/**
+ * Candidates compared. Two remove most of the imbalance and each more adds little, while the herd grows with them;
+ * `npm run experiment -- --sweep` prints the figures.
+ */
+export const defaultChoices = 3;
+
+/**
+ * Cost of another data centre in milliseconds: there and back at the 1.5 ms one way of both deployments, and the
+ * rest so that small differences, which lagging reports can't tell, don't carry work across.
+ */
+export const defaultSpillMs = 25;
+
+/** Load for its limit, over the mean, up to which an endpoint is preferred for its cache. */
+const affinityBound = 1.25;
+
+/** Picks by least estimated time; ties by chance. Undefined when there is none in use. */
+export function chooseEndpoint(candidates: readonly Candidate[], random: Random, options: RoutingOptions = {}): Candidate | undefined {
+	const usable = candidates.filter(({isLeaving, isEjected}) => !isLeaving && !isEjected);
+	const near = usable.filter(candidate => isNear(candidate, options));
+	const far = near.length === usable.length ? [] : usable.filter(candidate => !isNear(candidate, options));
+	const choices = options.choices ?? defaultChoices;
+	const preferred = findPreferred(usable);
+	const compared = [...draw(near, choices, random), ...draw(far, choices, random)];
+	return findLeast(preferred ? [...compared, preferred] : compared, options, preferred);
+}
+
+function isNear({dataCentre}: Candidate, options: RoutingOptions): boolean {
+	return options.dataCentre === undefined || dataCentre === undefined || dataCentre === options.dataCentre;
+}
+
+/** Some of the items in an order by chance; a partial Fisher–Yates shuffle. */
+function draw(items: readonly Candidate[], count: number, random: Random): Candidate[] {
+	const pool = [...items];
+	const drawn = Math.min(count, pool.length);
+	for (let i = 0; i < drawn; i++) {
+		const j = random.integer(i, pool.length - 1);
+		[pool[i], pool[j]] = [pool[j]!, pool[i]!];
+	}
+
+	return pool.slice(0, drawn);
+}
+
+/** The candidate with the most cached, if its load is within the bound. */
+function findPreferred(candidates: readonly Candidate[]): Candidate | undefined {
+	let preferred: Candidate | undefined;
+	let total = 0;
+	for (const candidate of candidates) {
+		total += fill(candidate);
+		if ((candidate.cached ?? 0) > (preferred?.cached ?? 0)) {
+			preferred = candidate;
+		}
+	}
+
+	return preferred && fill(preferred) <= affinityBound * Math.max(total / candidates.length, 1 / preferred.limit) ? preferred : undefined;
+}
+
+function findLeast(candidates: readonly Candidate[], options: RoutingOptions, preferred: Candidate | undefined): Candidate | undefined {
 	let best: Candidate | undefined;
-	let bestRatio = Number.POSITIVE_INFINITY;
+	let bestMs = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		const ratio = (candidate.load + random.next()) / Math.max(1, candidate.limit);
-		if (ratio < bestRatio) {
+		const distanceMs = isNear(candidate, options) ? 0 : options.spillMs ?? defaultSpillMs;
+		const savedMs = candidate === preferred ? (candidate.serviceMs ?? 1) * candidate.cached! : 0;
+		const timeMs = estimateTime(candidate) + distanceMs - savedMs;
+		if (timeMs < bestMs) {
 			best = candidate;
-			bestRatio = ratio;
+			bestMs = timeMs;
 		}
 	}
 
 	return best;
 }
+
+/** Load for its limit once the request is there. */
+function fill({load, limit}: Candidate): number {
+	return (load + 1) / Math.max(1, limit);
+}
+
+/** Time at an endpoint in milliseconds: a batch slows what runs in it, and what is over the limit waits. */
+export function estimateTime(candidate: Candidate): number {
+	const used = fill(candidate);
+	return (candidate.serviceMs ?? 1) * (used + Math.max(0, used - 1));
+}
