Hold each slot until the endpoint has stopped, and say truly what ran

Cause: a cancelled run freed its slot while the engine went on; a cancelled or expired request waited for its turn to be told so; a second attempt of a non-idempotent request could run beside the first; a proxy-wide window was counted in events only; what was in flight at a crash was guessed from one broken stream; suspects ran among others.

--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -45,6 +45,8 @@
 	/** Requests that the agent lets run at once. */
 	limit: countSchema,
 	running: countSchema,
+	/** Of them, those told to stop that the endpoint has not confirmed, and those from before the agent started. */
+	draining: countSchema.optional(),
 	waiting: countSchema,
 	/** Work waiting, in estimated tokens (or calls, for plain services). */
 	waitingWork: z.number().nonnegative(),
@@ -75,6 +77,18 @@
 	z.object({kind: z.literal('role'), role: z.string()}),
 ]);
 
+/** How long a request, by its content, is suspected; times are left over, as the clocks of hosts differ. */
+export const suspicionSchema = z.object({
+	fingerprint: z.string(),
+	/** `<endpoint>@<incarnation>` of each crash at which it was in flight. */
+	crashes: z.array(z.string()),
+	/** Those of them that a later finish has cleared it of. */
+	cleared: z.array(z.string()),
+	remainingMs: z.number().nonnegative(),
+	/** Terms of quarantine so far. */
+	terms: countSchema,
+});
+
 export const messageKindsSchema = z.discriminatedUnion('kind', [
 	// Handshake.
 	z.object({kind: z.literal('challenge'), protocol: z.int(), nonce: z.string()}),
@@ -139,6 +153,8 @@
 	z.object({
 		kind: z.literal('quarantine'), fingerprint: z.string(), untilMs: z.number(), crashes: z.array(z.string()),
 	}),
+	/** What is known of requests that were in flight when an endpoint crashed. */
+	z.object({kind: z.literal('suspicions'), suspicions: z.array(suspicionSchema)}),
 	/** What the sender has, so that the receiver can see a gap and send what is missing. */
 	z.object({kind: z.literal('digest'), configurationVersion: countSchema}),
 ]);
--- /dev/null
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -0,0 +1,501 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import type {Message} from '@wasabiusher/link';
+import {PlatformError} from '@wasabiusher/platform';
+import {windowEvents, type Suspicion} from '../src/index.js';
+import {
+	createExecutor, createOpen, createPosting, createToken, FakeEngine, FakeService, lastToken,
+} from './executor-fixtures.js';
+
+const peer = 'entry-1';
+
+describe('executor', () => {
+	let clock: Clock;
+	let engine: FakeEngine;
+
+	beforeEach(() => {
+		// P-queue goes on in microtasks, which are no matter of time.
+		clock = install({toNotFake: ['queueMicrotask', 'nextTick']});
+		engine = new FakeEngine();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	/** Lets all that is ready happen. */
+	async function settle(): Promise<void> {
+		await clock.tickAsync(0);
+	}
+
+	function createModelExecutor(settings: Partial<Parameters<typeof createExecutor>[0]> = {}) {
+		return createExecutor({endpoint: {kind: 'model', engine}, ...settings});
+	}
+
+	function openAll(executor: ReturnType<typeof createExecutor>['executor'], ...requests: string[]): void {
+		for (const request of requests) {
+			executor.open(peer, createOpen(request));
+		}
+	}
+
+	it('runs up to its limit and sends the whole answer with its terminal event', async () => {
+		const {executor, find, list} = createModelExecutor();
+		openAll(executor, 'a', 'b', 'c');
+		await settle();
+		expect(engine.runs.map(({options}) => options.requestId)).to.deep.equal(['a.1', 'b.1']);
+		engine.runs[0]!.feed.push(createToken('one ', 1), createToken('two', 2), lastToken);
+		await settle();
+		const events = list('a').flatMap(message => message.kind === 'part' ? [message.event] : []);
+		expect(events.flatMap(event => event.kind === 'parts' ? event.parts : [])).to.deep.equal([{text: 'one ', tokens: 1, version: 1}, {text: 'two', tokens: 1, version: 2}]);
+		expect(events.at(-1)).to.deep.equal({kind: 'finished', reason: 'stop'});
+		expect(find('c', 'started'), 'the free slot is used').not.to.equal(undefined);
+	});
+
+	describe('slots', () => {
+		it('are held after a cancellation until the engine confirms the stop', async () => {
+			const {executor, find} = createModelExecutor({limit: 1});
+			engine.onCancel = async () => {
+				throw new PlatformError('unknown', 'no answer');
+			};
+
+			openAll(executor, 'a', 'b');
+			await settle();
+			engine.runs[0]!.feed.push(createToken('one'));
+			await settle();
+			executor.cancel(peer, {request: 'a', attempt: 1});
+			await clock.tickAsync(3000);
+			expect(engine.runs, 'nothing takes the place of unconfirmed work').to.have.lengthOf(1);
+			expect(executor.describe()).to.include({running: 1, draining: 1, waiting: 1});
+			expect(find('a', 'stopped')).to.equal(undefined);
+			engine.onCancel = async () => true;
+			await clock.tickAsync(2000);
+			expect(find('a', 'stopped')).not.to.equal(undefined);
+			expect(engine.runs).to.have.lengthOf(2);
+			expect(executor.describe()).to.include({running: 1, draining: 0, waiting: 0});
+		});
+
+		it('are not freed by a cancel that may have overtaken its request', async () => {
+			const {executor, find} = createModelExecutor({limit: 1});
+			engine.onCancel = async () => false;
+			openAll(executor, 'a');
+			await settle();
+			executor.cancel(peer, {request: 'a', attempt: 1});
+			await settle();
+			expect(find('a', 'stopped')).to.equal(undefined);
+			await clock.tickAsync(100);
+			expect(engine.cancelled).to.deep.equal(['a.1', 'a.1']);
+			expect(find('a', 'stopped')).not.to.equal(undefined);
+		});
+
+		it('of a plain service stay accounted for as long as its calls take', async () => {
+			const service = new FakeService();
+			const {executor} = createExecutor({endpoint: {kind: 'plain', service}, limit: 1});
+			executor.open(peer, createPosting('slow', {isIdempotent: true}));
+			await clock.tickAsync(400);
+			service.calls[0]!.feed.push({kind: 'head', status: 200, headers: {}}, {kind: 'finished'});
+			await settle();
+			executor.open(peer, createPosting('left', {isIdempotent: true}));
+			await clock.tickAsync(100);
+			executor.cancel(peer, {request: 'left', attempt: 1});
+			await settle();
+			expect(service.calls[1]!.signal.aborted, 'the connection is closed at once').to.equal(true);
+			await clock.tickAsync(290);
+			expect(executor.describe().draining).to.equal(1);
+			await clock.tickAsync(20);
+			expect(executor.describe().draining).to.equal(0);
+		});
+
+		it('are counted for runs that the engine still has from before the agent started', async () => {
+			const {executor} = createModelExecutor({limit: 4});
+			executor.reportHeld(3);
+			openAll(executor, 'a', 'b', 'c', 'd');
+			await settle();
+			expect(engine.runs).to.have.lengthOf(1);
+			expect(executor.describe()).to.include({limit: 1, draining: 3});
+			executor.reportHeld(2);
+			await settle();
+			expect(engine.runs, 'one of them has ended').to.have.lengthOf(2);
+			await clock.tickAsync(2000);
+			executor.reportHeld(2);
+			await settle();
+			expect(engine.runs, 'both that remain are ours').to.have.lengthOf(4);
+		});
+	});
+
+	describe('waiting', () => {
+		it('ends at once when cancelled, as not run', async () => {
+			const {executor, find} = createModelExecutor({limit: 1});
+			openAll(executor, 'a', 'b');
+			await settle();
+			executor.cancel(peer, {request: 'b', attempt: 1});
+			expect(find('b', 'refused')).to.include({reason: 'cancelled'});
+			expect(executor.describe().waiting).to.equal(0);
+			engine.runs[0]!.feed.push(lastToken);
+			await settle();
+			expect(engine.runs).to.have.lengthOf(1);
+		});
+
+		it('ends at the deadline, as not run', async () => {
+			const {executor, find} = createModelExecutor({limit: 1});
+			openAll(executor, 'a');
+			executor.open(peer, createOpen('b', {remainingMs: 500}));
+			await clock.tickAsync(501);
+			expect(find('b', 'refused')).to.include({reason: 'expired'});
+			expect(find('b', 'started')).to.equal(undefined);
+		});
+
+		it('is refused at once when the line is full, with the time to come back', async () => {
+			const {executor, find} = createModelExecutor({limit: 1, maxWaiting: 2});
+			for (const caller of ['x', 'y', 'z', 'w']) {
+				executor.open(peer, createOpen(caller, {caller}));
+			}
+
+			expect(find('w', 'refused')).to.include({reason: 'overloaded'});
+			expect(find('w', 'refused')!.retryAfterMs).to.be.greaterThan(0);
+		});
+
+		it('is refused when it would last longer than the deadline', async () => {
+			const {executor, find} = createModelExecutor({limit: 1, maxWaiting: 100});
+			openAll(executor, 'a', 'b');
+			executor.open(peer, createOpen('long', {cost: 2000, remainingMs: 60_000}));
+			executor.open(peer, createOpen('late', {cost: 8, remainingMs: 20}));
+			await settle();
+			expect(find('late', 'refused')).to.include({reason: 'overloaded'});
+		});
+	});
+
+	it('stops a run at its deadline and tells its entry without waiting for the engine', async () => {
+		const {executor, find} = createModelExecutor();
+		engine.onCancel = async () => {
+			throw new PlatformError('unknown', 'no answer');
+		};
+
+		executor.open(peer, createOpen('a', {remainingMs: 500}));
+		await settle();
+		engine.runs[0]!.feed.push(createToken('one'));
+		await clock.tickAsync(501);
+		expect(find('a', 'failed')).to.include({ran: 'yes', hasCrashed: false});
+		expect(executor.describe().draining).to.equal(1);
+	});
+
+	describe('what it says of `ran`', () => {
+		const cases: Array<[name: string, error: Error, tokens: number, ran: string]> = [
+			['is no when nothing was sent', new PlatformError('unavailable', 'refused'), 0, 'no'],
+			['is no when the endpoint refused', new PlatformError('refused', 'no such model'), 0, 'no'],
+			['is unknown when the answer was lost', new PlatformError('unknown', 'reset'), 0, 'unknown'],
+			['is unknown for an error of no known kind', new Error('unexpected'), 0, 'unknown'],
+			['is yes once there was a part', new PlatformError('unavailable', 'refused'), 1, 'yes'],
+		];
+		async function checkRan(error: Error, tokens: number, ran: string): Promise<void> {
+			const {executor, find} = createModelExecutor();
+			openAll(executor, 'a');
+			await settle();
+			engine.runs[0]!.feed.push(...Array.from({length: tokens}, () => createToken('t')));
+			engine.runs[0]!.feed.fail(error);
+			await settle();
+			expect(find('a', 'failed')).to.include({ran});
+		}
+
+		for (const [name, error, tokens, ran] of cases) {
+			it(name, async () => {
+				await checkRan(error, tokens, ran);
+			});
+		}
+	});
+
+	describe('a non-idempotent request', () => {
+		let service: FakeService;
+
+		function createPlainExecutor() {
+			return createExecutor({endpoint: {kind: 'plain', service}, limit: 2});
+		}
+
+		beforeEach(() => {
+			service = new FakeService();
+		});
+
+		it('does not run again by another attempt, and this is not called a refusal', async () => {
+			const {executor, find, list} = createPlainExecutor();
+			executor.open(peer, createPosting('p'));
+			await settle();
+			executor.open(peer, createPosting('p', {attempt: 2}));
+			service.calls[0]!.feed.fail(new PlatformError('unknown', 'reset'));
+			await settle();
+			executor.open(peer, createPosting('p', {attempt: 3}));
+			await settle();
+			expect(service.calls).to.have.lengthOf(1);
+			expect(find('p', 'failed')).to.include({attempt: 3, ran: 'unknown'});
+			expect(list('p').filter(({kind}) => kind === 'refused')).to.deep.equal([]);
+		});
+
+		it('runs by another attempt when the earlier is proven not to have run', async () => {
+			const {executor} = createPlainExecutor();
+			executor.open(peer, createPosting('p'));
+			await settle();
+			service.calls[0]!.feed.fail(new PlatformError('unavailable', 'connection refused'));
+			await settle();
+			executor.open(peer, createPosting('p', {attempt: 2}));
+			await settle();
+			expect(service.calls).to.have.lengthOf(2);
+		});
+
+		it('takes the place of its own earlier attempt that still waits', async () => {
+			const {executor, find} = createPlainExecutor();
+			executor.open(peer, createPosting('x'));
+			executor.open(peer, createPosting('y'));
+			executor.open(peer, createPosting('p'));
+			executor.open(peer, createPosting('p', {attempt: 2}));
+			expect(find('p', 'refused')).to.include({attempt: 1, reason: 'cancelled'});
+			for (const call of service.calls) {
+				call.feed.push({kind: 'finished'});
+			}
+
+			await settle();
+			expect(service.calls.map(({path}) => path)).to.deep.equal(['/x', '/y', '/p']);
+		});
+
+		it('goes on when its entry is lost, and its answer can be asked for', async () => {
+			const {executor, list} = createPlainExecutor();
+			executor.open(peer, createPosting('p', {remainingMs: 60_000}));
+			await settle();
+			executor.detach(peer);
+			await clock.tickAsync(10_001);
+			expect(service.calls[0]!.signal.aborted).to.equal(false);
+			executor.attach(peer);
+			executor.resume(peer, {
+				kind: 'resume', request: 'p', attempt: 1, next: 0,
+			});
+			expect(list('p').at(-1)).to.include({kind: 'started'});
+		});
+	});
+
+	describe('a replaced link', () => {
+		it('gets the answer from the part that it lacks', async () => {
+			const {executor, sent, list} = createModelExecutor();
+			openAll(executor, 'a');
+			await settle();
+			const {feed} = engine.runs[0]!;
+			for (const text of ['one', 'two', 'three']) {
+				feed.push(createToken(text));
+				// Each is a part of its own.
+				// eslint-disable-next-line no-await-in-loop
+				await settle();
+			}
+
+			executor.detach(peer);
+			feed.push(lastToken);
+			await settle();
+			executor.attach(peer);
+			sent.length = 0;
+			executor.resume(peer, {
+				kind: 'resume', request: 'a', attempt: 1, next: 2,
+			});
+			expect(list('a').map(message => message.kind === 'part' ? message.sequence : message.kind)).to.deep.equal(['started', 2, 3]);
+			executor.acknowledge(peer, {
+				kind: 'acknowledge', request: 'a', attempt: 1, next: 4,
+			});
+			executor.resume(peer, {
+				kind: 'resume', request: 'a', attempt: 1, next: 4,
+			});
+			expect(list('a').at(-1), 'an acknowledged answer is forgotten').to.include({kind: 'failed', ran: 'unknown'});
+		});
+
+		it('gets the outcome of an attempt that ended meanwhile', async () => {
+			let isUp = true;
+			const told: Message[] = [];
+			const {executor} = createModelExecutor({
+				send(_peer, message) {
+					if (isUp) {
+						told.push(message);
+					}
+
+					return isUp;
+				},
+			});
+			openAll(executor, 'a');
+			await settle();
+			isUp = false;
+			engine.runs[0]!.feed.fail(new PlatformError('refused', 'not held'));
+			await settle();
+			expect(told.map(({kind}) => kind)).to.deep.equal(['started']);
+			isUp = true;
+			executor.resume(peer, {
+				kind: 'resume', request: 'a', attempt: 1, next: 0,
+			});
+			expect(told.at(-1)).to.include({kind: 'failed', ran: 'no'});
+		});
+
+		it('that does not come stops what runs for it and frees what waits', async () => {
+			const {executor} = createModelExecutor({limit: 1});
+			openAll(executor, 'a', 'b');
+			await settle();
+			executor.detach(peer);
+			await clock.tickAsync(9999);
+			expect(engine.cancelled).to.deep.equal([]);
+			await clock.tickAsync(200);
+			expect(engine.cancelled[0]).to.equal('a.1');
+			expect(executor.describe()).to.include({running: 0, waiting: 0});
+		});
+
+		it('finds nothing of an answer that was not acknowledged for too long', async () => {
+			const {executor, find} = createModelExecutor();
+			openAll(executor, 'a');
+			await settle();
+			engine.runs[0]!.feed.push(createToken('one'), lastToken);
+			await clock.tickAsync(30_001);
+			executor.resume(peer, {
+				kind: 'resume', request: 'a', attempt: 1, next: 0,
+			});
+			expect(find('a', 'failed')).to.include({ran: 'unknown'});
+		});
+	});
+
+	it('reads no further than its window while its entry does not acknowledge', async () => {
+		const {executor, list} = createModelExecutor();
+		openAll(executor, 'a');
+		await settle();
+		const {feed} = engine.runs[0]!;
+		for (let index = 0; index < windowEvents * 2; index += 1) {
+			feed.push(createToken('t'));
+		}
+
+		await clock.tickAsync(1000);
+		const countParts = () => list('a').filter(({kind}) => kind === 'part').length;
+		expect(countParts()).to.equal(windowEvents);
+		executor.acknowledge(peer, {
+			kind: 'acknowledge', request: 'a', attempt: 1, next: 16,
+		});
+		await clock.tickAsync(1000);
+		expect(countParts()).to.equal(windowEvents + 16);
+	});
+
+	describe('a crash of the endpoint', () => {
+		it('ends all that was in flight as crashed, frees the slots, and names the contents', async () => {
+			const {executor, find} = createModelExecutor();
+			openAll(executor, 'a', 'b', 'c');
+			await settle();
+			engine.runs[0]!.feed.push(createToken('one'));
+			await settle();
+			expect(executor.crash()).to.deep.equal(['content of a', 'content of b']);
+			await settle();
+			expect(find('a', 'failed')).to.include({hasCrashed: true, ran: 'yes'});
+			expect(find('b', 'failed')).to.include({hasCrashed: true, ran: 'unknown'});
+			expect(find('c', 'started')).not.to.equal(undefined);
+		});
+
+		it('ends the wait for a stop that nobody can confirm any more', async () => {
+			const {executor, find} = createModelExecutor();
+			engine.onCancel = async () => {
+				throw new PlatformError('unavailable', 'connection refused');
+			};
+
+			openAll(executor, 'a');
+			await settle();
+			executor.cancel(peer, {request: 'a', attempt: 1});
+			await clock.tickAsync(5000);
+			expect(executor.describe().draining).to.equal(1);
+			executor.crash();
+			await settle();
+			expect(executor.describe().draining).to.equal(0);
+			expect(find('a', 'stopped')).not.to.equal(undefined);
+		});
+
+		it('is asked for when a stream breaks off; a stream that broke off alone is no crash', async () => {
+			let hasCrashed = false;
+			const {executor, find} = createModelExecutor({checkCrash: async () => hasCrashed});
+			openAll(executor, 'a', 'b');
+			await settle();
+			engine.runs[0]!.feed.fail(new PlatformError('unknown', 'reset'));
+			await settle();
+			expect(find('a', 'failed')).to.include({hasCrashed: false});
+			hasCrashed = true;
+			engine.runs[1]!.feed.fail(new PlatformError('unknown', 'reset'));
+			await settle();
+			expect(find('b', 'failed')).to.include({hasCrashed: true});
+		});
+	});
+
+	describe('a suspect', () => {
+		it('runs alone: after what runs, with nothing beside it', async () => {
+			const {executor, find} = createModelExecutor();
+			openAll(executor, 'a');
+			executor.open(peer, createOpen('s', {isSuspect: true}));
+			openAll(executor, 'b');
+			await settle();
+			expect(engine.runs.map(({options}) => options.requestId)).to.deep.equal(['a.1']);
+			engine.runs[0]!.feed.push(lastToken);
+			await settle();
+			expect(engine.runs.map(({options}) => options.requestId)).to.deep.equal(['a.1', 's.1']);
+			engine.runs[1]!.feed.push(lastToken);
+			await settle();
+			expect(find('b', 'started')).not.to.equal(undefined);
+		});
+
+		it('that is cancelled while it waits holds nothing up', async () => {
+			const {executor} = createModelExecutor();
+			openAll(executor, 'a');
+			executor.open(peer, createOpen('s', {isSuspect: true}));
+			openAll(executor, 'b');
+			await settle();
+			executor.cancel(peer, {request: 's', attempt: 1});
+			await settle();
+			expect(engine.runs.map(({options}) => options.requestId)).to.deep.equal(['a.1', 'b.1']);
+		});
+
+		it('is recognised by its content whatever its entry knows, and refused once quarantined', async () => {
+			const verdicts: Record<string, Suspicion> = {'content of s': 'isolate', 'content of q': 'quarantined'};
+			const {executor, find} = createModelExecutor({judge: fingerprint => verdicts[fingerprint] ?? 'free'});
+			openAll(executor, 'a', 's', 'q');
+			await settle();
+			expect(engine.runs).to.have.lengthOf(1);
+			expect(find('q', 'refused')).to.include({reason: 'quarantined'});
+		});
+	});
+
+	describe('leaving', () => {
+		it('refuses at once, gives back what waits, and cuts off nothing that runs', async () => {
+			const {executor, find} = createModelExecutor({limit: 1});
+			openAll(executor, 'a', 'b');
+			await settle();
+			let isDrained = false;
+			const drained = executor.drain().then(() => {
+				isDrained = true;
+			});
+			openAll(executor, 'c');
+			expect(find('b', 'refused')).to.include({reason: 'leaving'});
+			expect(find('c', 'refused')).to.include({reason: 'leaving'});
+			await clock.tickAsync(5000);
+			expect(isDrained).to.equal(false);
+			engine.runs[0]!.feed.push(createToken('one'), lastToken);
+			await drained;
+			expect(executor.countUnacknowledged()).to.equal(1);
+			executor.acknowledge(peer, {
+				kind: 'acknowledge', request: 'a', attempt: 1, next: 2,
+			});
+			expect(executor.countUnacknowledged()).to.equal(0);
+		});
+	});
+
+	it('stops at the engine a run of which only its entry knows, since the agent was restarted', async () => {
+		const {executor} = createModelExecutor();
+		executor.cancel(peer, {request: 'old', attempt: 3});
+		await settle();
+		expect(engine.cancelled).to.deep.equal(['old.3']);
+	});
+
+	it('leaves no timer behind', async () => {
+		const {executor} = createModelExecutor();
+		openAll(executor, 'a', 'b', 'c');
+		await settle();
+		executor.detach('entry-2');
+		for (const {feed} of engine.runs) {
+			feed.push(createToken('one'), lastToken);
+		}
+
+		await settle();
+		executor.cancel(peer, {request: 'c', attempt: 1});
+		await settle();
+		executor.close();
+		expect(clock.countTimers()).to.equal(0);
+	});
+});
--- /dev/null
+++ b/packages/systems/src/execution.ts
@@ -0,0 +1,92 @@
+/**
+ * One attempt at an agent, from its `open` message until its answer has been acknowledged.
+ */
+import type {Message, MessageOf} from '@wasabiusher/link';
+import {PlatformError} from '@wasabiusher/platform';
+import {describeError, type Ran} from '@wasabiusher/shared';
+import {AnswerBuffer} from './answer-buffer.js';
+
+/**
+ * - `waiting`: in the queue, proven not run
+ * - `running`: at the endpoint
+ * - `draining`: told to stop, which the endpoint has not confirmed; it still holds its slot
+ * - `ended`: holds nothing but its answer
+ */
+export type ExecutionState = 'waiting' | 'running' | 'draining' | 'ended';
+
+/** Why a run was stopped before its end. */
+const stopReasons = ['cancelled', 'expired', 'crashed'] as const;
+
+export type StopReason = typeof stopReasons[number];
+
+/** Names an attempt. */
+export type AttemptName = {request: string; attempt: number};
+
+export type Execution = {
+	readonly id: string;
+	readonly peer: string;
+	readonly open: MessageOf<'open'>;
+	readonly buffer: AnswerBuffer;
+	/** On the monotonic clock, in milliseconds. */
+	readonly openedAt: number;
+	readonly deadlineAt: number;
+	/** Aborted to take it out of the queue; never once it runs, for its slot is held then. */
+	readonly place: AbortController;
+	/** Aborted to end its run; the reason is a `StopReason`. */
+	readonly run: AbortController;
+	/** Aborted when the endpoint has restarted, so that there is nothing left to stop. */
+	readonly gone: AbortController;
+	state: ExecutionState;
+	startedAt: number;
+	deadlineTimer?: NodeJS.Timeout;
+	/** How it ended, unless by `finished`; kept for a resumed link. */
+	outcome?: Message;
+};
+
+/** Unique among the attempts of all entries. */
+export function formatExecutionId(peer: string, {request, attempt}: AttemptName): string {
+	return `${peer} ${request} ${attempt}`;
+}
+
+export function createExecution(peer: string, open: MessageOf<'open'>): Execution {
+	const now = performance.now();
+	return {
+		id: formatExecutionId(peer, open),
+		peer,
+		open,
+		buffer: new AnswerBuffer(),
+		openedAt: now,
+		deadlineAt: now + open.remainingMs,
+		place: new AbortController(),
+		run: new AbortController(),
+		gone: new AbortController(),
+		state: 'waiting',
+		startedAt: now,
+	};
+}
+
+/** Why it was stopped; undefined if nobody stopped it. */
+export function findStopReason({run}: Execution): StopReason | undefined {
+	return stopReasons.find(reason => run.signal.aborted && run.signal.reason === reason);
+}
+
+/**
+ * Whether the request had an effect, for all that is known at a failure. `no` needs proof:
+ * the platform's layer says that nothing was sent or that the endpoint refused.
+ */
+export function judgeRan({buffer}: Execution, error: unknown): Ran {
+	if (buffer.length > 0) {
+		return 'yes';
+	}
+
+	const isProvenNot = error instanceof PlatformError && (error.code === 'refused' || error.code === 'unavailable');
+	return isProvenNot ? 'no' : 'unknown';
+}
+
+/** What the entry is told of a run that failed by itself. */
+export function describeFailure(execution: Execution, error: unknown, hasCrashed: boolean): MessageOf<'failed'> {
+	const {request, attempt} = execution.open;
+	return {
+		kind: 'failed', request, attempt, ran: judgeRan(execution, error), reason: describeError(error), hasCrashed,
+	};
+}
--- a/packages/systems/src/executor.ts
+++ b/packages/systems/src/executor.ts
@@ -4,129 +4,155 @@
  * A slot is held from before the endpoint is called until its stream has ended or its
  * stop is confirmed, so work that is still draining stays accounted for.
  */
+import type {AdmissionDecision} from '@wasabiusher/decisions';
 import type {
-	AnswerEvent, EndpointStatus, Message, MessageOf, Refusal,
+	EndpointStatus, Message, MessageOf, Refusal,
 } from '@wasabiusher/link';
-import {PlatformError, type Engine, type PlainService} from '@wasabiusher/platform';
-import {Table, type Log, type Ran} from '@wasabiusher/shared';
-import {AnswerBuffer} from './answer-buffer.js';
+import {PlatformError} from '@wasabiusher/platform';
+import {Table, type Log} from '@wasabiusher/shared';
+import {AnswerArchive} from './answer-archive.js';
+import {confirmStop, formatRunId, type Endpoint} from './endpoint-run.js';
+import {
+	createExecution, describeFailure, findStopReason, formatExecutionId, judgeRan, type AttemptName, type Execution, type StopReason,
+} from './execution.js';
+import {ExecutorLoad} from './executor-load.js';
 import {createExecutorQueue, type ExecutorQueue} from './executor-queue.js';
+import {OnceGuard} from './once-guard.js';
+import {PartRate} from './part-gatherer.js';
+import {readRun} from './run-reader.js';
+import {SuspectGate} from './suspect-gate.js';
 
-/** The endpoint that an agent stands beside. */
-export type Endpoint = {kind: 'model'; engine: Engine} | {kind: 'plain'; service: PlainService};
-
-/** One attempt at this agent. */
-type Execution = {
-	id: string;
-	peer: string;
-	open: MessageOf<'open'>;
-	state: 'waiting' | 'running' | 'ended';
-	/** On the monotonic clock, in milliseconds. */
-	deadlineAt: number;
-	buffer: AnswerBuffer;
-	abort: AbortController;
-	/** How it ended, kept until it is acknowledged by the entry or forgotten. */
-	outcome?: Message;
-};
+/** How a request may run by what is known of its content. */
+export type Suspicion = 'free' | 'isolate' | 'quarantined';
+
+/** What an executor reports of each request, for metrics. */
+export type ExecutorEvent
+	= | {kind: 'refused'; reason: Refusal}
+		| {kind: 'started'; waitMs: number}
+		| {kind: 'ended'; outcome: 'finished' | 'stopped' | 'failed' | 'crashed'; runMs: number};
 
 export type ExecutorSettings = {
 	service: string;
 	endpoint: Endpoint;
-	/** Requests run at once. */
+	/** Requests run at once at the most. */
 	limit: number;
 	/** Requests waiting at most. */
 	maxWaiting: number;
 	log: Log;
 	/** Sends to an entry by name; false if it has no link at present. */
 	send(peer: string, message: Message): boolean;
+	/** How a request with this content may run; all may, by default. */
+	judge?(fingerprint: string): Suspicion;
+	/** Asked when a stream broke off: whether the endpoint has crashed. It calls `crash` by itself. */
+	checkCrash?(): Promise<boolean>;
+	/** A request with this content was finished. */
+	onFinished?(fingerprint: string): void;
+	observe?(event: ExecutorEvent): void;
 };
 
-/** How long an attempt without a link to its entry goes on before it is stopped, in milliseconds. */
+/** How long an attempt without a link to its entry goes on before it is stopped, in milliseconds; entries give up after 5 s. */
 const orphanMs = 10_000;
 
-/** How long an ended attempt can still be asked for by a resumed link, in milliseconds. */
-const keepEndedMs = 30_000;
+/** When a request refused for a reason that passes should come back, in milliseconds. */
+const retryAfterMs = 1000;
+
+/** Reports lag by this much at the most, in milliseconds; a run that is older must be in them. */
+const reportLagMs = 2000;
 
 /** Runs requests of any number of entries on one endpoint. */
 export class Executor {
 	readonly #settings: ExecutorSettings;
 	readonly #executions = new Table<Execution>();
+	readonly #archive: AnswerArchive;
+	readonly #load: ExecutorLoad;
 	readonly #queue: ExecutorQueue;
+	readonly #suspects: SuspectGate;
+	readonly #once = new OnceGuard();
+	readonly #rate = new PartRate();
 	readonly #orphanTimers = new Map<string, NodeJS.Timeout>();
+	#hasReport = false;
 	#isLeaving = false;
 
 	constructor(settings: ExecutorSettings) {
 		this.#settings = settings;
-		this.#queue = createExecutorQueue(settings.limit);
+		const {endpoint, limit, maxWaiting} = settings;
+		this.#load = new ExecutorLoad({kind: endpoint.kind, limit, maxWaiting});
+		this.#queue = createExecutorQueue(limit);
+		this.#suspects = new SuspectGate(this.#queue);
+		this.#archive = new AnswerArchive(id => {
+			this.#executions.remove(id);
+		});
 	}
 
 	/** What entries are told of the endpoint, less what only the engine's report says. */
-	describe(): Pick<EndpointStatus, 'service' | 'limit' | 'running' | 'waiting' | 'waitingWork' | 'isLeaving'> {
+	describe(): Pick<EndpointStatus, 'service' | 'limit' | 'running' | 'draining' | 'waiting' | 'waitingWork' | 'workPerSecond' | 'isLeaving'> {
 		return {
 			service: this.#settings.service,
-			limit: this.#settings.limit,
-			running: this.#queue.pending,
-			waiting: this.#queue.size,
-			waitingWork: this.#executions.filter(({state}) => state === 'waiting').reduce((sum, {open}) => sum + open.cost, 0),
+			limit: this.#load.limit,
+			running: this.#queue.pending + this.#suspects.running,
+			draining: this.#executions.filter(({state}) => state === 'draining').length + this.#load.inherited,
+			waiting: this.#queue.size + this.#suspects.waiting,
+			waitingWork: this.#load.waitingWork,
+			workPerSecond: this.#load.workPerSecond,
 			isLeaving: this.#isLeaving,
 		};
 	}
 
 	open(peer: string, open: MessageOf<'open'>): void {
-		const id = formatExecutionId(peer, open);
-		if (this.#executions.has(id)) {
+		const known = this.#executions.get(formatExecutionId(peer, open));
+		if (known) {
+			this.#replay(known, 0);
 			return;
 		}
 
-		const refusal = this.#findRefusal(open);
-		if (refusal) {
+		if (!open.isIdempotent && !this.#isFirst(peer, open)) {
 			this.#settings.send(peer, {
-				kind: 'refused', request: open.request, attempt: open.attempt, reason: refusal,
+				kind: 'failed', request: open.request, attempt: open.attempt, ran: 'unknown', reason: 'an earlier attempt of this non-idempotent request may have run', hasCrashed: false,
 			});
 			return;
 		}
 
-		const execution: Execution = {
-			id, peer, open, state: 'waiting', deadlineAt: performance.now() + open.remainingMs, buffer: new AnswerBuffer(), abort: new AbortController(),
-		};
-		this.#executions.put(execution);
-		void this.#queue.add(async () => this.#execute(execution), {
-			ticket: {
-				id, class: open.class, priority: open.priority, caller: open.caller, share: open.share, cost: open.cost,
-			},
-		});
+		const suspicion = this.#settings.judge?.(open.fingerprint) ?? 'free';
+		const refusal = this.#findRefusal(open, suspicion);
+		if (refusal) {
+			this.#refuse(peer, open, refusal);
+			return;
+		}
+
+		this.#admit(createExecution(peer, open), open.isSuspect || suspicion === 'isolate');
 	}
 
-	cancel(peer: string, {request, attempt}: MessageOf<'cancel'>): void {
-		const execution = this.#executions.get(formatExecutionId(peer, {request, attempt}));
-		execution?.abort.abort();
-		execution?.buffer.release();
+	/** The caller is gone: a waiting attempt loses its place at once, a running one is stopped at the endpoint. */
+	cancel(peer: string, name: AttemptName): void {
+		const execution = this.#executions.get(formatExecutionId(peer, name));
+		if (execution) {
+			this.#stop(execution, 'cancelled');
+		} else if (this.#settings.endpoint.kind === 'model') {
+			// It may run there from before this agent was restarted.
+			void this.#settings.endpoint.engine.cancel(formatRunId(name)).catch(() => undefined);
+		}
 	}
 
 	acknowledge(peer: string, {request, attempt, next}: MessageOf<'acknowledge'>): void {
-		this.#executions.get(formatExecutionId(peer, {request, attempt}))?.buffer.acknowledge(next);
+		const execution = this.#executions.get(formatExecutionId(peer, {request, attempt}));
+		if (!execution) {
+			return;
+		}
+
+		execution.buffer.acknowledge(next);
+		if (execution.state === 'ended' && !execution.outcome && execution.buffer.isEmpty) {
+			this.#archive.drop(execution);
+		}
 	}
 
 	/** Sends again what a replaced link has lost. */
 	resume(peer: string, {request, attempt, next}: MessageOf<'resume'>): void {
 		const execution = this.#executions.get(formatExecutionId(peer, {request, attempt}));
-		const events = execution?.buffer.listFrom(next);
-		if (!execution || !events) {
+		if (!execution || !this.#replay(execution, next)) {
 			// Nothing is known of it here: it may have run and been forgotten.
 			this.#settings.send(peer, {
 				kind: 'failed', request, attempt, ran: 'unknown', reason: 'the answer is no longer held', hasCrashed: false,
 			});
-			return;
-		}
-
-		for (const numbered of events) {
-			this.#settings.send(peer, {
-				kind: 'part', request, attempt, ...numbered,
-			});
-		}
-
-		if (execution.outcome) {
-			this.#settings.send(peer, execution.outcome);
 		}
 	}
 
@@ -136,128 +162,293 @@
 		this.#orphanTimers.delete(peer);
 	}
 
-	/** An entry's link was lost: what it left running is stopped unless the entry returns. */
+	/** An entry's link was lost: what it left is stopped unless the entry returns. */
 	detach(peer: string): void {
 		this.attach(peer);
 		this.#orphanTimers.set(peer, setTimeout(() => {
-			for (const execution of this.#executions.filter(row => row.peer === peer)) {
-				execution.abort.abort();
-				execution.buffer.release();
-			}
+			this.#orphanTimers.delete(peer);
+			this.#stopOrphans(peer);
 		}, orphanMs));
 	}
 
-	/** Takes no new work; resolves when all that was taken has ended. */
+	/** Takes the endpoint's word of how many runs it holds. */
+	reportHeld(held: number): void {
+		const mustShow = performance.now() - reportLagMs;
+		const own = this.#executions.filter(({state, startedAt}) => (state === 'running' || state === 'draining') && startedAt <= mustShow).length;
+		this.#load.recordHeld(held, own, !this.#hasReport);
+		this.#hasReport = true;
+		this.#queue.concurrency = this.#load.limit;
+	}
+
+	/**
+	 * The endpoint has crashed: ends all that was in flight there.
+	 *
+	 * @returns the fingerprints of what was in flight
+	 */
+	crash(): string[] {
+		const inFlight = this.#executions.filter(({state}) => state === 'running' || state === 'draining');
+		this.#load.recordRestart();
+		for (const execution of inFlight) {
+			execution.gone.abort();
+			this.#stop(execution, 'crashed');
+		}
+
+		return inFlight.map(({open}) => open.fingerprint);
+	}
+
+	/**
+	 * Takes no new work and gives back what has not started; resolves when all that runs has ended.
+	 * Answers may still have to be acknowledged: see `countUnacknowledged`.
+	 */
 	async drain(): Promise<void> {
 		this.#isLeaving = true;
-		await this.#queue.onIdle();
+		for (const execution of this.#executions.filter(({state}) => state === 'waiting')) {
+			this.#leaveQueue(execution, 'leaving');
+		}
+
+		await Promise.all([this.#queue.onIdle(), this.#suspects.onIdle()]);
+	}
+
+	/** Whole answers that their entries, as far as they have a link, have not acknowledged. */
+	countUnacknowledged(): number {
+		return this.#executions.filter(({peer, state, outcome, buffer}) => state === 'ended' && !outcome && !buffer.isEmpty && !this.#orphanTimers.has(peer)).length;
 	}
 
-	#findRefusal(open: MessageOf<'open'>): Refusal | undefined {
-		const {service, maxWaiting, limit} = this.#settings;
-		const isFull = this.#queue.size >= maxWaiting && this.#queue.pending >= limit;
+	/** Stops all timers; for a process that ends. */
+	close(): void {
+		this.#archive.clear();
+		for (const timer of this.#orphanTimers.values()) {
+			clearTimeout(timer);
+		}
+	}
+
+	/** Whether no other attempt of a non-idempotent request may have run or may yet. */
+	#isFirst(peer: string, open: MessageOf<'open'>): boolean {
+		const isEarlier = (other: Execution) => other.peer === peer && other.open.request === open.request && other.state === 'waiting';
+		for (const earlier of this.#executions.filter(row => isEarlier(row))) {
+			this.#leaveQueue(earlier, 'cancelled');
+		}
+
+		return !this.#once.hasOther(peer, open);
+	}
+
+	#findRefusal(open: MessageOf<'open'>, suspicion: Suspicion): Refusal | undefined {
 		const reasons: Array<[boolean, Refusal]> = [
 			[this.#isLeaving, 'leaving'],
-			[open.service !== service, 'unknown-service'],
+			[open.service !== this.#settings.service, 'unknown-service'],
 			[open.remainingMs <= 0, 'expired'],
-			[isFull, 'overloaded'],
+			[suspicion === 'quarantined', 'quarantined'],
 		];
 		return reasons.find(([holds]) => holds)?.[1];
 	}
 
-	async #execute(execution: Execution): Promise<void> {
-		const {open} = execution;
-		if (execution.abort.signal.aborted || performance.now() >= execution.deadlineAt) {
-			const reason = execution.abort.signal.aborted ? 'cancelled' : 'expired';
-			this.#end(execution, {
-				kind: 'refused', request: open.request, attempt: open.attempt, reason,
-			});
+	#refuse(peer: string, {request, attempt}: AttemptName, reason: Refusal, afterMs?: number): MessageOf<'refused'> {
+		const message: MessageOf<'refused'> = {
+			kind: 'refused', request, attempt, reason, retryAfterMs: afterMs,
+		};
+		this.#settings.send(peer, message);
+		this.#settings.observe?.({kind: 'refused', reason});
+		return message;
+	}
+
+	#admit(execution: Execution, isAlone: boolean): void {
+		const {peer, open, place} = execution;
+		const decision: AdmissionDecision = this.#load.admit(execution, performance.now());
+		if (decision.kind === 'refused') {
+			this.#refuse(peer, open, 'overloaded', decision.retryAfterMs);
 			return;
 		}
 
-		execution.state = 'running';
-		this.#settings.send(execution.peer, {kind: 'started', request: open.request, attempt: open.attempt});
-		const timer = setTimeout(() => {
-			execution.abort.abort();
+		this.#executions.put(execution);
+		execution.deadlineTimer = setTimeout(() => {
+			this.#stop(execution, 'expired');
+		}, open.remainingMs);
+		const run = async () => this.#execute(execution);
+		if (isAlone) {
+			this.#suspects.add(run, place.signal);
+			return;
+		}
+
+		const added = this.#queue.add(run, {
+			id: execution.id,
+			signal: place.signal,
+			ticket: {
+				id: execution.id, class: open.class, priority: open.priority, caller: open.caller, share: open.share, cost: open.cost,
+			},
+		});
+		added.catch(() => {
+			// Taken out, which was answered then, or beyond a bound of the queue.
+			this.#leaveQueue(execution, 'overloaded');
+		});
+	}
+
+	/** Ends an attempt that is proven not to have run; does nothing to any other. */
+	#leaveQueue(execution: Execution, reason: Refusal): void {
+		if (execution.state !== 'waiting') {
+			return;
+		}
+
+		const afterMs = reason === 'overloaded' || reason === 'leaving' ? retryAfterMs : undefined;
+		this.#end(execution, this.#refuse(execution.peer, execution.open, reason, afterMs));
+		execution.place.abort();
+	}
+
+	#stop(execution: Execution, reason: StopReason): void {
+		if (execution.state === 'waiting') {
+			this.#leaveQueue(execution, reason === 'expired' ? 'expired' : 'cancelled');
+		} else if (execution.state === 'running') {
+			execution.run.abort(reason);
 			execution.buffer.release();
-		}, execution.deadlineAt - performance.now());
-		try {
-			await this.#stream(execution);
-			this.#end(execution);
-		} catch (error) {
-			this.#end(execution, this.#describeFailure(execution, error));
-		} finally {
-			clearTimeout(timer);
 		}
 	}
 
-	async #stream(execution: Execution): Promise<void> {
-		for await (const event of this.#run(execution)) {
-			await execution.buffer.waitForRoom();
-			if (execution.abort.signal.aborted) {
-				throw new PlatformError('unknown', 'cancelled while running');
+	/** A non-idempotent call has its effect whether or not it is stopped; so it goes on, and its answer can be asked for. */
+	#stopOrphans(peer: string): void {
+		for (const execution of this.#executions.filter(row => row.peer === peer)) {
+			if (execution.state === 'waiting' || execution.open.isIdempotent) {
+				this.#stop(execution, 'cancelled');
+			} else {
+				execution.buffer.release();
 			}
+		}
+	}
+
+	async #execute(execution: Execution): Promise<void> {
+		const {peer, open} = execution;
+		const inFlight = this.#queue.pending + this.#suspects.running;
+		execution.state = 'running';
+		execution.startedAt = performance.now();
+		this.#load.start(execution);
+		if (!open.isIdempotent) {
+			this.#once.record(peer, open, execution.deadlineAt);
+		}
 
-			const numbered = execution.buffer.append(event);
-			const {request, attempt} = execution.open;
-			this.#settings.send(execution.peer, {
-				kind: 'part', request, attempt, ...numbered,
+		this.#settings.send(peer, {kind: 'started', request: open.request, attempt: open.attempt});
+		this.#settings.observe?.({kind: 'started', waitMs: execution.startedAt - execution.openedAt});
+		try {
+			const reading = await readRun(execution, {
+				endpoint: this.#settings.endpoint,
+				rate: this.#rate,
+				send: numbered => {
+					this.#sendPart(execution, numbered);
+				},
 			});
+			this.#load.recordRun(execution, {...reading, inFlight}, performance.now());
+			this.#queue.concurrency = this.#load.limit;
+			this.#settings.onFinished?.(open.fingerprint);
+			this.#end(execution);
+		} catch (error) {
+			await this.#fail(execution, error);
 		}
 	}
 
-	#run({open, abort}: Execution): AsyncIterable<AnswerEvent> {
-		const {endpoint} = this.#settings;
-		const {work} = open;
-		if (endpoint.kind === 'model' && work.kind === 'generate') {
-			return streamGeneration(endpoint.engine.generate(work.request, {requestId: `${open.request}.${open.attempt}`, priority: open.priority, signal: abort.signal}));
+	async #fail(execution: Execution, error: unknown): Promise<void> {
+		const isBroken = error instanceof PlatformError && (error.code === 'unknown' || error.code === 'unavailable');
+		if (isBroken && !findStopReason(execution) && await this.#settings.checkCrash?.()) {
+			this.#end(execution, describeFailure(execution, error, true));
+			return;
+		}
+
+		// The check may have taken a while: it may have been stopped since.
+		const reason = findStopReason(execution);
+		if (reason) {
+			await this.#finishStop(execution, reason);
+			return;
 		}
 
-		if (endpoint.kind === 'plain' && work.kind === 'forward') {
-			return streamForward(endpoint.service.forward(work, abort.signal));
+		if (judgeRan(execution, error) === 'no') {
+			this.#once.clear(execution.peer, execution.open);
 		}
 
-		throw new PlatformError('refused', `a ${endpoint.kind} endpoint can not run ${work.kind}`);
+		this.#end(execution, describeFailure(execution, error, false));
 	}
 
-	#describeFailure({open, abort, deadlineAt}: Execution, error: unknown): Message {
+	/** Holds the slot until the endpoint has stopped; the entry of an expired attempt is not kept waiting for that. */
+	async #finishStop(execution: Execution, reason: StopReason): Promise<void> {
+		const {open, buffer, gone, startedAt} = execution;
 		const {request, attempt} = open;
-		if (abort.signal.aborted && performance.now() < deadlineAt) {
-			return {kind: 'stopped', request, attempt};
+		const failure = describeFailure(execution, new PlatformError('unknown', stopTexts[reason]), reason === 'crashed');
+		if (reason === 'crashed') {
+			this.#end(execution, failure);
+			return;
 		}
 
-		const code = error instanceof PlatformError ? error.code : 'unknown';
-		const ran: Ran = code === 'refused' || code === 'unavailable' ? 'no' : 'unknown';
-		return {
-			kind: 'failed', request, attempt, ran, reason: error instanceof Error ? error.message : String(error), hasCrashed: code === 'unknown' && !abort.signal.aborted,
-		};
+		execution.state = 'draining';
+		if (reason === 'expired') {
+			execution.outcome = failure;
+			this.#settings.send(execution.peer, failure);
+		}
+
+		await confirmStop(this.#settings.endpoint, {
+			runId: formatRunId(open), hasAnswered: buffer.length > 0, ranMs: performance.now() - startedAt, typicalMs: this.#load.typicalMs, gone: gone.signal,
+		});
+		this.#end(execution, execution.outcome ?? {kind: 'stopped', request, attempt});
 	}
 
+	/** Ends an execution once; its answer stays until it is acknowledged or the archive lets go of it. */
 	#end(execution: Execution, outcome?: Message): void {
+		const wasWaiting = execution.state === 'waiting';
+		const isTold = wasWaiting || execution.outcome !== undefined;
 		execution.state = 'ended';
 		execution.outcome = outcome;
-		if (outcome) {
+		clearTimeout(execution.deadlineTimer);
+		this.#load.release(execution);
+		this.#archive.keep(execution);
+		if (outcome && !isTold) {
 			this.#settings.send(execution.peer, outcome);
 		}
 
-		setTimeout(() => {
-			this.#executions.remove(execution.id);
-		}, keepEndedMs).unref();
+		if (!wasWaiting) {
+			this.#settings.observe?.({kind: 'ended', outcome: nameOutcome(outcome), runMs: performance.now() - execution.startedAt});
+		}
 	}
-}
 
-function formatExecutionId(peer: string, {request, attempt}: {request: string; attempt: number}): string {
-	return `${peer} ${request} ${attempt}`;
-}
+	#sendPart({peer, open}: Execution, numbered: Pick<MessageOf<'part'>, 'sequence' | 'event'>): void {
+		const {request, attempt} = open;
+		this.#settings.send(peer, {
+			kind: 'part', request, attempt, ...numbered,
+		});
+	}
 
-async function * streamGeneration(events: ReturnType<Engine['generate']>): AsyncIterable<AnswerEvent> {
-	for await (const event of events) {
-		yield event.kind === 'part' ? {kind: 'parts', parts: [event.part]} : {kind: 'finished', reason: event.reason};
+	/** Sends what an entry lacks; false if it is no longer held. */
+	#replay(execution: Execution, next: number): boolean {
+		const events = execution.buffer.listFrom(next);
+		if (!events) {
+			return false;
+		}
+
+		const {peer, open, state, outcome} = execution;
+		if (state !== 'waiting') {
+			this.#settings.send(peer, {kind: 'started', request: open.request, attempt: open.attempt});
+		}
+
+		for (const numbered of events) {
+			this.#sendPart(execution, numbered);
+		}
+
+		if (outcome) {
+			this.#settings.send(peer, outcome);
+		}
+
+		return true;
 	}
 }
 
-async function * streamForward(events: ReturnType<PlainService['forward']>): AsyncIterable<AnswerEvent> {
-	for await (const event of events) {
-		yield event;
+/** What entries are told of each reason. */
+const stopTexts: Readonly<Record<StopReason, string>> = {
+	cancelled: 'cancelled while running',
+	expired: 'the deadline passed while it ran',
+	crashed: 'the endpoint crashed while it ran',
+};
+
+function nameOutcome(outcome: Message | undefined): Extract<ExecutorEvent, {kind: 'ended'}>['outcome'] {
+	if (!outcome) {
+		return 'finished';
 	}
+
+	if (outcome.kind === 'failed') {
+		return outcome.hasCrashed ? 'crashed' : 'failed';
+	}
+
+	return 'stopped';
 }
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -1,6 +1,7 @@
 /** What runs over the tables: the entry's dispatch of calls and the agent's execution of them. */
 export * from './answer-buffer.js';
 export * from './dispatcher.js';
+export type {Endpoint} from './endpoint-run.js';
 export * from './executor.js';
 export * from './executor-queue.js';
 export * from './steps.js';
