Carry out orders under a kept fence and watch the endpoint for crashes

Cause: the highest fence was lost with the agent; an order was taken for done when the engine answered; nothing compared the engine with what was ordered; a crash was not told from a broken stream; a drained agent tore its links while answers were on their way; each idle agent sent five statuses a second a link.

Change: fence floor in the store (one write a fence, one read a start); orders one by one, read back, and given again where an engine that ignores fences differs; crash by start id or by an endpoint that does not answer; suspicions passed on between entries; drain waits for acknowledgements and ends links in order; status on change or once a second; metrics.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,65 +1,98 @@
 /**
- * The agent: wires links, the executor and the endpoint together.
+ * The agent: wires links, the executor, orders and the endpoint together.
  */
 import {Registry, collectDefaultMetrics} from 'prom-client';
 import {addOperationRoutes, HttpServer, type Daemon} from '@wasabiusher/daemon';
 import {
-	LinkServer, type EndpointStatus, type Link, type Message, type MessageOf,
+	LinkServer, type EndpointStatus, type Link, type LinkError, type LinkListener, type Message, type MessageOf,
 } from '@wasabiusher/link';
 import {
-	HttpEngine, HttpMembershipList, HttpPlainService, PlatformError, type LoadedModel, type MembershipList,
+	HttpEngine, HttpMembershipList, HttpPlainService, HttpTableService, type MembershipList,
 } from '@wasabiusher/platform';
 import {describeError, type AcceptedConfiguration, type Log} from '@wasabiusher/shared';
 import {Executor, type Endpoint} from '@wasabiusher/systems';
+import {EndpointWatch} from './endpoint-watch.js';
+import {FenceFloor} from './fence-floor.js';
+import {AgentMetrics} from './metrics.js';
+import {OrderDesk} from './order-desk.js';
+import {PoisonRelay} from './poison-relay.js';
 import {resolveKeys, type AgentSettings} from './settings.js';
+import {StatusPace} from './status-pace.js';
 
-/** How often the endpoint is asked for its report and entries are told, in milliseconds. */
+/** How often the endpoint is asked for its report and entries are told what changed, in milliseconds. */
 const reportMs = 200;
 
 /** How often the agent announces itself, in milliseconds. */
 const announceMs = 5000;
 
+/** Longest wait for the acknowledgement of whole answers by an agent that leaves, in milliseconds: what a lost link takes to be replaced. */
+const acknowledgeMs = 6000;
+
+/** How often that is looked at, in milliseconds. */
+const acknowledgePollMs = 20;
+
 const endpoints: Readonly<Record<AgentSettings['endpointKind'], (origin: string) => Endpoint>> = {
 	model: origin => ({kind: 'model', engine: new HttpEngine(origin)}),
 	plain: origin => ({kind: 'plain', service: new HttpPlainService(origin)}),
 };
 
+/** Handlers of the messages that an agent takes, by kind. */
+type Handlers = Partial<{[Kind in Message['kind']]: (link: Link, message: MessageOf<Kind>) => void}>;
+
 /** One agent beside one endpoint. */
 export class Agent implements Daemon {
 	readonly #settings: AgentSettings;
 	readonly #log: Log;
 	readonly #http = new HttpServer();
 	readonly #registry = new Registry();
+	readonly #metrics: AgentMetrics;
 	readonly #membership: MembershipList;
-	readonly #endpoint: Endpoint;
+	readonly #watch: EndpointWatch;
 	readonly #executor: Executor;
+	readonly #floor: FenceFloor;
+	readonly #orders: OrderDesk | undefined;
+	readonly #poison: PoisonRelay;
+	readonly #pace = new StatusPace();
+	readonly #handlers: Handlers;
 	readonly #links = new Map<string, Link>();
 	readonly #timers: NodeJS.Timeout[] = [];
 	#linkServer: LinkServer | undefined;
 	#address = '';
-	#models: LoadedModel[] = [];
-	#role = '';
-	#workPerSecond = 0;
-	#isHealthy = false;
 	#isLeaving = false;
-	#fence = 0;
 	#configuration: AcceptedConfiguration | undefined;
 
 	constructor(settings: AgentSettings, log: Log) {
+		const {name, service, limit, maxWaiting, platform} = settings;
+		const endpoint = endpoints[settings.endpointKind](settings.endpoint);
 		this.#settings = settings;
 		this.#log = log;
-		this.#membership = new HttpMembershipList(settings.platform);
-		this.#endpoint = endpoints[settings.endpointKind](settings.endpoint);
+		this.#membership = new HttpMembershipList(platform);
+		this.#floor = new FenceFloor(new HttpTableService(platform), `${service}/${name}`);
+		this.#metrics = new AgentMetrics(this.#registry, () => this.#readState());
+		this.#poison = new PoisonRelay(name, (message, except) => {
+			this.#broadcast(message, except);
+		});
+		this.#watch = this.#createWatch(endpoint);
 		this.#executor = new Executor({
-			service: settings.service,
-			endpoint: this.#endpoint,
-			limit: settings.limit,
-			maxWaiting: settings.maxWaiting,
+			service,
+			endpoint,
+			limit,
+			maxWaiting,
 			log,
 			send: (peer, message) => this.#send(peer, message),
+			judge: fingerprint => this.#poison.judge(fingerprint),
+			checkCrash: async () => this.#watch.checkCrash(),
+			onFinished: fingerprint => {
+				this.#poison.recordFinished(fingerprint);
+			},
+			observe: event => {
+				this.#metrics.recordRequest(event);
+			},
 		});
+		this.#orders = this.#createOrderDesk(endpoint);
+		this.#handlers = this.#createHandlers();
 		collectDefaultMetrics({register: this.#registry});
-		addOperationRoutes(this.#http, this.#registry, () => this.#isHealthy && !this.#isLeaving);
+		addOperationRoutes(this.#http, this.#registry, () => this.#watch.state.isHealthy && !this.#isLeaving);
 	}
 
 	/** `ip:port` in use, once started. */
@@ -70,9 +103,10 @@
 	async start(): Promise<void> {
 		const {name} = this.#settings;
 		this.#linkServer = new LinkServer(this.#http.server, {
-			identity: {name, keys: resolveKeys(this.#settings)},
+			identity: {name, keys: () => resolveKeys(this.#settings)},
 			onLink: link => this.#accept(link),
 			onReject: error => {
+				this.#metrics.recordLinkError(error.code);
 				this.#log.warn('link_refused', {code: error.code, reason: error.message});
 			},
 		});
@@ -90,119 +124,139 @@
 		this.#log.info('agent_started', {address: this.#address, service: this.#settings.service});
 	}
 
+	/** Takes no new work, and ends when all that it has taken is answered and acknowledged. */
 	async drain(): Promise<void> {
 		this.#isLeaving = true;
 		const drained = this.#executor.drain();
-		this.#broadcast({kind: 'status', status: this.#describe()});
-		await this.#announce();
+		this.#tellStatus(true);
+		void this.#announce();
 		await drained;
+		await this.#waitForAcknowledgements();
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
 
-		this.#linkServer?.close();
+		this.#executor.close();
+		await this.#linkServer?.end();
 		await this.#http.close();
+		this.#log.info('agent_drained');
 	}
 
-	#accept(link: Link) {
-		this.#links.get(link.peer)?.close();
-		this.#links.set(link.peer, link);
-		this.#executor.attach(link.peer);
-		link.send({kind: 'status', status: this.#describe()});
-		return {
-			onMessage: (message: Message) => {
-				this.#receive(link, message);
+	#createWatch(endpoint: Endpoint): EndpointWatch {
+		return new EndpointWatch(endpoint, {
+			onReport: report => {
+				this.#executor.reportHeld(report.running + report.waiting);
+				this.#orders?.compare(report);
 			},
-			onClose: () => {
-				if (this.#links.get(link.peer) === link) {
-					this.#links.delete(link.peer);
-					this.#executor.detach(link.peer);
-				}
+			onCrash: incarnation => {
+				const fingerprints = this.#executor.crash();
+				this.#metrics.recordCrash();
+				this.#log.error('endpoint_crashed', {incarnation, inFlight: fingerprints.length});
+				this.#poison.recordCrash(incarnation, fingerprints);
 			},
-		};
+		});
+	}
+
+	#createOrderDesk(endpoint: Endpoint): OrderDesk | undefined {
+		return endpoint.kind === 'model'
+			? new OrderDesk({
+				engine: endpoint.engine,
+				floor: this.#floor,
+				log: this.#log,
+				observe: outcome => {
+					this.#metrics.recordOrder(outcome);
+				},
+			})
+			: undefined;
 	}
 
-	#receive(link: Link, message: Message): void {
-		const {peer} = link;
-		const handlers: Partial<{[Kind in Message['kind']]: (message: MessageOf<Kind>) => void}> = {
-			open: open => {
-				this.#executor.open(peer, open);
+	#createHandlers(): Handlers {
+		return {
+			open: ({peer}, message) => {
+				this.#executor.open(peer, message);
 			},
-			cancel: cancel => {
-				this.#executor.cancel(peer, cancel);
+			cancel: ({peer}, message) => {
+				this.#executor.cancel(peer, message);
 			},
-			acknowledge: acknowledge => {
-				this.#executor.acknowledge(peer, acknowledge);
+			acknowledge: ({peer}, message) => {
+				this.#executor.acknowledge(peer, message);
 			},
-			resume: resume => {
-				this.#executor.resume(peer, resume);
+			resume: ({peer}, message) => {
+				this.#executor.resume(peer, message);
 			},
-			order: order => {
-				void this.#order(link, order);
+			order: (link, message) => {
+				void this.#order(link, message);
 			},
-			configuration: ({accepted}) => {
+			configuration: ({peer}, {accepted}) => {
 				this.#adopt(accepted, peer);
 			},
+			suspicions: ({peer}, message) => {
+				this.#poison.receive(message, peer);
+			},
 		};
-		// The table pairs each kind with a handler of that kind's message.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		(handlers[message.kind] as ((message: Message) => void) | undefined)?.(message);
 	}
 
-	/** A version never goes back. */
-	#adopt(accepted: AcceptedConfiguration, from: string): void {
-		if (accepted.version <= (this.#configuration?.version ?? 0)) {
-			return;
+	/** A new link of the same entry replaces the old one, which may not have noticed yet that it is lost. */
+	#accept(link: Link): LinkListener {
+		this.#links.get(link.peer)?.close();
+		this.#links.set(link.peer, link);
+		this.#executor.attach(link.peer);
+		link.send({kind: 'status', status: this.#describe()});
+		const suspicions = this.#poison.list();
+		if (suspicions.length > 0) {
+			link.send({kind: 'suspicions', suspicions});
 		}
 
-		this.#configuration = accepted;
-		for (const link of this.#links.values()) {
-			if (link.peer !== from) {
-				link.send({kind: 'configuration', accepted});
-			}
-		}
+		return {
+			onMessage: message => {
+				// The table pairs each kind with a handler of that kind's message.
+				// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+				(this.#handlers[message.kind] as ((link: Link, message: Message) => void) | undefined)?.(link, message);
+			},
+			onUnknown: error => {
+				this.#metrics.recordLinkError(error.code);
+			},
+			onClose: error => {
+				this.#drop(link, error);
+			},
+		};
 	}
 
-	async #order(link: Link, {order, fence, body}: MessageOf<'order'>): Promise<void> {
-		if (fence < this.#fence || this.#endpoint.kind !== 'model') {
-			link.send({
-				kind: 'ordered', order, outcome: 'fenced', detail: `fence ${fence} is older than ${this.#fence}`,
-			});
-			return;
+	#drop(link: Link, error?: LinkError): void {
+		if (error) {
+			this.#metrics.recordLinkError(error.code);
+			this.#log.warn('link_lost', {peer: link.peer, code: error.code, reason: error.message});
 		}
 
-		this.#fence = fence;
-		try {
-			await this.#endpoint.engine.order(body, fence);
-			await this.#refresh();
-			link.send({
-				kind: 'ordered', order, outcome: 'done', detail: '',
-			});
-		} catch (error) {
-			const outcome = error instanceof PlatformError && error.code === 'fenced' ? 'fenced' : 'failed';
-			link.send({
-				kind: 'ordered', order, outcome, detail: describeError(error),
-			});
+		if (this.#links.get(link.peer) === link) {
+			this.#links.delete(link.peer);
+			this.#executor.detach(link.peer);
+		}
+	}
+
+	/** A version never goes back. */
+	#adopt(accepted: AcceptedConfiguration, from: string): void {
+		if (accepted.version > (this.#configuration?.version ?? 0)) {
+			this.#configuration = accepted;
+			this.#broadcast({kind: 'configuration', accepted}, from);
 		}
 	}
 
+	async #order(link: Link, {order, fence, body}: MessageOf<'order'>): Promise<void> {
+		const result = await this.#orders?.execute(body, fence) ?? {outcome: 'failed', detail: 'this endpoint takes no orders'};
+		await this.#refresh();
+		link.send({kind: 'ordered', order, ...result});
+	}
+
 	async #refresh(): Promise<void> {
-		try {
-			if (this.#endpoint.kind === 'model') {
-				const report = await this.#endpoint.engine.report();
-				this.#models = report.models;
-				this.#role = report.role;
-				this.#workPerSecond = report.tokensPerSecond;
-				this.#isHealthy = true;
-			} else {
-				this.#isHealthy = await this.#endpoint.service.check();
-			}
-		} catch (error) {
-			this.#isHealthy = false;
-			this.#log.warn('endpoint_unreachable', {reason: describeError(error)});
+		const wasHealthy = this.#watch.state.isHealthy;
+		await this.#watch.refresh();
+		const {isHealthy, error} = this.#watch.state;
+		if (wasHealthy && !isHealthy) {
+			this.#log.warn('endpoint_unreachable', {reason: error === undefined ? undefined : describeError(error)});
 		}
 
-		this.#broadcast({kind: 'status', status: this.#describe()});
+		this.#tellStatus();
 	}
 
 	async #announce(): Promise<void> {
@@ -216,16 +270,41 @@
 		}
 	}
 
+	async #waitForAcknowledgements(): Promise<void> {
+		const giveUpAt = performance.now() + acknowledgeMs;
+		while (this.#executor.countUnacknowledged() > 0 && performance.now() < giveUpAt) {
+			// Each look waits for the one before.
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise(resolve => {
+				setTimeout(resolve, acknowledgePollMs);
+			});
+		}
+	}
+
+	#tellStatus(isUrgent = false): void {
+		const status = this.#describe();
+		if (this.#pace.shouldTell(status, performance.now()) || isUrgent) {
+			this.#broadcast({kind: 'status', status});
+		}
+	}
+
 	#describe(): EndpointStatus {
+		const {isHealthy, report} = this.#watch.state;
 		return {
 			...this.#executor.describe(),
-			models: this.#models,
-			role: this.#role,
-			workPerSecond: this.#workPerSecond,
-			isHealthy: this.#isHealthy,
+			models: report?.models ?? [],
+			role: report?.role ?? '',
+			isHealthy,
 			isLeaving: this.#isLeaving,
 			configurationVersion: this.#configuration?.version ?? 0,
-			fence: this.#fence,
+			fence: this.#floor.fence,
+		};
+	}
+
+	#readState() {
+		const links = [...this.#links.values()];
+		return {
+			status: this.#describe(), links: links.length, bufferedBytes: links.reduce((sum, link) => sum + link.bufferedBytes, 0),
 		};
 	}
 
@@ -235,9 +314,11 @@
 		return link !== undefined;
 	}
 
-	#broadcast(message: Message): void {
+	#broadcast(message: Message, except?: string): void {
 		for (const link of this.#links.values()) {
-			link.send(message);
+			if (link.peer !== except) {
+				link.send(message);
+			}
 		}
 	}
 }
--- a/packages/link/src/limits.ts
+++ b/packages/link/src/limits.ts
@@ -11,6 +11,8 @@
 	maxBufferedBytes: number;
 	/** Longest handshake, in milliseconds. */
 	handshakeMs: number;
+	/** Longest wait for the other end when a link is ended in order, in milliseconds. */
+	endMs: number;
 	/** First wait before dialling again, in milliseconds; doubled up to `maxRedialMs`. */
 	firstRedialMs: number;
 	/** Greatest wait before dialling again, in milliseconds. */
@@ -22,6 +24,7 @@
  * - One heartbeat may be late, three are not; a silent link is replaced within 4 s.
  * - Two of the greatest messages may wait; the windows of the answers bound what follows them.
  * - A peer that needs 5 s for three messages is as good as gone.
+ * - What waits for a peer that reads is read in less than 2 s.
  * - A host that comes back is in use within 3 s (the greatest wait and its jitter).
  */
 export const defaultLinkLimits: Readonly<LinkLimits> = {
@@ -29,6 +32,7 @@
 	missedHeartbeats: 3,
 	maxBufferedBytes: 18 * 1024 * 1024,
 	handshakeMs: 5000,
+	endMs: 2000,
 	firstRedialMs: 100,
 	maxRedialMs: 2000,
 };
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -10,6 +10,9 @@
 import type {Message} from './messages.js';
 import {Outbox} from './outbox.js';
 
+/** Status of a connection whose end goes away (RFC 6455, section 7.4.1). */
+const goingAway = 1001;
+
 /** What the owner of a link hears of it. */
 export type LinkListener = {
 	onMessage(message: Message): void;
@@ -110,6 +113,26 @@
 		this.#listener.onClose(error);
 	}
 
+	/** Closes once all that was sent has arrived, or after some seconds; resolves when it is closed. */
+	async end(): Promise<void> {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#outbox.flush();
+		const closed = new Promise<void>(resolve => {
+			this.#socket.once('close', () => {
+				resolve();
+			});
+		});
+		const timer = setTimeout(() => {
+			this.close();
+		}, this.#limits.endMs);
+		this.#socket.close(goingAway);
+		await closed;
+		clearTimeout(timer);
+	}
+
 	#beat(): void {
 		const {heartbeatMs, missedHeartbeats} = this.#limits;
 		const silentMs = performance.now() - this.#lastHeardAt;
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -51,6 +51,13 @@
 		return this.#links;
 	}
 
+	/** Accepts no more links and ends the open ones once all that was sent has arrived. */
+	async end(): Promise<void> {
+		const ended = [...this.#links].map(async link => link.end());
+		await Promise.all(ended);
+		this.close();
+	}
+
 	close(): void {
 		for (const link of this.#links) {
 			link.close();
