Give the stand-ins the platform's documented failures

Cause: the stand-ins could neither fail nor lag, so no test could bring about what the record, the agents and the entries are built to survive.

Change: storage switches (down, slow, answer lost after the write, rate limits) usable in process and over HTTP; lagging membership list; rate-limited weight store; engine with slots, priorities, bounded prefix cache with late gapped events, lagging load report, confirmed cancel, resume, cache export and import, orders that take time and can fail, fence honoured or ignored, crash, poison request, several tokens an event; scorer; TCP relay whose open connections go silent; program wasabiusher-standins.

--- /dev/null
+++ b/packages/standins/src/http-weight-source.ts
@@ -0,0 +1,23 @@
+/**
+ * The weight store of a platform stand-in in another process.
+ */
+import {callHttp} from '@wasabiusher/platform';
+import type {WeightSource} from './memory-weight-store.js';
+
+/** Longest transfer, in milliseconds; a rate-limited store takes its time. */
+const transferTimeoutMs = 600_000;
+
+export class HttpWeightSource implements WeightSource {
+	readonly #origin: string;
+
+	constructor(origin: string) {
+		this.#origin = origin;
+	}
+
+	async fetch(model: string, version: number): Promise<void> {
+		const response = await callHttp({
+			origin: this.#origin, method: 'GET', path: `/v1/weights/${encodeURIComponent(model)}/${version}`, timeoutMs: transferTimeoutMs,
+		});
+		await response.body.dump();
+	}
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,16 @@
 /** Small stand-ins of what surrounds the system, for the demo and for tests. */
 export * from './engine.js';
+export {blockCharacters, listPrefixes} from './prefix-cache.js';
+export {
+	engineSettingsSchema, poisonMarker, type EngineSettings, type EngineSwitches,
+} from './engine-settings.js';
 export * from './ledger.js';
+export * from './memory-membership.js';
 export * from './memory-storage.js';
+export * from './memory-weight-store.js';
 export * from './platform-server.js';
+export * from './relay.js';
+export * from './scorer.js';
+export * from './settings.js';
+export * from './standin.js';
+export type {StorageCounts, StorageSwitches} from './storage-gate.js';
--- a/packages/standins/src/ledger.ts
+++ b/packages/standins/src/ledger.ts
@@ -3,21 +3,41 @@
  */
 import {z} from 'zod';
 import {HttpServer, readJson, sendJson} from '@wasabiusher/daemon';
+import {wait} from './wait.js';
 
 const postingSchema = z.looseObject({key: z.string()});
 
+export type LedgerSettings = {
+	/** Time that a posting takes, in milliseconds. */
+	postingMs: number;
+};
+
 export class LedgerServer {
 	/** How often each posting was taken. */
 	readonly postings = new Map<string, number>();
+	/** Postings taken whose answers are to be lost, by cutting the connection. */
+	answersToLose = 0;
+	readonly #settings: LedgerSettings;
 	readonly #server = new HttpServer();
 
-	constructor() {
+	constructor({postingMs = 0}: Partial<LedgerSettings> = {}) {
+		this.#settings = {postingMs};
 		this.#server.on('post', '/postings', async ({request, response}) => {
 			const {key} = postingSchema.parse(await readJson(request));
+			await this.#work();
 			const count = (this.postings.get(key) ?? 0) + 1;
 			this.postings.set(key, count);
+			if (this.answersToLose > 0) {
+				this.answersToLose -= 1;
+				response.destroy();
+				return;
+			}
+
 			sendJson(response, 201, {key, count});
 		});
+		this.#server.on('get', '/postings', ({response}) => {
+			sendJson(response, 200, Object.fromEntries(this.postings));
+		});
 		this.#server.on('get', '/postings/:key', ({response, parameters}) => {
 			sendJson(response, 200, {key: parameters.key!, count: this.postings.get(parameters.key!) ?? 0});
 		});
@@ -33,4 +53,10 @@
 	async stop(): Promise<void> {
 		await this.#server.kill();
 	}
+
+	async #work(): Promise<void> {
+		if (this.#settings.postingMs > 0) {
+			await wait(this.#settings.postingMs);
+		}
+	}
 }
--- a/packages/standins/src/platform-server.ts
+++ b/packages/standins/src/platform-server.ts
@@ -1,16 +1,17 @@
 /**
  * Stand-in of the platform: table service, object store, membership list and weight store behind one HTTP server.
+ *
+ * `POST /v1/switches` sets the storage's failures by hand.
  */
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import polka, {type Request} from 'polka';
 import {z} from 'zod';
 import {
-	HttpServer, readBytes, readJson, sendJson, type Exchange,
+	HttpServer, readBytes, readJson, sendJson, type ErrorHandler, type Exchange,
 } from '@wasabiusher/daemon';
-import {memberSchema, PlatformError, type Member} from '@wasabiusher/platform';
+import {memberSchema, PlatformError, type PlatformErrorCode} from '@wasabiusher/platform';
+import {MemoryMembershipList, type MembershipLag} from './memory-membership.js';
 import {MemoryObjectStore, MemoryTableService} from './memory-storage.js';
+import {MemoryWeightStore, type WeightStoreSettings} from './memory-weight-store.js';
+import type {StorageSwitches} from './storage-gate.js';
 
 const transactionSchema = z.object({
 	writes: z.array(z.object({
@@ -18,20 +19,56 @@
 	})),
 });
 
-/** A published version of a model. */
-export type PublishedVersion = {model: string; version: number; publishedAt: number};
+const scanSchema = z.object({prefix: z.string().optional(), after: z.string().optional(), limit: z.coerce.number().int().optional()});
+
+const switchesSchema = z.strictObject({
+	isDown: z.boolean(),
+	delayMs: z.number().nonnegative(),
+	clientTimeoutMs: z.number().nonnegative(),
+	answersToLose: z.int().nonnegative(),
+	writesPerSecond: z.number().positive(),
+	readsPerSecond: z.number().positive(),
+}).partial();
+
+/** How each error is told; `unknown` is told by a cut connection. */
+const statuses: Partial<Record<PlatformErrorCode, number>> = {
+	conflict: 409, refused: 422, limited: 429, unavailable: 503,
+};
+
+const answerPlatformError: ErrorHandler = (error, {response}) => {
+	const status = error instanceof PlatformError ? statuses[error.code] : 400;
+	if (status === undefined) {
+		response.destroy();
+	} else {
+		sendJson(response, status, {detail: String(error)});
+	}
+};
+
+export type PlatformServerSettings = {
+	tables?: Partial<StorageSwitches>;
+	objects?: Partial<StorageSwitches>;
+	members?: Partial<MembershipLag>;
+	weights?: Partial<WeightStoreSettings>;
+};
 
 /** The platform in one process. */
 export class PlatformServer {
-	readonly tables = new MemoryTableService();
-	readonly objects = new MemoryObjectStore();
-	readonly members = new Map<string, Member>();
-	readonly #published = new Map<string, PublishedVersion>();
-	readonly #server = new HttpServer();
-
-	constructor() {
-		this.#addStorage();
+	readonly tables: MemoryTableService;
+	readonly objects: MemoryObjectStore;
+	readonly members: MemoryMembershipList;
+	readonly weights: MemoryWeightStore;
+	readonly #server = new HttpServer(answerPlatformError);
+
+	constructor({tables, objects, members, weights}: PlatformServerSettings = {}) {
+		this.tables = new MemoryTableService(tables);
+		this.objects = new MemoryObjectStore(objects);
+		this.members = new MemoryMembershipList(members);
+		this.weights = new MemoryWeightStore(weights);
+		this.#addTables();
+		this.#addObjects();
 		this.#addMembership();
+		this.#addWeights();
+		this.#addOperations();
 	}
 
 	/** Resolves to the origin to reach it by. */
@@ -45,21 +82,25 @@
 
 	/** Makes a version of a model's weights available. */
 	publish(model: string, version: number): void {
-		this.#published.set(model, {model, version, publishedAt: Date.now()});
+		this.weights.publish(model, version);
 	}
 
-	#addStorage(): void {
+	#addTables(): void {
 		this.#server.on('get', '/v1/tables/:table/rows/:key', async ({response, parameters}) => {
 			const row = await this.tables.read(parameters.table!, parameters.key!);
 			sendJson(response, row ? 200 : 404, row ?? {});
 		});
 		this.#server.on('get', '/v1/tables/:table/rows', async ({response, parameters, query}) => {
-			const {prefix, after, limit} = z.object({prefix: z.string().optional(), after: z.string().optional(), limit: z.coerce.number().optional()}).parse(Object.fromEntries(query));
-			sendJson(response, 200, await this.tables.scan(parameters.table!, {prefix, after, limit}));
+			const options = scanSchema.parse(Object.fromEntries(query));
+			sendJson(response, 200, await this.tables.scan(parameters.table!, options));
 		});
-		this.#server.on('post', '/v1/transactions', async exchange => {
-			await this.#transact(exchange);
+		this.#server.on('post', '/v1/transactions', async ({request, response}) => {
+			const {writes} = transactionSchema.parse(await readJson(request));
+			sendJson(response, 200, {versions: await this.tables.transact(writes)});
 		});
+	}
+
+	#addObjects(): void {
 		this.#server.on('get', '/v1/objects/:key', async ({response, parameters}) => {
 			const content = await this.objects.get(parameters.key!);
 			response.statusCode = content ? 200 : 404;
@@ -72,26 +113,43 @@
 	}
 
 	#addMembership(): void {
-		this.#server.on('get', '/v1/members', ({response}) => {
-			sendJson(response, 200, [...this.members.values()]);
+		this.#server.on('get', '/v1/members', async ({response}) => {
+			sendJson(response, 200, await this.members.list());
 		});
 		this.#server.on('put', '/v1/members/:id', async ({request, response}) => {
-			const member = memberSchema.parse(await readJson(request));
-			this.members.set(member.id, member);
+			await this.members.announce(memberSchema.parse(await readJson(request)));
 			sendJson(response, 200, {});
 		});
-		this.#server.on('get', '/v1/versions', ({response}) => {
-			sendJson(response, 200, [...this.#published.values()]);
+	}
+
+	#addWeights(): void {
+		this.#server.on('get', '/v1/versions', async ({response}) => {
+			sendJson(response, 200, await this.weights.listVersions());
+		});
+		this.#server.on('post', '/v1/versions', async ({request, response}) => {
+			const {model, version} = z.object({model: z.string(), version: z.int().positive()}).parse(await readJson(request));
+			this.publish(model, version);
+			sendJson(response, 200, {});
+		});
+		this.#server.on('get', '/v1/weights/:model/:version', async ({response, parameters}) => {
+			await this.weights.fetch(parameters.model!, Number(parameters.version));
+			sendJson(response, 200, {});
 		});
 	}
 
-	async #transact({request, response}: Exchange): Promise<void> {
-		try {
-			const {writes} = transactionSchema.parse(await readJson(request));
-			sendJson(response, 200, {versions: await this.tables.transact(writes)});
-		} catch (error) {
-			const isConflict = error instanceof PlatformError && error.code === 'conflict';
-			sendJson(response, isConflict ? 409 : 400, {detail: String(error)});
-		}
+	#addOperations(): void {
+		this.#server.on('get', '/healthz', ({response}) => {
+			response.end('ok\n');
+		});
+		this.#server.on('post', '/v1/switches', async exchange => {
+			await this.#setSwitches(exchange);
+		});
+	}
+
+	async #setSwitches({request, response}: Exchange): Promise<void> {
+		const switches = switchesSchema.parse(await readJson(request));
+		Object.assign(this.tables.switches, switches);
+		Object.assign(this.objects.switches, switches);
+		sendJson(response, 200, {tables: this.tables.switches, objects: this.objects.switches});
 	}
 }
