Read settings as written and bound what a connection may cost

The HTTP server cut the connection of an oversize body before the answer, a path such as //[ or a broken percent sequence ended in an unhandled rejection, path parameters were not decoded, and closing waited for ever for connections that had sent nothing (a trial with node's own close: still open after 2 s).

Change: flags by node's parseArgs, help by cac with defaults; errors name the flag or variable that was used. Limits for headers, bodies and connections; closing ends idle connections, finishes open exchanges, and bounds silent and slow senders.

--- /dev/null
+++ b/packages/daemon/src/flags.ts
@@ -0,0 +1,63 @@
+/**
+ * Reads the flags of a command line as they were written.
+ *
+ * By the runtime's own reader: cac turns values that look like numbers into numbers,
+ * which makes 123 of the token `0123`. Cac prints the help.
+ */
+import {parseArgs, type ParseArgsConfig} from 'node:util';
+import {SettingsError} from './settings-error.js';
+
+export type Flag = {
+	/** Without the hyphens. */
+	name: string;
+	/** One letter. */
+	short?: string;
+	/** Takes no value. */
+	isSwitch: boolean;
+};
+
+type OptionToken = Extract<NonNullable<ReturnType<typeof parseArgs>['tokens']>[number], {kind: 'option'}>;
+
+/** Values by flag; a switch is `true`, and `false` for `--no-name`. */
+export type Flags = Record<string, string>;
+
+/** Throws `SettingsError` naming what is unknown, lacks its value, or is no flag. */
+export function readFlags(flags: readonly Flag[], argv: readonly string[]): Flags {
+	const options: ParseArgsConfig['options'] = Object.fromEntries(flags.map(({name, short, isSwitch}) => [name, {
+		type: isSwitch ? 'boolean' : 'string', ...(short === undefined ? {} : {short}),
+	}]));
+	const {tokens} = parseArgs({
+		args: [...argv], options, strict: false, tokens: true,
+	});
+	const values: Flags = {};
+	for (const token of tokens) {
+		if (token.kind === 'positional') {
+			throw new SettingsError('settings', `unexpected argument "${token.value}"; settings are written --name value, see --help`);
+		}
+
+		if (token.kind === 'option') {
+			const [name, value] = readFlag(token, flags);
+			values[name] = value;
+		}
+	}
+
+	return values;
+}
+
+function readFlag(token: OptionToken, flags: readonly Flag[]): [name: string, value: string] {
+	const flag = flags.find(({name}) => name === token.name);
+	if (flag?.isSwitch) {
+		return [flag.name, token.value ?? 'true'];
+	}
+
+	if (flag) {
+		return [flag.name, token.value ?? fail(`setting --${flag.name}: expected a value`)];
+	}
+
+	const negated = flags.find(({name, isSwitch}) => isSwitch && `no-${name}` === token.name);
+	return negated ? [negated.name, 'false'] : fail(`unknown setting ${token.rawName}; see --help`);
+}
+
+function fail(message: string): never {
+	throw new SettingsError('settings', message);
+}
--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -7,14 +7,27 @@
 } from 'node:http';
 import polka, {type Request} from 'polka';
 import {LayerError} from '@wasabiusher/shared';
-import {closeServer, listen} from './listen.js';
+import {Connections} from './connections.js';
+import {listen} from './listen.js';
 
 /** Longest time for a request's headers, in milliseconds; slow senders do not hold a connection longer. */
 const headersTimeoutMs = 10_000;
 
+/** Longest time for a whole request, in milliseconds; 8 MiB arrive in it at 2.3 Mbit/s. */
+const requestTimeoutMs = 30_000;
+
 /** Most open connections of one server; a process has some thousand file descriptors. */
 const maxConnections = 10_000;
 
+/**
+ * On closing, time for a connection without an exchange to bring the request that may be on its way, in milliseconds;
+ * many round trips between data centres.
+ */
+const closeGraceMs = 1000;
+
+/** How often slow senders are looked for, in milliseconds. */
+const checkMs = 1000;
+
 /** Greatest body, in bytes. */
 export const maxBodyBytes = 8 * 1024 * 1024;
 
@@ -48,20 +61,39 @@
 /** Answers an exchange whose handler has thrown; headers may have been sent already. */
 export type ErrorHandler = (error: unknown, exchange: Exchange) => void;
 
+/** Limits of a server; times in milliseconds. */
+export type HttpLimits = {
+	headersTimeoutMs: number;
+	requestTimeoutMs: number;
+	/** How often slow senders are looked for. */
+	checkMs: number;
+	maxConnections: number;
+	/** On closing, how long a connection that has sent nothing is waited for. */
+	closeGraceMs: number;
+};
+
+const defaultLimits: HttpLimits = {
+	headersTimeoutMs, requestTimeoutMs, checkMs, maxConnections, closeGraceMs,
+};
+
 /** A server with routes. */
 export class HttpServer {
 	readonly server: Server;
 	readonly #routes = polka();
 	readonly #onError: ErrorHandler;
+	readonly #limits: HttpLimits;
+	readonly #connections: Connections;
 
-	constructor(onError: ErrorHandler = answerPlainly) {
+	constructor(onError: ErrorHandler = answerPlainly, limits: Partial<HttpLimits> = {}) {
 		this.#onError = onError;
-		this.server = createServer({headersTimeout: headersTimeoutMs, connectionsCheckingInterval: 1000}, (request, response) => {
-			// Polka adds the fields that it needs to node's request.
-			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-			this.#routes.handler(request as Request, response);
+		this.#limits = {...defaultLimits, ...limits};
+		this.server = createServer({
+			headersTimeout: this.#limits.headersTimeoutMs, requestTimeout: this.#limits.requestTimeoutMs, connectionsCheckingInterval: this.#limits.checkMs,
+		}, (request, response) => {
+			this.#route(request, response);
 		});
-		this.server.maxConnections = maxConnections;
+		this.server.maxConnections = this.#limits.maxConnections;
+		this.#connections = new Connections(this.server);
 	}
 
 	/** Adds a route; `:name` in the path is a parameter, a final `*` matches the rest. */
@@ -77,9 +109,9 @@
 		return listen(this.server, address);
 	}
 
-	/** Takes no new connections; resolves when the open exchanges have ended. */
+	/** Takes no new connections, ends idle ones; resolves when the open exchanges have ended. */
 	async close(): Promise<void> {
-		await closeServer(this.server);
+		await this.#connections.close(this.#limits.closeGraceMs, this.#limits.requestTimeoutMs);
 	}
 
 	/** Ends all exchanges at once; for tests and stand-ins. */
@@ -89,20 +121,59 @@
 		await closed;
 	}
 
+	#route(request: IncomingMessage, response: ServerResponse): void {
+		try {
+			// Polka adds the fields that it needs to node's request.
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+			this.#routes.handler(request as Request, response);
+		} catch (error) {
+			this.#fail(new HttpError('malformed', 'the path can not be read', error), {
+				request, response, parameters: {}, query: new URLSearchParams(),
+			});
+		}
+	}
+
 	async #handle(request: RoutedRequest, response: ServerResponse, handler: Handler): Promise<void> {
-		const parameters = Object.fromEntries(Object.entries(request.params).map(([name, value]) => [name, String(value)]));
-		const query = new URL(request.originalUrl, 'http://localhost').searchParams;
-		const exchange = {
-			request, response, parameters, query,
+		const exchange: Exchange = {
+			request, response, parameters: {}, query: new URLSearchParams(),
 		};
 		try {
+			exchange.parameters = decodeParameters(request.params);
+			exchange.query = readQuery(request.originalUrl);
 			await handler(exchange);
 		} catch (error) {
+			this.#fail(error, exchange);
+		}
+	}
+
+	#fail(error: unknown, exchange: Exchange): void {
+		if (!exchange.request.complete && !exchange.response.headersSent) {
+			// What is left of the body is not read, so the connection can't carry another request.
+			exchange.response.setHeader('connection', 'close');
+		}
+
+		try {
 			this.#onError(error, exchange);
+		} catch {
+			exchange.response.destroy();
 		}
 	}
 }
 
+function decodeParameters(encoded: Readonly<Record<string, unknown>>): Record<string, string> {
+	try {
+		return Object.fromEntries(Object.entries(encoded).map(([name, value]) => [name, decodeURIComponent(String(value))]));
+	} catch (error) {
+		throw new HttpError('malformed', 'the path is not encoded as expected', error);
+	}
+}
+
+/** Not by `URL`: it takes a path that begins with `//` for a host. */
+function readQuery(url: string): URLSearchParams {
+	const mark = url.indexOf('?');
+	return new URLSearchParams(mark === -1 ? '' : url.slice(mark));
+}
+
 function answerPlainly(error: unknown, {response}: Exchange): void {
 	if (response.headersSent) {
 		response.destroy();
@@ -114,10 +185,15 @@
 
 /** Reads a whole body; throws `HttpError`. */
 export async function readBytes(request: IncomingMessage, limitBytes = maxBodyBytes): Promise<Uint8Array> {
+	if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
+		throw createTooLarge(limitBytes);
+	}
+
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	try {
-		for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		// The request is kept open on leaving early, so that the answer can tell why.
+		for await (const chunk of request.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 			size += chunk.length;
 			if (size > limitBytes) {
 				break;
@@ -130,12 +206,16 @@
 	}
 
 	if (size > limitBytes) {
-		throw new HttpError('too-large', `the body exceeds ${limitBytes} bytes`);
+		throw createTooLarge(limitBytes);
 	}
 
 	return Buffer.concat(chunks);
 }
 
+function createTooLarge(limitBytes: number): HttpError {
+	return new HttpError('too-large', `the body exceeds ${limitBytes} bytes`);
+}
+
 /** Reads a JSON body, undefined if it is empty; throws `HttpError`. */
 export async function readJson(request: IncomingMessage, limitBytes = maxBodyBytes): Promise<unknown> {
 	const bytes = await readBytes(request, limitBytes);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,4 +3,5 @@
 export * from './listen.js';
 export * from './operations.js';
 export * from './run.js';
+export * from './settings-error.js';
 export * from './settings.js';
--- a/packages/daemon/src/listen.ts
+++ b/packages/daemon/src/listen.ts
@@ -30,13 +30,3 @@
 
 	return `${host.includes(':') ? `[${host}]` : host}:${bound.port}`;
 }
-
-/** Stops accepting and resolves when the last connection has ended. */
-export async function closeServer(server: Server): Promise<void> {
-	await new Promise<void>(resolve => {
-		server.close(() => {
-			resolve();
-		});
-		server.closeIdleConnections();
-	});
-}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,47 +1,58 @@
 /**
  * Settings of a program: flags and environment variables of the same names, checked by one schema.
  *
- * `--table-service` and `WASABIUSHER_TABLE_SERVICE` set the same thing; the flag wins.
+ * `--operator-tokens` and `WASABIUSHER_OPERATOR_TOKENS` set the same thing; the flag wins.
+ * Variables of other programs may stand in the same environment, so an unknown variable
+ * is no error; an unknown flag is.
  */
 import process from 'node:process';
 import {cac} from 'cac';
 import {z} from 'zod';
-import {LayerError} from '@wasabiusher/shared';
+import {readFlags, type Flag, type Flags} from './flags.js';
+import {SettingsError} from './settings-error.js';
 
 /** Prefix of all environment variables read. */
 const environmentPrefix = 'WASABIUSHER_';
 
 /** Exit status for wrong usage, by convention. */
-const usageStatus = 2;
-
-/** A setting that is unknown or has a bad value. */
-export class SettingsError extends LayerError<'settings'> {
-	override readonly name = 'SettingsError';
-}
+export const usageStatus = 2;
 
 /** Turns `tableService` into `table-service`. */
-function toFlag(name: string): string {
+function toFlagName(name: string): string {
 	return name.replaceAll(/[A-Z]/gv, letter => `-${letter.toLowerCase()}`);
 }
 
 function toVariable(name: string): string {
-	return environmentPrefix + toFlag(name).replaceAll('-', '_').toUpperCase();
+	return environmentPrefix + toFlagName(name).replaceAll('-', '_').toUpperCase();
 }
 
-function describeSetting(name: string, schema: z.core.$ZodType): string {
-	const description = z.globalRegistry.get(schema)?.description ?? '';
-	return `${description} [${toVariable(name)}]`.trim();
-}
+/** One setting, as its schema describes it. */
+type Setting = Flag & {
+	/** Key in the schema. */
+	key: string;
+	variable: string;
+	description: string;
+	default: string | undefined;
+};
 
 function isSwitch(schema: z.core.$ZodType): boolean {
 	return z.safeParse(schema, 'true').success && z.safeParse(schema, 'false').success && !z.safeParse(schema, 'x').success;
 }
 
-function readEnvironment(names: readonly string[], environment: NodeJS.ProcessEnv): Record<string, string> {
-	const found = names
-		.map(name => [name, environment[toVariable(name)]] as const)
-		.filter((pair): pair is readonly [string, string] => pair[1] !== undefined);
-	return Object.fromEntries(found);
+function formatDefault(schema: z.core.$ZodType): string | undefined {
+	const value: unknown = schema instanceof z.ZodDefault ? schema.def.defaultValue : undefined;
+	const isWorthTelling = ['string', 'number', 'boolean'].includes(typeof value) && value !== '';
+	return isWorthTelling ? String(value) : undefined;
+}
+
+function listSettings(shape: z.ZodRawShape): Setting[] {
+	return Object.entries(shape).map(([key, schema]) => {
+		const {description = '', short} = z.globalRegistry.get(schema) ?? {};
+		return {
+			key, name: toFlagName(key), variable: toVariable(key), description, isSwitch: isSwitch(schema), default: formatDefault(schema),
+			...(typeof short === 'string' ? {short} : {}),
+		};
+	});
 }
 
 /** What is read of a command line. */
@@ -50,47 +61,77 @@
 	version: string;
 	argv: readonly string[];
 	environment: NodeJS.ProcessEnv;
+	/** Stands in the help above the settings. */
+	description?: string;
 };
 
+const commonFlags: readonly Flag[] = [
+	{name: 'help', short: 'h', isSwitch: true},
+	{name: 'version', short: 'v', isSwitch: true},
+];
+
+/** Prints what was asked for; cac lays it out. */
+function printHelp(settings: readonly Setting[], {program, version, argv, description}: Arguments): void {
+	const cli = cac(program);
+	const command = cli.command('', description ?? `Runs ${program}`).usage('[--setting value]...');
+	for (const {name, short, variable, description, isSwitch, default: value} of settings) {
+		const flag = `${short === undefined ? '' : `-${short}, `}--${name}${isSwitch ? '' : ' <value>'}`;
+		command.option(flag, `${description} [${variable}]`, {default: value});
+	}
+
+	cli.help(sections => sections.filter(({title}) => title === undefined || title === 'Usage' || title === 'Options'));
+	cli.version(version);
+	cli.parse([process.execPath, program, ...argv], {run: false});
+}
+
 /**
  * Reads and checks a program's settings.
  *
  * Values reach the schema as strings, so it uses `z.coerce` for numbers and `z.stringbool` for switches.
+ * A setting gets a one-letter flag by `.meta({description, short})`.
  * @returns the settings, or undefined when `--help` or `--version` was asked for and printed
  * @throws {SettingsError} naming the first unknown or bad setting
  */
-export function parseSettings<Shape extends z.ZodRawShape>(schema: z.ZodObject<Shape>, {program, version, argv, environment}: Arguments): z.infer<z.ZodObject<Shape>> | undefined {
-	const cli = cac(program);
-	const names = Object.keys(schema.shape);
-	const command = cli.command('', `Runs ${program}`);
-	for (const name of names) {
-		const field = schema.shape[name]!;
-		command.option(isSwitch(field) ? `--${toFlag(name)}` : `--${toFlag(name)} <value>`, describeSetting(name, field));
+export function parseSettings<Shape extends z.ZodRawShape>(schema: z.ZodObject<Shape>, given: Arguments): z.infer<z.ZodObject<Shape>> | undefined {
+	const settings = listSettings(schema.shape);
+	const flags = readFlags([...settings, ...commonFlags], given.argv);
+	if (flags.help === 'true' || flags.version === 'true') {
+		printHelp(settings, given);
+		return undefined;
 	}
 
-	cli.help();
-	cli.version(version);
-	const {options} = cli.parse([process.execPath, program, ...argv], {run: false});
-	if (options.help === true || options.version === true) {
-		return undefined;
+	const {values, origins} = mergeValues(settings, flags, given.environment);
+	const parsed = schema.safeParse(values);
+	if (!parsed.success) {
+		throw describeIssue(parsed.error.issues[0]!, settings, origins);
 	}
 
-	const given = Object.entries(options).filter(([name]) => name !== '--' && name !== 'h' && name !== 'v');
-	for (const [name] of given) {
-		if (!names.includes(name)) {
-			throw new SettingsError('settings', `unknown setting --${toFlag(name)}; see --help`);
+	return parsed.data;
+}
+
+function mergeValues(settings: readonly Setting[], flags: Flags, environment: NodeJS.ProcessEnv) {
+	const values: Record<string, string> = {};
+	const origins: Record<string, string> = {};
+	for (const {key, name, variable} of settings) {
+		const value = flags[name] ?? environment[variable];
+		if (value !== undefined) {
+			values[key] = value;
+			origins[key] = flags[name] === undefined ? variable : `--${name}`;
 		}
 	}
 
-	const flags = Object.fromEntries(given.map(([name, value]) => [name, String(value)]));
-	const parsed = schema.safeParse({...readEnvironment(names, environment), ...flags});
-	if (!parsed.success) {
-		const issue = parsed.error.issues[0]!;
-		const name = String(issue.path[0] ?? '');
-		throw new SettingsError('settings', `setting --${toFlag(name)}: ${issue.message}`);
+	return {values, origins};
+}
+
+function describeIssue({path, message}: z.core.$ZodIssue, settings: readonly Setting[], origins: Readonly<Record<string, string>>): SettingsError {
+	const key = String(path[0] ?? '');
+	const origin = origins[key];
+	const setting = settings.find(other => other.key === key);
+	if (setting && origin === undefined) {
+		return new SettingsError('settings', `setting --${setting.name} is required (or ${setting.variable})`);
 	}
 
-	return parsed.data;
+	return new SettingsError('settings', `setting ${origin ?? key}: ${message}`);
 }
 
 /**
@@ -105,7 +146,7 @@
 			return settings;
 		}
 	} catch (error) {
-		if (!(error instanceof Error)) {
+		if (!(error instanceof SettingsError)) {
 			throw error;
 		}
 
--- a/packages/standins/__tests__/engine.spec.ts
+++ b/packages/standins/__tests__/engine.spec.ts
@@ -83,7 +83,8 @@
 	});
 
 	it('gives a free slot to the most urgent first', async () => {
-		const {engine} = await createEngine({slots: 1});
+		const {engine, server} = await createEngine({slots: 1});
+		server.switches.isStalled = true;
 		const ended: string[] = [];
 		const runs: Array<Promise<unknown>> = [];
 		const start = (requestId: string, priority: number) => {
@@ -95,6 +96,8 @@
 		start('low', 1);
 		await waitUntil(async () => (await count(engine, 'waiting')) === 1);
 		start('high', 2);
+		await waitUntil(async () => (await count(engine, 'waiting')) === 2);
+		server.switches.isStalled = false;
 		await Promise.all(runs);
 		expect(ended).to.deep.equal(['first', 'high', 'low']);
 	});
--- a/packages/standins/src/engine-batch.ts
+++ b/packages/standins/src/engine-batch.ts
@@ -71,7 +71,7 @@
 	}
 
 	get running(): number {
-		return Math.min(this.#settings.slots, this.#generations.size);
+		return this.#running.size;
 	}
 
 	get size(): number {
@@ -84,6 +84,7 @@
 
 	add(generation: Generation): void {
 		this.#generations.set(generation.id, generation);
+		this.#fill();
 	}
 
 	/** Takes a generation out; false when there is none. */
