Hold leases by compare-and-set and settle lost answers of the store

Cause: nothing could own a control shard, and an answer of the store that was lost after the write took effect was reported as unknown although it could be read back. Change: LeaseHolder counts its term on the monotonic clock from before the request, less a margin; observers wait for a whole term of an unchanged row; take-overs have jitter and a cap. writeSettled reads back by attempt id; the configuration history uses it and lists only its tail. A lapsed lease that the cap kept from being taken was first polled every millisecond; the test on reads shows that it no longer is.

--- /dev/null
+++ b/packages/record/__tests__/lease-holder.spec.ts
@@ -0,0 +1,166 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createSilentLog, Random} from '@wasabiusher/shared';
+import {LeaseHolder, TakeOverPace} from '../src/index.js';
+import {Faults, FaultyTables, type Fault} from './faulty-storage.js';
+
+const termMs = 6000;
+
+function createHolder(tables: FaultyTables, holder: string, pace?: TakeOverPace): LeaseHolder {
+	return new LeaseHolder({
+		tables, shard: 'rollout', holder, random: new Random(holder.length + (holder.codePointAt(0) ?? 0)), log: createSilentLog(), termMs, pace,
+	});
+}
+
+describe('LeaseHolder', () => {
+	let clock: Clock;
+	let tables: FaultyTables;
+
+	beforeEach(() => {
+		clock = install();
+		tables = new FaultyTables(new Faults());
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('is held by one of two, and goes on while renewed', async () => {
+		const [a, b] = [createHolder(tables, 'a'), createHolder(tables, 'b')];
+		a.start();
+		await clock.tickAsync(1);
+		b.start();
+		await clock.tickAsync(10 * termMs);
+		expect([a.holds(), b.holds()]).to.deep.equal([true, false]);
+		expect(a.fence).to.equal(1);
+		expect(b.owner?.holder).to.equal('a');
+	});
+
+	it('has lapsed for a holder that was paused, before anyone else can hold it', async () => {
+		const [a, b] = [createHolder(tables, 'a'), createHolder(tables, 'b')];
+		await a.attempt();
+		b.start();
+		let overlaps = 0;
+		for (let i = 0; i < 200 && !b.holds(); i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(100);
+			overlaps += a.holds() && b.holds() ? 1 : 0;
+		}
+
+		expect(overlaps).to.equal(0);
+		expect(b.fence).to.equal(2);
+		expect(a.holds()).to.be.false;
+		// The paused one resumes, and its renewal finds the other's row.
+		await a.attempt();
+		expect([a.holds(), a.fence, b.holds()]).to.deep.equal([false, 0, true]);
+	});
+
+	it('counts its term from before the request was sent', async () => {
+		const a = createHolder(tables, 'a');
+		tables.faults.delayMs = 2000;
+		const attempt = a.attempt();
+		await clock.tickAsync(4000);
+		await attempt;
+		// The read took 2 s and so did the write, which was sent at 2 s.
+		expect(a.holds()).to.be.true;
+		await clock.tickAsync(2000 + (termMs * 0.9) - 4000 + 1);
+		expect(a.holds()).to.be.false;
+	});
+
+	it('settles a lost answer by reading back', async () => {
+		const a = createHolder(tables, 'a');
+		tables.faults.next = ['lost-after'];
+		expect(await a.attempt()).to.be.true;
+		tables.faults.next = ['lost-before'];
+		expect(await a.attempt()).to.be.true;
+		expect(a.fence).to.equal(1);
+	});
+
+	it('keeps what it has through an outage shorter than its bound, and no longer', async () => {
+		const a = createHolder(tables, 'a');
+		a.start();
+		await clock.tickAsync(1);
+		tables.faults.standing = 'down';
+		await clock.tickAsync(termMs * 0.8);
+		expect(a.holds()).to.be.true;
+		await clock.tickAsync(termMs * 0.2);
+		expect(a.holds()).to.be.false;
+		tables.faults.standing = 'none';
+		await clock.tickAsync(termMs);
+		expect([a.holds(), a.fence]).to.deep.equal([true, 1]);
+	});
+
+	it('passes on at once when released, with a higher fence', async () => {
+		const [a, b] = [createHolder(tables, 'a'), createHolder(tables, 'b')];
+		await a.attempt();
+		await a.release();
+		expect(a.holds()).to.be.false;
+		expect(await b.attempt()).to.be.true;
+		expect(b.fence).to.equal(2);
+	});
+
+	it('does not take a restarted process for its predecessor', async () => {
+		const [a, restarted] = [createHolder(tables, 'a'), createHolder(tables, 'a')];
+		await a.attempt();
+		expect(await restarted.attempt()).to.be.false;
+	});
+
+	it('bounds take-overs when many holders die at once', async () => {
+		const pace = new TakeOverPace(2);
+		const leases = Array.from({length: 40}, (_, index) => index);
+		const dead = leases.map(index => new LeaseHolder({
+			tables, shard: `shard/${index}`, holder: 'dead', random: new Random(index), log: createSilentLog(), termMs,
+		}));
+		await Promise.all(dead.map(async holder => holder.attempt()));
+		const heirs = leases.map(index => new LeaseHolder({
+			tables, shard: `shard/${index}`, holder: 'heir', random: new Random(index), log: createSilentLog(), termMs, pace,
+		}));
+		for (const heir of heirs) {
+			heir.start();
+		}
+
+		const countHeld = () => heirs.filter(heir => heir.fence > 0).length;
+		let mostInSecond = 0;
+		const readsBefore = tables.faults.reads;
+		for (let second = 0, before = 0; second < 60; second += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(1000);
+			mostInSecond = Math.max(mostInSecond, countHeld() - before);
+			before = countHeld();
+		}
+
+		expect(countHeld()).to.equal(40);
+		expect(mostInSecond).to.be.at.most(4);
+		// Forty leases, each asked for at most every 1.8 s, for the 20 s that the pace needs.
+		expect(tables.faults.reads - readsBefore).to.be.below(40 * 20);
+	});
+
+	it('is never held by two, whatever the store loses and whoever pauses', async () => {
+		const step = fc.record({
+			actor: fc.integer({min: 0, max: 2}),
+			fault: fc.constantFrom<Fault>('none', 'none', 'lost-after', 'lost-before', 'down'),
+			delayMs: fc.constantFrom(0, 0, 100, 2500),
+			passMs: fc.constantFrom(10, 900, 2000, 5400, 9000),
+		});
+		await fc.assert(fc.asyncProperty(fc.array(step, {minLength: 1, maxLength: 25}), async steps => {
+			const store = new FaultyTables(new Faults());
+			const holders = ['a', 'b', 'c'].map(name => createHolder(store, name));
+			let lastFence = 0;
+			for (const {actor, fault, delayMs, passMs} of steps) {
+				store.faults.next = [fault];
+				store.faults.delayMs = delayMs;
+				void holders[actor]!.attempt();
+				for (let passed = 0; passed < passMs; passed += 450) {
+					// eslint-disable-next-line no-await-in-loop
+					await clock.tickAsync(Math.min(450, passMs - passed));
+					const holding = holders.filter(holder => holder.holds());
+					expect(holding.length).to.be.at.most(1);
+					const fence = holding[0]?.fence ?? lastFence;
+					expect(fence).to.be.at.least(lastFence);
+					lastFence = fence;
+				}
+			}
+		}), {numRuns: 60, seed: 1});
+	});
+});
--- a/packages/record/src/configuration-history.ts
+++ b/packages/record/src/configuration-history.ts
@@ -2,13 +2,16 @@
  * The history of accepted configurations: one row a change, one head row with the newest version.
  *
  * A change is a compare-and-set of the head, so of two racing operators one wins and
- * the other learns whose change came first.
+ * the other learns whose change came first. The row of the change keeps the attempt id for good, so
+ * a lost answer is settled even after further changes.
  */
-import {PlatformError, type TableService} from '@wasabiusher/platform';
+import {randomUUID} from 'node:crypto';
+import type {TableService} from '@wasabiusher/platform';
 import {
 	acceptedConfigurationSchema, emptyConfiguration, type AcceptedConfiguration, type Configuration,
 } from '@wasabiusher/shared';
 import {RecordError} from './errors.js';
+import {writeSettled, type GuardedWrite} from './settled-write.js';
 
 const table = 'configuration';
 const headKey = 'head';
@@ -49,46 +52,52 @@
 
 	/** Accepted changes, newest first. */
 	async list(limit: number): Promise<AcceptedConfiguration[]> {
+		const {version} = await this.readHead();
 		try {
-			const rows = await this.#tables.scan(table, {prefix: 'change/'});
+			// Only the tail is read: a day brings 41,000 changes.
+			const after = formatKey(Math.max(0, version - limit));
+			const rows = await this.#tables.scan(table, {prefix: 'change/', after});
 			return rows.slice(-limit).toReversed().map(row => acceptedConfigurationSchema.parse(row.value));
 		} catch (error) {
 			throw new RecordError('unavailable', 'the history can not be read', error);
 		}
 	}
 
-	/** Accepts a change; throws `conflict` if the head is not at `ifVersion`. */
+	/**
+	 * Accepts a change.
+	 *
+	 * @throws {RecordError} `conflict` if the head is not at `ifVersion` or another change came first,
+	 * `unavailable` if nothing was written, `unknown` if it may yet turn out to be accepted
+	 */
 	async append({configuration, author, ifVersion, acceptedAt}: Change): Promise<AcceptedConfiguration> {
 		const head = await this.readHead();
 		if (ifVersion !== undefined && ifVersion !== head.version) {
-			throw new RecordError('conflict', `the configuration is at version ${head.version} by ${head.author}, expected ${ifVersion}`);
+			throw createConflict(head, ifVersion);
 		}
 
 		const accepted = {
 			version: head.version + 1, configuration, author, acceptedAt,
 		};
-		try {
-			await this.#tables.transact([
-				{
-					table, key: headKey, expect: head.version, value: accepted,
-				},
-				{
-					table, key: formatKey(accepted.version), expect: 0, value: accepted,
-				},
-			]);
-		} catch (error) {
-			throw toRecordError(error);
+		if (await this.#write(accepted)) {
+			return accepted;
 		}
 
-		return accepted;
+		throw createConflict(await this.readHead(), head.version);
 	}
-}
 
-function toRecordError(error: unknown): RecordError {
-	const code = error instanceof PlatformError ? error.code : 'unknown';
-	if (code === 'conflict') {
-		return new RecordError('conflict', 'another change was accepted first', error);
+	async #write(accepted: AcceptedConfiguration): Promise<boolean> {
+		const attempt = randomUUID();
+		const value = {...accepted, attempt};
+		const change: GuardedWrite = {
+			table, key: formatKey(accepted.version), expect: 0, value,
+		};
+		const head: GuardedWrite = {
+			table, key: headKey, expect: accepted.version - 1, value,
+		};
+		return writeSettled(this.#tables, {writes: [change, head], attempt});
 	}
+}
 
-	return new RecordError(code === 'unavailable' || code === 'limited' ? 'unavailable' : 'unknown', 'the change could not be written', error);
+function createConflict(head: AcceptedConfiguration, expected: number): RecordError {
+	return new RecordError('conflict', `the configuration is at version ${head.version} by ${head.author}, expected ${expected}`);
 }
--- a/packages/record/src/index.ts
+++ b/packages/record/src/index.ts
@@ -1,3 +1,6 @@
 /** What must last, kept in the platform's table service and object store. */
 export * from './configuration-history.js';
 export * from './errors.js';
+export * from './lease-holder.js';
+export * from './settled-write.js';
+export * from './take-over-pace.js';
--- /dev/null
+++ b/packages/record/src/lease-holder.ts
@@ -0,0 +1,301 @@
+/**
+ * Leases of control shards, through the table service.
+ *
+ * One row a shard names the holder and its fence, and is changed by compare-and-set only. Nobody compares
+ * clocks between hosts. The holder counts its term on its own monotonic clock from before it sent the
+ * request, less a margin; an observer takes over only after it has seen the row unchanged
+ * for a whole term on its own monotonic clock. Since the observer can not have seen the row before the
+ * holder sent it, the holder's bound has always passed first.
+ *
+ * What the caller must do: check `holds()` right before each effect, and send `fence` with it.
+ */
+import {randomUUID} from 'node:crypto';
+import {PlatformError, type StoredRow, type TableService} from '@wasabiusher/platform';
+import {describeError, type Log, type Random} from '@wasabiusher/shared';
+import {z} from 'zod';
+import {RecordError} from './errors.js';
+import {writeSettled} from './settled-write.js';
+import {TakeOverPace} from './take-over-pace.js';
+
+const table = 'leases';
+
+/**
+ * Term of a lease, in milliseconds. A renewal goes out after a third (2 s) and the store's client gives up
+ * on an answer after 3 s, so one lost renewal does not cost the lease; a dead holder is replaced within 8 s.
+ */
+const defaultTermMs = 6000;
+
+/** Part of the term by which the holder stops early; covers clocks that run at slightly different rates. */
+const marginRatio = 0.1;
+
+/** Rounds a term: two may fail before the lease is lost. */
+const roundsPerTerm = 3;
+
+/** Greatest deviation of a round from its time, as a fraction; keeps many holders from falling into step. */
+const jitterRatio = 0.1;
+
+const leaseSchema = z.object({
+	/** Name of the process that holds it; empty once it was released. */
+	holder: z.string(),
+	/** Differs for each start of the process, so that a restarted one is not taken for its predecessor. */
+	incarnation: z.string(),
+	/** Where the holder can be reached, `ip:port`; empty if nobody needs to reach it. */
+	address: z.string(),
+	/** Counts up by one with each change of holder; never goes back. */
+	fence: z.int().positive(),
+	termMs: z.number().positive(),
+	/** Wall clock of the holder, in milliseconds; for people to read, never judged by. */
+	expiresAt: z.number(),
+	attempt: z.string(),
+});
+
+/** A lease as it is stored. */
+export type Lease = z.infer<typeof leaseSchema>;
+
+/** Who holds a lease, as last seen. */
+export type LeaseOwner = Pick<Lease, 'holder' | 'address' | 'fence'>;
+
+export type LeaseSettings = {
+	tables: TableService;
+	/** What is leased, such as `rollout/trail`. */
+	shard: string;
+	/** Name of this process. */
+	holder: string;
+	/** Where others reach this process, `ip:port`. */
+	address?: string;
+	random: Random;
+	log: Log;
+	termMs?: number;
+	/** Shared by all leases of a process. */
+	pace?: TakeOverPace;
+	/** Called when the lease was won or lost; `holds()` is still what effects go by. */
+	onChange?(isHeld: boolean): void;
+};
+
+/** Holds one lease, or waits for it. */
+export class LeaseHolder {
+	readonly #settings: LeaseSettings;
+	readonly #termMs: number;
+	readonly #pace: TakeOverPace;
+	readonly #incarnation = randomUUID();
+	#row: StoredRow | undefined;
+	#lease: Lease | undefined;
+	/** When the row was first seen as it is, on the monotonic clock. */
+	#seenAt = 0;
+	#jitterMs = 0;
+	/** Until when effects are allowed, on the monotonic clock. */
+	#heldUntil = Number.NEGATIVE_INFINITY;
+	#wasHeld = false;
+	#round: Promise<boolean> | undefined;
+	#timer: NodeJS.Timeout | undefined;
+	#isStopped = true;
+	/** The last write's fate is not known, so the row must be read before the next one. */
+	#isDoubtful = false;
+
+	constructor(settings: LeaseSettings) {
+		this.#settings = settings;
+		this.#termMs = settings.termMs ?? defaultTermMs;
+		this.#pace = settings.pace ?? new TakeOverPace();
+	}
+
+	/** Whether effects are allowed now. Ask right before each one, and never remember the answer. */
+	holds(): boolean {
+		return performance.now() < this.#heldUntil;
+	}
+
+	/** The number that goes with each effect; 0 while the lease is not held. */
+	get fence(): number {
+		return this.holds() ? this.#lease!.fence : 0;
+	}
+
+	/** Who held it when the row was last read; undefined if nobody did. */
+	get owner(): LeaseOwner | undefined {
+		return this.#lease?.holder ? this.#lease : undefined;
+	}
+
+	/** Keeps trying for the lease, and renews it, until `stop` or `release`. */
+	start(): void {
+		if (this.#isStopped) {
+			this.#isStopped = false;
+			void this.#keepTrying();
+		}
+	}
+
+	/** Stops renewing and lets the lease lapse. */
+	stop(): void {
+		this.#isStopped = true;
+		clearTimeout(this.#timer);
+	}
+
+	/** One round: renews, takes over or observes. Resolves to whether the lease is held; never rejects. */
+	async attempt(): Promise<boolean> {
+		this.#round ??= this.#runRound().finally(() => {
+			this.#round = undefined;
+		});
+		return this.#round;
+	}
+
+	/** Gives the lease up, so that the next holder need not wait for the term. Effects must have ended. */
+	async release(): Promise<void> {
+		this.stop();
+		await this.#round;
+		if (!this.holds()) {
+			return;
+		}
+
+		// From here on no effect is allowed, whatever becomes of the write.
+		this.#heldUntil = Number.NEGATIVE_INFINITY;
+		try {
+			await this.#write({holder: '', fence: this.#lease!.fence});
+		} catch (error) {
+			this.#settings.log.warn('lease_not_released', {shard: this.#settings.shard, reason: describeError(error)});
+		}
+
+		this.#reportChange();
+	}
+
+	async #keepTrying(): Promise<void> {
+		await this.attempt();
+		if (this.#isStopped) {
+			return;
+		}
+
+		this.#timer = setTimeout(() => {
+			void this.#keepTrying();
+		}, this.#planRound());
+		this.#timer.unref();
+	}
+
+	/** Milliseconds until the next round. */
+	#planRound(): number {
+		const deviation = 1 + (jitterRatio * ((2 * this.#settings.random.next()) - 1));
+		const regularMs = this.#termMs / roundsPerTerm * deviation;
+		const lapseMs = this.#countMsToTakeOver();
+		// A lease that has lapsed but could not be taken is asked for at the regular pace: the store is busy enough then.
+		return this.holds() || lapseMs <= 0 ? regularMs : Math.min(regularMs, Math.ceil(lapseMs));
+	}
+
+	async #runRound(): Promise<boolean> {
+		try {
+			// The row is known as long as it is ours; otherwise it is read first.
+			if (this.#isDoubtful || !this.holds()) {
+				await this.#observe();
+			}
+
+			if (this.holds() || this.#mayTake()) {
+				await this.#take();
+			}
+		} catch (error) {
+			this.#settings.log.warn('lease_store_unreachable', {shard: this.#settings.shard, reason: describeError(error)});
+		}
+
+		this.#reportChange();
+		return this.holds();
+	}
+
+	async #observe(): Promise<void> {
+		const {tables, shard, random} = this.#settings;
+		let row: StoredRow | undefined;
+		try {
+			row = await tables.read(table, shard);
+		} catch (error) {
+			throw new RecordError('unavailable', `the lease of ${shard} can not be read`, error);
+		}
+
+		if (row?.version !== this.#row?.version || !this.#row) {
+			this.#seenAt = performance.now();
+			this.#jitterMs = random.next() * this.#termMs / roundsPerTerm;
+		}
+
+		this.#row = row;
+		this.#lease = row && leaseSchema.parse(row.value);
+		this.#isDoubtful = false;
+		if (this.#lease?.incarnation !== this.#incarnation) {
+			this.#heldUntil = Number.NEGATIVE_INFINITY;
+		}
+	}
+
+	#mayTake(): boolean {
+		if (this.#lease?.incarnation === this.#incarnation) {
+			return true;
+		}
+
+		return this.#countMsToTakeOver() <= 0 && this.#pace.tryTake();
+	}
+
+	/** Milliseconds until the lease counts as lapsed here; 0 or less if it can be taken. */
+	#countMsToTakeOver(): number {
+		if (!this.#lease?.holder) {
+			return 0;
+		}
+
+		return this.#seenAt + this.#lease.termMs + this.#jitterMs - performance.now();
+	}
+
+	async #take(): Promise<void> {
+		const {shard, holder, log} = this.#settings;
+		const isOurs = this.#lease?.incarnation === this.#incarnation;
+		const fence = (this.#lease?.fence ?? 0) + (isOurs ? 0 : 1);
+		const sentAt = performance.now();
+		const isWritten = await this.#write({holder, fence});
+		if (!isWritten) {
+			await this.#observe();
+			return;
+		}
+
+		this.#heldUntil = sentAt + (this.#termMs * (1 - marginRatio));
+		if (!isOurs) {
+			log.info('lease_taken', {shard, fence});
+		}
+	}
+
+	async #write({holder, fence}: {holder: string; fence: number}): Promise<boolean> {
+		const {tables, shard, address = ''} = this.#settings;
+		const expect = this.#row?.version ?? 0;
+		const attempt = randomUUID();
+		const lease: Lease = {
+			holder, incarnation: holder === '' ? '' : this.#incarnation, address, fence, termMs: this.#termMs, expiresAt: Date.now() + this.#termMs, attempt,
+		};
+		this.#isDoubtful = true;
+		const isWritten = await writeSettled(tables, {
+			writes: [{
+				table, key: shard, expect, value: lease,
+			}],
+			attempt,
+		});
+		this.#isDoubtful = !isWritten;
+		if (isWritten) {
+			this.#row = {key: shard, value: lease, version: expect + 1};
+			this.#lease = lease;
+		}
+
+		return isWritten;
+	}
+
+	#reportChange(): void {
+		const {shard, log, onChange} = this.#settings;
+		const isHeld = this.holds();
+		if (isHeld === this.#wasHeld) {
+			return;
+		}
+
+		this.#wasHeld = isHeld;
+		if (!isHeld) {
+			log.warn('lease_lost', {shard});
+		}
+
+		onChange?.(isHeld);
+	}
+}
+
+/** Reads who holds a lease, without trying for it; undefined if nobody does. Throws `RecordError`. */
+export async function readLeaseOwner(tables: TableService, shard: string): Promise<LeaseOwner | undefined> {
+	try {
+		const row = await tables.read(table, shard);
+		const lease = row && leaseSchema.parse(row.value);
+		return lease?.holder ? lease : undefined;
+	} catch (error) {
+		const reason = error instanceof PlatformError ? 'can not be read' : 'is not valid';
+		throw new RecordError('unavailable', `the lease of ${shard} ${reason}`, error);
+	}
+}
