Spread configurations as deltas and check the nine invariants

Cause: every entry polled the head each second and flooded whole configurations; nothing checked in production what must always hold. Change: ConfigurationAdopter (three readers a data centre by rank; digests, then a delta to who is behind; hash against drift; ready only by the store or several peers). Invariants: nine named checks with a counter and a log line, each withholding the act. The link gains the message configuration-delta. Not wired into the programs yet.

--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -6,7 +6,7 @@
  * can't enter an answer.
  */
 import {
-	acceptedConfigurationSchema, finishReasonSchema, generationPartSchema, generationRequestSchema, priorityClasses, ranSchema,
+	acceptedConfigurationSchema, configurationDeltaSchema, finishReasonSchema, generationPartSchema, generationRequestSchema, priorityClasses, ranSchema,
 } from '@wasabiusher/shared';
 import {z} from 'zod';
 
@@ -136,6 +136,8 @@
 	}),
 	// Both ways: what spreads over the links that exist anyway.
 	z.object({kind: z.literal('configuration'), accepted: acceptedConfigurationSchema}),
+	/** What changed since a version that the receiver said it has. */
+	z.object({kind: z.literal('configuration-delta'), delta: configurationDeltaSchema}),
 	z.object({
 		kind: z.literal('quarantine'), fingerprint: z.string(), untilMs: z.number(), crashes: z.array(z.string()),
 	}),
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,6 @@
 /** What every package shares: schemas of the domain, tables, errors, hashing, random numbers and logs. */
 export * from './configuration.js';
+export * from './configuration-delta.js';
 export * from './errors.js';
 export * from './generation.js';
 export * from './hashing.js';
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -1,6 +1,8 @@
 /** What runs over the tables: the entry's dispatch of calls and the agent's execution of them. */
 export * from './answer-buffer.js';
+export * from './configuration-adopter.js';
 export * from './dispatcher.js';
 export * from './executor.js';
 export * from './executor-queue.js';
+export * from './invariants.js';
 export * from './steps.js';
