Run keyed non-idempotent calls at most once, through any entry

Cause: a call with an idempotency key that was sent again ran again. Change: ClaimLog writes a claim before the run, by GroupCommit (one transaction under way, all others wait and go together), and the outcome after; ClaimedCalls.submit wraps Dispatcher.submit: re-sends get the recorded answer, wait, or are told that it is not known; the run outlives its caller; an outage of the store is waited out until the deadline. Found by the tests and mended: a try that waited for another entry's claim said "not run" at its deadline. Not wired into forwarding.ts yet, which the entry's developer does.

--- a/packages/record/src/index.ts
+++ b/packages/record/src/index.ts
@@ -1,6 +1,8 @@
 /** What must last, kept in the platform's table service and object store. */
+export * from './claim-log.js';
 export * from './configuration-history.js';
 export * from './errors.js';
+export * from './group-commit.js';
 export * from './lease-holder.js';
 export * from './settled-write.js';
 export * from './take-over-pace.js';
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -1,5 +1,6 @@
 /** What runs over the tables: the entry's dispatch of calls and the agent's execution of them. */
 export * from './answer-buffer.js';
+export * from './claimed-calls.js';
 export * from './configuration-adopter.js';
 export * from './dispatcher.js';
 export * from './executor.js';
