--- /dev/null
+++ b/packages/systems/__tests__/dispatcher.spec.ts
@@ -0,0 +1,449 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import type {
+	AnswerEvent, EndpointStatus, Message, MessageKind, MessageOf,
+} from '@wasabiusher/link';
+import {profileSchema, Random, type Problem} from '@wasabiusher/shared';
+import {
+	Dispatcher, type Call, type CallRecord, type Run,
+} from '../src/index.js';
+
+type Sent = {agent: string; message: Message};
+
+type Fixture = {
+	dispatcher: Dispatcher;
+	sent: Sent[];
+	records: CallRecord[];
+	down: Set<string>;
+	/** Messages of one kind, oldest first. */
+	list<Kind extends MessageKind>(kind: Kind): Array<{agent: string; message: MessageOf<Kind>}>;
+};
+
+type Received = {events: string[]; problems: Problem[]; run: Run};
+
+function createStatus(changes: Partial<EndpointStatus> = {}): EndpointStatus {
+	return {
+		service: 'models',
+		models: [{model: 'trail', version: 3}],
+		role: 'any',
+		limit: 4,
+		running: 0,
+		waiting: 0,
+		waitingWork: 0,
+		workPerSecond: 100,
+		isLeaving: false,
+		isHealthy: true,
+		configurationVersion: 1,
+		fence: 0,
+		...changes,
+	};
+}
+
+function createFixture(agents: string[]): Fixture {
+	const sent: Sent[] = [];
+	const records: CallRecord[] = [];
+	const down = new Set<string>();
+	const dispatcher = new Dispatcher({
+		random: new Random(1),
+		send(agent, message) {
+			if (down.has(agent)) {
+				return false;
+			}
+
+			sent.push({agent, message});
+			return true;
+		},
+		onEnded(record) {
+			records.push(record);
+		},
+	});
+	for (const agent of agents) {
+		dispatcher.attach(agent, 'tomakomai');
+		dispatcher.receive(agent, {kind: 'status', status: createStatus()});
+	}
+
+	return {
+		dispatcher,
+		sent,
+		records,
+		down,
+		list: kind => sent.filter(({message}) => message.kind === kind) as never,
+	};
+}
+
+function createCall(id: string, profile: Record<string, unknown> = {}): Call {
+	return {
+		id,
+		service: 'models',
+		model: 'trail',
+		work: {kind: 'generate', request: {model: 'trail', prompt: 'bridge', maxTokens: 8}},
+		caller: 'ranger',
+		profileName: 'rangers',
+		profile: profileSchema.parse({
+			class: 'interactive', idempotent: true, deadlineMs: 10_000, ...profile,
+		}),
+		deadlineAt: performance.now() + 10_000,
+		cost: 8,
+		fingerprint: 'f1',
+	};
+}
+
+function submit({dispatcher}: Fixture, call: Call, canRestart = true): Received {
+	const events: string[] = [];
+	const problems: Problem[] = [];
+	const run = dispatcher.submit(call, {
+		onEvent(event) {
+			events.push(event.kind === 'parts' ? event.parts.map(({text}) => text).join('') : event.kind);
+		},
+		onRestart() {
+			if (canRestart) {
+				events.length = 0;
+			}
+
+			return canRestart;
+		},
+		onFailed(problem) {
+			problems.push(problem);
+		},
+	});
+	return {events, problems, run};
+}
+
+function createParts(text: string): AnswerEvent {
+	return {kind: 'parts', parts: [{text, tokens: 1, version: 3}]};
+}
+
+/** Names the latest attempt that was sent. */
+function findLatest({list}: Fixture): {agent: string; request: string; attempt: number} {
+	const {agent, message} = list('open').at(-1)!;
+	return {agent, request: message.request, attempt: message.attempt};
+}
+
+function sendPart(fixture: Fixture, sequence: number, event: AnswerEvent, from = findLatest(fixture)): void {
+	const {agent, request, attempt} = from;
+	fixture.dispatcher.receive(agent, {
+		kind: 'part', request, attempt, sequence, event,
+	});
+}
+
+function sendFailed(fixture: Fixture, ran: 'no' | 'unknown', from = findLatest(fixture)): void {
+	const {agent, request, attempt} = from;
+	fixture.dispatcher.receive(agent, {
+		kind: 'failed', request, attempt, ran, reason: 'crashed', hasCrashed: true,
+	});
+}
+
+function sendRefused(fixture: Fixture, reason: MessageOf<'refused'>['reason'], from = findLatest(fixture)): void {
+	const {agent, request, attempt} = from;
+	fixture.dispatcher.receive(agent, {
+		kind: 'refused', request, attempt, reason,
+	});
+}
+
+describe('Dispatcher', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('ends an answered call once, whatever comes after', async () => {
+		const fixture = createFixture(['a1']);
+		const {events, problems, run} = submit(fixture, createCall('c1'));
+		await clock.tickAsync(0);
+		sendPart(fixture, 0, createParts('x'));
+		sendPart(fixture, 1, {kind: 'finished', reason: 'stop'});
+		run.cancel();
+		sendFailed(fixture, 'unknown');
+		await clock.tickAsync(20_000);
+		expect(events).to.deep.equal(['x', 'finished']);
+		expect(problems).to.deep.equal([]);
+		expect(fixture.records.map(({outcome}) => outcome)).to.deep.equal(['answered']);
+		expect(fixture.dispatcher.openCalls).to.equal(0);
+		expect(fixture.list('cancel')).to.deep.equal([]);
+	});
+
+	describe('tells whether a failed call may have run', () => {
+		it('no, when no endpoint could take it', async () => {
+			const fixture = createFixture([]);
+			const {problems} = submit(fixture, createCall('c1'));
+			await clock.tickAsync(0);
+			expect(problems.map(({kind, ran}) => [kind, ran])).to.deep.equal([['unavailable', 'no']]);
+			expect(problems[0]!.retryAfterMs).to.be.greaterThan(0);
+		});
+
+		it('no, when all that were asked refused or could not be reached', async () => {
+			const fixture = createFixture(['a1', 'a2']);
+			fixture.down.add('a1');
+			const {problems} = submit(fixture, createCall('c1', {idempotent: false}));
+			await clock.tickAsync(1000);
+			expect(findLatest(fixture).agent).to.equal('a2');
+			sendRefused(fixture, 'overloaded');
+			await clock.tickAsync(1000);
+			expect(problems.map(({ran}) => ran)).to.deep.equal(['no']);
+		});
+
+		it('unknown, when an earlier attempt may have, though the last one did not', async () => {
+			const fixture = createFixture(['a1', 'a2']);
+			const {problems} = submit(fixture, createCall('c1'));
+			await clock.tickAsync(0);
+			sendFailed(fixture, 'unknown');
+			await clock.tickAsync(1000);
+			sendRefused(fixture, 'overloaded');
+			await clock.tickAsync(1000);
+			expect(fixture.list('open')).to.have.lengthOf(2);
+			expect(problems.map(({kind, ran}) => [kind, ran])).to.deep.equal([['endpoint-failed', 'unknown']]);
+		});
+
+		it('unknown, at once, when the deadline passes after it was sent', async () => {
+			const fixture = createFixture(['a1']);
+			const {problems} = submit(fixture, createCall('c1', {idempotent: false}));
+			await clock.tickAsync(9999);
+			expect(problems).to.deep.equal([]);
+			await clock.tickAsync(1);
+			expect(problems.map(({kind, ran, retryAfterMs}) => [kind, ran, retryAfterMs])).to.deep.equal([['deadline-exceeded', 'unknown', undefined]]);
+		});
+
+		it('no, when the deadline passes while it waits for its turn', async () => {
+			const fixture = createFixture(['a1']);
+			for (let i = 0; i < 4; i += 1) {
+				submit(fixture, {...createCall(`busy${i}`), deadlineAt: 60_000});
+			}
+
+			const {problems} = submit(fixture, createCall('c1', {idempotent: false}));
+			await clock.tickAsync(10_000);
+			expect(fixture.list('open')).to.have.lengthOf(4);
+			expect(problems.map(({kind, ran}) => [kind, ran])).to.deep.equal([['deadline-exceeded', 'no']]);
+		});
+
+		it('yes, when a part of the answer had come', async () => {
+			const fixture = createFixture(['a1']);
+			const {problems} = submit(fixture, createCall('c1'), false);
+			await clock.tickAsync(0);
+			sendPart(fixture, 0, createParts('x'));
+			sendFailed(fixture, 'unknown');
+			await clock.tickAsync(1000);
+			expect(problems.map(({ran}) => ran)).to.deep.equal(['yes']);
+		});
+	});
+
+	describe('tries again', () => {
+		it('never a non-idempotent call that may have run', async () => {
+			const fixture = createFixture(['a1', 'a2']);
+			const {problems} = submit(fixture, createCall('c1', {idempotent: false}));
+			await clock.tickAsync(0);
+			sendFailed(fixture, 'unknown');
+			await clock.tickAsync(10_000);
+			expect(fixture.list('open')).to.have.lengthOf(1);
+			expect(problems.map(({ran}) => ran)).to.deep.equal(['unknown']);
+		});
+
+		it('a refused call at another endpoint, not the same', async () => {
+			const fixture = createFixture(['a1', 'a2']);
+			submit(fixture, createCall('c1', {idempotent: false}));
+			await clock.tickAsync(0);
+			const first = findLatest(fixture);
+			sendRefused(fixture, 'overloaded');
+			await clock.tickAsync(1000);
+			expect(fixture.list('open').map(({agent}) => agent)).to.have.members(['a1', 'a2']);
+			expect(findLatest(fixture).attempt).to.equal(first.attempt + 1);
+		});
+
+		it('an answer cut off in the middle only if the caller has none of it', async () => {
+			const fixture = createFixture(['a1', 'a2']);
+			const whole = submit(fixture, createCall('c1'));
+			await clock.tickAsync(0);
+			sendPart(fixture, 0, createParts('old'));
+			sendFailed(fixture, 'unknown');
+			await clock.tickAsync(1000);
+			sendPart(fixture, 0, createParts('new'));
+			sendPart(fixture, 1, {kind: 'finished', reason: 'stop'});
+			expect(whole.events).to.deep.equal(['new', 'finished']);
+			const stream = submit(fixture, createCall('c2'), false);
+			await clock.tickAsync(0);
+			sendPart(fixture, 0, createParts('old'));
+			sendFailed(fixture, 'unknown');
+			await clock.tickAsync(1000);
+			expect(stream.events).to.deep.equal(['old']);
+			expect(stream.problems).to.have.lengthOf(1);
+		});
+
+		it('and lets nothing of an earlier attempt or of another agent into the answer', async () => {
+			const fixture = createFixture(['a1', 'a2']);
+			const {events} = submit(fixture, createCall('c1'));
+			await clock.tickAsync(0);
+			const first = findLatest(fixture);
+			sendFailed(fixture, 'unknown');
+			await clock.tickAsync(1000);
+			const second = findLatest(fixture);
+			sendPart(fixture, 0, createParts('late'), first);
+			sendPart(fixture, 0, createParts('forged'), {...second, agent: first.agent});
+			sendPart(fixture, 0, createParts('true'), second);
+			expect(events).to.deep.equal(['true']);
+		});
+
+		it('takes a leaving endpoint out at its first refusal', async () => {
+			const fixture = createFixture(['a1', 'a2']);
+			submit(fixture, createCall('c1'));
+			await clock.tickAsync(0);
+			const {agent: left} = findLatest(fixture);
+			sendRefused(fixture, 'leaving');
+			await clock.tickAsync(1000);
+			for (let i = 0; i < 3; i += 1) {
+				submit(fixture, createCall(`later${i}`));
+			}
+
+			await clock.tickAsync(0);
+			expect(fixture.list('open').slice(1).map(({agent}) => agent)).to.not.include(left);
+			expect(fixture.list('open')).to.have.lengthOf(5);
+		});
+	});
+
+	describe('when a link is replaced', () => {
+		it('goes on from the next part', async () => {
+			const fixture = createFixture(['a1']);
+			const {events} = submit(fixture, createCall('c1'));
+			await clock.tickAsync(0);
+			sendPart(fixture, 0, createParts('x'));
+			fixture.dispatcher.detach('a1');
+			await clock.tickAsync(4000);
+			fixture.dispatcher.attach('a1', 'tomakomai');
+			expect(fixture.list('resume').map(({message}) => message.next)).to.deep.equal([1]);
+			sendPart(fixture, 1, {kind: 'finished', reason: 'stop'});
+			expect(events).to.deep.equal(['x', 'finished']);
+		});
+
+		it('counts the time to return anew for each loss', async () => {
+			const fixture = createFixture(['a1']);
+			const {problems} = submit(fixture, createCall('c1', {idempotent: false}));
+			await clock.tickAsync(0);
+			fixture.dispatcher.detach('a1');
+			await clock.tickAsync(4000);
+			fixture.dispatcher.attach('a1', 'tomakomai');
+			fixture.dispatcher.detach('a1');
+			await clock.tickAsync(4000);
+			expect(problems).to.deep.equal([]);
+			await clock.tickAsync(1000);
+			expect(problems.map(({ran}) => ran)).to.deep.equal(['unknown']);
+		});
+
+		it('fails as unknown what the restarted agent does not know', async () => {
+			const fixture = createFixture(['a1', 'a2']);
+			const {problems} = submit(fixture, createCall('c1', {idempotent: false}));
+			await clock.tickAsync(0);
+			const {agent} = findLatest(fixture);
+			fixture.dispatcher.detach(agent);
+			fixture.dispatcher.attach(agent, 'tomakomai');
+			sendFailed(fixture, 'unknown');
+			await clock.tickAsync(1000);
+			expect(fixture.list('open')).to.have.lengthOf(1);
+			expect(problems.map(({ran}) => ran)).to.deep.equal(['unknown']);
+		});
+
+		it('asks once for the parts in a gap and passes none on out of order', async () => {
+			const fixture = createFixture(['a1']);
+			const {events} = submit(fixture, createCall('c1'));
+			await clock.tickAsync(0);
+			sendPart(fixture, 1, createParts('b'));
+			sendPart(fixture, 2, createParts('c'));
+			expect(events).to.deep.equal([]);
+			expect(fixture.list('resume').map(({message}) => message.next)).to.deep.equal([0]);
+			for (const [sequence, text] of ['a', 'b', 'c'].entries()) {
+				sendPart(fixture, sequence, createParts(text));
+			}
+
+			expect(events).to.deep.equal(['a', 'b', 'c']);
+		});
+	});
+
+	describe('when the caller has gone', () => {
+		it('stops the work and counts it as draining until the stop is confirmed', async () => {
+			const fixture = createFixture(['a1']);
+			const {run, problems} = submit(fixture, createCall('c1'));
+			await clock.tickAsync(0);
+			run.cancel();
+			const {agent, request, attempt} = findLatest(fixture);
+			expect(fixture.list('cancel')).to.have.lengthOf(1);
+			expect(fixture.dispatcher.endpoints.get('a1')).to.include({open: 0, draining: 1});
+			await clock.tickAsync(60_000);
+			expect(fixture.dispatcher.drainingAttempts).to.equal(1);
+			fixture.dispatcher.receive(agent, {kind: 'stopped', request, attempt});
+			expect(fixture.dispatcher.drainingAttempts).to.equal(0);
+			expect(problems).to.deep.equal([]);
+			expect(fixture.records.map(({outcome}) => outcome)).to.deep.equal(['cancelled']);
+		});
+
+		it('gives its slot to no other call while it drains', async () => {
+			const fixture = createFixture(['a1']);
+			fixture.dispatcher.receive('a1', {kind: 'status', status: createStatus({limit: 2})});
+			const {run} = submit(fixture, createCall('c1'));
+			submit(fixture, createCall('c2'));
+			submit(fixture, createCall('c3'));
+			await clock.tickAsync(0);
+			run.cancel();
+			await clock.tickAsync(0);
+			expect(fixture.list('open').map(({message}) => message.request)).to.deep.equal(['c1', 'c2']);
+			fixture.dispatcher.receive('a1', {kind: 'stopped', request: 'c1', attempt: 1});
+			await clock.tickAsync(0);
+			expect(fixture.list('open').map(({message}) => message.request)).to.deep.equal(['c1', 'c2', 'c3']);
+		});
+
+		it('repeats the cancellation on a replaced link', async () => {
+			const fixture = createFixture(['a1']);
+			const {run} = submit(fixture, createCall('c1'));
+			await clock.tickAsync(0);
+			fixture.dispatcher.detach('a1');
+			run.cancel();
+			fixture.sent.length = 0;
+			fixture.dispatcher.attach('a1', 'tomakomai');
+			expect(fixture.sent.map(({message}) => message.kind)).to.deep.equal(['cancel', 'resume']);
+		});
+
+		it('takes it out of the queue while it waits', async () => {
+			const fixture = createFixture(['a1']);
+			const runs = Array.from({length: 6}, (_, i) => submit(fixture, createCall(`c${i}`)).run);
+			await clock.tickAsync(0);
+			runs[5]!.cancel();
+			runs[0]!.cancel();
+			fixture.dispatcher.receive('a1', {kind: 'stopped', request: 'c0', attempt: 1});
+			await clock.tickAsync(0);
+			expect(fixture.list('open').map(({message}) => message.request)).to.deep.equal(['c0', 'c1', 'c2', 'c3', 'c4']);
+		});
+	});
+
+	it('withholds acknowledgements while the caller reads too slowly', async () => {
+		const fixture = createFixture(['a1']);
+		const {run} = submit(fixture, createCall('c1'));
+		await clock.tickAsync(0);
+		run.pause();
+		for (let sequence = 0; sequence < 40; sequence += 1) {
+			sendPart(fixture, sequence, createParts('x'));
+		}
+
+		expect(fixture.list('acknowledge')).to.deep.equal([]);
+		run.resume();
+		expect(fixture.list('acknowledge').map(({message}) => message.next)).to.deep.equal([40]);
+	});
+
+	it('fails a call whose answer its listener can not pass on, once', async () => {
+		const fixture = createFixture(['a1']);
+		const problems: Problem[] = [];
+		fixture.dispatcher.submit(createCall('c1'), {
+			onEvent() {
+				throw new TypeError('invalid character in header');
+			},
+			onRestart: () => false,
+			onFailed(problem) {
+				problems.push(problem);
+			},
+		});
+		await clock.tickAsync(0);
+		sendPart(fixture, 0, {kind: 'head', status: 200, headers: {}});
+		expect(problems.map(({ran}) => ran)).to.deep.equal(['yes']);
+		expect(fixture.list('cancel')).to.have.lengthOf(1);
+	});
+});
