Serve callers and operators whole: bodies, streams, forwarding, refusals

Cause: fields that clients send (null, text parts, max_completion_tokens) were refused, streams were written without regard to a caller that does not read, unknown routes answered in plain text, a target such as `//` threw outside the handler and ended the process, a forwarded path with two slashes could name another host, bad headers were let pass (the empty figure, figures beyond the runtime's timers), operators saw one of several faults and not whose change came first, and an address that others reach needed no secret.

Change: bodies, layout and listeners of completions in files of their own; the constant part of a chunk encoded once a stream; a full connection pauses its run; problems for all routes, with `problems` and `current` for operators; GET /v1/status; settings demand the secrets of addresses beyond loopback. The daemon's HTTP server and the platform's plain client got the smallest edits for the two faults that stand in them.

--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -91,7 +91,7 @@
 
 	async #handle(request: RoutedRequest, response: ServerResponse, handler: Handler): Promise<void> {
 		const parameters = Object.fromEntries(Object.entries(request.params).map(([name, value]) => [name, String(value)]));
-		const query = new URL(request.originalUrl, 'http://localhost').searchParams;
+		const query = readQuery(request.originalUrl);
 		const exchange = {
 			request, response, parameters, query,
 		};
@@ -103,6 +103,12 @@
 	}
 }
 
+/** A request's target need not be a valid URL, so only what follows its question mark is looked at. */
+function readQuery(target: string): URLSearchParams {
+	const mark = target.indexOf('?');
+	return new URLSearchParams(mark === -1 ? '' : target.slice(mark + 1));
+}
+
 function answerPlainly(error: unknown, {response}: Exchange): void {
 	if (response.headersSent) {
 		response.destroy();
@@ -117,7 +123,8 @@
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	try {
-		for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		// The connection must outlive a body that is too large, so that its sender can be told.
+		for await (const chunk of request.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 			size += chunk.length;
 			if (size > limitBytes) {
 				break;
--- /dev/null
+++ b/packages/entry/__tests__/settings.spec.ts
@@ -0,0 +1,29 @@
+import {expect} from 'chai';
+import {parseSettings} from '@wasabiusher/daemon';
+import {entrySettingsSchema} from '../src/index.js';
+import {listUnguarded} from '../src/settings.js';
+
+const required = ['--name', 'e1', '--data-centre', 'muroran', '--platform', 'http://127.0.0.1:1'];
+
+function parse(...argv: string[]) {
+	return parseSettings(entrySettingsSchema, {
+		program: 'wasabiusher-entry', version: '0', argv: [...required, ...argv], environment: {},
+	});
+}
+
+describe('settings of the entry', () => {
+	it('names the secrets that are not set on loopback', () => {
+		expect(listUnguarded(parse('--trainer-tokens', 't1')!)).to.deep.equal(['linkKeys', 'operatorTokens']);
+	});
+
+	it('refuses an address that others can reach without the secret that guards it', () => {
+		expect(() => parse('--listen', '0.0.0.0:80', '--trainer-tokens', 't1')).to.throw('setting --link-keys: required unless --listen is a loopback address');
+		expect(() => parse('--listen', '0.0.0.0:80', '--link-keys', 'k1')).to.throw('setting --trainer-tokens');
+		expect(() => parse('--operator-listen', '[::]:80')).to.throw('setting --operator-tokens');
+	});
+
+	it('takes such an address with its secrets', () => {
+		const settings = parse('--listen', '0.0.0.0:80', '--link-keys', 'k2,k1', '--trainer-tokens', 't1');
+		expect(settings!.linkKeys).to.deep.equal(['k2', 'k1']);
+	});
+});
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,10 +11,10 @@
 } from '@wasabiusher/shared';
 import {Dispatcher, StepRunner} from '@wasabiusher/systems';
 import {answerError} from './answers.js';
-import {handleCompletion} from './completions.js';
-import {handleForward} from './forwarding.js';
+import {addCallerRoutes, addUnknownRoute} from './caller-routes.js';
 import {addOperatorRoutes} from './operator-routes.js';
-import type {EntrySettings} from './settings.js';
+import {listUnguarded, type EntrySettings} from './settings.js';
+import {describeStatus, type EntryStatus} from './status.js';
 import {addStepRoutes} from './step-routes.js';
 import {View} from './view.js';
 
@@ -78,6 +78,9 @@
 			operators: await this.#operators.listen(this.#settings.operatorListen),
 		};
 		this.#log.info('entry_started', {...this.#addresses});
+		for (const secret of listUnguarded(this.#settings)) {
+			this.#log.warn('loopback_only', {unset: secret});
+		}
 	}
 
 	async drain(): Promise<void> {
@@ -92,10 +95,8 @@
 		const dispatcher = this.#dispatcher;
 		addOperationRoutes(this.#callers, this.#registry, () => !this.#isLeaving && this.#accepted.version > 0);
 		collectDefaultMetrics({register: this.#registry});
-		this.#callers.on('post', '/v1/completions', async exchange => handleCompletion('text', exchange, {dispatcher, configuration}));
-		this.#callers.on('post', '/v1/chat/completions', async exchange => handleCompletion('chat', exchange, {dispatcher, configuration}));
 		addStepRoutes(this.#callers, {runner: new StepRunner(dispatcher), tokens: this.#settings.trainerTokens, configuration});
-		this.#callers.on('all', '/:service/*', async exchange => handleForward(exchange, {dispatcher, configuration}));
+		addCallerRoutes(this.#callers, {dispatcher, configuration});
 		addOperatorRoutes(this.#operators, {
 			history: this.#history,
 			tokens: this.#settings.operatorTokens,
@@ -103,6 +104,15 @@
 			adopt: accepted => {
 				this.#adopt(accepted);
 			},
+			status: () => this.#describe(),
+		});
+		addUnknownRoute(this.#operators);
+	}
+
+	#describe(): EntryStatus {
+		const {name, dataCentre} = this.#settings;
+		return describeStatus({
+			name, dataCentre, isLeaving: this.#isLeaving, openCalls: this.#dispatcher.openCalls, accepted: this.#accepted, endpoints: this.#dispatcher.endpoints, quarantine: [], rollouts: [],
 		});
 	}
 
--- a/packages/entry/src/forwarding.ts
+++ b/packages/entry/src/forwarding.ts
@@ -1,12 +1,13 @@
 /**
- * `/<service>/…`, forwarded to plain services with method, query, body and status kept.
+ * `/<service>/…`, forwarded to plain services with method, path, query, headers, body and status kept.
  */
 import {randomUUID} from 'node:crypto';
+import type {ServerResponse} from 'node:http';
 import {readBytes, type Exchange} from '@wasabiusher/daemon';
 import {listEndToEndHeaders} from '@wasabiusher/platform';
 import {createProblem, hashText, type Configuration} from '@wasabiusher/shared';
-import type {Dispatcher} from '@wasabiusher/systems';
-import {sendProblem} from './answers.js';
+import type {CallListener, Dispatcher, Run} from '@wasabiusher/systems';
+import {bindRun, sendProblem} from './answers.js';
 import {readCallHeaders} from './call-headers.js';
 import {ProblemError} from './errors.js';
 
@@ -15,37 +16,58 @@
 	configuration(): Configuration;
 };
 
+/** Work of a plain call, for shares: all count alike. */
+const plainCost = 1;
+
 /** Handles one exchange whose path begins with the name of a plain service. */
 export async function handleForward({request, response, parameters}: Exchange, {dispatcher, configuration}: ForwardingRoutes): Promise<void> {
 	const service = parameters.service!;
-	if (configuration().services[service]?.kind !== 'plain') {
-		throw new ProblemError(createProblem('not-found', `there is no service "${service}"`, 'no'));
+	const {services} = configuration();
+	if (!Object.hasOwn(services, service) || services[service]!.kind !== 'plain') {
+		throw new ProblemError(createProblem('not-found', `there is no service "${service.slice(0, 64)}"`, 'no'));
 	}
 
-	const headers = readCallHeaders(request, configuration());
+	const {profileName, profile, caller, deadlineAt} = readCallHeaders(request, configuration());
 	const body = await readBytes(request);
-	const path = request.url!.slice(service.length + 1) || '/';
+	const path = cutService(request.url!, service);
 	const method = request.method!;
+	const runs: Run[] = [];
+	const listener = createForwardListener(response, () => {
+		runs[0]?.pause();
+	});
 	const run = dispatcher.submit({
 		id: randomUUID(),
 		service,
 		work: {
 			kind: 'forward', method, path, headers: listEndToEndHeaders(request.headers), ...(body.length > 0 ? {body} : {}),
 		},
-		caller: headers.caller,
-		profileName: headers.profileName,
-		profile: headers.profile,
-		deadlineAt: headers.deadlineAt,
-		cost: 1,
+		caller,
+		profileName,
+		profile,
+		deadlineAt,
+		cost: plainCost,
 		fingerprint: hashText(`${method} ${path} ${new TextDecoder().decode(body)}`),
-	}, {
+	}, listener);
+	runs.push(run);
+	bindRun(response, run);
+}
+
+/** The path and query behind the service's name. */
+function cutService(url: string, service: string): string {
+	const rest = url.slice(service.length + 1);
+	return rest.startsWith('/') ? rest : `/${rest}`;
+}
+
+function createForwardListener(response: ServerResponse, onFull: () => void): CallListener {
+	return {
 		onEvent(event) {
 			if (event.kind === 'head') {
 				response.writeHead(event.status, event.headers);
+				response.flushHeaders();
 			}
 
-			if (event.kind === 'body') {
-				response.write(event.chunk);
+			if (event.kind === 'body' && !response.write(event.chunk)) {
+				onFull();
 			}
 
 			if (event.kind === 'finished') {
@@ -55,13 +77,11 @@
 		onRestart: () => !response.headersSent,
 		onFailed(problem) {
 			if (response.headersSent) {
+				// The end of the body is missing, and only a cut connection says so.
 				response.destroy();
 			} else {
 				sendProblem(response, problem);
 			}
 		},
-	});
-	response.on('close', () => {
-		run.cancel();
-	});
+	};
 }
--- a/packages/entry/src/operator-routes.ts
+++ b/packages/entry/src/operator-routes.ts
@@ -2,10 +2,15 @@
  * The operators' interface, on an address of its own.
  */
 import {z} from 'zod';
-import {readJson, sendJson, type HttpServer} from '@wasabiusher/daemon';
-import {RecordError, type ConfigurationHistory} from '@wasabiusher/record';
-import {configurationSchema, createProblem, type AcceptedConfiguration} from '@wasabiusher/shared';
-import {ProblemError} from './errors.js';
+import {
+	readJson, sendJson, type Exchange, type Handler, type HttpServer,
+} from '@wasabiusher/daemon';
+import {RecordError, type ConfigurationHistory, type RecordErrorCode} from '@wasabiusher/record';
+import {
+	configurationSchema, createProblem, type AcceptedConfiguration, type ProblemKind,
+} from '@wasabiusher/shared';
+import {parseBody, ProblemError} from './errors.js';
+import type {EntryStatus} from './status.js';
 import {checkToken} from './tokens.js';
 
 const changeSchema = z.strictObject({
@@ -14,48 +19,76 @@
 	ifVersion: z.int().nonnegative().optional(),
 });
 
+const historySchema = z.object({limit: z.coerce.number().int().min(1).max(1000).default(50)});
+
 export type OperatorRoutes = {
-	history: ConfigurationHistory;
+	history: Pick<ConfigurationHistory, 'append' | 'list' | 'readHead'>;
 	tokens: readonly string[];
 	current(): AcceptedConfiguration;
 	adopt(accepted: AcceptedConfiguration): void;
+	status(): EntryStatus;
 };
 
-const historyLimit = 50;
-
 /** Adds the routes to a server. */
-export function addOperatorRoutes(server: HttpServer, {history, tokens, current, adopt}: OperatorRoutes): void {
-	server.on('post', '/v1/configuration', async ({request, response}) => {
-		checkToken(request, tokens);
-		const parsed = changeSchema.safeParse(await readJson(request));
-		if (!parsed.success) {
-			const details = parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`);
-			throw new ProblemError(createProblem('bad-request', details.join('; '), 'no'));
-		}
+export function addOperatorRoutes(server: HttpServer, routes: OperatorRoutes): void {
+	const {history, tokens, current, status} = routes;
+	const guard = (handler: Handler): Handler => async exchange => {
+		checkToken(exchange.request, tokens);
+		await handler(exchange);
+	};
 
-		try {
-			const accepted = await history.append({...parsed.data, acceptedAt: Date.now()});
-			adopt(accepted);
-			sendJson(response, 200, accepted);
-		} catch (error) {
-			throw toProblemError(error);
-		}
-	});
-	server.on('get', '/v1/configuration', ({request, response}) => {
-		checkToken(request, tokens);
+	server.on('post', '/v1/configuration', guard(async exchange => applyChange(exchange, routes)));
+	server.on('get', '/v1/configuration', guard(({response}) => {
 		sendJson(response, 200, current());
-	});
-	server.on('get', '/v1/configuration/history', async ({request, response}) => {
-		checkToken(request, tokens);
-		sendJson(response, 200, await history.list(historyLimit));
-	});
+	}));
+	server.on('get', '/v1/configuration/history', guard(async ({response, query}) => {
+		const {limit} = parseBody(historySchema, Object.fromEntries(query));
+		sendJson(response, 200, await turnErrors(async () => history.list(limit)));
+	}));
+	server.on('get', '/v1/status', guard(({response}) => {
+		sendJson(response, 200, status());
+	}));
 }
 
-function toProblemError(error: unknown): unknown {
-	if (!(error instanceof RecordError)) {
+async function applyChange({request, response}: Exchange, {history, adopt}: OperatorRoutes): Promise<void> {
+	const change = parseBody(changeSchema, await readJson(request));
+	try {
+		const accepted = await turnErrors(async () => history.append({...change, acceptedAt: Date.now()}));
+		adopt(accepted);
+		sendJson(response, 200, accepted);
+	} catch (error) {
+		throw await showOther(error, history);
+	}
+}
+
+/** A conflict shows what the other operator has put in force. */
+async function showOther(error: unknown, history: OperatorRoutes['history']): Promise<unknown> {
+	if (!(error instanceof ProblemError) || error.code !== 'conflict') {
+		return error;
+	}
+
+	try {
+		return new ProblemError(error.problem, {current: await history.readHead()});
+	} catch {
+		// The conflict stands; that the other change can't be shown does not alter it.
 		return error;
 	}
+}
+
+const recordKinds: Readonly<Partial<Record<RecordErrorCode, ProblemKind>>> = {conflict: 'conflict', unavailable: 'unavailable'};
 
-	const kinds = {conflict: 'conflict', unavailable: 'unavailable', unknown: 'internal'} as const;
-	return new ProblemError(createProblem(kinds[error.code], error.message, error.code === 'unknown' ? 'unknown' : 'no'));
+/** When an operator should try again while the store is down, in milliseconds. */
+const storeRetryMs = 2000;
+
+async function turnErrors<Value>(read: () => Promise<Value>): Promise<Value> {
+	try {
+		return await read();
+	} catch (error) {
+		if (!(error instanceof RecordError)) {
+			throw error;
+		}
+
+		const kind = recordKinds[error.code] ?? 'internal';
+		throw new ProblemError(createProblem(kind, error.message, kind === 'internal' ? 'unknown' : 'no', kind === 'unavailable' ? storeRetryMs : undefined));
+	}
 }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -2,10 +2,11 @@
  * Settings of the entry.
  */
 import {z} from 'zod';
+import {isLoopback} from '@wasabiusher/daemon';
 
 const listSchema = z.string().transform(text => text.split(',').map(item => item.trim()).filter(Boolean));
 
-export const entrySettingsSchema = z.object({
+const fieldsSchema = z.object({
 	name: z.string().min(1).describe('name of this process, unique among all'),
 	listen: z.string().default('127.0.0.1:0').describe('ip:port for callers and trainers'),
 	operatorListen: z.string().default('127.0.0.1:0').describe('ip:port for operators'),
@@ -18,4 +19,31 @@
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info').describe('least severe event logged'),
 });
 
-export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+type Fields = z.infer<typeof fieldsSchema>;
+
+type SecretRule = {secret: 'linkKeys' | 'trainerTokens' | 'operatorTokens'; address: 'listen' | 'operatorListen'; flag: string};
+
+/** An address that others can reach demands the secret that guards it. */
+const secretRules: readonly SecretRule[] = [
+	{secret: 'linkKeys', address: 'listen', flag: '--listen'},
+	{secret: 'trainerTokens', address: 'listen', flag: '--listen'},
+	{secret: 'operatorTokens', address: 'operatorListen', flag: '--operator-listen'},
+];
+
+/** Rules that the fields break. */
+function listBroken(fields: Fields): SecretRule[] {
+	return secretRules.filter(({secret, address}) => fields[secret].length === 0 && !isLoopback(fields[address]));
+}
+
+export const entrySettingsSchema = fieldsSchema.superRefine((fields, context) => {
+	for (const {secret, flag} of listBroken(fields)) {
+		context.addIssue({code: 'custom', path: [secret], message: `required unless ${flag} is a loopback address`});
+	}
+});
+
+export type EntrySettings = Fields;
+
+/** Names of the secrets that are not set; their routes answer anyone on this machine. */
+export function listUnguarded(settings: EntrySettings): string[] {
+	return secretRules.filter(({secret}) => settings[secret].length === 0).map(({secret}) => secret);
+}
--- a/packages/platform/src/http-plain-service.ts
+++ b/packages/platform/src/http-plain-service.ts
@@ -32,7 +32,8 @@
 
 	async * forward({method, path, headers, body}: PlainRequest, signal: AbortSignal): AsyncIterable<PlainEvent> {
 		try {
-			const response = await send(new URL(path, this.#origin), {
+			// Joined as text: resolved against the origin, a path that begins with two slashes would name another host.
+			const response = await send(new URL(this.#origin + path), {
 				method,
 				headers: listEndToEndHeaders(headers),
 				body,
