--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -123,10 +123,14 @@
 	return {values, origins};
 }
 
-function describeIssue({path, message}: z.core.$ZodIssue, settings: readonly Setting[], origins: Readonly<Record<string, string>>): SettingsError {
+function describeIssue({code, path, message}: z.core.$ZodIssue, settings: readonly Setting[], origins: Readonly<Record<string, string>>): SettingsError {
 	const key = String(path[0] ?? '');
 	const origin = origins[key];
 	const setting = settings.find(other => other.key === key);
+	if (setting && code === 'custom') {
+		return new SettingsError('settings', `setting --${setting.name}: ${message}`);
+	}
+
 	if (setting && origin === undefined) {
 		return new SettingsError('settings', `setting --${setting.name} is required (or ${setting.variable})`);
 	}
