Name the setting that a rule over several settings demands

Cause: the daemon told of any absent setting that it is required, though a rule of the entry says when. Change: the rule's own words follow the setting's name.

--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -123,12 +123,14 @@
 	return {values, origins};
 }
 
-function describeIssue({path, message}: z.core.$ZodIssue, settings: readonly Setting[], origins: Readonly<Record<string, string>>): SettingsError {
+function describeIssue({path, message, code}: z.core.$ZodIssue, settings: readonly Setting[], origins: Readonly<Record<string, string>>): SettingsError {
 	const key = String(path[0] ?? '');
 	const origin = origins[key];
 	const setting = settings.find(other => other.key === key);
 	if (setting && origin === undefined) {
-		return new SettingsError('settings', `setting --${setting.name} is required (or ${setting.variable})`);
+		// A rule over several settings says itself when this one is needed.
+		const needed = code === 'custom' ? `: ${message}` : ' is required';
+		return new SettingsError('settings', `setting --${setting.name}${needed} (or ${setting.variable})`);
 	}
 
 	return new SettingsError('settings', `setting ${origin ?? key}: ${message}`);
--- a/packages/entry/__tests__/settings.spec.ts
+++ b/packages/entry/__tests__/settings.spec.ts
@@ -17,7 +17,7 @@
 	});
 
 	it('refuses an address that others can reach without the secret that guards it', () => {
-		expect(() => parse('--listen', '0.0.0.0:80', '--trainer-tokens', 't1')).to.throw('setting --link-keys: required unless --listen is a loopback address');
+		expect(() => parse('--listen', '0.0.0.0:80', '--trainer-tokens', 't1')).to.throw('setting --link-keys: required unless --listen is a loopback address (or WASABIUSHER_LINK_KEYS)');
 		expect(() => parse('--listen', '0.0.0.0:80', '--link-keys', 'k1')).to.throw('setting --trainer-tokens');
 		expect(() => parse('--operator-listen', '[::]:80')).to.throw('setting --operator-tokens');
 	});
