--- a/packages/decisions/__tests__/concurrency-limit.spec.ts
+++ b/packages/decisions/__tests__/concurrency-limit.spec.ts
@@ -58,9 +58,17 @@
 		expect(limit.limit).to.equal(10);
 	});
 
-	it('keeps slots for interactive requests', () => {
+	it('keeps slots for interactive requests, by what they used lately', () => {
 		const limit = new ConcurrencyLimit({min: 1, max: 8, initial: 8});
 		expect([limit.limitFor('interactive'), limit.limitFor('rollout'), limit.limitFor('background')]).to.deep.equal([8, 7, 6]);
+		for (let now = 0; now <= 30_000; now += 100) {
+			limit.observeInteractive(now % 200 === 0 ? 4 : 0, now);
+		}
+
+		// Some four at once lately, of which four are in flight at the end.
+		expect(limit.limitFor('rollout')).to.equal(7);
+		limit.observeInteractive(0, 30_100);
+		expect(limit.limitFor('rollout')).to.be.within(4, 5);
 	});
 });
 
--- a/packages/decisions/src/concurrency-limit.ts
+++ b/packages/decisions/src/concurrency-limit.ts
@@ -8,6 +8,7 @@
  * (additive increase, multiplicative decrease: Chiu and Jain, 1989).
  */
 import type {PriorityClass} from '@wasabiusher/shared';
+import {Headroom} from './headroom.js';
 
 /** Bounds and start of a limit, in requests. */
 export type LimitBounds = {min: number; max: number; initial: number};
@@ -37,15 +38,10 @@
 /** Fraction of the limit that must be in use before it grows; an unused limit proves nothing. */
 const growthUse = 0.8;
 
-/**
- * Part of the limit that is kept from each class, so that a more urgent one finds a slot at once.
- * With 8 slots, one is kept free for interactive callers.
- */
-export const classHeadroom: Readonly<Record<PriorityClass, number>> = {interactive: 0, rollout: 0.125, background: 0.25};
-
 /** The limit of one endpoint. */
 export class ConcurrencyLimit {
 	readonly #bounds: LimitBounds;
+	readonly #headroom = new Headroom();
 	#limit: number;
 	#floorMs = Number.POSITIVE_INFINITY;
 	#lastDecreaseAt = Number.NEGATIVE_INFINITY;
@@ -66,9 +62,14 @@
 		return Math.max(this.#bounds.min, Math.floor(used));
 	}
 
-	/** Requests that may be in flight when one of this class starts; always at least one. */
+	/** Requests that may be in flight when one of this class starts, as `Headroom` leaves them; always at least one. */
 	limitFor(name: PriorityClass): number {
-		return Math.max(1, Math.floor(this.limit * (1 - classHeadroom[name])));
+		return this.#headroom.limitFor(name, this.limit);
+	}
+
+	/** Notes how many interactive requests are in flight there from `now` on. */
+	observeInteractive(inFlight: number, now: number): void {
+		this.#headroom.observe(inFlight, now);
 	}
 
 	/**
--- /dev/null
+++ b/packages/decisions/src/headroom.ts
@@ -0,0 +1,58 @@
+/**
+ * Slots kept free of less urgent work.
+ *
+ * Load pattern: rollouts of many seconds fill every slot, and an interactive request comes. Without this it
+ * waits until one of them ends, as running work is not stopped. What is kept free follows what interactive
+ * callers lately used at once, so that a share that they leave idle is lent: a fixed part would cost rollouts
+ * an eighth of a pool in which nobody asks for it.
+ */
+import type {PriorityClass} from '@wasabiusher/shared';
+
+/** Time in which what interactive callers used is mostly forgotten, in milliseconds; lent slots are back in less than it. */
+const memoryMs = 10_000;
+
+/**
+ * Standard deviations over the mean that are kept free. Few requests find more in flight than that, and those wait
+ * for one slot only.
+ */
+const deviations = 1;
+
+/** Most of a limit that is kept free, whatever was used: rollouts keep at least half. */
+const maxPart = 0.5;
+
+/** Slots kept free though none were used lately, from this limit on: the first request after a quiet hour finds one. */
+const idleReserve = 1;
+const minLimitForReserve = 8;
+
+/** Slots that each class leaves free, in parts of what is reserved; background work leaves more than rollouts. */
+const classReserve: Readonly<Record<PriorityClass, number>> = {interactive: 0, rollout: 1, background: 1.5};
+
+/** What interactive requests use at once, and what is to be left for them. */
+export class Headroom {
+	#mean = 0;
+	#variance = 0;
+	#observedAt: number | undefined;
+	#current = 0;
+
+	/** Notes how many interactive requests are in flight from `now` on. */
+	observe(inFlight: number, now: number): void {
+		const weight = this.#observedAt === undefined ? 1 : 1 - Math.exp(-(now - this.#observedAt) / memoryMs);
+		const difference = this.#current - this.#mean;
+		this.#mean += weight * difference;
+		this.#variance = (1 - weight) * (this.#variance + (weight * (difference ** 2)));
+		this.#observedAt = now;
+		this.#current = inFlight;
+	}
+
+	/** Slots to be left free now, besides those that interactive requests already use. */
+	reserve(limit: number): number {
+		const expected = Math.ceil(this.#mean + (deviations * Math.sqrt(this.#variance)));
+		const wanted = Math.max(expected - this.#current, limit >= minLimitForReserve ? idleReserve : 0);
+		return Math.min(wanted, Math.floor(maxPart * limit));
+	}
+
+	/** Requests that may be in flight in all when one of this class starts; always at least one. */
+	limitFor(name: PriorityClass, limit: number): number {
+		return Math.max(1, limit - Math.ceil(classReserve[name] * this.reserve(limit)));
+	}
+}
--- /dev/null
+++ b/packages/decisions/src/placement.ts
@@ -0,0 +1,216 @@
+/**
+ * Which endpoints hold which model, adapter and role.
+ *
+ * Load pattern: the demand of several models moves over minutes. Without this an engine of the model nobody asks for
+ * stands idle while another's callers are refused; and if every move of the demand is followed, engines load
+ * weights instead of working. A change is made only for a gain that outweighs its cost over the time that demand usually
+ * lasts, one endpoint stays put for a while after it, and no model falls below what its interactive callers need.
+ *
+ * What an endpoint holds is one name, such as `model`, `model:adapter` or `model#prefill`.
+ */
+
+/** An endpoint and what it holds. */
+export type Holder = {
+	id: string;
+	holds: string;
+	/** When it was last ordered to change, on the clock of `now`. */
+	changedAt: number;
+	/** The change is still under way. */
+	isChanging?: boolean;
+};
+
+/** Work that is asked of one model, in endpoints: what would keep so many busy. */
+export type Demand = {
+	name: string;
+	total: number;
+	/** Part of the total that interactive callers ask. */
+	interactive: number;
+	/** The most that it lately was; what an endpoint's leaving would cost. The total by default. */
+	peak?: number;
+	/** How long such a demand usually lasts, in milliseconds. */
+	lastsMs?: number;
+};
+
+export type PlacementSettings = {
+	/** Most endpoints that change at once; a third by default. */
+	maxChanging?: number;
+	/** Time that a change takes an endpoint out, in milliseconds; an adapter costs less than a model. */
+	costMs(from: string, to: string): number;
+};
+
+export type Change = {id: string; from: string; to: string};
+
+/** A model's demand and how many endpoints hold it; one that nobody asks for has no demand. */
+type Balance = {demand?: Demand; count: number};
+
+/** Time that demand is taken to last until it is known, in milliseconds; a change must pay for itself within it. */
+const defaultLastsMs = 120_000;
+
+/** Gain over cost that a change must show; below it the estimate's error decides. */
+const minGainRatio = 2;
+
+/** Time that an endpoint stays put after a change, in milliseconds. */
+const dwellMs = 120_000;
+
+/** Part of an endpoint that must be lacking before another is given to a model, so that rounding moves nothing. */
+const minShortage = 0.5;
+
+/** Gain of a change that interactive callers need; it goes before all others, whatever it costs rollouts. */
+const floorGainMs = Number.MAX_SAFE_INTEGER;
+
+/** Interactive demand is met with so much to spare, as its bursts are short against a change. */
+const interactiveSpare = 1.25;
+
+/** Chooses the changes to order now; none while nothing outweighs its cost. */
+export function planPlacement(holders: readonly Holder[], demands: readonly Demand[], settings: PlacementSettings, now: number): Change[] {
+	const counts = countHolders(holders, demands);
+	const maxChanging = settings.maxChanging ?? Math.max(1, Math.ceil(holders.length / 3));
+	let open = maxChanging - holders.filter(({isChanging}) => isChanging).length;
+	let free = holders.filter(({isChanging, changedAt}) => !isChanging && now - changedAt >= dwellMs);
+	const changes: Change[] = [];
+	while (open > 0) {
+		const change = findBestChange(free, demands, counts, settings);
+		if (!change) {
+			break;
+		}
+
+		changes.push(change);
+		counts.set(change.from, counts.get(change.from)! - 1);
+		counts.set(change.to, counts.get(change.to)! + 1);
+		free = free.filter(({id}) => id !== change.id);
+		open -= 1;
+	}
+
+	return changes;
+}
+
+function countHolders(holders: readonly Holder[], demands: readonly Demand[]): Map<string, number> {
+	const counts = new Map(demands.map(({name}) => [name, 0]));
+	for (const {holds} of holders) {
+		counts.set(holds, (counts.get(holds) ?? 0) + 1);
+	}
+
+	return counts;
+}
+
+function findBestChange(holders: readonly Holder[], demands: readonly Demand[], counts: ReadonlyMap<string, number>, {costMs}: PlacementSettings): Change | undefined {
+	let best: Change | undefined;
+	let bestGain = 0;
+	const byName = new Map(demands.map(demand => [demand.name, demand]));
+	for (const {id, holds} of holders) {
+		for (const to of demands) {
+			const gain = estimateGain({demand: byName.get(holds), count: counts.get(holds)!}, {demand: to, count: counts.get(to.name)!}, costMs(holds, to.name));
+			if (to.name !== holds && gain > bestGain) {
+				best = {id, from: holds, to: to.name};
+				bestGain = gain;
+			}
+		}
+	}
+
+	return best;
+}
+
+/** Work gained within the horizon less that lost by the change, in endpoint milliseconds; 0 if it should not be made. */
+function estimateGain(from: Balance, to: Balance, costMs: number): number {
+	if (isBelowFloor({...from, count: from.count - 1})) {
+		return 0;
+	}
+
+	const isNeeded = isBelowFloor(to);
+	if (isBelowFloor(to)) {
+		return floorGainMs;
+	}
+
+	const {total = 0, lastsMs = defaultLastsMs} = to.demand ?? {};
+	const lacking = Math.min(1, total - to.count);
+	if (lacking < minShortage) {
+		return 0;
+	}
+
+	const peak = from.demand?.peak ?? from.demand?.total ?? 0;
+	const lost = Math.min(1, Math.max(0, peak - (from.count - 1)));
+	const gainMs = (lacking - lost) * Math.max(0, lastsMs - costMs);
+	return gainMs >= minGainRatio * costMs ? gainMs : 0;
+}
+
+/** Whether interactive callers of a model have fewer endpoints than they need; at least one if there are any. */
+function isBelowFloor({demand, count}: Balance): boolean {
+	return demand !== undefined && demand.interactive > 0 && count < Math.max(1, demand.interactive * interactiveSpare);
+}
+
+/**
+ * Times in which a measurement mostly replaces those before, in milliseconds. Demand is what both say: a burst
+ * shows in the fast one only, a demand that has gone in the slow one only.
+ */
+const fastMs = 5000;
+const slowMs = 20_000;
+
+/** The same for what is usual, against which a demand is high or low. */
+const usualMs = 300_000;
+
+/** Endpoints over or under the usual before demand counts as high or low, so that noise ends no run of it. */
+const runMargin = 0.5;
+
+/** Longest time that demand is expected to last, in milliseconds. */
+const maxLastsMs = 300_000;
+
+/** Weight of the newest run in how long they usually last. */
+const runSmoothing = 0.5;
+
+type Trace = {
+	at: number;
+	fast: number;
+	slow: number;
+	usual: number;
+	interactive: number;
+	isHigh: boolean;
+	/** When it became high or low. */
+	since: number;
+	lastsMs: number;
+};
+
+/** Follows the demand of each model, and for how long it stays high or low. */
+export class DemandHistory {
+	readonly #traces = new Map<string, Trace>();
+
+	/** Takes a measurement in endpoints: what is served and what waits. */
+	record({name, total, interactive}: Demand, now: number): void {
+		const trace = this.#traces.get(name);
+		if (!trace) {
+			this.#traces.set(name, {
+				at: now, fast: total, slow: total, usual: total, interactive, isHigh: false, since: now, lastsMs: defaultLastsMs,
+			});
+			return;
+		}
+
+		const elapsedMs = now - trace.at;
+		trace.at = now;
+		trace.fast = approach(trace.fast, total, elapsedMs / fastMs);
+		trace.slow = approach(trace.slow, total, elapsedMs / slowMs);
+		trace.usual = approach(trace.usual, total, elapsedMs / usualMs);
+		trace.interactive = approach(trace.interactive, interactive, elapsedMs / slowMs);
+		followRun(trace, now);
+	}
+
+	/** Demand of each model now. */
+	list(): Demand[] {
+		return [...this.#traces].map(([name, {at, fast, slow, interactive, since, lastsMs}]) => ({
+			// What has already lasted long will likely go on.
+			name, total: Math.min(fast, slow), peak: Math.max(fast, slow), interactive, lastsMs: Math.min(maxLastsMs, Math.max(lastsMs, at - since)),
+		}));
+	}
+}
+
+function approach(from: number, to: number, timeConstants: number): number {
+	return from + ((1 - Math.exp(-timeConstants)) * (to - from));
+}
+
+function followRun(trace: Trace, now: number): void {
+	const difference = trace.fast - trace.usual;
+	const hasTurned = trace.isHigh ? difference < -runMargin : difference > runMargin;
+	if (hasTurned) {
+		trace.lastsMs += runSmoothing * (now - trace.since - trace.lastsMs);
+		trace.isHigh = !trace.isHigh;
+		trace.since = now;
+	}
+}
--- /dev/null
+++ b/packages/decisions/src/step-order.ts
@@ -0,0 +1,46 @@
+/**
+ * In which order the samples of a step are started.
+ *
+ * Load pattern: 2,048 samples in groups of 8 with heavy-tailed lengths. Without an order a long one that
+ * starts last keeps the trainer waiting while all other slots are idle. Longest first bounds the time to 4/3
+ * of the best (Graham, 1969). A group's samples follow one another, so that its prompt is computed
+ * once and the group is whole early; one of each group goes ahead while its length is not known.
+ */
+
+/** A sample that has not been started. */
+export type PendingSample = {
+	group: number;
+	index: number;
+	/** Expected tokens, as `LengthPrediction` gives them. */
+	predictedTokens: number;
+	/** Another attempt at a sample of which one was lost or became stale; the rest of its group waits for it. */
+	isRedrawn?: boolean;
+	/** No sample of its prompt has finished yet, so that the prediction says nothing of this prompt. */
+	isUnknown?: boolean;
+};
+
+/** Orders samples: redrawn ones, one of each unknown group, then whole groups, those with the longest sample first. */
+export function orderSamples(samples: readonly PendingSample[]): PendingSample[] {
+	const longest = new Map<number, number>();
+	const scouts = new Map<number, number>();
+	for (const {group, index, predictedTokens, isUnknown} of samples) {
+		longest.set(group, Math.max(predictedTokens, longest.get(group) ?? 0));
+		if (isUnknown && index === 0) {
+			scouts.set(group, index);
+		}
+	}
+
+	const rank = ({group, index, isRedrawn}: PendingSample): number => {
+		if (isRedrawn) {
+			return 0;
+		}
+
+		return scouts.get(group) === index ? 1 : 2;
+	};
+
+	return samples.toSorted((a, b) =>
+		rank(a) - rank(b)
+		|| longest.get(b.group)! - longest.get(a.group)!
+		|| a.group - b.group
+		|| a.index - b.index);
+}
--- /dev/null
+++ b/packages/decisions/src/stragglers.ts
@@ -0,0 +1,77 @@
+/**
+ * Which samples are run a second time late in a step.
+ *
+ * Load pattern: most of a step is done, slots are idle, and a few samples run on, some at a slow endpoint.
+ * Without this the step waits for the slowest endpoint's last sample. A copy goes on from the text so far where the
+ * profile allows, or begins anew; the first to finish is the sample (backup tasks: Dean and Ghemawat, 2004).
+ */
+
+/** A sample that runs late in a step. */
+export type Straggler = {
+	id: string;
+	endpoint: string;
+	/** Tokens still expected, as `LengthPrediction` gives them. */
+	remainingTokens: number;
+	/** Tokens made so far, all of which a copy makes again unless it can go on from them. */
+	madeTokens: number;
+	/** Tokens a millisecond that it gets where it runs. */
+	speed: number;
+	isDoubled: boolean;
+};
+
+/** An endpoint with idle slots. */
+export type IdleEndpoint = {
+	id: string;
+	slots: number;
+	/** Tokens a millisecond that one more sample gets there. */
+	speed: number;
+};
+
+export type Copy = {sample: string; to: string};
+
+/** Part of a step that must be finished or running out before copies are worth their work. */
+const lateFraction = 0.9;
+
+/** A copy must be expected to finish in less than this part of the time that the first still takes. */
+const worthwhile = 0.7;
+
+/** Time to compute a moved sample's text so far at its new place, in milliseconds for each token; prompts compute some hundred times as fast as answers. */
+const recomputeMs = 0.1;
+
+/**
+ * Chooses copies, longest remaining time first.
+ *
+ * @param startedFraction - part of the step's samples that are finished or running
+ * @param canResume - whether a copy may go on from the text so far
+ */
+export function planCopies(stragglers: readonly Straggler[], idle: readonly IdleEndpoint[], startedFraction: number, canResume: boolean): Copy[] {
+	if (startedFraction < lateFraction) {
+		return [];
+	}
+
+	const places = idle.map(endpoint => ({...endpoint}));
+	const copies: Copy[] = [];
+	const slowest = stragglers
+		.filter(({isDoubled}) => !isDoubled)
+		.toSorted((a, b) => (b.remainingTokens / b.speed) - (a.remainingTokens / a.speed));
+	for (const straggler of slowest) {
+		const place = findFastest(places, straggler.endpoint);
+		if (place && estimateCopy(straggler, place, canResume) < worthwhile * straggler.remainingTokens / straggler.speed) {
+			place.slots -= 1;
+			copies.push({sample: straggler.id, to: place.id});
+		}
+	}
+
+	return copies;
+}
+
+function findFastest(places: readonly IdleEndpoint[], avoid: string): IdleEndpoint | undefined {
+	return places
+		.filter(({id, slots}) => slots > 0 && id !== avoid)
+		.toSorted((a, b) => b.speed - a.speed)[0];
+}
+
+/** Time of a copy in milliseconds. */
+function estimateCopy({remainingTokens, madeTokens}: Straggler, {speed}: IdleEndpoint, canResume: boolean): number {
+	return canResume ? (madeTokens * recomputeMs) + (remainingTokens / speed) : (madeTokens + remainingTokens) / speed;
+}
