Map each failure of the platform and the endpoints truthfully

Cause: an order answered 404 passed for done; a schema mismatch left the layer as a zod error; a path such as //host/x went to another host; each whole stream cost its connection; after a silent connection the next call could take another one as old and silent; nothing bounded a trickling answer or an endless event.

--- /dev/null
+++ b/packages/platform/__tests__/http.spec.ts
@@ -0,0 +1,255 @@
+import {once} from 'node:events';
+import {createServer as createHttpServer} from 'node:http';
+import {createServer, type Server, type Socket} from 'node:net';
+import {expect} from 'chai';
+import {z} from 'zod';
+import {
+	HttpEngine, HttpPlainService, HttpTableService, listEndToEndHeaders, PlatformError, type GenerationEvent, type PlainEvent,
+} from '../src/index.js';
+import {callBytes, callEmpty, callJson} from '../src/http.js';
+
+async function catchCode(work: Promise<unknown>): Promise<string> {
+	try {
+		await work;
+	} catch (error) {
+		return error instanceof PlatformError ? error.code : `not a PlatformError: ${String(error)}`;
+	}
+
+	return 'none';
+}
+
+type Answer = (socket: Socket, connection: number) => void;
+
+const reply = (status: string, body: string): Answer => socket => {
+	socket.write(`HTTP/1.1 ${status}\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+};
+
+function formatOrigin(server: Server): string {
+	const bound = server.address();
+	return `http://127.0.0.1:${typeof bound === 'object' ? bound!.port : 0}`;
+}
+
+describe('calls over HTTP', () => {
+	const servers: Server[] = [];
+	const sockets = new Set<Socket>();
+	let connected = 0;
+	/** The connections on which requests came, by their order of opening. */
+	let asked: number[] = [];
+
+	/** A server that answers each piece of a request by `answer`. */
+	async function serve(answer: Answer): Promise<string> {
+		connected = 0;
+		asked = [];
+		const server = createServer(socket => {
+			connected += 1;
+			const connection = connected;
+			sockets.add(socket);
+			socket.on('error', () => undefined);
+			socket.on('data', () => {
+				asked.push(connection);
+				answer(socket, connection);
+			});
+		});
+		servers.push(server);
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		return formatOrigin(server);
+	}
+
+	/** A server that ends its answers a moment after their text. */
+	async function serveStream(text: string): Promise<{server: Server; countOpened(): number}> {
+		let opened = 0;
+		const server = createHttpServer((request, response) => {
+			request.resume();
+			response.write(text);
+			setTimeout(() => {
+				response.end();
+			}, 1);
+		});
+		server.on('connection', (socket: Socket) => {
+			opened += 1;
+			sockets.add(socket);
+		});
+		servers.push(server);
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		return {server, countOpened: () => opened};
+	}
+
+	afterEach(() => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		sockets.clear();
+		for (const server of servers.splice(0)) {
+			server.close();
+		}
+	});
+
+	const post = async (origin: string, timeoutMs?: number) => callEmpty({
+		origin, method: 'POST', path: '/x', body: {}, timeoutMs,
+	});
+
+	it('tells by the status what is known of the effect', async () => {
+		const expected = {
+			'400 Bad': 'refused',
+			'404 Missing': 'missing',
+			'409 Conflict': 'conflict',
+			'412 Fenced': 'fenced',
+			'429 Many': 'limited',
+			'500 Failed': 'unknown',
+			'502 Gateway': 'unknown',
+			'503 Down': 'unavailable',
+			'504 Late': 'unknown',
+		};
+		for (const [status, code] of Object.entries(expected)) {
+			// One server after the other.
+			// eslint-disable-next-line no-await-in-loop
+			expect(await catchCode(post(await serve(reply(status, 'x')))), status).to.equal(code);
+		}
+	});
+
+	it('proves that nothing was sent when there is no connection', async () => {
+		const server = createServer();
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const origin = formatOrigin(server);
+		server.close();
+		await once(server, 'close');
+		expect(await catchCode(post(origin))).to.equal('unavailable');
+	});
+
+	it('proves that nothing was sent when it was stopped before', async () => {
+		const origin = await serve(reply('200 OK', '{}'));
+		const events = new HttpEngine(origin).generate({model: 'm', maxTokens: 1}, {requestId: 'r', priority: 0, signal: AbortSignal.abort()});
+		expect(await catchCode(events[Symbol.asyncIterator]().next())).to.equal('unavailable');
+		expect(connected).to.equal(0);
+	});
+
+	it('does not know the effect when the connection is cut after the request', async () => {
+		const origin = await serve(socket => {
+			socket.destroy();
+		});
+		expect(await catchCode(post(origin))).to.equal('unknown');
+	});
+
+	it('does not know the effect when no answer comes, and uses a fresh connection for the next call', async () => {
+		const origin = await serve((socket, connection) => {
+			if (connection > 1) {
+				reply('200 OK', '{}')(socket, connection);
+			}
+		});
+		expect(await catchCode(post(origin, 20))).to.equal('unknown');
+		expect(await catchCode(post(origin))).to.equal('none');
+		expect(asked.at(-1)).to.be.greaterThan(1);
+	});
+
+	it('uses none of the connections that are as old as a silent one', async () => {
+		let isSilent = false;
+		const origin = await serve((socket, connection) => {
+			if (!isSilent || connection > 2) {
+				reply('200 OK', '{}')(socket, connection);
+			}
+		});
+		await Promise.all([post(origin), post(origin)]);
+		expect(connected).to.equal(2);
+		isSilent = true;
+		expect(await catchCode(post(origin, 20))).to.equal('unknown');
+		expect(await catchCode(post(origin, 2000))).to.equal('none');
+		expect(asked.at(-1)).to.be.greaterThan(2);
+	});
+
+	it('bounds the whole answer, also when it trickles', async () => {
+		const origin = await serve(socket => {
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n');
+			const timer = setInterval(() => {
+				socket.write('x');
+			}, 2);
+			socket.on('close', () => {
+				clearInterval(timer);
+			});
+		});
+		expect(await catchCode(callBytes({
+			origin, method: 'GET', path: '/', timeoutMs: 30,
+		}))).to.equal('unknown');
+	});
+
+	it('tells an answer of another shape, as unknown for a write', async () => {
+		const schema = z.object({versions: z.array(z.int())});
+		const read = {origin: await serve(reply('200 OK', '{"versions":"x"}')), method: 'GET', path: '/'} as const;
+		expect(await catchCode(callJson(schema, read))).to.equal('invalid');
+		expect(await catchCode(callJson(schema, {...read, origin: await serve(reply('200 OK', 'x'))}))).to.equal('invalid');
+		const tables = new HttpTableService(await serve(reply('200 OK', '{"versions":"x"}')));
+		expect(await catchCode(tables.transact([]))).to.equal('unknown');
+	});
+
+	it('fails an order at a path that is not there', async () => {
+		const engine = new HttpEngine(await serve(reply('404 Missing', '')));
+		expect(await catchCode(engine.order({kind: 'role', role: 'any'}, 1))).to.equal('missing');
+	});
+
+	it('uses the connection of a whole stream again', async () => {
+		const chunk = JSON.stringify({choices: [{text: 'a', finish_reason: 'stop'}], version: 1, tokens: 1});
+		const {server, countOpened} = await serveStream(`data: ${chunk}\n\ndata: [DONE]\n\n`);
+		const engine = new HttpEngine(formatOrigin(server));
+		const run = async () => {
+			const events = engine.generate({model: 'm', maxTokens: 1}, {requestId: 'r', priority: 0, signal: new AbortController().signal})[Symbol.asyncIterator]();
+			const part = await events.next();
+			// As the agents do, this reader does not come back after the terminal event.
+			const finished = await events.next();
+			return [part, finished].map(({value}) => (value as GenerationEvent).kind);
+		};
+
+		expect(await run()).to.deep.equal(['part', 'finished']);
+		// The server ends the answer a moment after the terminal event.
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, 5);
+		});
+		expect(await run()).to.deep.equal(['part', 'finished']);
+		expect(countOpened()).to.equal(1);
+	});
+
+	describe('forwarding', () => {
+		async function forward(origin: string, path: string, method = 'GET'): Promise<PlainEvent[]> {
+			const events: PlainEvent[] = [];
+			for await (const event of new HttpPlainService(origin).forward({method, path, headers: {}}, new AbortController().signal)) {
+				events.push(event);
+			}
+
+			return events;
+		}
+
+		it('keeps the status, also of failures', async () => {
+			const events = await forward(await serve(reply('503 Down', 'x')), '/postings');
+			expect(events[0]).to.deep.include({kind: 'head', status: 503});
+			expect(events.at(-1)).to.deep.equal({kind: 'finished'});
+		});
+
+		it('never calls an answer finished that was cut off', async () => {
+			const origin = await serve(socket => {
+				socket.end('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc');
+			});
+			expect(await catchCode(forward(origin, '/'))).to.equal('unknown');
+		});
+
+		it('goes to its own origin whatever the path', async () => {
+			const origin = await serve(reply('200 OK', 'here'));
+			const events = await forward(origin, '//192.0.2.1/x');
+			expect(events[0]).to.deep.include({status: 200});
+			expect(await catchCode(forward(origin, 'http://192.0.2.1/x'))).to.equal('refused');
+		});
+
+		it('proves that a request was not sent that can not be', async () => {
+			expect(await catchCode(forward(await serve(reply('200 OK', '')), '/', 'BAD METHOD'))).to.equal('refused');
+			expect(connected).to.equal(0);
+		});
+	});
+
+	it('drops the headers of one connection, also those that the sender names', () => {
+		const headers = {
+			Connection: 'close, X-Hop', 'x-hop': '1', 'content-length': '3', accept: ['a', 'b'],
+		};
+		expect(listEndToEndHeaders({...headers, connection: headers.Connection})).to.deep.equal({accept: 'a, b'});
+	});
+});
--- /dev/null
+++ b/packages/platform/src/connections.ts
@@ -0,0 +1,52 @@
+/**
+ * The connections to each origin, and what is done when one of them goes silent.
+ *
+ * Something between the two ends can lose track of open connections while new ones
+ * work, and it mostly loses track of all that are as old. So one silent connection
+ * retires all of that origin's: the next call, a retry perhaps, gets a fresh one.
+ */
+import {Pool, type Dispatcher} from 'undici';
+
+/** Longest time for a new connection, in milliseconds; hosts answer within some milliseconds or are gone. */
+const connectTimeoutMs = 1000;
+
+/** How long an idle connection is kept, in milliseconds; servers commonly end theirs after five seconds. */
+const keepAliveMs = 4000;
+
+export type ConnectionLimits = {connectTimeoutMs: number};
+
+/** Pools of connections by origin. */
+export class Connections {
+	readonly #limits: ConnectionLimits;
+	readonly #pools = new Map<string, Pool>();
+
+	constructor(limits: Partial<ConnectionLimits> = {}) {
+		this.#limits = {connectTimeoutMs, ...limits};
+	}
+
+	/** Sends a request; throws what undici throws. */
+	async send(origin: string, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+		return this.#find(origin).request(options);
+	}
+
+	/** Uses none of the origin's open connections for new requests; requests under way go on. */
+	retire(origin: string): void {
+		const pool = this.#pools.get(origin);
+		this.#pools.delete(origin);
+		// Its promise waits for requests under way, which end by their own limits.
+		void pool?.close();
+	}
+
+	#find(origin: string): Pool {
+		let pool = this.#pools.get(origin);
+		if (!pool) {
+			pool = new Pool(origin, {connect: {timeout: this.#limits.connectTimeoutMs}, keepAliveTimeout: keepAliveMs});
+			this.#pools.set(origin, pool);
+		}
+
+		return pool;
+	}
+}
+
+/** The connections of this process. */
+export const connections = new Connections();
--- /dev/null
+++ b/packages/platform/src/generation-stream.ts
@@ -0,0 +1,77 @@
+/**
+ * Reads an engine's stream of server-sent events.
+ */
+import {createParser} from 'eventsource-parser';
+import {z} from 'zod';
+import type {GenerationEvent} from './endpoint.js';
+import {PlatformError} from './errors.js';
+import {parseAnswer} from './http.js';
+
+/** What ends a stream; an end without it is a failure. */
+const terminalData = '[DONE]';
+
+/** Longest unfinished event, in characters; an engine's events are a few hundred. */
+const maxEventLength = 1_048_576;
+
+const chunkSchema = z.object({
+	choices: z.array(z.object({text: z.string(), finish_reason: z.enum(['stop', 'length']).nullish()})).min(1),
+	version: z.int().nonnegative(),
+	tokens: z.int().nonnegative(),
+});
+
+/**
+ * Yields the events of a stream, `finished` only when the terminal event has come.
+ *
+ * @throws {PlatformError} `unknown` if the stream ends without its terminal event, `invalid` if an event is malformed
+ */
+export async function * readGeneration(chunks: AsyncIterable<Uint8Array>): AsyncIterable<GenerationEvent> {
+	const decoder = new TextDecoder();
+	const events = new EventReader();
+	let finished: GenerationEvent | undefined;
+	for await (const chunk of chunks) {
+		for (const data of events.read(decoder.decode(chunk, {stream: true}))) {
+			if (data === terminalData) {
+				yield finished ?? fail('the stream ended without a reason');
+				return;
+			}
+
+			const {choices: [choice], version, tokens} = parseAnswer(chunkSchema, data, 'stream', 'invalid');
+			const {text, finish_reason: reason} = choice!;
+			if (tokens > 0) {
+				yield {kind: 'part', part: {text, tokens, version}};
+			}
+
+			finished = reason ? {kind: 'finished', reason} : finished;
+		}
+	}
+
+	fail('the stream ended without its terminal event');
+}
+
+function fail(message: string): never {
+	throw new PlatformError('unknown', message);
+}
+
+/** Splits text into the data of whole events. */
+class EventReader {
+	readonly #ready: string[] = [];
+	#hasOverflown = false;
+	readonly #parser = createParser({
+		maxBufferSize: maxEventLength,
+		onEvent: ({data}) => {
+			this.#ready.push(data);
+		},
+		onError: ({type}) => {
+			this.#hasOverflown ||= type === 'max-buffer-size-exceeded';
+		},
+	});
+
+	read(text: string): string[] {
+		this.#parser.feed(text);
+		if (this.#hasOverflown) {
+			throw new PlatformError('invalid', `an event of the stream exceeds ${maxEventLength} characters`);
+		}
+
+		return this.#ready.splice(0);
+	}
+}
--- a/packages/platform/src/http-engine.ts
+++ b/packages/platform/src/http-engine.ts
@@ -1,7 +1,6 @@
 /**
  * A model engine over HTTP, with server-sent events for streams.
  */
-import {createParser} from 'eventsource-parser';
 import {z} from 'zod';
 import type {Dispatcher} from 'undici';
 import type {GenerationRequest} from '@wasabiusher/shared';
@@ -9,7 +8,10 @@
 	CacheEvent, Engine, EngineOrder, EngineReport, GenerationEvent, GenerationOptions,
 } from './endpoint.js';
 import {PlatformError} from './errors.js';
-import {callHttp, callJson, toPlatformError} from './http.js';
+import {readGeneration} from './generation-stream.js';
+import {
+	callBytes, callEmpty, callHttp, callJson, noteFailure,
+} from './http.js';
 
 /** Longest silence within a stream, in milliseconds; engines make several tokens a second. */
 const streamTimeoutMs = 15_000;
@@ -17,28 +19,24 @@
 /** Longest wait for an order, in milliseconds: loading weights takes seconds. */
 const orderTimeoutMs = 30_000;
 
-/** What ends a stream; an end without it is a failure. */
-const terminalData = '[DONE]';
-
-const chunkSchema = z.object({
-	choices: z.array(z.object({text: z.string(), finish_reason: z.enum(['stop', 'length']).nullish()})).min(1),
-	version: z.int(),
-	tokens: z.int(),
-});
+/** What is left of a stream after its terminal event, in bytes: the end of its last chunk. */
+const restBytes = 1024;
 
 const reportSchema = z.object({
-	models: z.array(z.object({model: z.string(), version: z.int()})),
+	models: z.array(z.object({model: z.string(), version: z.int().nonnegative()})),
 	role: z.string(),
-	running: z.int(),
-	waiting: z.int(),
-	slots: z.int(),
-	tokensPerSecond: z.number(),
-	cacheUse: z.number(),
+	running: z.int().nonnegative(),
+	waiting: z.int().nonnegative(),
+	slots: z.int().nonnegative(),
+	tokensPerSecond: z.number().nonnegative(),
+	cacheUse: z.number().nonnegative(),
 	startId: z.string(),
 });
 
 const cacheEventsSchema = z.array(z.object({sequence: z.int(), kind: z.enum(['stored', 'evicted']), prefix: z.string()}));
 
+const cancelledSchema = z.object({wasRunning: z.boolean()});
+
 function toBody(request: GenerationRequest, {requestId, priority}: GenerationOptions): Record<string, unknown> {
 	const {model, prompt, messages, maxTokens, temperature, seed, resumeFrom} = request;
 	return {
@@ -55,83 +53,74 @@
 	}
 
 	async * generate(request: GenerationRequest, options: GenerationOptions): AsyncIterable<GenerationEvent> {
-		const response = await callHttp({
-			origin: this.#origin, method: 'POST', path: '/v1/completions', body: toBody(request, options), signal: options.signal, timeoutMs: streamTimeoutMs,
-		});
-		if (response.statusCode === 404) {
-			throw new PlatformError('refused', `the engine does not hold ${request.model}`);
+		const {body} = await this.#open(request, options);
+		let finished: GenerationEvent | undefined;
+		try {
+			for await (const event of readGeneration(body.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>)) {
+				if (event.kind === 'finished') {
+					finished = event;
+					break;
+				}
+
+				yield event;
+			}
+		} catch (error) {
+			throw noteFailure(this.#origin, error);
+		} finally {
+			this.#release(body, finished !== undefined);
 		}
 
-		yield * readStream(response);
+		yield finished!;
 	}
 
 	async cancel(requestId: string): Promise<boolean> {
-		const answer = await callJson({origin: this.#origin, method: 'POST', path: `/v1/cancel/${encodeURIComponent(requestId)}`});
-		return z.object({wasRunning: z.boolean()}).parse(answer).wasRunning;
+		const {wasRunning} = await callJson(cancelledSchema, {origin: this.#origin, method: 'POST', path: `/v1/cancel/${encodeURIComponent(requestId)}`});
+		return wasRunning;
 	}
 
 	async report(): Promise<EngineReport> {
-		return reportSchema.parse(await callJson({origin: this.#origin, method: 'GET', path: '/v1/report'}));
+		return callJson(reportSchema, {origin: this.#origin, method: 'GET', path: '/v1/report'});
 	}
 
 	async order(order: EngineOrder, fence: number): Promise<void> {
-		const response = await callHttp({
+		await callEmpty({
 			origin: this.#origin, method: 'POST', path: '/v1/orders', body: {...order, fence}, timeoutMs: orderTimeoutMs,
 		});
-		await response.body.dump();
 	}
 
 	async listCacheEvents(after: number): Promise<CacheEvent[]> {
-		return cacheEventsSchema.parse(await callJson({origin: this.#origin, method: 'GET', path: `/v1/cache-events?after=${after}`}));
+		return callJson(cacheEventsSchema, {origin: this.#origin, method: 'GET', path: `/v1/cache-events?after=${after}`});
 	}
 
 	async exportCache(requestId: string): Promise<Uint8Array> {
-		const response = await callHttp({origin: this.#origin, method: 'GET', path: `/v1/cache/${encodeURIComponent(requestId)}`});
-		return response.body.bytes();
+		return callBytes({origin: this.#origin, method: 'GET', path: `/v1/cache/${encodeURIComponent(requestId)}`});
 	}
 
 	async importCache(requestId: string, content: Uint8Array): Promise<void> {
-		const response = await callHttp({
+		await callEmpty({
 			origin: this.#origin, method: 'PUT', path: `/v1/cache/${encodeURIComponent(requestId)}`, body: content,
 		});
-		await response.body.dump();
 	}
-}
 
-async function * readStream(response: Dispatcher.ResponseData): AsyncIterable<GenerationEvent> {
-	const pending: string[] = [];
-	const parser = createParser({
-		onEvent(event) {
-			pending.push(event.data);
-		},
-	});
-	const decoder = new TextDecoder();
-	let finished: GenerationEvent | undefined;
-	try {
-		for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
-			parser.feed(decoder.decode(chunk, {stream: true}));
-			for (const data of pending.splice(0)) {
-				if (data === terminalData) {
-					yield finished ?? fail('the stream ended without a reason');
-					return;
-				}
-
-				const parsed = chunkSchema.parse(JSON.parse(data));
-				const [choice] = parsed.choices;
-				if (parsed.tokens > 0) {
-					yield {kind: 'part', part: {text: choice!.text, tokens: parsed.tokens, version: parsed.version}};
-				}
-
-				finished = choice!.finish_reason ? {kind: 'finished', reason: choice!.finish_reason} : finished;
-			}
+	/** A whole stream is read to its end, so that its connection can be used again; any other is cut. */
+	#release(body: Dispatcher.ResponseData['body'], isWhole: boolean): void {
+		if (isWhole) {
+			void body.dump({limit: restBytes}).catch(() => undefined);
+		} else {
+			body.destroy();
 		}
-	} catch (error) {
-		throw toPlatformError(error);
 	}
 
-	fail('the stream ended without its terminal event');
-}
-
-function fail(message: string): never {
-	throw new PlatformError('unknown', message);
+	async #open(request: GenerationRequest, options: GenerationOptions): Promise<Dispatcher.ResponseData> {
+		try {
+			return await callHttp({
+				origin: this.#origin, method: 'POST', path: '/v1/completions', body: toBody(request, options), signal: options.signal, timeoutMs: streamTimeoutMs,
+			});
+		} catch (error) {
+			// An engine that lacks the model has run nothing.
+			throw error instanceof PlatformError && error.code === 'missing'
+				? new PlatformError('refused', `the engine does not hold ${request.model}`, error)
+				: error;
+		}
+	}
 }
--- a/packages/platform/src/http-membership.ts
+++ b/packages/platform/src/http-membership.ts
@@ -2,7 +2,7 @@
  * The membership list and the weight store over HTTP.
  */
 import {z} from 'zod';
-import {callHttp, callJson} from './http.js';
+import {callEmpty, callJson} from './http.js';
 import {
 	memberSchema, type Member, type MembershipList, type WeightStore,
 } from './membership.js';
@@ -17,14 +17,13 @@
 	}
 
 	async list(): Promise<Member[]> {
-		return z.array(memberSchema).parse(await callJson({origin: this.#origin, method: 'GET', path: '/v1/members'}));
+		return callJson(z.array(memberSchema), {origin: this.#origin, method: 'GET', path: '/v1/members'});
 	}
 
 	async announce(member: Member): Promise<void> {
-		const response = await callHttp({
+		await callEmpty({
 			origin: this.#origin, method: 'PUT', path: `/v1/members/${encodeURIComponent(member.id)}`, body: member,
 		});
-		await response.body.dump();
 	}
 }
 
@@ -36,6 +35,6 @@
 	}
 
 	async listVersions(): Promise<z.infer<typeof publishedSchema>> {
-		return publishedSchema.parse(await callJson({origin: this.#origin, method: 'GET', path: '/v1/versions'}));
+		return callJson(publishedSchema, {origin: this.#origin, method: 'GET', path: '/v1/versions'});
 	}
 }
--- a/packages/platform/src/http-storage.ts
+++ b/packages/platform/src/http-storage.ts
@@ -2,7 +2,9 @@
  * The platform's table service and object store over HTTP.
  */
 import {z} from 'zod';
-import {callHttp, callJson} from './http.js';
+import {
+	callBytes, callEmpty, callJson, orUndefined,
+} from './http.js';
 import type {
 	ConditionalWrite, ObjectStore, ScanOptions, StoredRow, TableService,
 } from './storage.js';
@@ -19,21 +21,20 @@
 	}
 
 	async read(table: string, key: string): Promise<StoredRow | undefined> {
-		const answer = await callJson({origin: this.#origin, method: 'GET', path: `/v1/tables/${table}/rows/${encodeURIComponent(key)}`});
-		return answer === undefined ? undefined : rowSchema.parse(answer);
+		return orUndefined(callJson(rowSchema, {origin: this.#origin, method: 'GET', path: `/v1/tables/${table}/rows/${encodeURIComponent(key)}`}));
 	}
 
 	async scan(table: string, options: ScanOptions = {}): Promise<StoredRow[]> {
-		const query = new URLSearchParams(Object.entries(options).map(([name, value]): [string, string] => [name, String(value)]));
-		const answer = await callJson({origin: this.#origin, method: 'GET', path: `/v1/tables/${table}/rows?${query.toString()}`});
-		return z.array(rowSchema).parse(answer ?? []);
+		const given = Object.entries(options).filter(([, value]) => value !== undefined);
+		const query = new URLSearchParams(given.map(([name, value]): [string, string] => [name, String(value)]));
+		return callJson(z.array(rowSchema), {origin: this.#origin, method: 'GET', path: `/v1/tables/${table}/rows?${query.toString()}`});
 	}
 
 	async transact(writes: readonly ConditionalWrite[]): Promise<number[]> {
-		const answer = await callJson({
+		const {versions} = await callJson(versionsSchema, {
 			origin: this.#origin, method: 'POST', path: '/v1/transactions', body: {writes},
 		});
-		return versionsSchema.parse(answer).versions;
+		return versions;
 	}
 }
 
@@ -46,15 +47,12 @@
 	}
 
 	async get(key: string): Promise<Uint8Array | undefined> {
-		const response = await callHttp({origin: this.#origin, method: 'GET', path: `/v1/objects/${encodeURIComponent(key)}`});
-		const content = await response.body.bytes();
-		return response.statusCode === 404 ? undefined : content;
+		return orUndefined(callBytes({origin: this.#origin, method: 'GET', path: `/v1/objects/${encodeURIComponent(key)}`}));
 	}
 
 	async put(key: string, content: Uint8Array): Promise<void> {
-		const response = await callHttp({
+		await callEmpty({
 			origin: this.#origin, method: 'PUT', path: `/v1/objects/${encodeURIComponent(key)}`, body: content,
 		});
-		await response.body.dump();
 	}
 }
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -1,20 +1,31 @@
 /**
- * Calls to the platform over HTTP, with each failure turned into what is known of its effect.
+ * Calls over HTTP, with each failure turned into what is known of its effect.
  */
-import {request as send, type Dispatcher} from 'undici';
-import {describeError} from '@wasabiusher/shared';
+import type {Dispatcher} from 'undici';
+import type {z} from 'zod';
+import {connections} from './connections.js';
 import {PlatformError, type PlatformErrorCode} from './errors.js';
+import {DeadlineError, isSilence, toPlatformError} from './failures.js';
 
 /** Longest wait for an answer of the platform, in milliseconds. */
 const defaultTimeoutMs = 3000;
 
-/** Errors of connecting: nothing was sent. */
-const connectCodes = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+/** Longest text of an error answer that is kept, in characters. */
+const maxDetailLength = 200;
 
-/** Statuses with a meaning of their own. */
-const statusCodes = new Map<number, PlatformErrorCode>([
+/**
+ * What the platform's and the engines' statuses prove. Any other status from 400 on is
+ * `unknown`: a 500, or a 502 of something in between, may come after the effect.
+ */
+const statusCodes: ReadonlyMap<number, PlatformErrorCode> = new Map([
+	[400, 'refused'],
+	[401, 'refused'],
+	[403, 'refused'],
+	[404, 'missing'],
+	[405, 'refused'],
 	[409, 'conflict'],
 	[412, 'fenced'],
+	[413, 'refused'],
 	[422, 'refused'],
 	[429, 'limited'],
 	[503, 'unavailable'],
@@ -23,22 +34,17 @@
 export type HttpCall = {
 	origin: string;
 	method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+	/** Begins with a slash. */
 	path: string;
 	/** Sent as JSON unless it is bytes. */
 	body?: unknown;
+	/** Longest wait for the answer's headers, and between pieces of its body. */
 	timeoutMs?: number;
 	signal?: AbortSignal;
 };
 
-/** Tells by the error whether anything was sent. */
-export function toPlatformError(error: unknown): PlatformError {
-	if (error instanceof PlatformError) {
-		return error;
-	}
-
-	const code = error instanceof Error && 'code' in error ? String(error.code) : '';
-	return new PlatformError(connectCodes.has(code) ? 'unavailable' : 'unknown', describeError(error), error);
-}
+/** A call whose whole answer comes within `timeoutMs`. */
+export type WholeCall = Omit<HttpCall, 'signal'>;
 
 function encodeBody(body: unknown): Pick<Dispatcher.RequestOptions, 'body' | 'headers'> {
 	if (body === undefined) {
@@ -50,40 +56,117 @@
 		: {body: JSON.stringify(body), headers: {'content-type': 'application/json'}};
 }
 
+export type SentRequest = Omit<Dispatcher.RequestOptions, 'signal'> & {signal?: AbortSignal};
+
+/** Sends a request; a connection that went silent is not used again, nor are those as old. */
+export async function sendRequest(origin: string, options: SentRequest): Promise<Dispatcher.ResponseData> {
+	if (options.signal?.aborted) {
+		throw new PlatformError('unavailable', 'the call was stopped before it was sent');
+	}
+
+	try {
+		return await connections.send(origin, options);
+	} catch (error) {
+		throw noteFailure(origin, error);
+	}
+}
+
+/** Turns a failure into a `PlatformError`, and retires the connections if it was silence. */
+export function noteFailure(origin: string, error: unknown): PlatformError {
+	if (isSilence(error)) {
+		connections.retire(origin);
+	}
+
+	return toPlatformError(error);
+}
+
 /**
- * Makes a call and returns the open answer.
+ * Makes a call and returns the open answer, whose status is below 400.
  *
- * @throws {PlatformError} `unavailable` if nothing was sent, `unknown` if that is not certain
+ * @throws {PlatformError} by the status, or `unavailable` if nothing was sent, `unknown` if that is not certain
  */
 export async function callHttp({origin, method, path, body, timeoutMs = defaultTimeoutMs, signal}: HttpCall): Promise<Dispatcher.ResponseData> {
-	let response: Dispatcher.ResponseData;
+	const response = await sendRequest(origin, {
+		method, path, ...encodeBody(body), headersTimeout: timeoutMs, bodyTimeout: timeoutMs, signal,
+	});
+	if (response.statusCode >= 400) {
+		const detail = await response.body.text().catch(() => '');
+		const code = statusCodes.get(response.statusCode) ?? 'unknown';
+		throw new PlatformError(code, `${method} ${path}: status ${response.statusCode} ${detail.slice(0, maxDetailLength)}`);
+	}
+
+	return response;
+}
+
+/**
+ * Makes a call and reads its whole answer, all within `timeoutMs`.
+ *
+ * @param read - takes the content out of the answer
+ */
+async function callWhole<Content>(call: WholeCall, read: (body: Dispatcher.ResponseData['body']) => Promise<Content>): Promise<Content> {
+	const {origin, timeoutMs = defaultTimeoutMs} = call;
+	const deadline = new AbortController();
+	const timer = setTimeout(() => {
+		deadline.abort(new DeadlineError('deadline', `${call.method} ${call.path}: no whole answer within ${timeoutMs} ms`));
+	}, timeoutMs);
 	try {
-		response = await send(new URL(path, origin), {
-			method, ...encodeBody(body), headersTimeout: timeoutMs, bodyTimeout: timeoutMs, signal,
-		});
+		const {body} = await callHttp({...call, signal: deadline.signal});
+		return await read(body);
 	} catch (error) {
-		throw toPlatformError(error);
+		throw noteFailure(origin, error);
+	} finally {
+		clearTimeout(timer);
 	}
+}
 
-	if (response.statusCode >= 400 && response.statusCode !== 404) {
-		const detail = await response.body.text().catch(() => '');
-		throw new PlatformError(statusCodes.get(response.statusCode) ?? 'unknown', `${method} ${path}: status ${response.statusCode} ${detail.slice(0, 200)}`);
-	}
+/**
+ * Makes a call and checks its JSON against the schema.
+ *
+ * @throws {PlatformError} `invalid` if the answer to a read has another shape, `unknown` if the answer to
+ * a write has: it may have taken effect
+ */
+export async function callJson<Schema extends z.ZodType>(schema: Schema, call: WholeCall): Promise<z.infer<Schema>> {
+	const text = await callWhole(call, async body => body.text());
+	return parseAnswer(schema, text, `${call.method} ${call.path}`, call.method === 'GET' ? 'invalid' : 'unknown');
+}
 
-	return response;
+/** Makes a call whose answer has nothing to tell. */
+export async function callEmpty(call: WholeCall): Promise<void> {
+	await callWhole(call, async body => body.dump());
+}
+
+/** Makes a call and returns the bytes of its answer. */
+export async function callBytes(call: WholeCall): Promise<Uint8Array> {
+	return callWhole(call, async body => body.bytes());
 }
 
-/** Makes a call and returns its JSON; undefined when there is nothing at the path. */
-export async function callJson(call: HttpCall): Promise<unknown> {
-	const response = await callHttp(call);
+/** Turns `missing` into undefined. */
+export async function orUndefined<Content>(call: Promise<Content>): Promise<Content | undefined> {
 	try {
-		if (response.statusCode === 404) {
-			await response.body.dump();
+		return await call;
+	} catch (error) {
+		if (error instanceof PlatformError && error.code === 'missing') {
 			return undefined;
 		}
 
-		return await response.body.json();
+		throw error;
+	}
+}
+
+/** Parses and checks an answer; throws `PlatformError` with the given code. */
+export function parseAnswer<Schema extends z.ZodType>(schema: Schema, text: string, subject: string, code: PlatformErrorCode): z.infer<Schema> {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
 	} catch (error) {
-		throw toPlatformError(error);
+		throw new PlatformError(code, `${subject}: the answer is not JSON`, error);
 	}
+
+	const parsed = schema.safeParse(value);
+	if (!parsed.success) {
+		const issue = parsed.error.issues[0]!;
+		throw new PlatformError(code, `${subject}: answer field ${issue.path.join('.')}: ${issue.message}`, parsed.error);
+	}
+
+	return parsed.data;
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,9 +1,11 @@
 /** Clients of the platform and of endpoints; the only place that knows their wire formats. */
 export type * from './endpoint.js';
+export * from './adapters.js';
 export * from './errors.js';
 export * from './membership.js';
 export type * from './storage.js';
-export * from './http.js';
+export {callEmpty, type HttpCall, type WholeCall} from './http.js';
+export {toPlatformError} from './failures.js';
 export * from './http-engine.js';
 export * from './http-membership.js';
 export * from './http-plain-service.js';
--- a/packages/standins/src/http-weight-source.ts
+++ b/packages/standins/src/http-weight-source.ts
@@ -1,7 +1,7 @@
 /**
  * The weight store of a platform stand-in in another process.
  */
-import {callHttp} from '@wasabiusher/platform';
+import {callEmpty} from '@wasabiusher/platform';
 import type {WeightSource} from './memory-weight-store.js';
 
 /** Longest transfer, in milliseconds; a rate-limited store takes its time. */
@@ -15,9 +15,8 @@
 	}
 
 	async fetch(model: string, version: number): Promise<void> {
-		const response = await callHttp({
+		await callEmpty({
 			origin: this.#origin, method: 'GET', path: `/v1/weights/${encodeURIComponent(model)}/${version}`, timeoutMs: transferTimeoutMs,
 		});
-		await response.body.dump();
 	}
 }
