Take prefetch as an order on the link and at the agent

Cause: the platform's interface gained an order that neither knew. Change: schema, check and text for it. Conclusion: rollouts can fetch weights before they are brought into force.

--- a/packages/agent/src/order-desk.ts
+++ b/packages/agent/src/order-desk.ts
@@ -143,7 +143,11 @@
 
 /** What an order is about; the last order about a subject counts. */
 function nameSubject(order: EngineOrder): string {
-	return order.kind === 'role' ? 'role' : `model ${order.model}`;
+	if (order.kind === 'role') {
+		return 'role';
+	}
+
+	return order.kind === 'prefetch' ? `fetch ${order.model}` : `model ${order.model}`;
 }
 
 /** Whether a report shows what an order asks for, by kind. */
@@ -151,6 +155,8 @@
 	load: (order, {models}) => models.some(({model, version}) => model === order.model && version === order.version),
 	unload: (order, {models}) => models.every(({model}) => model !== order.model),
 	role: (order, {role}) => role === order.role,
+	// Reports do not tell what was fetched ahead; the load that follows fetches what is missing.
+	prefetch: () => true,
 };
 
 function isInForce(order: EngineOrder, report: EngineReport): boolean {
@@ -164,6 +170,7 @@
 	load: ({model, version}) => `load ${model} at version ${version}`,
 	unload: ({model}) => `unload ${model}`,
 	role: ({role}) => `take the role ${role}`,
+	prefetch: ({model, version}) => `fetch ${model} at version ${version} ahead`,
 };
 
 function describeOrder(order: EngineOrder): string {
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -75,6 +75,8 @@
 	z.object({kind: z.literal('load'), model: z.string(), version: countSchema}),
 	z.object({kind: z.literal('unload'), model: z.string()}),
 	z.object({kind: z.literal('role'), role: z.string()}),
+	/** Fetches weights without bringing them into force. */
+	z.object({kind: z.literal('prefetch'), model: z.string(), version: countSchema}),
 ]);
 
 /** How long a request, by its content, is suspected; times are left over, as the clocks of hosts differ. */
