Prove calls and postings by a fault matrix and random runs

Cause: what must hold was shown by tests of parts only. Change: package proof runs the real systems of entries and agents over fakes at the interfaces under a paused clock: each fault at each step, and random sequences by seed. Whether the runs catch deliberate mistakes is not shown yet.

--- /dev/null
+++ b/packages/proof/src/agent-node.ts
@@ -0,0 +1,157 @@
+/**
+ * An agent of the proof: the real systems of an agent, with the wire in place of sockets.
+ */
+import {EndpointWatch, PoisonRelay} from '@wasabiusher/agent';
+import type {EndpointStatus, Message, MessageOf} from '@wasabiusher/link';
+import type {Log} from '@wasabiusher/shared';
+import {Executor, type Endpoint} from '@wasabiusher/systems';
+import type {Hooks} from './hooks.js';
+import type {Peer, Wire} from './wire.js';
+
+/** How often the endpoint is asked for its report, in milliseconds. */
+const reportMs = 200;
+
+export type AgentNodeSettings = {
+	name: string;
+	service: string;
+	endpoint: Endpoint;
+	limit: number;
+	wire: Wire;
+	hooks: Hooks;
+	log: Log;
+};
+
+type Handlers = Partial<{[Kind in Message['kind']]: (from: string, message: MessageOf<Kind>) => void}>;
+
+/** One agent; `kill` makes it vanish as a process does. */
+export class AgentNode implements Peer {
+	readonly name: string;
+	readonly executor: Executor;
+	readonly #settings: AgentNodeSettings;
+	readonly #watch: EndpointWatch;
+	readonly #poison: PoisonRelay;
+	readonly #entries = new Set<string>();
+	readonly #timer: NodeJS.Timeout;
+	readonly #handlers: Handlers;
+	#isAlive = true;
+	#isLeaving = false;
+
+	constructor(settings: AgentNodeSettings) {
+		const {name, service, endpoint, limit, log} = settings;
+		this.name = name;
+		this.#settings = settings;
+		this.#poison = new PoisonRelay(name, (message, except) => {
+			this.#broadcast(message, except);
+		});
+		this.executor = new Executor({
+			service,
+			endpoint,
+			limit,
+			maxWaiting: 64,
+			log,
+			send: (peer, message) => this.#send(peer, message),
+			judge: fingerprint => this.#poison.judge(fingerprint),
+			checkCrash: async () => this.#watch.checkCrash(),
+			onFinished: fingerprint => {
+				this.#poison.recordFinished(fingerprint);
+			},
+		});
+		this.#watch = new EndpointWatch(endpoint, {
+			onReport: report => {
+				this.executor.reportHeld(report.running + report.waiting);
+			},
+			onCrash: incarnation => {
+				this.#poison.recordCrash(incarnation, this.executor.crash());
+			},
+		});
+		this.#handlers = this.#createHandlers();
+		this.#timer = setInterval(() => {
+			void this.#refresh();
+		}, reportMs);
+	}
+
+	attach(peer: string): void {
+		this.#entries.add(peer);
+		this.executor.attach(peer);
+		void this.#refresh();
+		const suspicions = this.#poison.list();
+		if (suspicions.length > 0) {
+			this.#send(peer, {kind: 'suspicions', suspicions});
+		}
+	}
+
+	detach(peer: string): void {
+		this.#entries.delete(peer);
+		this.executor.detach(peer);
+	}
+
+	receive(from: string, message: Message): void {
+		if (!this.#isAlive) {
+			return;
+		}
+
+		// The table pairs each kind with a handler of that kind's message.
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+		(this.#handlers[message.kind] as ((from: string, message: Message) => void) | undefined)?.(from, message);
+	}
+
+	async drain(): Promise<void> {
+		this.#isLeaving = true;
+		this.#broadcast({kind: 'status', status: this.#describe()});
+		await this.executor.drain();
+	}
+
+	/** The process is gone; its endpoint lives on. */
+	kill(): void {
+		this.#isAlive = false;
+		clearInterval(this.#timer);
+		this.#settings.wire.remove(this.name);
+	}
+
+	#createHandlers(): Handlers {
+		return {
+			open: (from, message) => {
+				this.#settings.hooks.pass({step: 'dispatch', entry: from, agent: this.name});
+				if (this.#isAlive) {
+					this.executor.open(from, message);
+				}
+			},
+			cancel: (from, message) => {
+				this.executor.cancel(from, message);
+			},
+			acknowledge: (from, message) => {
+				this.executor.acknowledge(from, message);
+			},
+			resume: (from, message) => {
+				this.executor.resume(from, message);
+			},
+			suspicions: (from, message) => {
+				this.#poison.receive(message, from);
+			},
+		};
+	}
+
+	async #refresh(): Promise<void> {
+		await this.#watch.refresh();
+		this.#broadcast({kind: 'status', status: this.#describe()});
+	}
+
+	#describe(): EndpointStatus {
+		const {isHealthy, report} = this.#watch.state;
+		return {
+			...this.executor.describe(), models: report?.models ?? [], role: report?.role ?? '', isHealthy, isLeaving: this.#isLeaving, configurationVersion: 0, fence: 0,
+		};
+	}
+
+	#send(peer: string, message: Message): boolean {
+		return this.#isAlive && this.#settings.wire.sendToEntry(this.name, peer, message);
+	}
+
+	#broadcast(message: Message, except?: string): void {
+		for (const entry of this.#entries) {
+			if (entry !== except) {
+				this.#send(entry, message);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/proof/src/callers.ts
@@ -0,0 +1,145 @@
+/**
+ * Callers of the proof: each sends a request, sends it again if its entry is gone, and keeps what it was told.
+ */
+import type {Problem} from '@wasabiusher/shared';
+import type {Call, CallListener} from '@wasabiusher/systems';
+import {modelName, profiles, type World} from './world.js';
+
+/** Tokens of an answer. */
+const answerTokens = 6;
+
+/** How long a caller waits for an entry that is gone before it sends its request again, in milliseconds. */
+const resendMs = 1000;
+
+/** What a caller was told of one of its tries. */
+export type Told
+	= | {kind: 'answered'; text: string}
+		| {kind: 'failed'; problem: Problem}
+	/** Its connection broke: the entry is gone. */
+		| {kind: 'broken'};
+
+/** One request of a caller, however often it was sent. */
+export type Request = {
+	id: string;
+	kind: 'query' | 'posting';
+	/** Content of the prompt, or key of the posting. */
+	content: string;
+	/** Sends again after a refusal as not run, as callers do. */
+	isPersistent: boolean;
+	told: Told[];
+	/** Ends told of one try beyond the first. */
+	extraEnds: number;
+};
+
+/** Sends requests into a world. */
+export class Callers {
+	readonly requests: Request[] = [];
+	readonly #world: World;
+
+	constructor(world: World) {
+		this.#world = world;
+	}
+
+	send(kind: Request['kind'], content = `${kind}-${this.requests.length}`): Request {
+		const request: Request = {
+			id: `r${this.requests.length}`, kind, content, isPersistent: kind === 'posting', told: [], extraEnds: 0,
+		};
+		this.requests.push(request);
+		this.#try(request, 0);
+		return request;
+	}
+
+	#try(request: Request, turn: number): void {
+		const entry = this.#world.pickEntry(this.requests.indexOf(request) + turn);
+		if (!entry) {
+			this.#tryLater(request, turn);
+			return;
+		}
+
+		let isOver = false;
+		let text = '';
+		const end = (told: Told) => {
+			if (isOver) {
+				request.extraEnds += 1;
+				return;
+			}
+
+			isOver = true;
+			clearInterval(watch);
+			request.told.push(told);
+			this.#considerResend(request, told, turn);
+		};
+
+		const watch = setInterval(() => {
+			if (!entry.isAlive) {
+				end({kind: 'broken'});
+			}
+		}, resendMs);
+		const listener: CallListener = {
+			onEvent(event) {
+				if (event.kind === 'parts') {
+					text += event.parts.map(part => part.text).join('');
+				}
+
+				if (event.kind === 'body') {
+					text += new TextDecoder().decode(event.chunk);
+				}
+
+				if (event.kind === 'finished') {
+					end({kind: 'answered', text});
+				}
+			},
+			onRestart() {
+				text = '';
+				return true;
+			},
+			onFailed(problem) {
+				end({kind: 'failed', problem});
+			},
+		};
+		entry.submit(createCall(request, turn), listener, request.kind === 'posting' ? request.content : undefined);
+	}
+
+	/** A broken connection and a refusal as not run are tried again, under the same key. */
+	#considerResend(request: Request, told: Told, turn: number): void {
+		const isRefused = told.kind === 'failed' && told.problem.ran === 'no';
+		if (told.kind === 'broken' || (isRefused && request.isPersistent && turn < 5)) {
+			this.#tryLater(request, turn);
+		}
+	}
+
+	#tryLater(request: Request, turn: number): void {
+		setTimeout(() => {
+			this.#try(request, turn + 1);
+		}, resendMs);
+	}
+}
+
+function createCall({id, kind, content}: Request, turn: number): Call {
+	const profile = profiles[kind];
+	return {
+		id: `${id}.${turn}`,
+		service: kind === 'query' ? 'models' : 'ledger',
+		model: kind === 'query' ? modelName : undefined,
+		work: kind === 'query'
+			? {kind: 'generate', request: {model: modelName, prompt: content, maxTokens: answerTokens}}
+			: {
+				kind: 'forward', method: 'POST', path: '/postings', headers: {}, body: new TextEncoder().encode(content),
+			},
+		caller: 'caller',
+		profileName: kind,
+		profile,
+		deadlineAt: performance.now() + profile.deadlineMs,
+		cost: kind === 'query' ? answerTokens : 1,
+		fingerprint: content,
+	};
+}
+
+/** The whole answer to a query. */
+export function createExpectedText({kind, content}: Request): string {
+	if (kind === 'posting') {
+		return content;
+	}
+
+	return Array.from({length: answerTokens}, (_, index) => `${index + 1}:${content} `).join('');
+}
--- /dev/null
+++ b/packages/proof/src/faults.ts
@@ -0,0 +1,145 @@
+/**
+ * The faults that can come at any step, and where they can't.
+ */
+import type {Passage, Path} from './hooks.js';
+import type {World} from './world.js';
+
+/** How long faults with an end last, in milliseconds. */
+const outageMs = 8000;
+
+/** Time until a process that died is replaced, in milliseconds. */
+const replaceMs = 2000;
+
+export type Fault = {
+	title: string;
+	/** Paths on which it can matter. */
+	paths: readonly Path[];
+	/** @param passage - the step at which it is injected, with the processes concerned */
+	inject(world: World, passage: Passage): void;
+};
+
+/** The endpoint concerned; any of its pool before one was chosen. */
+function findEndpointName(world: World, {agent}: Passage, path: Path): string {
+	return agent ?? (path === 'call' ? world.engines : world.ledgers)[0]!.name;
+}
+
+/** The entry concerned; the first living one where the step is at an endpoint. */
+function findEntryName(world: World, {entry}: Passage): string {
+	return entry ?? world.pickEntry(0)?.name ?? '';
+}
+
+function setForWhile(set: (isOn: boolean) => void): void {
+	set(true);
+	setTimeout(() => {
+		set(false);
+	}, outageMs);
+}
+
+/** Creates the faults of a path. */
+export function createFaults(path: Path): Record<string, Fault> {
+	const all: Record<string, Fault> = {
+		'endpoint-crash': {
+			title: 'the endpoint crashes',
+			paths: ['call', 'posting'],
+			inject(world, passage) {
+				world.findEndpoint(findEndpointName(world, passage, path)).crash();
+			},
+		},
+		'endpoint-stall': {
+			title: 'the endpoint stalls for a while',
+			paths: ['call', 'posting'],
+			inject(world, passage) {
+				const endpoint = world.findEndpoint(findEndpointName(world, passage, path));
+				setForWhile(isOn => {
+					endpoint.isStalled = isOn;
+				});
+			},
+		},
+		'agent-death': {
+			title: 'the agent dies and is started again beside the living endpoint',
+			paths: ['call', 'posting'],
+			inject(world, passage) {
+				world.restartAgent(findEndpointName(world, passage, path), replaceMs);
+			},
+		},
+		'entry-death': {
+			title: 'the entry dies and is replaced',
+			paths: ['call', 'posting'],
+			inject(world, passage) {
+				world.replaceEntry(findEntryName(world, passage), replaceMs);
+			},
+		},
+		'both-deaths': {
+			title: 'the entry and the agent die at once',
+			paths: ['call', 'posting'],
+			inject(world, passage) {
+				world.restartAgent(findEndpointName(world, passage, path), replaceMs);
+				world.replaceEntry(findEntryName(world, passage), replaceMs);
+			},
+		},
+		'link-cut': {
+			title: 'the agent\'s links are cut and replaced',
+			paths: ['call', 'posting'],
+			inject(world, passage) {
+				world.wire.cut(findEndpointName(world, passage, path));
+			},
+		},
+		'link-silent': {
+			title: 'the agent\'s links go silent for good',
+			paths: ['call', 'posting'],
+			inject(world, passage) {
+				world.wire.silence(findEndpointName(world, passage, path));
+			},
+		},
+		partition: {
+			title: 'the entry is parted from all agents for a while',
+			paths: ['call', 'posting'],
+			inject(world, passage) {
+				world.wire.part(findEntryName(world, passage), outageMs);
+			},
+		},
+		leaving: {
+			title: 'the endpoint begins to leave',
+			paths: ['call', 'posting'],
+			inject(world, passage) {
+				const name = findEndpointName(world, passage, path);
+				void world.agents.find(agent => agent.name === name)?.drain();
+			},
+		},
+		'store-down': {
+			title: 'the platform\'s store is down for a while',
+			paths: ['posting'],
+			inject(world) {
+				setForWhile(isOn => {
+					world.tables.switches.isDown = isOn;
+				});
+			},
+		},
+		'store-slow': {
+			title: 'the platform\'s store is slow for a while',
+			paths: ['posting'],
+			inject(world) {
+				setForWhile(isOn => {
+					world.tables.switches.delayMs = isOn ? 2000 : 0;
+				});
+			},
+		},
+		'store-timeout': {
+			title: 'the platform\'s store is slower than its clients wait',
+			paths: ['posting'],
+			inject(world) {
+				setForWhile(isOn => {
+					world.tables.switches.delayMs = isOn ? 4000 : 0;
+				});
+			},
+		},
+		'answer-lost': {
+			title: 'the store\'s next answers are lost after the writes took effect',
+			paths: ['posting'],
+			inject(world) {
+				world.tables.switches.answersToLose = 2;
+			},
+		},
+	};
+	return Object.fromEntries(Object.entries(all).filter(([, fault]) => fault.paths.includes(path)));
+}
--- a/packages/proof/src/wire.ts
+++ b/packages/proof/src/wire.ts
@@ -1,9 +1,7 @@
 /**
  * The network between entries and agents: messages in order, with a delay, over links that can be cut or go silent.
  */
-import {
-	decodeMessage, encodeMessage, heartbeatMs, missedHeartbeats, type Message,
-} from '@wasabiusher/link';
+import {decodeMessage, encodeMessage, type Message} from '@wasabiusher/link';
 
 /** One-way delay, in milliseconds. */
 const delayMs = 2;
@@ -11,8 +9,8 @@
 /** Time until a link that was lost is up again, if it can be, in milliseconds. */
 const redialMs = 200;
 
-/** Time until both ends take a silent link for lost, in milliseconds. */
-const silenceMs = heartbeatMs * (missedHeartbeats + 1);
+/** Time until both ends take a silent link for lost, in milliseconds: three heartbeats of a second, and the one under way. */
+const silenceMs = 4000;
 
 /** An end of links. */
 export type Peer = {
--- /dev/null
+++ b/packages/proof/src/world.ts
@@ -0,0 +1,127 @@
+/**
+ * A few entries and agents over one wire and one store, under the paused clock.
+ */
+import {createSilentLog, Random, type Profile} from '@wasabiusher/shared';
+import {MemoryObjectStore, MemoryTableService} from '@wasabiusher/standins';
+import {AgentNode} from './agent-node.js';
+import {EntryNode} from './entry-node.js';
+import {FakeEngine} from './fake-engine.js';
+import {FakeLedger, type Postings} from './fake-ledger.js';
+import {Hooks} from './hooks.js';
+import {Wire} from './wire.js';
+
+/** Requests that each endpoint runs at once. */
+const limit = 4;
+
+export type WorldSize = {entries: number; engines: number; ledgers: number};
+
+/** As small as shows every case: one of each can fail, and another is there. */
+export const smallWorld: WorldSize = {entries: 2, engines: 3, ledgers: 2};
+
+/** Profiles of the proof. */
+export const profiles: Readonly<Record<'query' | 'posting', Profile>> = {
+	query: {
+		class: 'interactive', priority: 5, idempotent: true, deadlineMs: 20_000, share: 1, hedge: false, objective: {},
+	},
+	posting: {
+		class: 'interactive', priority: 5, idempotent: false, deadlineMs: 20_000, share: 1, hedge: false, objective: {},
+	},
+};
+
+/** The model that all engines hold. */
+export const modelName = 'm';
+
+/** All that a run is about. */
+export class World {
+	readonly hooks = new Hooks();
+	readonly wire = new Wire();
+	readonly tables = new MemoryTableService();
+	readonly objects = new MemoryObjectStore();
+	readonly postings: Postings = new Map();
+	readonly engines: FakeEngine[] = [];
+	readonly ledgers: FakeLedger[] = [];
+	readonly agents: AgentNode[] = [];
+	readonly entries: EntryNode[] = [];
+	readonly random: Random;
+	readonly #log = createSilentLog();
+	#names = 0;
+
+	constructor(seed: number, size: WorldSize = smallWorld) {
+		this.random = new Random(seed);
+		for (let index = 0; index < size.engines; index += 1) {
+			this.engines.push(new FakeEngine(`engine-${index}`, {[modelName]: 1}, this.hooks));
+			this.startAgent(`engine-${index}`);
+		}
+
+		for (let index = 0; index < size.ledgers; index += 1) {
+			this.ledgers.push(new FakeLedger(`ledger-${index}`, this.postings, this.hooks));
+			this.startAgent(`ledger-${index}`);
+		}
+
+		for (let index = 0; index < size.entries; index += 1) {
+			this.startEntry(`entry-${index}`);
+		}
+	}
+
+	/** Starts an agent beside the endpoint of its name. */
+	startAgent(name: string): AgentNode {
+		const engine = this.engines.find(other => other.name === name);
+		const ledger = this.ledgers.find(other => other.name === name);
+		const agent = new AgentNode({
+			name,
+			service: engine ? 'models' : 'ledger',
+			endpoint: engine ? {kind: 'model', engine} : {kind: 'plain', service: ledger!},
+			limit,
+			wire: this.wire,
+			hooks: this.hooks,
+			log: this.#log,
+		});
+		this.agents.push(agent);
+		for (const entry of this.entries.filter(({isAlive}) => isAlive)) {
+			this.wire.connect(entry, agent);
+		}
+
+		return agent;
+	}
+
+	startEntry(name: string): EntryNode {
+		const entry = new EntryNode({
+			name, tables: this.tables, objects: this.objects, wire: this.wire, hooks: this.hooks, random: this.random, log: this.#log,
+		});
+		this.entries.push(entry);
+		for (const agent of this.agents) {
+			this.wire.connect(entry, agent);
+		}
+
+		return entry;
+	}
+
+	/** Kills an agent; a new one beside the same endpoint comes up after a while. */
+	restartAgent(name: string, afterMs: number): void {
+		const index = this.agents.findIndex(agent => agent.name === name);
+		const [agent] = this.agents.splice(index, 1);
+		agent!.kill();
+		setTimeout(() => {
+			this.startAgent(name);
+		}, afterMs);
+	}
+
+	/** Kills an entry; a new one with a new name comes up after a while. */
+	replaceEntry(name: string, afterMs: number): void {
+		this.entries.find(entry => entry.name === name)?.kill();
+		setTimeout(() => {
+			this.#names += 1;
+			this.startEntry(`${name}-${this.#names}`);
+		}, afterMs);
+	}
+
+	/** An entry that lives, by turns; undefined while none does. */
+	pickEntry(turn: number): EntryNode | undefined {
+		const living = this.entries.filter(({isAlive}) => isAlive);
+		return living[turn % living.length];
+	}
+
+	findEndpoint(name: string): FakeEngine | FakeLedger {
+		return [...this.engines, ...this.ledgers].find(other => other.name === name)!;
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -3,7 +3,7 @@
  * each package may import only from those that stand below it in layers.
  */
 const layers = [
-	['embedded'],
+	['embedded', 'proof'],
 	['entry', 'agent', 'cli', 'load'],
 	['standins'],
 	['systems'],
