Run steps that survive the death of an entry and an outage of the store

Cause: a step lived in one entry's memory; its cursor was a place in that entry's order of delivery, so a reconnect to another entry found nothing. Change: the cursor names the samples received, as a bitmap; a step has an owner by lease and a record (SampleLog: head with fence, batches, payloads in the object store), any entry passes exchanges on to the owner or goes on from the record; groups are handed over whole; staleness in versions and seconds is judged at hand-over, by versions that the engine reported; stale samples are drawn again; scores are asked for as samples finish. The embedded trainer's cursor is a string now; entry.ts creates the runner.

--- a/packages/embedded/src/trainer.ts
+++ b/packages/embedded/src/trainer.ts
@@ -6,7 +6,7 @@
 import {z} from 'zod';
 import {sampleSchema, type Sample} from '@wasabiusher/shared';
 
-const deliverySchema = sampleSchema.extend({cursor: z.int()});
+const deliverySchema = sampleSchema.extend({cursor: z.string()});
 
 /** Wait before a lost stream is opened again, in milliseconds. */
 const reconnectMs = 100;
@@ -40,7 +40,7 @@
 	/** Time without a sample to work on while the step was not whole, in milliseconds. */
 	idleMs: number;
 	/** Of the last sample received. */
-	cursor: number;
+	cursor: string;
 	lastReceivedAt: number;
 };
 
@@ -56,7 +56,7 @@
 	/** Draws a step until it is whole or the signal is aborted. */
 	async draw(order: StepOrder, signal?: AbortSignal): Promise<Received> {
 		const received: Received = {
-			samples: new Map(), doubled: 0, staleness: new Map(), idleMs: 0, cursor: 0, lastReceivedAt: performance.now(),
+			samples: new Map(), doubled: 0, staleness: new Map(), idleMs: 0, cursor: '', lastReceivedAt: performance.now(),
 		};
 		const total = order.groups.length * order.groupSize;
 		await this.#open(order);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,12 +4,12 @@
 import {Registry, collectDefaultMetrics} from 'prom-client';
 import {addOperationRoutes, HttpServer, type Daemon} from '@wasabiusher/daemon';
 import type {Message} from '@wasabiusher/link';
-import {HttpMembershipList, HttpTableService} from '@wasabiusher/platform';
+import {HttpMembershipList, HttpObjectStore, HttpTableService} from '@wasabiusher/platform';
 import {ConfigurationHistory} from '@wasabiusher/record';
 import {
 	describeError, emptyConfiguration, hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
 } from '@wasabiusher/shared';
-import {Dispatcher, StepRunner} from '@wasabiusher/systems';
+import {Dispatcher, Invariants, StepRunner} from '@wasabiusher/systems';
 import {answerError} from './answers.js';
 import {handleCompletion} from './completions.js';
 import {handleForward} from './forwarding.js';
@@ -94,7 +94,7 @@
 		collectDefaultMetrics({register: this.#registry});
 		this.#callers.on('post', '/v1/completions', async exchange => handleCompletion('text', exchange, {dispatcher, configuration}));
 		this.#callers.on('post', '/v1/chat/completions', async exchange => handleCompletion('chat', exchange, {dispatcher, configuration}));
-		addStepRoutes(this.#callers, {runner: new StepRunner(dispatcher), tokens: this.#settings.trainerTokens, configuration});
+		addStepRoutes(this.#callers, {runner: this.#createStepRunner(), tokens: this.#settings.trainerTokens, configuration});
 		this.#callers.on('all', '/:service/*', async exchange => handleForward(exchange, {dispatcher, configuration}));
 		addOperatorRoutes(this.#operators, {
 			history: this.#history,
@@ -106,6 +106,23 @@
 		});
 	}
 
+	#createStepRunner(): StepRunner {
+		const {name, platform} = this.#settings;
+		const dispatcher = this.#dispatcher;
+		return new StepRunner({
+			dispatcher,
+			name,
+			tables: new HttpTableService(platform),
+			objects: new HttpObjectStore(platform),
+			invariants: new Invariants(this.#log, this.#registry),
+			random: new Random(hashToNumber(`${name}/steps`)),
+			log: this.#log,
+			registry: this.#registry,
+			address: () => this.#addresses.callers,
+			listVersions: model => [...dispatcher.endpoints].flatMap(({status}) => status?.models.filter(held => held.model === model).map(({version}) => version) ?? []),
+		});
+	}
+
 	#receive(agent: string, message: Message): void {
 		if (message.kind === 'configuration') {
 			this.#adopt(message.accepted, agent);
--- a/packages/entry/src/step-routes.ts
+++ b/packages/entry/src/step-routes.ts
@@ -1,15 +1,20 @@
 /**
  * The trainers' interface: steps, samples as server-sent events, and acknowledgements.
  */
+import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
 import {z} from 'zod';
 import {
-	readJson, sendJson, type Exchange, type HttpServer,
+	readJson, sendJson, type Exchange, type HttpServer, type Method,
 } from '@wasabiusher/daemon';
 import {createProblem, type Configuration} from '@wasabiusher/shared';
-import type {StepRunner} from '@wasabiusher/systems';
+import type {
+	Delivery, FindOptions, Placement, Step, StepRunner,
+} from '@wasabiusher/systems';
 import {sendEvent, startEvents} from './answers.js';
 import {findModelService} from './completions.js';
 import {ProblemError} from './errors.js';
+import {isRelayed, keepAliveMs, relayExchange} from './step-relay.js';
 import {checkToken} from './tokens.js';
 
 /** Most samples of one step; ten times the size designed for. */
@@ -28,16 +33,28 @@
 const acknowledgementSchema = z.strictObject({samples: z.array(z.string()).max(maxSamples)});
 
 const pullSchema = z.object({
-	after: z.coerce.number().int().min(0).default(0),
+	/** The cursor of the last sample received. */
+	after: z.string().default(''),
 	version: z.coerce.number().int().min(0),
 });
 
+/** When a trainer should come back after a refusal, in milliseconds. */
+const retryAfterMs = 1000;
+
 export type StepRoutes = {
 	runner: StepRunner;
 	tokens: readonly string[];
 	configuration(): Configuration;
 };
 
+/** What is done about a step, wherever it is run. */
+type ServedStep = {
+	/** The body that was read, for the entry that has the step. */
+	body?: unknown;
+	locate(options: FindOptions): Promise<Placement>;
+	serve(step: Step): void | Promise<void>;
+};
+
 function parse<Schema extends z.ZodType>(schema: Schema, value: unknown): z.infer<Schema> {
 	const parsed = schema.safeParse(value);
 	if (!parsed.success) {
@@ -50,26 +67,43 @@
 
 /** Adds the routes to a server. */
 export function addStepRoutes(server: HttpServer, routes: StepRoutes): void {
-	server.on('post', '/v1/steps', async exchange => {
-		checkToken(exchange.request, routes.tokens);
-		await openStep(exchange, routes);
-	});
-	server.on('get', '/v1/steps/:id', exchange => {
-		checkToken(exchange.request, routes.tokens);
-		sendJson(exchange.response, 200, findStep(exchange, routes));
-	});
-	server.on('get', '/v1/steps/:id/samples', async exchange => {
-		checkToken(exchange.request, routes.tokens);
-		await streamSamples(exchange, routes);
-	});
-	server.on('post', '/v1/steps/:id/acks', async exchange => {
-		checkToken(exchange.request, routes.tokens);
-		await acknowledge(exchange, routes);
-	});
+	const on = (method: Method, path: string, handler: (exchange: Exchange, routes: StepRoutes) => Promise<void>) => {
+		server.on(method, path, async exchange => {
+			checkToken(exchange.request, routes.tokens);
+			await handler(exchange, routes);
+		});
+	};
+
+	on('post', '/v1/steps', openStep);
+	on('get', '/v1/steps/:id', describeStep);
+	on('get', '/v1/steps/:id/samples', streamSamples);
+	on('post', '/v1/steps/:id/acks', acknowledge);
 }
 
-async function openStep({request, response}: Exchange, {runner, configuration}: StepRoutes): Promise<void> {
-	const {profile: profileName, ...step} = parse(stepSchema, await readJson(request));
+/** Runs a handler where the step is run: here, or at the entry that has it. */
+async function serveStep(exchange: Exchange, {locate, body, serve}: ServedStep): Promise<void> {
+	const isOwnerGone = isRelayed(exchange);
+	let placement = await locate({isOwnerGone});
+	if (placement.kind === 'elsewhere') {
+		if (await relayExchange(exchange, placement.address, body)) {
+			return;
+		}
+
+		// Its entry does not answer: the step goes on here, from the record.
+		placement = await locate({isOwnerGone: true});
+	}
+
+	if (placement.kind !== 'here') {
+		throw new ProblemError(placement.kind === 'refused' ? placement.problem : createProblem('unavailable', 'the step is between two entries', 'no', retryAfterMs));
+	}
+
+	await serve(placement.step);
+}
+
+async function openStep(exchange: Exchange, {runner, configuration}: StepRoutes): Promise<void> {
+	const {request, response} = exchange;
+	const body = await readJson(request);
+	const {profile: profileName, ...step} = parse(stepSchema, body);
 	const profile = configuration().profiles[profileName];
 	if (!profile) {
 		throw new ProblemError(createProblem('bad-request', `field profile: there is no profile "${profileName}"`, 'no'));
@@ -80,52 +114,104 @@
 	}
 
 	const service = findModelService(configuration(), step.model);
-	sendJson(response, 201, runner.open({
-		...step, profileName, profile, service,
-	}));
+	await serveStep(exchange, {
+		body,
+		locate: async options => runner.open({
+			...step, profileName, profile, service,
+		}, options),
+		serve(opened) {
+			sendJson(response, 201, opened.describe());
+		},
+	});
 }
 
-function findStep({parameters}: Exchange, {runner}: StepRoutes) {
-	const status = runner.describe(parameters.id!);
-	if (!status) {
-		throw new ProblemError(createProblem('not-found', `there is no step "${parameters.id}"`, 'no'));
-	}
-
-	return status;
+async function describeStep(exchange: Exchange, {runner}: StepRoutes): Promise<void> {
+	await serveStep(exchange, {
+		locate: async options => runner.locate(exchange.parameters.id!, options),
+		serve(step) {
+			sendJson(exchange.response, 200, step.describe());
+		},
+	});
 }
 
-async function streamSamples(exchange: Exchange, routes: StepRoutes): Promise<void> {
-	const {id} = findStep(exchange, routes);
-	const {response, query} = exchange;
+async function streamSamples(exchange: Exchange, {runner}: StepRoutes): Promise<void> {
+	const {query, parameters} = exchange;
 	const {after, version} = parse(pullSchema, Object.fromEntries(query));
-	const {runner} = routes;
-	const gone = new AbortController();
-	response.on('close', () => {
-		gone.abort();
+	await serveStep(exchange, {
+		locate: async options => runner.locate(parameters.id!, options),
+		async serve(step) {
+			const gone = new AbortController();
+			exchange.response.on('close', () => {
+				gone.abort();
+			});
+			const deliveries = runner.pull(step, {after, version, signal: gone.signal});
+			if ('kind' in deliveries) {
+				throw new ProblemError(deliveries);
+			}
+
+			await writeDeliveries(exchange, step, deliveries);
+		},
 	});
+}
+
+async function writeDeliveries({response}: Exchange, step: Step, deliveries: AsyncGenerator<Delivery, void>): Promise<void> {
 	startEvents(response);
-	let cursor = after;
-	while (!gone.signal.aborted && !runner.describe(id)!.isWhole) {
-		for (const delivery of runner.listAfter(id, cursor, version)) {
-			sendEvent(response, {...delivery.sample, cursor: delivery.cursor}, 'sample');
-			cursor = delivery.cursor;
+	const keepAlive = setInterval(() => {
+		response.write(': waiting\n\n');
+	}, keepAliveMs);
+	let last: Delivery['kind'] | undefined;
+	try {
+		for await (const delivery of deliveries) {
+			last = delivery.kind;
+			write(response, step, delivery);
+			if (response.writableNeedDrain) {
+				await Promise.race([once(response, 'drain'), once(response, 'close')]);
+			}
 		}
+	} finally {
+		clearInterval(keepAlive);
+	}
 
-		// Each round waits for what the last one has left.
-		// eslint-disable-next-line no-await-in-loop
-		await runner.waitForMore(id, gone.signal);
+	// Without the terminal event the trainer knows that the step goes on, and pulls again.
+	if (last !== 'whole') {
+		sendEvent(response, {step: step.request.id}, 'moved');
 	}
 
-	sendEvent(response, {step: id}, 'end');
 	response.end();
 }
 
-async function acknowledge(exchange: Exchange, routes: StepRoutes): Promise<void> {
-	const {samples} = parse(acknowledgementSchema, await readJson(exchange.request));
-	const problem = routes.runner.acknowledge(exchange.parameters.id!, samples);
-	if (problem) {
-		throw new ProblemError(problem);
-	}
+function write(response: ServerResponse, step: Step, delivery: Delivery): void {
+	// The table pairs each kind with a writer of that kind's delivery.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	(writers[delivery.kind] as (response: ServerResponse, step: Step, delivery: Delivery) => void)(response, step, delivery);
+}
 
-	sendJson(exchange.response, 200, findStep(exchange, routes));
+/** How each kind of delivery is written. */
+const writers: {readonly [Kind in Delivery['kind']]: (response: ServerResponse, step: Step, delivery: Extract<Delivery, {kind: Kind}>) => void} = {
+	sample(response, _step, {sample, cursor}) {
+		sendEvent(response, {...sample, cursor}, 'sample');
+	},
+	failed(response, _step, {id, problem, cursor}) {
+		sendEvent(response, {id, problem, cursor}, 'failed');
+	},
+	whole(response, step) {
+		sendEvent(response, {step: step.request.id}, 'end');
+	},
+};
+
+async function acknowledge(exchange: Exchange, {runner}: StepRoutes): Promise<void> {
+	const body = await readJson(exchange.request);
+	const {samples} = parse(acknowledgementSchema, body);
+	await serveStep(exchange, {
+		body,
+		locate: async options => runner.locate(exchange.parameters.id!, options),
+		serve(step) {
+			const problem = runner.acknowledge(step, samples);
+			if (problem) {
+				throw new ProblemError(problem);
+			}
+
+			sendJson(exchange.response, 200, step.describe());
+		},
+	});
 }
--- a/packages/record/src/index.ts
+++ b/packages/record/src/index.ts
@@ -3,6 +3,8 @@
 export * from './configuration-history.js';
 export * from './errors.js';
 export * from './group-commit.js';
+export {readLeaseOwner, type Lease, type LeaseOwner} from './lease.js';
 export * from './lease-holder.js';
+export * from './sample-log.js';
 export * from './settled-write.js';
 export * from './take-over-pace.js';
--- a/packages/record/src/lease-holder.ts
+++ b/packages/record/src/lease-holder.ts
@@ -10,15 +10,15 @@
  * What the caller must do: check `holds()` right before each effect, and send `fence` with it.
  */
 import {randomUUID} from 'node:crypto';
-import {PlatformError, type StoredRow, type TableService} from '@wasabiusher/platform';
+import type {StoredRow, TableService} from '@wasabiusher/platform';
 import {describeError, type Log, type Random} from '@wasabiusher/shared';
-import {z} from 'zod';
 import {RecordError} from './errors.js';
+import {
+	leaseSchema, leaseTable, type Lease, type LeaseOwner,
+} from './lease.js';
 import {writeSettled} from './settled-write.js';
 import {TakeOverPace} from './take-over-pace.js';
 
-const table = 'leases';
-
 /**
  * Term of a lease, in milliseconds. A renewal goes out after a third (2 s) and the store's client gives up
  * on an answer after 3 s, so one lost renewal does not cost the lease; a dead holder is replaced within 8 s.
@@ -34,27 +34,6 @@
 /** Greatest deviation of a round from its time, as a fraction; keeps many holders from falling into step. */
 const jitterRatio = 0.1;
 
-const leaseSchema = z.object({
-	/** Name of the process that holds it; empty once it was released. */
-	holder: z.string(),
-	/** Differs for each start of the process, so that a restarted one is not taken for its predecessor. */
-	incarnation: z.string(),
-	/** Where the holder can be reached, `ip:port`; empty if nobody needs to reach it. */
-	address: z.string(),
-	/** Counts up by one with each change of holder; never goes back. */
-	fence: z.int().positive(),
-	termMs: z.number().positive(),
-	/** Wall clock of the holder, in milliseconds; for people to read, never judged by. */
-	expiresAt: z.number(),
-	attempt: z.string(),
-});
-
-/** A lease as it is stored. */
-export type Lease = z.infer<typeof leaseSchema>;
-
-/** Who holds a lease, as last seen. */
-export type LeaseOwner = Pick<Lease, 'holder' | 'address' | 'fence'>;
-
 export type LeaseSettings = {
 	tables: TableService;
 	/** What is leased, such as `rollout/trail`. */
@@ -91,6 +70,7 @@
 	#isStopped = true;
 	/** The last write's fate is not known, so the row must be read before the next one. */
 	#isDoubtful = false;
+	#hasLiveRival = false;
 
 	constructor(settings: LeaseSettings) {
 		this.#settings = settings;
@@ -113,6 +93,11 @@
 		return this.#lease?.holder ? this.#lease : undefined;
 	}
 
+	/** Whether another holder was seen to renew since this one last held the lease: it is alive. */
+	get hasLiveRival(): boolean {
+		return this.#hasLiveRival;
+	}
+
 	/** Keeps trying for the lease, and renews it, until `stop` or `release`. */
 	start(): void {
 		if (this.#isStopped) {
@@ -197,11 +182,12 @@
 		const {tables, shard, random} = this.#settings;
 		let row: StoredRow | undefined;
 		try {
-			row = await tables.read(table, shard);
+			row = await tables.read(leaseTable, shard);
 		} catch (error) {
 			throw new RecordError('unavailable', `the lease of ${shard} can not be read`, error);
 		}
 
+		const before = this.#lease;
 		if (row?.version !== this.#row?.version || !this.#row) {
 			this.#seenAt = performance.now();
 			this.#jitterMs = random.next() * this.#termMs / roundsPerTerm;
@@ -210,11 +196,18 @@
 		this.#row = row;
 		this.#lease = row && leaseSchema.parse(row.value);
 		this.#isDoubtful = false;
+		this.#hasLiveRival ||= this.#isRenewalOf(before);
 		if (this.#lease?.incarnation !== this.#incarnation) {
 			this.#heldUntil = Number.NEGATIVE_INFINITY;
 		}
 	}
 
+	#isRenewalOf(before: Lease | undefined): boolean {
+		const now = this.#lease;
+		const isOthers = now !== undefined && now.holder !== '' && now.incarnation !== this.#incarnation;
+		return isOthers && before?.incarnation === now.incarnation && before.attempt !== now.attempt;
+	}
+
 	#mayTake(): boolean {
 		if (this.#lease?.incarnation === this.#incarnation) {
 			return true;
@@ -244,6 +237,7 @@
 		}
 
 		this.#heldUntil = sentAt + (this.#termMs * (1 - marginRatio));
+		this.#hasLiveRival = false;
 		if (!isOurs) {
 			log.info('lease_taken', {shard, fence});
 		}
@@ -259,7 +253,7 @@
 		this.#isDoubtful = true;
 		const isWritten = await writeSettled(tables, {
 			writes: [{
-				table, key: shard, expect, value: lease,
+				table: leaseTable, key: shard, expect, value: lease,
 			}],
 			attempt,
 		});
@@ -287,15 +281,3 @@
 		onChange?.(isHeld);
 	}
 }
-
-/** Reads who holds a lease, without trying for it; undefined if nobody does. Throws `RecordError`. */
-export async function readLeaseOwner(tables: TableService, shard: string): Promise<LeaseOwner | undefined> {
-	try {
-		const row = await tables.read(table, shard);
-		const lease = row && leaseSchema.parse(row.value);
-		return lease?.holder ? lease : undefined;
-	} catch (error) {
-		const reason = error instanceof PlatformError ? 'can not be read' : 'is not valid';
-		throw new RecordError('unavailable', `the lease of ${shard} ${reason}`, error);
-	}
-}
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -7,3 +7,7 @@
 export * from './executor-queue.js';
 export * from './invariants.js';
 export * from './steps.js';
+export type {Delivery} from './steps-delivery.js';
+export type {StepRequest} from './steps-request.js';
+export type {SlotFacts, StepDecisions} from './steps-slots.js';
+export type {Step} from './steps-step.js';
--- /dev/null
+++ b/packages/systems/src/steps-metrics.ts
@@ -0,0 +1,41 @@
+/**
+ * What is measured of steps: how long trainers wait, how stale their samples are, and what was made again.
+ */
+import {Counter, Histogram, type Registry} from 'prom-client';
+
+/** Why a sample was drawn again. */
+export type RedrawReason = 'stale' | 'failed';
+
+/** Metrics of all steps of a process. */
+export class StepMetrics {
+	/** Time for which a pull was open with nothing to hand over, in seconds, one observation a wait. */
+	readonly idle: Histogram;
+	/** Versions that samples lay behind the trainer's at hand-over. */
+	readonly staleness: Histogram;
+	readonly delivered: Counter;
+	readonly redrawn: Counter<'reason'>;
+	/** Samples handed over without the score that their profile asks for. */
+	readonly unscored: Counter;
+
+	/** @param registry - where they are published; none in tests that do not read them */
+	constructor(registry?: Registry) {
+		const registers = registry ? [registry] : [];
+		this.idle = new Histogram({
+			name: 'wasabiusher_trainer_idle_seconds',
+			help: 'Time for which a trainer\'s pull waited with nothing to hand over',
+			buckets: [0.01, 0.1, 0.5, 1, 2, 5, 10, 30, 60, 180],
+			registers,
+		});
+		this.staleness = new Histogram({
+			name: 'wasabiusher_sample_staleness_versions',
+			help: 'Versions that the oldest part of a sample lay behind the trainer\'s version at hand-over',
+			buckets: [0, 1, 2, 3, 5, 10],
+			registers,
+		});
+		this.delivered = new Counter({name: 'wasabiusher_samples_delivered_total', help: 'Samples handed over', registers});
+		this.redrawn = new Counter({
+			name: 'wasabiusher_samples_redrawn_total', help: 'Samples drawn again', labelNames: ['reason'], registers,
+		});
+		this.unscored = new Counter({name: 'wasabiusher_samples_unscored_total', help: 'Samples handed over without the score asked for', registers});
+	}
+}
--- a/packages/systems/src/steps.ts
+++ b/packages/systems/src/steps.ts
@@ -1,204 +1,312 @@
 /**
- * Trainers' steps: groups of prompts whose samples are drawn, held until they are acknowledged, and handed over.
+ * Trainers' steps: any entry can open one, go on with one, or say who runs it.
+ *
+ * The entry that opens a step runs it and holds its lease. Another entry that is asked for the step says where
+ * it is run, so that the exchange can be passed on; when that entry does not answer, it goes on from the record
+ * at once, and owns the step when the lease has lapsed. Without the store a step is run by whichever entry the
+ * trainer gives it to; the trainer's cursor keeps each sample from being handed over twice.
  */
+import type {ObjectStore, TableService} from '@wasabiusher/platform';
+import type {Registry} from 'prom-client';
 import {
-	appendSpan, createProblem, findOldestVersion, formatSampleId, hashText, Table, type FinishReason, type GenerationRequest, type Problem, type Profile, type Sample,
+	LeaseHolder, readLeaseOwner, SampleLog, TakeOverPace, type RecordedStep,
+} from '@wasabiusher/record';
+import {
+	createProblem, describeError, type Log, type Problem, type Random, type Sample,
 } from '@wasabiusher/shared';
-import type {Call, Dispatcher} from './dispatcher.js';
-
-/** A step as a trainer asks for it. */
-export type StepRequest = {
-	id: string;
-	profileName: string;
-	profile: Profile;
-	service: string;
-	trainer: string;
-	model: string;
-	groups: Array<{prompt: string}>;
-	groupSize: number;
-	maxTokens: number;
-};
+import type {Dispatcher} from './dispatcher.js';
+import type {Invariants} from './invariants.js';
+import {SampleSet} from './steps-cursor.js';
+import {pullSamples, type Delivery} from './steps-delivery.js';
+import {VersionClock} from './steps-freshness.js';
+import type {StepContext} from './steps-maker.js';
+import {StepMetrics} from './steps-metrics.js';
+import {StepRecorder} from './steps-recorder.js';
+import {
+	hashStepRequest, parsePlace, stepRequestSchema, type StepRequest,
+} from './steps-request.js';
+import {Scorer} from './steps-scoring.js';
+import {plainStepDecisions, type StepDecisions} from './steps-slots.js';
+import {Step} from './steps-step.js';
+
+/** Longest wait for the store before a step is run without it, in milliseconds. */
+const storeWaitMs = 1000;
+
+/** How often steps are looked after, in milliseconds. */
+const tickMs = 1000;
+
+/** A step that nobody pulls from is stopped after this, in milliseconds; the record keeps it. */
+const abandonMs = 600_000;
 
-/** A sample ready for hand-over; the cursor counts up by one a sample. */
-export type Delivery = {cursor: number; sample: Sample};
+/** When a trainer should come back after a refusal, in milliseconds. */
+const retryAfterMs = 1000;
 
-type Draft = {attempt: number; text: string; tokens: number; versions: Sample['versions']};
+/** Where a step is run. */
+export type Placement
+	= | {kind: 'here'; step: Step}
+	/** `ip:port` of the entry that runs it. */
+		| {kind: 'elsewhere'; address: string}
+		| {kind: 'refused'; problem: Problem};
 
-type Step = {
-	id: string;
-	request: StepRequest;
-	deliveries: Delivery[];
-	acknowledged: Set<string>;
-	total: number;
-	draws: number;
-	isClosed: boolean;
-	wake: Set<() => void>;
+export type StepRunnerSettings = {
+	dispatcher: Pick<Dispatcher, 'submit'>;
+	/** Name of this entry. */
+	name: string;
+	tables: TableService;
+	objects: ObjectStore;
+	invariants: Invariants;
+	random: Random;
+	log: Log;
+	registry?: Registry;
+	decisions?: StepDecisions;
+	/** `ip:port` where other entries reach this one's trainers' routes. */
+	address(): string;
+	/** Versions of a model that endpoints report; empty if none is known. */
+	listVersions(model: string): number[];
 };
 
-/** How a step stands. */
-export type StepStatus = {id: string; total: number; ready: number; acknowledged: number; isWhole: boolean};
+export type FindOptions = {
+	/** The entry that holds the lease did not answer, or is this one asking on another's behalf: do not point to it. */
+	isOwnerGone?: boolean;
+};
+
+type Run = {step: Step; recorder: StepRecorder};
 
-/** Wait before a failed sample is drawn again, in milliseconds. */
-const redrawMs = 200;
+/** What the record says of a step: its owner, if another process, and the step, if it is there. */
+type Finding = {owner?: string; recorded?: RecordedStep; samples: Sample[]};
 
-/** Runs the steps of the trainers connected to this entry. */
+/** Runs the steps of one entry. */
 export class StepRunner {
-	readonly #dispatcher: Dispatcher;
-	readonly #steps = new Table<Step>();
+	readonly #settings: StepRunnerSettings;
+	readonly #context: StepContext;
+	readonly #pace = new TakeOverPace();
+	readonly #runs = new Map<string, Run>();
+	readonly #opening = new Map<string, Promise<Placement>>();
+	readonly #timer: NodeJS.Timeout;
+
+	constructor(settings: StepRunnerSettings) {
+		this.#settings = settings;
+		const {dispatcher, invariants, random, registry, decisions = plainStepDecisions, listVersions} = settings;
+		this.#context = {
+			dispatcher, invariants, random, decisions, listVersions, scorer: new Scorer(dispatcher), clock: new VersionClock(), metrics: new StepMetrics(registry),
+		};
+		this.#timer = setInterval(() => {
+			this.#tick();
+		}, tickMs);
+		this.#timer.unref();
+	}
 
-	constructor(dispatcher: Dispatcher) {
-		this.#dispatcher = dispatcher;
+	/** Steps run here. */
+	get openSteps(): number {
+		return this.#runs.size;
 	}
 
 	/** Opens a step, or finds the one with the same id. */
-	open(request: StepRequest): StepStatus {
-		if (!this.#steps.has(request.id)) {
-			const step: Step = {
-				id: request.id, request, deliveries: [], acknowledged: new Set(), total: request.groups.length * request.groupSize, draws: 0, isClosed: false, wake: new Set(),
-			};
-			this.#steps.put(step);
-			for (const [group] of request.groups.entries()) {
-				for (let index = 0; index < request.groupSize; index += 1) {
-					this.#draw(step, group, index);
-				}
-			}
+	async open(request: StepRequest, options: FindOptions = {}): Promise<Placement> {
+		return this.#place(request.id, options, request);
+	}
+
+	/** Finds a step that was opened here or elsewhere. */
+	async locate(id: string, options: FindOptions = {}): Promise<Placement> {
+		return this.#place(id, options);
+	}
+
+	/** Hands over samples of a step that is run here; a problem if the cursor is not one of it. */
+	pull(step: Step, {after, version, signal}: {after: string; version: number; signal: AbortSignal}): AsyncGenerator<Delivery, void> | Problem {
+		const received = SampleSet.parse(after, step.total);
+		if (!received) {
+			return createProblem('bad-request', 'field after: expected the cursor of a sample of this step', 'no');
 		}
 
-		return this.describe(request.id)!;
+		const {invariants, metrics} = this.#context;
+		return pullSamples(step, {
+			received, version, invariants, metrics, signal,
+		});
 	}
 
-	describe(id: string): StepStatus | undefined {
-		const step = this.#steps.get(id);
-		return step && {
-			id, total: step.total, ready: step.deliveries.length, acknowledged: step.acknowledged.size, isWhole: step.acknowledged.size === step.total,
-		};
+	/** Notes that the trainer has samples for good; a problem if the step has no such sample. */
+	acknowledge(step: Step, sampleIds: readonly string[]): Problem | undefined {
+		const places = sampleIds.map(id => parsePlace(step.request, id));
+		const unknown = places.indexOf(undefined);
+		if (unknown !== -1) {
+			return createProblem('bad-request', `field samples.${unknown}: step ${step.request.id} has no sample "${sampleIds[unknown]}"`, 'no');
+		}
+
+		step.acknowledge(places.filter(place => place !== undefined));
+		void this.#runs.get(step.request.id)?.recorder.advance();
+		return undefined;
 	}
 
-	/** Deliveries after a cursor; what is too stale for the trainer's version is drawn again instead. */
-	listAfter(id: string, after: number, trainerVersion: number): Delivery[] {
-		const step = this.#steps.get(id);
-		if (!step) {
-			return [];
+	/**
+	 * Finishes what is under way, records it, and lets other entries go on; streams end without their terminal event.
+	 *
+	 * @param graceMs - longest wait for attempts that are under way, in milliseconds
+	 */
+	async drain(graceMs: number): Promise<void> {
+		const endAt = performance.now() + graceMs;
+		for (const {step} of this.#runs.values()) {
+			step.drain();
 		}
 
-		const pending = step.deliveries.filter(({cursor, sample}) => cursor > after && !step.acknowledged.has(sample.id));
-		return pending.filter(delivery => this.#isFreshOrRedrawn(step, delivery, trainerVersion));
+		while (performance.now() < endAt && [...this.#runs.values()].some(({step}) => step.outstanding > 0)) {
+			// Polled, since attempts of all steps end at any time.
+			// eslint-disable-next-line no-await-in-loop
+			await pause(100);
+		}
+
+		clearInterval(this.#timer);
+		await Promise.all([...this.#runs.keys()].map(async id => this.#handBack(id)));
 	}
 
-	/** Resolves when something new may be there, or the step has closed. */
-	async waitForMore(id: string, signal: AbortSignal): Promise<void> {
-		const step = this.#steps.get(id);
-		if (!step || signal.aborted) {
-			return;
+	/** Stops at once, as a process does that dies. */
+	stop(): void {
+		clearInterval(this.#timer);
+		for (const id of this.#runs.keys()) {
+			this.#drop(id);
 		}
+	}
 
-		await new Promise<void>(resolve => {
-			const wake = () => {
-				step.wake.delete(wake);
-				signal.removeEventListener('abort', wake);
-				resolve();
-			};
+	async #place(id: string, options: FindOptions, request?: StepRequest): Promise<Placement> {
+		const run = this.#runs.get(id);
+		if (run) {
+			return request && hashStepRequest(request) !== run.step.fingerprint ? refuseOther(id) : {kind: 'here', step: run.step};
+		}
 
-			step.wake.add(wake);
-			signal.addEventListener('abort', wake);
+		// Two exchanges about a step that come at once must not begin it twice.
+		const opening = this.#opening.get(id) ?? this.#begin(id, options, request).finally(() => {
+			this.#opening.delete(id);
 		});
+		this.#opening.set(id, opening);
+		const placement = await opening;
+		return placement.kind === 'here' && request && hashStepRequest(request) !== placement.step.fingerprint ? refuseOther(id) : placement;
 	}
 
-	/** Notes that the trainer has samples; returns a problem if one of them is not known. */
-	acknowledge(id: string, sampleIds: readonly string[]): Problem | undefined {
-		const step = this.#steps.get(id);
-		if (!step) {
-			return createProblem('not-found', `there is no step ${id}`, 'no');
+	async #begin(id: string, {isOwnerGone = false}: FindOptions, request?: StepRequest): Promise<Placement> {
+		const finding = await this.#lookUp(id);
+		if (!finding) {
+			return request ? {kind: 'here', step: this.#run(request)} : refuseUnreadable(id);
 		}
 
-		const unknown = sampleIds.find(sampleId => !step.deliveries.some(({sample}) => sample.id === sampleId));
-		if (unknown !== undefined) {
-			return createProblem('bad-request', `sample ${unknown} was not handed over`, 'no');
+		if (finding.owner !== undefined && !isOwnerGone) {
+			return {kind: 'elsewhere', address: finding.owner};
 		}
 
-		for (const sampleId of sampleIds) {
-			step.acknowledged.add(sampleId);
+		const {recorded} = finding;
+		if (request && recorded && recorded.fingerprint !== hashStepRequest(request)) {
+			return refuseOther(id);
 		}
 
-		wakeAll(step);
-		return undefined;
+		const accepted = recorded ? stepRequestSchema.parse(recorded.request) : request;
+		return accepted ? {kind: 'here', step: this.#run(accepted, finding)} : refuseUnknown(id);
 	}
 
-	#isFreshOrRedrawn(step: Step, delivery: Delivery, trainerVersion: number): boolean {
-		const {freshness} = step.request.profile;
-		const {sample} = delivery;
-		if (!freshness || trainerVersion - findOldestVersion(sample.versions) <= freshness.versions) {
-			return true;
+	/** Asks the record; undefined if it can not be read in time. */
+	async #lookUp(id: string): Promise<Finding | undefined> {
+		const {tables, objects, log} = this.#settings;
+		const samples = new SampleLog({tables, objects, step: id});
+		const reading = Promise.all([readLeaseOwner(tables, formatShard(id)), samples.read()]).then(async ([owner, recorded]): Promise<Finding> => ({
+			owner: owner?.address === this.#settings.address() ? undefined : owner?.address,
+			recorded,
+			samples: recorded ? await samples.readSamples() : [],
+		}));
+		try {
+			return await Promise.race([reading, pause(storeWaitMs)]);
+		} catch (error) {
+			log.warn('step_unreadable', {step: id, reason: describeError(error)});
+			return undefined;
 		}
+	}
 
-		step.deliveries = step.deliveries.filter(other => other !== delivery);
-		this.#draw(step, sample.group, sample.index);
-		return false;
-	}
-
-	#draw(step: Step, group: number, index: number): void {
-		const {request} = step;
-		const id = formatSampleId(step.id, group, index);
-		step.draws += 1;
-		const draw = step.draws;
-		const generation: GenerationRequest = {model: request.model, prompt: request.groups[group]!.prompt, maxTokens: request.maxTokens};
-		const call: Call = {
-			id: `${id}#${draw}`,
-			service: request.service,
-			model: request.model,
-			work: {kind: 'generate', request: generation},
-			caller: request.trainer,
-			profileName: request.profileName,
-			profile: request.profile,
-			deadlineAt: performance.now() + request.profile.deadlineMs,
-			cost: request.maxTokens,
-			fingerprint: hashText(generation.prompt ?? ''),
-		};
-		let draft = createDraft();
-		this.#dispatcher.submit(call, {
-			onEvent: event => {
-				if (event.kind === 'parts') {
-					for (const part of event.parts) {
-						draft.text += part.text;
-						draft.tokens += part.tokens;
-						draft.versions = appendSpan(draft.versions, part.version, part.tokens);
-					}
-				} else if (event.kind === 'finished') {
-					this.#finish(step, createSample(step, {group, index, draw}, draft), event.reason);
-				}
-			},
-			onRestart() {
-				draft = createDraft();
-				return true;
-			},
-			onFailed: () => {
-				setTimeout(() => {
-					this.#draw(step, group, index);
-				}, redrawMs).unref();
+	#run(request: StepRequest, finding?: Finding): Step {
+		const {tables, objects, log, name, address, random} = this.#settings;
+		const {id} = request;
+		const step = new Step(request, this.#context, sample => {
+			this.#runs.get(id)?.recorder.note(sample);
+		});
+		const recorder = new StepRecorder({
+			step,
+			log,
+			samples: new SampleLog({tables, objects, step: id}),
+			lease: new LeaseHolder({
+				tables,
+				shard: formatShard(id),
+				holder: name,
+				address: address(),
+				random,
+				log,
+				pace: this.#pace,
+				onChange() {
+					void recorder.advance();
+				},
+			}),
+			onLost: () => {
+				log.warn('step_lost', {step: id});
+				this.#drop(id);
 			},
 		});
+		this.#runs.set(id, {step, recorder});
+		restore(step, finding);
+		step.advance();
+		recorder.start();
+		return step;
+	}
+
+	#drop(id: string): void {
+		const run = this.#runs.get(id);
+		this.#runs.delete(id);
+		run?.recorder.stop();
+		run?.step.drop();
 	}
 
-	#finish(step: Step, sample: Sample, _reason: FinishReason | undefined): void {
-		step.deliveries.push({cursor: (step.deliveries.at(-1)?.cursor ?? 0) + 1, sample});
-		wakeAll(step);
+	#tick(): void {
+		for (const [id, {step, recorder}] of this.#runs) {
+			step.advance();
+			step.double();
+			void recorder.advance();
+			if (step.unpulledMs > abandonMs) {
+				void this.#handBack(id);
+			}
+		}
 	}
+
+	/** Writes what is left and lets another process own the step. */
+	async #handBack(id: string): Promise<void> {
+		await this.#runs.get(id)?.recorder.release();
+		this.#drop(id);
+	}
+}
+
+/** Takes over what the record has of a step; of one that was closed the trainer has all there is. */
+function restore(step: Step, finding: Finding | undefined): void {
+	if (!finding?.recorded) {
+		return;
+	}
+
+	const {recorded, samples} = finding;
+	const acknowledged = recorded.isClosed ? Array.from({length: step.total}, (_, place) => place) : SampleSet.parse(recorded.acknowledged, step.total) ?? [];
+	step.restore(samples, acknowledged);
 }
 
-function createDraft(): Draft {
-	return {
-		attempt: 1, text: '', tokens: 0, versions: [],
-	};
+function formatShard(step: string): string {
+	return `step/${step}`;
 }
 
-function createSample({id: step, request}: Step, {group, index, draw}: {group: number; index: number; draw: number}, {text, tokens, versions}: Draft): Sample {
-	return {
-		id: formatSampleId(step, group, index), step, group, index, attempt: draw, model: request.model, versions, text, tokens,
-	};
+function refuseOther(id: string): Placement {
+	return {kind: 'refused', problem: createProblem('conflict', `field id: step "${id}" was opened with other content`, 'no')};
 }
 
-function wakeAll(step: Step): void {
-	for (const wake of step.wake) {
-		wake();
-	}
+function refuseUnknown(id: string): Placement {
+	return {kind: 'refused', problem: createProblem('not-found', `there is no step "${id}"`, 'no')};
 }
+
+function refuseUnreadable(id: string): Placement {
+	return {kind: 'refused', problem: createProblem('unavailable', `the record of step "${id}" can not be read now; post the step again to go on without it`, 'no', retryAfterMs)};
+}
+
+async function pause(ms: number): Promise<undefined> {
+	return new Promise(resolve => {
+		setTimeout(resolve, ms, undefined).unref();
+	});
+}
+
+export {type StepStatus} from './steps-step.js';
