Prove steps through faults, and miss no sample while the trainer reads

Cause: a sample that got ready while a slow trainer was reading the last ones woke nobody, and the pull waited for good; a dispatcher that refused at once left its attempt open. Change: a count of changes is taken before each look; refusals are reported after the attempt is noted.

--- a/packages/systems/src/steps-delivery.ts
+++ b/packages/systems/src/steps-delivery.ts
@@ -38,6 +38,8 @@
 	const stop = AbortSignal.any([signal, pull.signal]);
 	try {
 		while (!stop.aborted && !step.isDropped) {
+			// Counted before the look, so that what comes while the trainer reads is not missed.
+			const {changes} = step;
 			yield * listDeliveries(step, options, stop);
 			if (step.isWholeWith(received)) {
 				yield {kind: 'whole'};
@@ -47,7 +49,7 @@
 			const waitingSince = performance.now();
 			// Each round waits for what the last one has left.
 			// eslint-disable-next-line no-await-in-loop
-			await step.waitForChange(stop);
+			await step.waitForChange(changes, stop);
 			metrics.idle.observe((performance.now() - waitingSince) / 1000);
 		}
 	} finally {
--- a/packages/systems/src/steps-drawing.ts
+++ b/packages/systems/src/steps-drawing.ts
@@ -33,7 +33,7 @@
 	// A dispatcher may refuse while it is still being asked, and the caller does not have its drawing yet then.
 	const end = (report: () => void) => {
 		isOver = true;
-		queueMicrotask(() => {
+		void Promise.resolve().then(() => {
 			if (!isCancelled) {
 				report();
 			}
--- a/packages/systems/src/steps-step.ts
+++ b/packages/systems/src/steps-step.ts
@@ -50,6 +50,7 @@
 	#trainerVersion = 0;
 	#pull: AbortController | undefined;
 	#lastPullAt = performance.now();
+	#changes = 0;
 	#isDropped = false;
 	#isDraining = false;
 
@@ -216,9 +217,14 @@
 		this.advance();
 	}
 
-	/** Resolves when something may have changed, or the signal is aborted. */
-	async waitForChange(signal: AbortSignal): Promise<void> {
-		if (signal.aborted || this.#isDropped) {
+	/** Counts what may have made more deliverable. */
+	get changes(): number {
+		return this.#changes;
+	}
+
+	/** Resolves when something has changed since the given count, or the signal is aborted. */
+	async waitForChange(since: number, signal: AbortSignal): Promise<void> {
+		if (signal.aborted || this.#isDropped || this.#changes !== since) {
 			return;
 		}
 
@@ -258,6 +264,7 @@
 	}
 
 	#wake(): void {
+		this.#changes += 1;
 		for (const wake of this.#waiting) {
 			wake();
 		}
