--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -9,8 +9,12 @@
 import {
 	HttpEngine, HttpMembershipList, HttpPlainService, HttpTableService, type MembershipList,
 } from '@wasabiusher/platform';
-import {describeError, type AcceptedConfiguration, type Log} from '@wasabiusher/shared';
-import {Executor, type Endpoint} from '@wasabiusher/systems';
+import {
+	describeError, hashToNumber, Random, type Log,
+} from '@wasabiusher/shared';
+import {
+	ConfigurationAdopter, Executor, Invariants, type ConfigurationMessage, type ConfigurationOutput, type Endpoint,
+} from '@wasabiusher/systems';
 import {EndpointWatch} from './endpoint-watch.js';
 import {FenceFloor} from './fence-floor.js';
 import {AgentMetrics} from './metrics.js';
@@ -25,6 +29,9 @@
 /** How often the agent announces itself, in milliseconds. */
 const announceMs = 5000;
 
+/** How often digests are looked after, in milliseconds. */
+const configurationMs = 1000;
+
 /** Longest wait for the acknowledgement of whole answers by an agent that leaves, in milliseconds: what a lost link takes to be replaced. */
 const acknowledgeMs = 6000;
 
@@ -52,6 +59,8 @@
 	readonly #floor: FenceFloor;
 	readonly #orders: OrderDesk | undefined;
 	readonly #poison: PoisonRelay;
+	readonly #adopter: ConfigurationAdopter;
+	readonly #invariants: Invariants;
 	readonly #pace = new StatusPace();
 	readonly #handlers: Handlers;
 	readonly #links = new Map<string, Link>();
@@ -59,7 +68,6 @@
 	#linkServer: LinkServer | undefined;
 	#address = '';
 	#isLeaving = false;
-	#configuration: AcceptedConfiguration | undefined;
 
 	constructor(settings: AgentSettings, log: Log) {
 		const {name, service, limit, maxWaiting, platform} = settings;
@@ -72,6 +80,10 @@
 		this.#poison = new PoisonRelay(name, (message, except) => {
 			this.#broadcast(message, except);
 		});
+		this.#invariants = new Invariants(log, this.#registry);
+		this.#adopter = new ConfigurationAdopter({
+			name, dataCentre: settings.dataCentre, log, random: new Random(hashToNumber(name)), invariants: this.#invariants, onAdopted: () => undefined,
+		});
 		this.#watch = this.#createWatch(endpoint);
 		this.#executor = new Executor({
 			service,
@@ -120,6 +132,9 @@
 			setInterval(() => {
 				void this.#announce();
 			}, announceMs),
+			setInterval(() => {
+				void this.#tickConfiguration();
+			}, configurationMs),
 		);
 		this.#log.info('agent_started', {address: this.#address, service: this.#settings.service});
 	}
@@ -129,13 +144,16 @@
 		this.#isLeaving = true;
 		const drained = this.#executor.drain();
 		this.#tellStatus(true);
-		void this.#announce();
+		const announced = this.#announce();
 		await drained;
 		await this.#waitForAcknowledgements();
+		await announced;
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
 
+		const {running} = this.#executor.describe();
+		this.#invariants.checkNothingCutOff(running + this.#executor.countUnacknowledged());
 		this.#executor.close();
 		await this.#linkServer?.end();
 		await this.#http.close();
@@ -187,8 +205,14 @@
 			order: (link, message) => {
 				void this.#order(link, message);
 			},
-			configuration: ({peer}, {accepted}) => {
-				this.#adopt(accepted, peer);
+			configuration: ({peer}, message) => {
+				this.#receiveConfiguration(peer, message);
+			},
+			'configuration-delta': ({peer}, message) => {
+				this.#receiveConfiguration(peer, message);
+			},
+			digest: ({peer}, message) => {
+				this.#receiveConfiguration(peer, message);
 			},
 			suspicions: ({peer}, message) => {
 				this.#poison.receive(message, peer);
@@ -202,6 +226,7 @@
 		this.#links.set(link.peer, link);
 		this.#executor.attach(link.peer);
 		link.send({kind: 'status', status: this.#describe()});
+		this.#sendAll(this.#adopter.onLinkUp(link.peer));
 		const suspicions = this.#poison.list();
 		if (suspicions.length > 0) {
 			link.send({kind: 'suspicions', suspicions});
@@ -231,14 +256,21 @@
 		if (this.#links.get(link.peer) === link) {
 			this.#links.delete(link.peer);
 			this.#executor.detach(link.peer);
+			this.#adopter.onLinkDown(link.peer);
 		}
 	}
 
-	/** A version never goes back. */
-	#adopt(accepted: AcceptedConfiguration, from: string): void {
-		if (accepted.version > (this.#configuration?.version ?? 0)) {
-			this.#configuration = accepted;
-			this.#broadcast({kind: 'configuration', accepted}, from);
+	#receiveConfiguration(peer: string, message: ConfigurationMessage): void {
+		this.#sendAll(this.#adopter.receive(peer, message));
+	}
+
+	async #tickConfiguration(): Promise<void> {
+		this.#sendAll(await this.#adopter.tick());
+	}
+
+	#sendAll(outputs: readonly ConfigurationOutput[]): void {
+		for (const {to, message} of outputs) {
+			this.#send(to, message);
 		}
 	}
 
@@ -296,7 +328,7 @@
 			role: report?.role ?? '',
 			isHealthy,
 			isLeaving: this.#isLeaving,
-			configurationVersion: this.#configuration?.version ?? 0,
+			configurationVersion: this.#adopter.accepted.version,
 			fence: this.#floor.fence,
 		};
 	}
--- a/packages/agent/src/order-desk.ts
+++ b/packages/agent/src/order-desk.ts
@@ -37,7 +37,10 @@
 /** How often the report is read meanwhile, in milliseconds. */
 const readBackMs = 100;
 
-type Wanted = {order: EngineOrder; fence: number};
+/** An order that shows in a report. */
+type StateOrder = Exclude<EngineOrder, {kind: 'prefetch'}>;
+
+type Wanted = {order: StateOrder; fence: number};
 
 /** Orders of one engine. */
 export class OrderDesk {
@@ -99,6 +102,11 @@
 	/** Gives an order and reads back what is in force; throws if that is something else. */
 	async #apply(order: EngineOrder, fence: number): Promise<void> {
 		const {engine} = this.#settings;
+		if (order.kind === 'prefetch') {
+			await engine.order(order, fence);
+			return;
+		}
+
 		const subject = nameSubject(order);
 		// Until it is done, nothing is known to be wanted: the engine may be in either state.
 		this.#wanted.delete(subject);
@@ -108,7 +116,7 @@
 		this.#mendAt = performance.now() + firstMendMs;
 	}
 
-	async #readBack(order: EngineOrder): Promise<void> {
+	async #readBack(order: StateOrder): Promise<void> {
 		const giveUpAt = performance.now() + reportLagMs;
 		// Reports are read one after another.
 		/* eslint-disable no-await-in-loop */
@@ -142,33 +150,33 @@
 }
 
 /** What an order is about; the last order about a subject counts. */
-function nameSubject(order: EngineOrder): string {
+function nameSubject(order: StateOrder): string {
 	return order.kind === 'role' ? 'role' : `model ${order.model}`;
 }
 
 /** Whether a report shows what an order asks for, by kind. */
-const checks: {[Kind in EngineOrder['kind']]: (order: Extract<EngineOrder, {kind: Kind}>, report: EngineReport) => boolean} = {
+const checks: {[Kind in StateOrder['kind']]: (order: Extract<StateOrder, {kind: Kind}>, report: EngineReport) => boolean} = {
 	load: (order, {models}) => models.some(({model, version}) => model === order.model && version === order.version),
 	unload: (order, {models}) => models.every(({model}) => model !== order.model),
 	role: (order, {role}) => role === order.role,
 };
 
-function isInForce(order: EngineOrder, report: EngineReport): boolean {
+function isInForce(order: StateOrder, report: EngineReport): boolean {
 	// The table pairs each kind with a check of that kind's order.
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-	const check = checks[order.kind] as (order: EngineOrder, report: EngineReport) => boolean;
+	const check = checks[order.kind] as (order: StateOrder, report: EngineReport) => boolean;
 	return check(order, report);
 }
 
-const texts: {[Kind in EngineOrder['kind']]: (order: Extract<EngineOrder, {kind: Kind}>) => string} = {
+const texts: {[Kind in StateOrder['kind']]: (order: Extract<StateOrder, {kind: Kind}>) => string} = {
 	load: ({model, version}) => `load ${model} at version ${version}`,
 	unload: ({model}) => `unload ${model}`,
 	role: ({role}) => `take the role ${role}`,
 };
 
-function describeOrder(order: EngineOrder): string {
+function describeOrder(order: StateOrder): string {
 	// The table pairs each kind with a text of that kind's order.
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-	const describe = texts[order.kind] as (order: EngineOrder) => string;
+	const describe = texts[order.kind] as (order: StateOrder) => string;
 	return describe(order);
 }
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -73,6 +73,7 @@
 
 const orderSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('load'), model: z.string(), version: countSchema}),
+	z.object({kind: z.literal('prefetch'), model: z.string(), version: countSchema}),
 	z.object({kind: z.literal('unload'), model: z.string()}),
 	z.object({kind: z.literal('role'), role: z.string()}),
 ]);
--- a/packages/platform/src/endpoint.ts
+++ b/packages/platform/src/endpoint.ts
@@ -30,6 +30,8 @@
 /** Orders are absolute: they name the state to be in, so that a repeat does no harm. */
 export type EngineOrder
 	= | {kind: 'load'; model: string; version: number}
+		/** Fetches weights without putting them in force, so that the load that follows is short. */
+		| {kind: 'prefetch'; model: string; version: number}
 		| {kind: 'unload'; model: string}
 		| {kind: 'role'; role: string};
 
