--- a/packages/agent/__tests__/agent.spec.ts
+++ b/packages/agent/__tests__/agent.spec.ts
@@ -1,6 +1,8 @@
+import {once} from 'node:events';
+import {get as httpGet, type IncomingMessage} from 'node:http';
+import {text as readText} from 'node:stream/consumers';
 import {expect} from 'chai';
 import {LinkClient, type Message, type MessageOf} from '@wasabiusher/link';
-import {callHttp, type PlatformError} from '@wasabiusher/platform';
 import {createSilentLog, Random} from '@wasabiusher/shared';
 import {EngineServer, PlatformServer} from '@wasabiusher/standins';
 import {Agent, agentSettingsSchema} from '../src/index.js';
@@ -101,20 +103,9 @@
 		: []);
 }
 
-async function readMetrics({address}: Agent): Promise<string> {
-	const response = await callHttp({origin: `http://${address}`, method: 'GET', path: '/metrics'});
-	return response.body.text();
-}
-
-/** `ready`, or the code of the refusal. */
-async function findReadiness({address}: Agent): Promise<string> {
-	try {
-		const response = await callHttp({origin: `http://${address}`, method: 'GET', path: '/readyz'});
-		await response.body.dump();
-		return 'ready';
-	} catch (error) {
-		return (error as PlatformError).code;
-	}
+async function get({address}: Agent, path: string): Promise<{status: number; text: string}> {
+	const [response] = await once(httpGet(`http://${address}${path}`), 'response') as [IncomingMessage];
+	return {status: response.statusCode!, text: await readText(response)};
 }
 
 const isFinished = (entry: FakeEntry, name: string) => entry.get('part', ({request: other, event}) => other === name && event.kind === 'finished') !== undefined;
@@ -153,7 +144,8 @@
 		await entry.until(() => entry.get('refused') !== undefined);
 		expect(entry.get('refused')).to.include({request: 'late', reason: 'leaving'});
 		expect(entry.get('status', ({status}) => status.isLeaving)).not.to.equal(undefined);
-		expect(await findReadiness(agent)).to.equal('unavailable');
+		const {status} = await get(agent, '/readyz');
+		expect(status).to.equal(503);
 		await drained;
 		await entry.until(() => !entry.isUp);
 		expect(listTexts(entry, 'long')).to.have.lengthOf(40);
@@ -229,7 +221,7 @@
 
 		await entry.until(() => entry.get('ordered', ({order}) => order === 'old') !== undefined);
 		expect(entry.get('ordered', ({order}) => order === 'old')).to.include({outcome: 'fenced'});
-		const metrics = await readMetrics(agent);
+		const {text: metrics} = await get(agent, '/metrics');
 		expect(metrics).to.contain('wasabiusher_agent_orders_total{outcome="fenced"} 1');
 		expect(metrics).to.contain('wasabiusher_agent_fence 5');
 	});
@@ -251,7 +243,8 @@
 		while (!metrics.includes('link_errors_total{code="unauthorized"}')) {
 			// Each look waits for the one before.
 			// eslint-disable-next-line no-await-in-loop
-			metrics = await readMetrics(agent);
+			const {text} = await get(agent, '/metrics');
+			metrics = text;
 		}
 
 		stranger.close();
