--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -87,6 +87,11 @@
 		return true;
 	}
 
+	/** Class of the job whose turn it is; a less urgent one may have to leave slots free. */
+	get nextClass(): PriorityClass | undefined {
+		return this.#chooseClass()?.line.first?.ticket.class;
+	}
+
 	/** Takes the job whose turn it is. */
 	pop(): Job | undefined {
 		const next = this.#chooseClass();
--- a/packages/decisions/src/routing.ts
+++ b/packages/decisions/src/routing.ts
@@ -59,7 +59,7 @@
 	const far = near.length === usable.length ? [] : usable.filter(candidate => !isNear(candidate, options));
 	const choices = options.choices ?? defaultChoices;
 	const preferred = findPreferred(usable);
-	const compared = [...draw(near, choices, random), ...draw(far, choices, random)];
+	const compared = [...draw(listOpen(near), choices, random), ...draw(listOpen(far), choices, random)];
 	return findLeast(preferred ? [...compared, preferred] : compared, options, preferred);
 }
 
@@ -67,6 +67,12 @@
 	return options.dataCentre === undefined || dataCentre === undefined || dataCentre === options.dataCentre;
 }
 
+/** Those with a free slot, or all if none has; a draw of a few could miss the last free ones. */
+function listOpen(candidates: readonly Candidate[]): readonly Candidate[] {
+	const open = candidates.filter(({load, limit}) => load < limit);
+	return open.length > 0 ? open : candidates;
+}
+
 /** Some of the items in an order by chance; a partial Fisher–Yates shuffle. */
 function draw(items: readonly Candidate[], count: number, random: Random): Candidate[] {
 	const pool = [...items];
