Leave slots at an endpoint free for interactive callers

Cause: rollouts could fill every slot of an endpoint, and an interactive request then waited until one ended.

Change: the executor's queue asks for the limit of the class whose turn it is, by the headroom of the decisions; the status says how many interactive requests run.

Run: xo, tsc, mocha 366 passed.

--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -47,6 +47,8 @@
 	running: countSchema,
 	/** Of them, those told to stop that the endpoint has not confirmed, and those from before the agent started. */
 	draining: countSchema.optional(),
+	/** Of them, those of interactive callers. */
+	interactive: countSchema.optional(),
 	waiting: countSchema,
 	/** Work waiting, in estimated tokens (or calls, for plain services). */
 	waitingWork: z.number().nonnegative(),
--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -105,6 +105,24 @@
 			expect(executor.describe().draining).to.equal(0);
 		});
 
+		it('are left free by rollouts, so that an interactive caller finds one at once', async () => {
+			const {executor, find} = createModelExecutor({limit: 8, maxWaiting: 100});
+			for (let index = 0; index < 12; index += 1) {
+				executor.open(peer, createOpen(`r${index}`, {class: 'rollout', caller: `trainer-${index}`}));
+			}
+
+			await settle();
+			expect(executor.describe()).to.include({running: 7, waiting: 5});
+			openAll(executor, 'a');
+			await settle();
+			expect(find('a', 'started')).not.to.equal(undefined);
+			expect(executor.describe()).to.include({running: 8, waiting: 5, interactive: 1});
+			executor.reportHeld(8);
+			engine.runs[0]!.feed.push(lastToken);
+			await settle();
+			expect(executor.describe(), 'and is not taken by one of them').to.include({running: 7, waiting: 5});
+		});
+
 		it('are counted for runs that the engine still has from before the agent started', async () => {
 			const {executor} = createModelExecutor({limit: 4});
 			executor.reportHeld(3);
--- a/packages/systems/src/executor-load.ts
+++ b/packages/systems/src/executor-load.ts
@@ -4,6 +4,7 @@
 import {
 	Admission, ConcurrencyLimit, DrainRate, type AdmissionDecision,
 } from '@wasabiusher/decisions';
+import type {PriorityClass} from '@wasabiusher/shared';
 import type {Endpoint} from './endpoint-run.js';
 import type {Execution} from './execution.js';
 
@@ -45,6 +46,7 @@
 	/** Runs that the endpoint still works on from before this agent started. */
 	#inherited = 0;
 	#longestMs = 0;
+	#interactive = 0;
 
 	constructor(settings: LoadSettings) {
 		const {kind, limit, maxWaiting} = settings;
@@ -64,6 +66,16 @@
 		return Math.max(1, this.#limit.limit - this.#inherited);
 	}
 
+	/** Runs that may be there when one of a class starts, so that a more urgent one finds a slot. */
+	limitFor(name: PriorityClass): number {
+		return Math.max(1, this.#limit.limitFor(name) - this.#inherited);
+	}
+
+	/** Interactive runs at the endpoint. */
+	get interactive(): number {
+		return this.#interactive;
+	}
+
 	/** Work that waits. */
 	get waitingWork(): number {
 		return this.#admission.work;
@@ -92,13 +104,17 @@
 	}
 
 	/** It left the line to run. */
-	start({id}: Execution): void {
+	start({id, open}: Execution): void {
 		this.#admission.start(id);
+		this.#countInteractive(open.class, 1);
 	}
 
-	/** It ended in any way. */
-	release({id}: Execution): void {
+	/** It ended in any way; `hasRun` if it had left the line. */
+	release({id, open}: Execution, hasRun: boolean): void {
 		this.#admission.release(id);
+		if (hasRun) {
+			this.#countInteractive(open.class, -1);
+		}
 	}
 
 	/** Learns from a run that ended by itself. */
@@ -129,6 +145,13 @@
 		this.#inherited = 0;
 	}
 
+	#countInteractive(name: PriorityClass, by: 1 | -1): void {
+		if (name === 'interactive') {
+			this.#interactive += by;
+			this.#limit.observeInteractive(this.#interactive, performance.now());
+		}
+	}
+
 	#measurePace({tokens, firstTokens, firstAt}: RunObservation, now: number): number | undefined {
 		if (this.#settings.kind === 'plain') {
 			return plainPaceMs;
--- a/packages/systems/src/executor.ts
+++ b/packages/systems/src/executor.ts
@@ -77,7 +77,7 @@
 		this.#settings = settings;
 		const {endpoint, limit, maxWaiting} = settings;
 		this.#load = new ExecutorLoad({kind: endpoint.kind, limit, maxWaiting});
-		this.#queue = createExecutorQueue(limit);
+		this.#queue = createExecutorQueue(limit, {limitFor: name => this.#load.limitFor(name)});
 		this.#suspects = new SuspectGate(this.#queue);
 		this.#archive = new AnswerArchive(id => {
 			this.#executions.remove(id);
@@ -85,13 +85,14 @@
 	}
 
 	/** What entries are told of the endpoint, less what only the engine's report says. */
-	describe(): Pick<EndpointStatus, 'service' | 'limit' | 'running' | 'draining' | 'waiting' | 'waitingWork' | 'workPerSecond' | 'isLeaving'> {
+	describe(): Pick<EndpointStatus, 'service' | 'limit' | 'running' | 'draining' | 'interactive' | 'waiting' | 'waitingWork' | 'workPerSecond' | 'isLeaving'> {
 		return {
 			service: this.#settings.service,
 			limit: this.#load.limit,
 			running: this.#queue.pending + this.#suspects.running,
 			draining: this.#executions.filter(({state}) => state === 'draining').length + this.#load.inherited,
 			waiting: this.#queue.size + this.#suspects.waiting,
+			interactive: this.#load.interactive,
 			waitingWork: this.#load.waitingWork,
 			workPerSecond: this.#load.workPerSecond,
 			isLeaving: this.#isLeaving,
@@ -177,7 +178,8 @@
 		const own = this.#executions.filter(({state, startedAt}) => (state === 'running' || state === 'draining') && startedAt <= mustShow).length;
 		this.#load.recordHeld(held, own, !this.#hasReport);
 		this.#hasReport = true;
-		this.#queue.concurrency = this.#load.limit;
+		// The least of all classes: whoever comes, starts or ends next raises it to that of its class.
+		this.#queue.concurrency = this.#load.limitFor('background');
 	}
 
 	/**
@@ -334,7 +336,6 @@
 				},
 			});
 			this.#load.recordRun(execution, {...reading, inFlight}, performance.now());
-			this.#queue.concurrency = this.#load.limit;
 			this.#settings.onFinished?.(open.fingerprint);
 			this.#end(execution);
 		} catch (error) {
@@ -392,7 +393,7 @@
 		execution.state = 'ended';
 		execution.outcome = outcome;
 		clearTimeout(execution.deadlineTimer);
-		this.#load.release(execution);
+		this.#load.release(execution, !wasWaiting);
 		this.#archive.keep(execution);
 		if (outcome && !isTold) {
 			this.#settings.send(execution.peer, outcome);
