--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -12,3 +12,4 @@
 export type {StepRequest} from './steps-request.js';
 export type {SlotFacts, StepDecisions} from './steps-slots.js';
 export type {Step} from './steps-step.js';
+export * from './weight-rollout.js';
