Share what crashes endpoints among entries and agents

Cause: a request that crashed endpoints was known only to the call it was in. Change: a suspicion exchange merges what agents tell, passes on what is new, greets new peers, clears what finishes, and tells operators what is quarantined.

--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -2,7 +2,7 @@
  * What an entry tells operators of itself and of the agents in its view.
  */
 import type {AcceptedConfiguration} from '@wasabiusher/shared';
-import type {EndpointRow} from '@wasabiusher/systems';
+import type {EndpointRow, QuarantineStatus} from '@wasabiusher/systems';
 
 /** A process and the version of the configuration in force there. */
 type ProcessStatus = {
@@ -36,7 +36,7 @@
 	/** Names of the processes that are behind. */
 	lagging: string[];
 	/** Requests that are not run at present, since they have crashed endpoints. */
-	quarantine: Array<{fingerprint: string; untilMs: number; crashes: string[]}>;
+	quarantine: QuarantineStatus[];
 	/** Weight rollouts under way or stuck, as control describes them. */
 	rollouts: unknown[];
 };
--- a/packages/systems/__tests__/dispatcher-decisions.spec.ts
+++ b/packages/systems/__tests__/dispatcher-decisions.spec.ts
@@ -173,6 +173,41 @@
 		expect(problems.map(({kind, status, ran}) => [kind, status, ran])).to.deep.equal([['quarantined', 422, 'unknown']]);
 	});
 
+	it('tells other agents of a suspect once, and refuses it through its term', async () => {
+		const fixture = createFixture(['a1', 'a2', 'a3']);
+		const suspicion = {
+			fingerprint: 'f1', crashes: ['a1@s1', 'a2@s1'], cleared: [], remainingMs: 600_000, terms: 1,
+		};
+		fixture.dispatcher.receive('a1', {kind: 'suspicions', suspicions: [suspicion]});
+		fixture.dispatcher.receive('a2', {kind: 'suspicions', suspicions: [suspicion]});
+		expect(fixture.told.map(({except}) => except)).to.deep.equal(['a1']);
+		const {problems} = submit(fixture, createCall('c1'));
+		await clock.tickAsync(0);
+		expect(problems.map(({kind, ran, retryAfterMs}) => [kind, ran, retryAfterMs])).to.deep.equal([['quarantined', 'no', 600_000]]);
+		expect(fixture.dispatcher.describeQuarantine().map(({fingerprint}) => fingerprint)).to.deep.equal(['f1']);
+		fixture.dispatcher.attach('a4', 'tomakomai');
+		expect(fixture.sent.at(-1)).to.deep.include({agent: 'a4', message: {kind: 'suspicions', suspicions: [suspicion]}});
+	});
+
+	it('clears a suspect that finishes alone', async () => {
+		const fixture = createFixture(['a1', 'a2', 'a3']);
+		fixture.dispatcher.receive('a1', {
+			kind: 'suspicions',
+			suspicions: [{
+				fingerprint: 'f1', crashes: ['a1@s1'], cleared: [], remainingMs: 60_000, terms: 0,
+			}],
+		});
+		submit(fixture, createCall('c1'));
+		await clock.tickAsync(0);
+		expect(findLatest(fixture).agent).to.not.equal('a1');
+		expect(fixture.list('open')[0]!.message.isSuspect).to.equal(true);
+		finish(fixture, findLatest(fixture));
+		expect(fixture.told.at(-1)!.message).to.deep.include({kind: 'suspicions'});
+		submit(fixture, createCall('c2'));
+		await clock.tickAsync(0);
+		expect(fixture.list('open')[1]!.message.isSuspect).to.equal(false);
+	});
+
 	it('gives up when all have refused, at once', async () => {
 		const fixture = createFixture(['a1', 'a2', 'a3', 'a4', 'a5', 'a6']);
 		const {problems} = submit(fixture, createCall('c1'));
--- a/packages/systems/__tests__/dispatcher-fixtures.ts
+++ b/packages/systems/__tests__/dispatcher-fixtures.ts
@@ -11,6 +11,8 @@
 export type Fixture = {
 	dispatcher: Dispatcher;
 	sent: Sent[];
+	/** What was told to all agents but one. */
+	told: Array<{message: Message; except?: string}>;
 	records: CallRecord[];
 	down: Set<string>;
 	/** Messages of one kind, oldest first. */
@@ -40,6 +42,7 @@
 export function createFixture(agents: string[]): Fixture {
 	const sent: Sent[] = [];
 	const records: CallRecord[] = [];
+	const told: Fixture['told'] = [];
 	const down = new Set<string>();
 	const dispatcher = new Dispatcher({
 		random: new Random(1),
@@ -51,6 +54,9 @@
 			sent.push({agent, message});
 			return true;
 		},
+		broadcast(message, except) {
+			told.push({message, except});
+		},
 		onEnded(record) {
 			records.push(record);
 		},
@@ -63,6 +69,7 @@
 	return {
 		dispatcher,
 		sent,
+		told,
 		records,
 		down,
 		list: kind => sent.filter(({message}) => message.kind === kind) as never,
--- a/packages/systems/src/dispatcher-routing.ts
+++ b/packages/systems/src/dispatcher-routing.ts
@@ -3,12 +3,13 @@
  * and the exception for requests that are suspected of crashing endpoints.
  */
 import {
-	chooseEndpoint, chooseIsolation, PrefixIndex, splitPrefix, type Candidate, type PoisonGuard, type Verdict,
+	chooseEndpoint, chooseIsolation, PrefixIndex, splitPrefix, type Candidate, type Verdict,
 } from '@wasabiusher/decisions';
 import type {Random} from '@wasabiusher/shared';
 import type {Call} from './call.js';
 import type {EndpointRow, EndpointTable} from './dispatcher-endpoints.js';
 import type {Pool} from './dispatcher-pool.js';
+import type {SuspicionExchange} from './suspicion-exchange.js';
 
 /** What a call has met so far. */
 export type History = {
@@ -25,7 +26,7 @@
 
 export type RouterSettings = {
 	endpoints: EndpointTable;
-	guard: PoisonGuard;
+	suspicions: Pick<SuspicionExchange, 'judge'>;
 	random: Random;
 	/** Data centre of this entry. */
 	dataCentre?: string;
@@ -51,10 +52,10 @@
 	}
 
 	choose(call: Call, pool: Pool, {tried, crashes}: History): Route {
-		const {endpoints, guard} = this.#settings;
+		const {endpoints, suspicions} = this.#settings;
 		const verdict: Verdict = crashes >= maxCrashes
 			? {kind: 'quarantined', retryAfterMs: quarantineMs}
-			: guard.judge(call.fingerprint, performance.now());
+			: suspicions.judge(call.fingerprint);
 		if (verdict.kind === 'quarantined') {
 			return verdict;
 		}
--- a/packages/systems/src/dispatcher.ts
+++ b/packages/systems/src/dispatcher.ts
@@ -17,6 +17,7 @@
 import {probeIfDue} from './dispatcher-probes.js';
 import {Router} from './dispatcher-routing.js';
 import {CallRun, type AttemptOwner, type RunContext} from './dispatcher-run.js';
+import {SuspicionExchange, type QuarantineStatus} from './suspicion-exchange.js';
 
 export type * from './call.js';
 export type {EndpointRow} from './dispatcher-endpoints.js';
@@ -27,6 +28,8 @@
 	dataCentre?: string;
 	/** Sends to an agent by name; false if it has no link at present. */
 	send(agent: string, message: Message): boolean;
+	/** Sends to all agents that have a link, but one. */
+	broadcast?(message: Message, except?: string): void;
 	/** Hears of each call once, when it has ended. */
 	onEnded?(record: CallRecord): void;
 };
@@ -43,7 +46,7 @@
 	readonly #attempts = new Table<Attempt>();
 	readonly #pools = new Map<string, Pool>();
 	readonly #resumeTimers = new Map<string, NodeJS.Timeout>();
-	readonly #guard = new PoisonGuard();
+	readonly #suspicions: SuspicionExchange;
 	readonly #retries = new RetryBudget();
 	readonly #router: Router;
 	readonly #context: RunContext;
@@ -51,8 +54,14 @@
 	constructor(settings: DispatcherSettings) {
 		this.#settings = settings;
 		const {random, dataCentre} = settings;
+		this.#suspicions = new SuspicionExchange({
+			guard: new PoisonGuard(),
+			broadcast(message, except) {
+				settings.broadcast?.(message, except);
+			},
+		});
 		this.#router = new Router({
-			endpoints: this.endpoints, guard: this.#guard, random, dataCentre,
+			endpoints: this.endpoints, suspicions: this.#suspicions, random, dataCentre,
 		});
 		this.#context = this.#createContext();
 	}
@@ -87,10 +96,12 @@
 
 	/** Takes a message from an agent. */
 	receive(agent: string, message: Message): void {
-		if (message.kind === 'status') {
-			this.#updateStatus(agent, message.status);
-		} else if (isAttemptMessage(message)) {
+		if (isAttemptMessage(message)) {
 			this.#receiveForAttempt(agent, message);
+		} else if (message.kind === 'status') {
+			this.#updateStatus(agent, message.status);
+		} else if (message.kind === 'suspicions') {
+			this.#suspicions.receive(agent, message);
 		}
 	}
 
@@ -103,6 +114,11 @@
 			attempt.relink();
 		}
 
+		const greeting = this.#suspicions.createGreeting();
+		if (greeting) {
+			this.#settings.send(agent, greeting);
+		}
+
 		this.#refreshAllSlots();
 	}
 
@@ -135,9 +151,9 @@
 		this.#refreshAllSlots();
 	}
 
-	/** Attempts at an agent that have not settled. */
-	countAttempts(agent: string): number {
-		return this.#attempts.filter(({endpoint}) => endpoint === agent).length;
+	/** What is quarantined at present. */
+	describeQuarantine(): QuarantineStatus[] {
+		return this.#suspicions.describe();
 	}
 
 	#createContext(): RunContext {
@@ -233,7 +249,7 @@
 		const pool = this.#findPool(call.service);
 		const row = this.endpoints.get(attempt.endpoint);
 		if (outcome.kind === 'finished') {
-			this.#guard.recordFinished(call.fingerprint);
+			this.#suspicions.recordFinished(call.fingerprint);
 			if (row && !attempt.wasPaused) {
 				this.#judge(pool, call, attempt, false);
 				recordPace(row, call.cost, attempt.runMs);
