Follow the membership list with a bounded view, and wire configuration, claims and metrics

Cause: each entry linked to every agent ever listed and never let one go; the configuration was pushed whole over each link; keyed non-idempotent calls were not claimed; nothing was measured; a drain closed the listener before any balancer could know.

--- a/packages/entry/__tests__/fixtures.ts
+++ b/packages/entry/__tests__/fixtures.ts
@@ -79,7 +79,7 @@
 
 	const server = new HttpServer(answerError);
 	const configuration = createConfiguration();
-	addCallerRoutes(server, {dispatcher, configuration: () => configuration});
+	addCallerRoutes(server, {submit: (call, listener) => dispatcher.submit(call, listener), configuration: () => configuration});
 	return {
 		origin: `http://${await server.listen('127.0.0.1:0')}`,
 		dispatcher,
--- a/packages/entry/src/caller-routes.ts
+++ b/packages/entry/src/caller-routes.ts
@@ -3,13 +3,14 @@
  */
 import type {HttpServer} from '@wasabiusher/daemon';
 import {createProblem, type Configuration} from '@wasabiusher/shared';
-import type {Dispatcher} from '@wasabiusher/systems';
+import type {Call, CallListener, Run} from '@wasabiusher/systems';
 import {handleCompletion} from './completions.js';
 import {ProblemError} from './errors.js';
 import {handleForward} from './forwarding.js';
 
 export type CallerRoutes = {
-	dispatcher: Dispatcher;
+	/** Takes a call; `idempotencyKey` is its caller's. */
+	submit(call: Call, listener: CallListener, idempotencyKey?: string): Run;
 	configuration(): Configuration;
 };
 
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -4,18 +4,14 @@
 import {randomUUID} from 'node:crypto';
 import {readJson, type Exchange} from '@wasabiusher/daemon';
 import {createProblem, hashText, type Configuration} from '@wasabiusher/shared';
-import type {Dispatcher, Run} from '@wasabiusher/systems';
+import type {Run} from '@wasabiusher/systems';
 import {bindRun} from './answers.js';
 import {readCallHeaders} from './call-headers.js';
+import type {CallerRoutes} from './caller-routes.js';
 import {formatPrefix, orderSchemas, type Shape} from './completions-body.js';
 import {createStreamListener, createWholeListener} from './completions-listener.js';
 import {parseBody, ProblemError} from './errors.js';
 
-export type CompletionRoutes = {
-	dispatcher: Dispatcher;
-	configuration(): Configuration;
-};
-
 /** Finds the pool that serves a model. */
 export function findModelService({services}: Configuration, model: string): string {
 	const found = Object.entries(services).find(([, service]) => service.kind === 'model' && service.models.includes(model));
@@ -27,8 +23,8 @@
 }
 
 /** Handles one exchange of either shape. */
-export async function handleCompletion(shape: Shape, {request, response}: Exchange, {dispatcher, configuration}: CompletionRoutes): Promise<void> {
-	const {profileName, profile, caller, deadlineAt} = readCallHeaders(request, configuration());
+export async function handleCompletion(shape: Shape, {request, response}: Exchange, {submit, configuration}: CallerRoutes): Promise<void> {
+	const {profileName, profile, caller, deadlineAt, idempotencyKey} = readCallHeaders(request, configuration());
 	const {generation, isStream, hasUsage} = parseBody(orderSchemas[shape], await readJson(request));
 	const {model} = generation;
 	const id = randomUUID();
@@ -45,7 +41,7 @@
 			},
 		})
 		: createWholeListener(identity, response);
-	const run = dispatcher.submit({
+	const run = submit({
 		id,
 		service: findModelService(configuration(), model),
 		model,
@@ -57,7 +53,7 @@
 		cost: generation.maxTokens,
 		fingerprint: hashText(JSON.stringify(generation)),
 		prefix: formatPrefix(generation),
-	}, listener);
+	}, listener, idempotencyKey);
 	runs.push(run);
 	bindRun(response, run);
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,26 +4,38 @@
 import {Registry, collectDefaultMetrics} from 'prom-client';
 import {addOperationRoutes, HttpServer, type Daemon} from '@wasabiusher/daemon';
 import type {Message} from '@wasabiusher/link';
-import {HttpMembershipList, HttpTableService} from '@wasabiusher/platform';
-import {ConfigurationHistory} from '@wasabiusher/record';
+import {platformAdapters, type Member, type Platform} from '@wasabiusher/platform';
+import {ClaimLog, ConfigurationHistory} from '@wasabiusher/record';
 import {
-	describeError, emptyConfiguration, hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
+	hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
 } from '@wasabiusher/shared';
-import {Dispatcher, StepRunner} from '@wasabiusher/systems';
+import {
+	ClaimedCalls, ConfigurationAdopter, Dispatcher, Invariants, StepRunner, type ConfigurationMessage, type ConfigurationOutput,
+} from '@wasabiusher/systems';
+import {Announcer} from './announcer.js';
 import {answerError} from './answers.js';
-import {addCallerRoutes, addUnknownRoute} from './caller-routes.js';
+import {addCallerRoutes, addUnknownRoute, type CallerRoutes} from './caller-routes.js';
+import {DrainNotice} from './drain-notice.js';
+import {EntryMetrics} from './metrics.js';
 import {addOperatorRoutes} from './operator-routes.js';
 import {listUnguarded, type EntrySettings} from './settings.js';
 import {describeStatus, type EntryStatus} from './status.js';
 import {addStepRoutes} from './step-routes.js';
 import {View} from './view.js';
 
-/** How often the head of the configuration is read, in milliseconds. */
+/** How often the configuration adopter looks for a change, in milliseconds. */
 const configurationMs = 1000;
 
 /** Key used while none is set; such a process listens on loopback only. */
 const loopbackKey = 'loopback';
 
+/** Kinds of messages that are the configuration adopter's. */
+const configurationKinds: ReadonlySet<Message['kind']> = new Set(['configuration', 'configuration-delta', 'digest']);
+
+function isConfigurationMessage(message: Message): message is ConfigurationMessage {
+	return configurationKinds.has(message.kind);
+}
+
 /** One entry. */
 export class Entry implements Daemon {
 	readonly #settings: EntrySettings;
@@ -31,10 +43,16 @@
 	readonly #callers = new HttpServer(answerError);
 	readonly #operators = new HttpServer(answerError);
 	readonly #registry = new Registry();
+	readonly #notice = new DrainNotice();
+	readonly #platform: Platform;
 	readonly #history: ConfigurationHistory;
-	readonly #view: View;
+	readonly #invariants: Invariants;
+	readonly #metrics: EntryMetrics;
 	readonly #dispatcher: Dispatcher;
-	#accepted: AcceptedConfiguration = emptyConfiguration;
+	readonly #claimed: ClaimedCalls;
+	readonly #view: View;
+	readonly #adopter: ConfigurationAdopter;
+	readonly #announcer: Announcer;
 	#timer: NodeJS.Timeout | undefined;
 	#addresses = {callers: '', operators: ''};
 	#isLeaving = false;
@@ -42,23 +60,16 @@
 	constructor(settings: EntrySettings, log: Log) {
 		this.#settings = settings;
 		this.#log = log;
-		const random = new Random(hashToNumber(settings.name));
-		const [key = loopbackKey, ...otherKeys] = settings.linkKeys;
-		this.#history = new ConfigurationHistory(new HttpTableService(settings.platform));
-		this.#view = new View({
-			identity: {name: settings.name, keys: [key, ...otherKeys]},
-			membership: new HttpMembershipList(settings.platform),
-			random,
-			log,
-			dispatcher: () => this.#dispatcher,
-			onMessage: (agent, message) => {
-				this.#receive(agent, message);
-			},
-			onUp: agent => {
-				this.#view.send(agent, {kind: 'configuration', accepted: this.#accepted});
-			},
-		});
-		this.#dispatcher = new Dispatcher({random, send: (agent, message) => this.#view.send(agent, message)});
+		this.#platform = platformAdapters.http(settings.platform);
+		this.#history = new ConfigurationHistory(this.#platform.tables);
+		this.#invariants = new Invariants(log, this.#registry);
+		this.#metrics = new EntryMetrics(this.#registry, () => this.#readState());
+		this.#dispatcher = this.#createDispatcher();
+		this.#claimed = this.#createClaimed();
+		this.#view = this.#createView();
+		this.#adopter = this.#createAdopter();
+		this.#announcer = new Announcer(this.#platform.members, log, () => this.#createMember());
+		collectDefaultMetrics({register: this.#registry});
 		this.#addRoutes();
 	}
 
@@ -68,78 +79,198 @@
 	}
 
 	async start(): Promise<void> {
-		await this.#readHead();
+		await this.#adopt();
 		await this.#view.start();
 		this.#timer = setInterval(() => {
-			void this.#readHead();
+			void this.#adopt();
 		}, configurationMs);
 		this.#addresses = {
 			callers: await this.#callers.listen(this.#settings.listen),
 			operators: await this.#operators.listen(this.#settings.operatorListen),
 		};
+		await this.#announcer.start();
 		this.#log.info('entry_started', {...this.#addresses});
 		for (const secret of listUnguarded(this.#settings)) {
 			this.#log.warn('loopback_only', {unset: secret});
 		}
 	}
 
+	/** Takes no new work; resolves when all that was taken has ended. */
 	async drain(): Promise<void> {
 		this.#isLeaving = true;
+		void this.#announcer.announce();
+		await this.#notice.give();
+		await this.#closeCallers();
+		await this.#claimed.drain();
+		this.#invariants.checkNothingCutOff(this.#claimed.openCalls);
 		clearInterval(this.#timer);
-		await Promise.all([this.#callers.close(), this.#operators.close()]);
+		this.#announcer.stop();
+		await this.#operators.close();
 		this.#view.stop();
 	}
 
+	get #isReady(): boolean {
+		return !this.#isLeaving && this.#adopter.isReady && this.#adopter.accepted.version > 0;
+	}
+
+	#createDispatcher(): Dispatcher {
+		const {name, dataCentre} = this.#settings;
+		return new Dispatcher({
+			random: new Random(hashToNumber(name)),
+			dataCentre,
+			invariants: this.#invariants,
+			send: (agent, message) => this.#view.send(agent, message),
+			broadcast: (message, except) => {
+				this.#view.broadcast(message, except);
+			},
+			onEnded: record => {
+				this.#metrics.recordCall(record);
+			},
+		});
+	}
+
+	#createClaimed(): ClaimedCalls {
+		const {name} = this.#settings;
+		const {tables, objects} = this.#platform;
+		return new ClaimedCalls({
+			dispatcher: this.#dispatcher,
+			claims: new ClaimLog({tables, objects, name}),
+			invariants: this.#invariants,
+			random: new Random(hashToNumber(`${name}/claims`)),
+			log: this.#log,
+		});
+	}
+
+	#createView(): View {
+		const {name, dataCentre, linkKeys: [key = loopbackKey, ...otherKeys]} = this.#settings;
+		return new View({
+			identity: {name, keys: [key, ...otherKeys]},
+			dataCentre,
+			membership: this.#platform.members,
+			random: new Random(hashToNumber(`${name}/links`)),
+			log: this.#log,
+			dispatcher: () => this.#dispatcher,
+			onMessage: (agent, message) => {
+				this.#receive(agent, message);
+			},
+			onUp: agent => {
+				this.#send(this.#adopter.onLinkUp(agent));
+			},
+			onDown: agent => {
+				this.#adopter.onLinkDown(agent);
+				this.#metrics.recordLinkLoss();
+			},
+		});
+	}
+
+	#createAdopter(): ConfigurationAdopter {
+		const {name, dataCentre} = this.#settings;
+		return new ConfigurationAdopter({
+			name,
+			dataCentre,
+			log: this.#log,
+			random: new Random(hashToNumber(`${name}/configuration`)),
+			invariants: this.#invariants,
+			reader: {history: this.#history, listEntries: () => [...this.#view.entries]},
+			onAdopted: () => undefined,
+		});
+	}
+
+	#createStepRunner(): StepRunner {
+		return new StepRunner(this.#dispatcher);
+	}
+
 	#addRoutes(): void {
-		const configuration = (): Configuration => this.#accepted.configuration;
-		const dispatcher = this.#dispatcher;
-		addOperationRoutes(this.#callers, this.#registry, () => !this.#isLeaving && this.#accepted.version > 0);
-		collectDefaultMetrics({register: this.#registry});
-		addStepRoutes(this.#callers, {runner: new StepRunner(dispatcher), tokens: this.#settings.trainerTokens, configuration});
-		addCallerRoutes(this.#callers, {dispatcher, configuration});
+		const configuration = (): Configuration => this.#adopter.accepted.configuration;
+		addOperationRoutes(this.#callers, this.#registry, () => {
+			this.#notice.recordCheck();
+			return this.#isReady;
+		});
+		addOperationRoutes(this.#operators, this.#registry, () => this.#isReady);
+		addStepRoutes(this.#callers, {runner: this.#createStepRunner(), tokens: this.#settings.trainerTokens, configuration});
+		addCallerRoutes(this.#callers, {submit: this.#createSubmit(), configuration});
 		addOperatorRoutes(this.#operators, {
 			history: this.#history,
 			tokens: this.#settings.operatorTokens,
-			current: () => this.#accepted,
+			current: () => this.#adopter.accepted,
 			adopt: accepted => {
-				this.#adopt(accepted);
+				this.#send(this.#adopter.offer(accepted));
 			},
 			status: () => this.#describe(),
 		});
 		addUnknownRoute(this.#operators);
 	}
 
-	#describe(): EntryStatus {
-		const {name, dataCentre} = this.#settings;
-		return describeStatus({
-			name, dataCentre, isLeaving: this.#isLeaving, openCalls: this.#dispatcher.openCalls, accepted: this.#accepted, endpoints: this.#dispatcher.endpoints, quarantine: [], rollouts: [],
-		});
+	/** A call with a key that must run at most once is claimed first; all others go straight on. */
+	#createSubmit(): CallerRoutes['submit'] {
+		return (call, listener, key) => key === undefined || call.profile.idempotent
+			? this.#dispatcher.submit(call, listener)
+			: this.#claimed.submit(call, key, listener);
 	}
 
 	#receive(agent: string, message: Message): void {
-		if (message.kind === 'configuration') {
-			this.#adopt(message.accepted, agent);
+		if (isConfigurationMessage(message)) {
+			this.#send(this.#adopter.receive(agent, message));
 		} else {
 			this.#dispatcher.receive(agent, message);
 		}
 	}
 
-	async #readHead(): Promise<void> {
-		try {
-			this.#adopt(await this.#history.readHead());
-		} catch (error) {
-			this.#log.warn('configuration_unreadable', {reason: describeError(error)});
+	#send(outputs: readonly ConfigurationOutput[]): void {
+		for (const {to, message} of outputs) {
+			this.#view.send(to, message);
 		}
 	}
 
-	/** A version never goes back. */
-	#adopt(accepted: AcceptedConfiguration, from?: string): void {
-		if (accepted.version <= this.#accepted.version) {
-			return;
-		}
+	async #adopt(): Promise<void> {
+		this.#send(await this.#adopter.tick());
+	}
+
+	/** Ends when the last caller has its answer, or at the limit that the settings give. */
+	async #closeCallers(): Promise<void> {
+		const {drainLimitMs} = this.#settings;
+		const timer = drainLimitMs === undefined
+			? undefined
+			: setTimeout(() => {
+				this.#log.warn('drain_limit_reached', {open: this.#dispatcher.openCalls});
+				void this.#callers.kill();
+			}, drainLimitMs);
+		await this.#callers.close();
+		clearTimeout(timer);
+	}
+
+	#createMember(): Member {
+		const {name, dataCentre, region} = this.#settings;
+		return {
+			id: name, role: 'entry', address: this.#addresses.callers, dataCentre, region, state: this.#isLeaving ? 'leaving' : 'live',
+		};
+	}
 
-		this.#accepted = accepted;
-		this.#view.broadcast({kind: 'configuration', accepted}, from);
-		this.#log.info('configuration_adopted', {version: accepted.version, author: accepted.author});
+	#readState() {
+		const {up, all} = this.#view.counts;
+		return {
+			openCalls: this.#dispatcher.openCalls + this.#claimed.openCalls,
+			draining: this.#dispatcher.drainingAttempts,
+			linksUp: up,
+			links: all,
+			configurationVersion: this.#adopter.accepted.version,
+			isReady: this.#isReady,
+		};
+	}
+
+	#describe(): EntryStatus {
+		const {name, dataCentre} = this.#settings;
+		const {accepted} = this.#adopter;
+		return describeStatus({
+			name,
+			dataCentre,
+			isLeaving: this.#isLeaving,
+			openCalls: this.#dispatcher.openCalls,
+			accepted,
+			isStoreReachable: this.#adopter.describe().isStoreReachable,
+			endpoints: this.#dispatcher.endpoints,
+			quarantine: this.#dispatcher.describeQuarantine(),
+			rollouts: [],
+		});
 	}
 }
--- a/packages/entry/src/forwarding.ts
+++ b/packages/entry/src/forwarding.ts
@@ -6,28 +6,24 @@
 import {readBytes, type Exchange} from '@wasabiusher/daemon';
 import {listEndToEndHeaders} from '@wasabiusher/platform';
 import {createProblem, hashText, type Configuration} from '@wasabiusher/shared';
-import type {CallListener, Dispatcher, Run} from '@wasabiusher/systems';
+import type {CallListener, Run} from '@wasabiusher/systems';
 import {bindRun, sendProblem} from './answers.js';
 import {readCallHeaders} from './call-headers.js';
+import type {CallerRoutes} from './caller-routes.js';
 import {ProblemError} from './errors.js';
 
-export type ForwardingRoutes = {
-	dispatcher: Dispatcher;
-	configuration(): Configuration;
-};
-
 /** Work of a plain call, for shares: all count alike. */
 const plainCost = 1;
 
 /** Handles one exchange whose path begins with the name of a plain service. */
-export async function handleForward({request, response, parameters}: Exchange, {dispatcher, configuration}: ForwardingRoutes): Promise<void> {
+export async function handleForward({request, response, parameters}: Exchange, {submit, configuration}: CallerRoutes): Promise<void> {
 	const service = parameters.service!;
 	const {services} = configuration();
 	if (!Object.hasOwn(services, service) || services[service]!.kind !== 'plain') {
 		throw new ProblemError(createProblem('not-found', `there is no service "${service.slice(0, 64)}"`, 'no'));
 	}
 
-	const {profileName, profile, caller, deadlineAt} = readCallHeaders(request, configuration());
+	const {profileName, profile, caller, deadlineAt, idempotencyKey} = readCallHeaders(request, configuration());
 	const body = await readBytes(request);
 	const path = cutService(request.url!, service);
 	const method = request.method!;
@@ -35,7 +31,7 @@
 	const listener = createForwardListener(response, () => {
 		runs[0]?.pause?.();
 	});
-	const run = dispatcher.submit({
+	const run = submit({
 		id: randomUUID(),
 		service,
 		work: {
@@ -47,7 +43,7 @@
 		deadlineAt,
 		cost: plainCost,
 		fingerprint: hashText(`${method} ${path} ${new TextDecoder().decode(body)}`),
-	}, listener);
+	}, listener, idempotencyKey);
 	runs.push(run);
 	bindRun(response, run);
 }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -16,6 +16,7 @@
 	linkKeys: listSchema.default([]).describe('keys of the links, comma-separated; the first proves, all verify'),
 	operatorTokens: listSchema.default([]).describe('tokens of operators, comma-separated'),
 	trainerTokens: listSchema.default([]).describe('tokens of trainers, comma-separated'),
+	drainLimitMs: z.coerce.number().int().min(0).optional().describe('longest drain in milliseconds, after which callers are cut off; no limit by default'),
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info').describe('least severe event logged'),
 });
 
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -29,7 +29,10 @@
 
 export type EntryStatus = {
 	/** The newest configuration known, without its content. */
-	configuration: Pick<AcceptedConfiguration, 'version' | 'acceptedAt' | 'author'>;
+	configuration: Pick<AcceptedConfiguration, 'version' | 'acceptedAt' | 'author'> & {
+		/** Undefined if this entry is not among the readers; without the store no change is accepted. */
+		isStoreReachable?: boolean;
+	};
 	/** The one that answers; the command line asks several and joins them. */
 	entries: Array<ProcessStatus & {openCalls: number}>;
 	agents: AgentStatus[];
@@ -49,6 +52,7 @@
 	isLeaving: boolean;
 	openCalls: number;
 	accepted: AcceptedConfiguration;
+	isStoreReachable?: boolean;
 	endpoints: Iterable<DescribedRow>;
 	quarantine: EntryStatus['quarantine'];
 	rollouts: unknown[];
@@ -76,13 +80,15 @@
 
 /** Builds the status; rows and names in order of name, so that two answers can be compared. */
 export function describeStatus(parts: StatusParts): EntryStatus {
-	const {name, dataCentre, isLeaving, openCalls, accepted, quarantine, rollouts} = parts;
+	const {name, dataCentre, isLeaving, openCalls, accepted, isStoreReachable, quarantine, rollouts} = parts;
 	const {version, acceptedAt, author} = accepted;
 	const agents = [...parts.endpoints]
 		.map(row => describeAgent(row, version))
 		.toSorted((a, b) => a.name.localeCompare(b.name));
 	return {
-		configuration: {version, acceptedAt, author},
+		configuration: {
+			version, acceptedAt, author, isStoreReachable,
+		},
 		entries: [{
 			name, dataCentre, configurationVersion: version, isLagging: false, isLeaving, openCalls,
 		}],
--- /dev/null
+++ b/packages/entry/src/view-subset.ts
@@ -0,0 +1,81 @@
+/**
+ * Which agents an entry links to, by the membership list: a subset of each service in its
+ * own data centre, and a few elsewhere to spill to.
+ */
+import {defaultDegree, findSubset} from '@wasabiusher/decisions';
+import type {Member} from '@wasabiusher/platform';
+
+/**
+ * Agents of a service linked to in each other data centre. Enough to carry on when the own
+ * data centre's are lost, at an eighth of the links.
+ */
+const farDegree = 8;
+
+/** Who looks at the list. */
+export type Viewer = {name: string; dataCentre: string};
+
+type Group = {dataCentre: string; agents: string[]};
+
+/** Chooses agents; remembers its choices, since a list that has not changed is read each second. */
+export class ViewSubset {
+	readonly #viewer: Viewer;
+	readonly #choices = new Map<string, {signature: string; chosen: string[]}>();
+
+	constructor(viewer: Viewer) {
+		this.#viewer = viewer;
+	}
+
+	/** Names of the agents to be linked to. */
+	choose(members: readonly Member[]): Set<string> {
+		const entries = this.#listEntries(members);
+		const groups = groupAgents(members);
+		for (const key of this.#choices.keys()) {
+			if (!groups.has(key)) {
+				this.#choices.delete(key);
+			}
+		}
+
+		return new Set([...groups].flatMap(([key, group]) => this.#chooseOf(key, group, entries)));
+	}
+
+	/** Entries of the own data centre that share its agents with this one. */
+	#listEntries(members: readonly Member[]): string[] {
+		const {name, dataCentre} = this.#viewer;
+		const others = members
+			.filter(member => member.role === 'entry' && member.state === 'live' && member.dataCentre === dataCentre)
+			.map(({id}) => id);
+		return [...new Set([...others, name])].toSorted((a, b) => a.localeCompare(b));
+	}
+
+	#chooseOf(key: string, {dataCentre, agents}: Group, entries: string[]): string[] {
+		const signature = JSON.stringify([entries, agents]);
+		const known = this.#choices.get(key);
+		if (known?.signature === signature) {
+			return known.chosen;
+		}
+
+		const degree = dataCentre === this.#viewer.dataCentre ? defaultDegree : farDegree;
+		const chosen = findSubset(this.#viewer.name, entries, agents, {degree});
+		this.#choices.set(key, {signature, chosen});
+		return chosen;
+	}
+}
+
+/** Live agents by data centre and service. */
+function groupAgents(members: readonly Member[]): Map<string, Group> {
+	const groups = new Map<string, Group>();
+	for (const {id, role, state, dataCentre, service = ''} of members) {
+		if (role === 'agent' && state === 'live') {
+			const key = `${dataCentre}/${service}`;
+			const group = groups.get(key) ?? {dataCentre, agents: []};
+			group.agents.push(id);
+			groups.set(key, group);
+		}
+	}
+
+	for (const {agents} of groups.values()) {
+		agents.sort((a, b) => a.localeCompare(b));
+	}
+
+	return groups;
+}
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -1,94 +1,233 @@
 /**
  * The endpoints that an entry has in view: links to their agents, kept as the membership list changes.
+ *
+ * The list lags and may be unavailable, so it adds and retires, but does not cut: a link
+ * is closed only when nothing of this entry is open behind it.
  */
-import {LinkClient, type Identity, type Message} from '@wasabiusher/link';
-import type {MembershipList} from '@wasabiusher/platform';
+import {
+	LinkClient, LinkError, type Identity, type LinkClientOptions, type Message,
+} from '@wasabiusher/link';
+import type {Member, MembershipList} from '@wasabiusher/platform';
 import {describeError, type Log, type Random} from '@wasabiusher/shared';
 import type {Dispatcher} from '@wasabiusher/systems';
+import {ViewSubset} from './view-subset.js';
 
 /** How often the membership list is read, in milliseconds. */
 const membershipMs = 1000;
 
+/**
+ * How long an agent may be missing from the list and still get work, in milliseconds. The
+ * list may lose a live host for a while; the agent itself says when it leaves.
+ */
+const missingMs = 10_000;
+
+/** Longest wait for the first links, in milliseconds; without it the first calls are refused for want of endpoints. */
+const firstLinksMs = 1000;
+
+/** How often they are looked at, in milliseconds. */
+const lookMs = 10;
+
 export type ViewSettings = {
 	identity: Identity;
+	dataCentre: string;
 	membership: MembershipList;
 	random: Random;
 	log: Log;
 	dispatcher(): Dispatcher;
 	onMessage(agent: string, message: Message): void;
 	onUp(agent: string): void;
+	onDown(agent: string): void;
+	/** Opens a link; `LinkClient` by default. */
+	connect?(options: LinkClientOptions): AgentLink;
+};
+
+/** What the view asks of a link. */
+export type AgentLink = Pick<LinkClient, 'send' | 'close' | 'isUp'>;
+
+type ViewedAgent = {
+	address: string;
+	client: AgentLink;
+	/** Since when it is not wanted, on the monotonic clock in milliseconds; undefined while it is. */
+	unwantedSince?: number;
 };
 
+function openLink(options: LinkClientOptions): AgentLink {
+	return new LinkClient(options);
+}
+
 /** Links to agents by name. */
 export class View {
 	readonly #settings: ViewSettings;
-	readonly #clients = new Map<string, LinkClient>();
+	readonly #subset: ViewSubset;
+	readonly #agents = new Map<string, ViewedAgent>();
+	#entries: string[] = [];
+	#isRefreshing = false;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(settings: ViewSettings) {
 		this.#settings = settings;
+		this.#subset = new ViewSubset({name: settings.identity.name, dataCentre: settings.dataCentre});
+	}
+
+	/** Names of the live entries of this data centre, as last listed. */
+	get entries(): readonly string[] {
+		return this.#entries;
 	}
 
-	get agents(): IterableIterator<string> {
-		return this.#clients.keys();
+	/** Links that are up, and those that are wanted or still in use. */
+	get counts(): {up: number; all: number} {
+		const agents = [...this.#agents.values()];
+		return {up: agents.filter(({client}) => client.isUp).length, all: agents.length};
 	}
 
+	/** Resolves when the agents listed are linked to, or not in time. */
 	async start(): Promise<void> {
-		await this.#refresh();
+		await this.refresh();
+		await this.#waitForLinks();
 		this.#timer = setInterval(() => {
-			void this.#refresh();
+			void this.refresh();
 		}, membershipMs);
 	}
 
 	stop(): void {
 		clearInterval(this.#timer);
-		for (const client of this.#clients.values()) {
+		for (const {client} of this.#agents.values()) {
 			client.close();
 		}
 	}
 
+	/** False if there is no link at present, or the message can't be sent on it. */
 	send(agent: string, message: Message): boolean {
-		return this.#clients.get(agent)?.send(message) ?? false;
+		try {
+			return this.#agents.get(agent)?.client.send(message) ?? false;
+		} catch (error) {
+			if (!(error instanceof LinkError)) {
+				throw error;
+			}
+
+			this.#settings.log.warn('message_not_sent', {agent, kind: message.kind, reason: error.message});
+			return false;
+		}
 	}
 
 	broadcast(message: Message, except?: string): void {
-		for (const [agent, client] of this.#clients) {
+		for (const agent of this.#agents.keys()) {
 			if (agent !== except) {
-				client.send(message);
+				this.send(agent, message);
 			}
 		}
 	}
 
-	async #refresh(): Promise<void> {
+	/** Reads the list and follows it; an unavailable list changes nothing. */
+	async refresh(): Promise<void> {
+		if (this.#isRefreshing) {
+			return;
+		}
+
+		this.#isRefreshing = true;
 		const {membership, log} = this.#settings;
 		try {
-			for (const {id, role, address, dataCentre} of await membership.list()) {
-				if (role === 'agent' && !this.#clients.has(id)) {
-					this.#connect(id, address, dataCentre);
-				}
-			}
+			this.#follow(await membership.list());
 		} catch (error) {
 			log.warn('membership_unavailable', {reason: describeError(error)});
+		} finally {
+			this.#isRefreshing = false;
+		}
+	}
+
+	async #waitForLinks(): Promise<void> {
+		const until = performance.now() + firstLinksMs;
+		while (this.counts.up < this.counts.all && performance.now() < until) {
+			// Each look waits for the one before.
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise<void>(resolve => {
+				setTimeout(resolve, lookMs);
+			});
+		}
+	}
+
+	#follow(members: readonly Member[]): void {
+		const agents = new Map(members.filter(({role}) => role === 'agent').map(member => [member.id, member]));
+		// All gone at once is a fault of the list, not of the hosts.
+		if (agents.size === 0 && this.#agents.size > 0) {
+			return;
+		}
+
+		const {dataCentre} = this.#settings;
+		this.#entries = members.filter(member => member.role === 'entry' && member.state === 'live' && member.dataCentre === dataCentre).map(({id}) => id);
+		const wanted = this.#subset.choose(members);
+		for (const id of wanted) {
+			this.#want(agents.get(id)!);
+		}
+
+		for (const [id, agent] of this.#agents) {
+			if (!wanted.has(id)) {
+				this.#unwant(id, agent, agents.get(id));
+			}
 		}
 	}
 
-	#connect(agent: string, address: string, dataCentre: string): void {
-		const {identity, random, log, dispatcher, onMessage, onUp} = this.#settings;
-		this.#clients.set(agent, new LinkClient({
+	#want({id, address, dataCentre}: Member): void {
+		const agent = this.#agents.get(id);
+		if (!agent) {
+			this.#agents.set(id, {address, client: this.#connect(id, address, dataCentre)});
+			return;
+		}
+
+		if (agent.address !== address) {
+			// Replaced under the same name: what was open is asked for there, and answered as not known.
+			agent.client.close();
+			agent.address = address;
+			agent.client = this.#connect(id, address, dataCentre);
+		}
+
+		agent.unwantedSince = undefined;
+		this.#settings.dispatcher().restore(id);
+	}
+
+	#unwant(id: string, agent: ViewedAgent, member: Member | undefined): void {
+		const dispatcher = this.#settings.dispatcher();
+		const now = performance.now();
+		agent.unwantedSince ??= now;
+		const isMissing = member === undefined;
+		if (isMissing && now - agent.unwantedSince < missingMs) {
+			return;
+		}
+
+		dispatcher.retire(id);
+		if (dispatcher.isIdle(id) || (isMissing && !agent.client.isUp)) {
+			agent.client.close();
+			this.#agents.delete(id);
+			dispatcher.remove(id);
+		}
+	}
+
+	#connect(agent: string, address: string, dataCentre: string): AgentLink {
+		const {identity, random, log, dispatcher, onMessage, onUp, onDown, connect = openLink} = this.#settings;
+		// What an earlier link of the same agent still says is not heard.
+		const client: AgentLink = connect({
 			address,
 			identity,
 			random,
-			onUp() {
-				dispatcher().attach(agent, dataCentre);
-				onUp(agent);
+			onUp: () => {
+				if (this.#agents.get(agent)?.client === client) {
+					dispatcher().attach(agent, dataCentre);
+					onUp(agent);
+				}
 			},
-			onDown(error) {
-				dispatcher().detach(agent);
-				log.warn('link_down', {agent, reason: error?.message});
+			onDown: error => {
+				if (this.#agents.get(agent)?.client === client) {
+					dispatcher().detach(agent);
+					onDown(agent);
+					log.warn('link_down', {agent, reason: error?.message});
+				}
 			},
-			onMessage(message) {
-				onMessage(agent, message);
+			onMessage: message => {
+				if (this.#agents.get(agent)?.client === client) {
+					onMessage(agent, message);
+				}
 			},
-		}));
+		});
+		return client;
 	}
 }
--- a/packages/proof/src/wire.ts
+++ b/packages/proof/src/wire.ts
@@ -2,7 +2,7 @@
  * The network between entries and agents: messages in order, with a delay, over links that can be cut or go silent.
  */
 import {
-	decodeMessage, encodeMessage, heartbeatMs, missedHeartbeats, type Message,
+	decodeMessage, defaultLinkLimits, encodeMessage, type Message,
 } from '@wasabiusher/link';
 
 /** One-way delay, in milliseconds. */
@@ -12,7 +12,7 @@
 const redialMs = 200;
 
 /** Time until both ends take a silent link for lost, in milliseconds. */
-const silenceMs = heartbeatMs * (missedHeartbeats + 1);
+const silenceMs = defaultLinkLimits.heartbeatMs * (defaultLinkLimits.missedHeartbeats + 1);
 
 /** An end of links. */
 export type Peer = {
--- a/packages/systems/src/dispatcher-endpoints.ts
+++ b/packages/systems/src/dispatcher-endpoints.ts
@@ -12,6 +12,10 @@
 	id: string;
 	dataCentre: string;
 	isUp: boolean;
+	/** Gets no new work of this entry: the list says that it leaves, or it is no longer in view. */
+	isRetiring: boolean;
+	/** Since when it is known to leave, on the monotonic clock in milliseconds. */
+	leavingSince?: number;
 	status?: EndpointStatus;
 	/** Attempts that this entry has open there. */
 	open: number;
@@ -34,7 +38,7 @@
 	/** Notes a link that has come up, to an endpoint known before or not. */
 	attach(id: string, dataCentre: string): EndpointRow {
 		const row = this.get(id) ?? this.put({
-			id, dataCentre, isUp: true, open: 0, draining: 0, load: new LaggingLoad(),
+			id, dataCentre, isUp: true, isRetiring: false, open: 0, draining: 0, load: new LaggingLoad(),
 		});
 		row.dataCentre = dataCentre;
 		row.isUp = true;
@@ -45,6 +49,7 @@
 		const row = this.get(id);
 		if (row) {
 			row.status = status;
+			row.leavingSince = status.isLeaving ? row.leavingSince ?? now : undefined;
 			row.load.receive({load: status.running + status.waiting, measuredAt: now - reportLagMs});
 		}
 
@@ -52,16 +57,23 @@
 	}
 
 	/** It has refused work as leaving; its next status says the same, but later. */
-	markLeaving(id: string): void {
+	markLeaving(id: string, now: number): void {
 		const row = this.get(id);
 		if (row?.status) {
 			row.status = {...row.status, isLeaving: true};
+			row.leavingSince ??= now;
 		}
 	}
 
+	/** For how long it has been known to leave, in milliseconds; undefined if it stays. */
+	findLeavingMs(id: string, now: number): number | undefined {
+		const since = this.get(id)?.leavingSince;
+		return since === undefined ? undefined : now - since;
+	}
+
 	/** Those that take new work of a service. */
 	listServing(service: string): EndpointRow[] {
-		return this.filter(({isUp, status}) => isUp && status?.service === service && status.isHealthy && !status.isLeaving);
+		return this.filter(({isUp, isRetiring, status}) => isUp && !isRetiring && status?.service === service && status.isHealthy && !status.isLeaving);
 	}
 
 	/** Those that can take a call. */
--- a/packages/systems/src/dispatcher-run.ts
+++ b/packages/systems/src/dispatcher-run.ts
@@ -47,6 +47,10 @@
 	tryHedge(call: Call, startedAt: number): boolean;
 	/** The first event came so long after the first attempt was sent. */
 	onFirstEvent(call: Call, waitMs: number): void;
+	/** Before an attempt: whether it keeps the promise of at most one run. */
+	checkAtMostOnce(call: Call, mayHaveRun: boolean): boolean;
+	/** Before the caller is told: what may be said, given whether any attempt may have run. */
+	checkRan(call: Call, ran: Ran, mayHaveRun: boolean): Ran;
 	onEnded(run: CallRun, record: CallRecord): void;
 };
 
@@ -75,6 +79,8 @@
 	#attempts = 0;
 	#refusals = 0;
 	#crashes = 0;
+	/** Attempts that are not proven not to have run, counted apart from what `#ran` says. */
+	#doubtful = 0;
 	/** When the last attempt that followed another was sent. */
 	#roundAt = 0;
 	/** Of the attempts that are over. */
@@ -118,7 +124,7 @@
 			this.#expire();
 		}
 
-		while (!this.#isEnded) {
+		while (!this.#isEnded && this.#context.checkAtMostOnce(this.call, this.#doubtful > 0)) {
 			const route = this.#choose();
 			if (route.kind !== 'endpoint') {
 				this.#failWithout(route);
@@ -198,6 +204,7 @@
 
 	#startAttempt(endpoint: string, isSuspect: boolean): void {
 		this.#attempts += 1;
+		this.#doubtful += 1;
 		this.#tried.add(endpoint);
 		const attempt = this.#context.createAttempt(this.call, this.#attempts, endpoint, this.#owner);
 		this.#open.add(attempt);
@@ -283,6 +290,7 @@
 			// What was heard of the attempt proves that it ran, whatever its agent says at its end.
 			const heard = this.#winner === attempt ? 'yes' : 'no';
 			this.#ran = mergeRan(mergeRan(this.#ran, outcome.ran), heard);
+			this.#doubtful -= Number(outcome.ran === 'no');
 			this.#failure = outcome;
 			this.#refusals += Number(outcome.refusal !== undefined);
 			this.#crashes += Number(outcome.hasCrashed);
@@ -347,8 +355,10 @@
 			return;
 		}
 
-		this.#end(problem.ran === 'no' ? 'refused' : 'failed', problem);
-		this.#listener.onFailed(problem);
+		const ran = this.#context.checkRan(this.call, problem.ran, this.#doubtful > 0);
+		const told = ran === problem.ran ? problem : {...problem, ran};
+		this.#end(ran === 'no' ? 'refused' : 'failed', told);
+		this.#listener.onFailed(told);
 	}
 
 	/** The one end of the run; all that is still open is stopped. */
--- a/packages/systems/src/dispatcher.ts
+++ b/packages/systems/src/dispatcher.ts
@@ -16,6 +16,7 @@
 import {Pool} from './dispatcher-pool.js';
 import {probeIfDue} from './dispatcher-probes.js';
 import {Router} from './dispatcher-routing.js';
+import type {Invariants} from './invariants.js';
 import {CallRun, type AttemptOwner, type RunContext} from './dispatcher-run.js';
 import {SuspicionExchange, type QuarantineStatus} from './suspicion-exchange.js';
 
@@ -26,6 +27,8 @@
 	random: Random;
 	/** Data centre of this entry; endpoints elsewhere cost more. */
 	dataCentre?: string;
+	/** Checks what must always hold, where it could be broken here. */
+	invariants?: Invariants;
 	/** Sends to an agent by name; false if it has no link at present. */
 	send(agent: string, message: Message): boolean;
 	/** Sends to all agents that have a link, but one. */
@@ -151,13 +154,37 @@
 		this.#refreshAllSlots();
 	}
 
+	/** Sends no new work to an agent; what it has goes on. */
+	retire(agent: string): void {
+		this.#setRetiring(agent, true);
+	}
+
+	/** Takes an agent back into use. */
+	restore(agent: string): void {
+		this.#setRetiring(agent, false);
+	}
+
+	/** Whether no attempt of this entry is at an agent any more. */
+	isIdle(agent: string): boolean {
+		const row = this.endpoints.get(agent);
+		return !row || row.open + row.draining === 0;
+	}
+
 	/** What is quarantined at present. */
 	describeQuarantine(): QuarantineStatus[] {
 		return this.#suspicions.describe();
 	}
 
+	#setRetiring(agent: string, isRetiring: boolean): void {
+		const row = this.endpoints.get(agent);
+		if (row && row.isRetiring !== isRetiring) {
+			row.isRetiring = isRetiring;
+			this.#refreshAllSlots();
+		}
+	}
+
 	#createContext(): RunContext {
-		const {random, onEnded} = this.#settings;
+		const {random, invariants, onEnded} = this.#settings;
 		return {
 			onStarted: call => {
 				const pool = this.#findPool(call.service);
@@ -169,6 +196,7 @@
 			createAttempt: (call, number, endpoint, owner) => this.#createAttempt(call, number, endpoint, owner),
 			startAttempt: (call, attempt, isSuspect) => {
 				this.#router.recordSent(call, attempt.endpoint);
+				invariants?.checkTakesWork(attempt.endpoint, this.endpoints.findLeavingMs(attempt.endpoint, performance.now()));
 				attempt.start(createOpen(call, attempt.number, isSuspect));
 			},
 			decideRetry: (call, facts) => {
@@ -190,6 +218,8 @@
 			onFirstEvent: ({service}, waitMs) => {
 				this.#findPool(service).hedging.recordTime(waitMs);
 			},
+			checkAtMostOnce: ({id, profile}, mayHaveRun) => invariants?.checkAtMostOnce(id, {isIdempotent: profile.idempotent, mayHaveRun}) ?? true,
+			checkRan: ({id}, ran, mayHaveRun) => invariants?.checkRan(id, ran, mayHaveRun) ?? ran,
 			onEnded: (run, record) => {
 				this.#runs.remove(run.id);
 				this.#findPool(run.call.service).admission.release(run.id);
@@ -233,7 +263,7 @@
 	#learn(call: Call, attempt: Attempt, outcome: AttemptOutcome, wasStopping: boolean): void {
 		const isLeaving = outcome.kind === 'failed' && outcome.refusal === 'leaving';
 		if (isLeaving) {
-			this.endpoints.markLeaving(attempt.endpoint);
+			this.endpoints.markLeaving(attempt.endpoint, performance.now());
 		}
 
 		if (isLeaving || wasStopping) {
