--- a/packages/systems/__tests__/dispatcher-decisions.spec.ts
+++ b/packages/systems/__tests__/dispatcher-decisions.spec.ts
@@ -105,6 +105,24 @@
 		expect(new Set(listOpens(fixture).map(({agent}) => agent)).size).to.equal(1);
 	});
 
+	it('spreads a first burst over other data centres before anything was measured', async () => {
+		const fixture = createFixture(['near'], 'muroran');
+		for (const agent of ['far1', 'far2']) {
+			fixture.dispatcher.attach(agent, 'ishikari');
+			fixture.dispatcher.receive(agent, {kind: 'status', status: createStatus()});
+		}
+
+		for (let i = 0; i < 12; i += 1) {
+			submit(fixture, createCall(`c${i}`));
+		}
+
+		await clock.tickAsync(0);
+		const agents = listOpens(fixture).map(({agent}) => agent);
+		expect(agents[0]).to.equal('near');
+		expect(agents.filter(agent => agent === 'near').length).to.be.within(4, 8);
+		expect(new Set(agents).size).to.equal(3);
+	});
+
 	it('takes a failing endpoint out, and brings it back after good probes', async () => {
 		const fixture = createFixture(['a1', 'a2', 'a3']);
 		await serve(fixture, 6, 100);
--- a/packages/systems/__tests__/dispatcher-fixtures.ts
+++ b/packages/systems/__tests__/dispatcher-fixtures.ts
@@ -39,13 +39,14 @@
 	};
 }
 
-export function createFixture(agents: string[]): Fixture {
+export function createFixture(agents: string[], dataCentre = 'tomakomai'): Fixture {
 	const sent: Sent[] = [];
 	const records: CallRecord[] = [];
 	const told: Fixture['told'] = [];
 	const down = new Set<string>();
 	const dispatcher = new Dispatcher({
 		random: new Random(1),
+		dataCentre,
 		send(agent, message) {
 			if (down.has(agent)) {
 				return false;
@@ -62,7 +63,7 @@
 		},
 	});
 	for (const agent of agents) {
-		dispatcher.attach(agent, 'tomakomai');
+		dispatcher.attach(agent, dataCentre);
 		dispatcher.receive(agent, {kind: 'status', status: createStatus()});
 	}
 
--- a/packages/systems/src/dispatcher-routing.ts
+++ b/packages/systems/src/dispatcher-routing.ts
@@ -5,6 +5,7 @@
 import {
 	chooseEndpoint, chooseIsolation, PrefixIndex, splitPrefix, type Candidate, type Verdict,
 } from '@wasabiusher/decisions';
+import type {Work} from '@wasabiusher/link';
 import type {Random} from '@wasabiusher/shared';
 import type {Call} from './call.js';
 import type {EndpointRow, EndpointTable} from './dispatcher-endpoints.js';
@@ -38,8 +39,12 @@
 /** First term of a request that has crashed two endpoints within one call, in milliseconds; as the guard's. */
 const quarantineMs = 600_000;
 
-/** Milliseconds taken for work whose pace is not known anywhere yet; only the comparison counts. */
-const unknownMs = 1;
+/**
+ * Time of a unit of work, in milliseconds, until the first has been measured: engines make some
+ * 100 tokens a second in a stream, plain services answer in some milliseconds. Taken far too
+ * low, the way to another data centre would keep all of a first burst at the nearest endpoints.
+ */
+const coldMsPerCost: Readonly<Record<Work['kind'], number>> = {generate: 10, forward: 5};
 
 /** Chooses endpoints for one entry. */
 export class Router {
@@ -79,7 +84,7 @@
 	#compare(call: Call, pool: Pool, rows: readonly EndpointRow[]): string | undefined {
 		const {random, dataCentre} = this.#settings;
 		const blocks = this.#findBlocks(call);
-		const poolMs = pool.estimateMs(call.cost) ?? unknownMs;
+		const poolMs = pool.estimateMs(call.cost) ?? coldMsPerCost[call.work.kind] * call.cost;
 		const candidates = rows.map((row): Candidate => ({
 			id: row.id,
 			load: row.load.load,
