--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -13,3 +13,4 @@
 export type {SlotFacts, StepDecisions} from './steps-slots.js';
 export type {Step} from './steps-step.js';
 export * from './weight-rollout.js';
+export * from './suspicion-exchange.js';
