Add the experiment model for calls and mend limits and ejection by it

Cause: no run showed what callers receive under load. The first one showed two faults. A limit judged by single latencies shrank a healthy endpoint to a third for calls of 100-300 ms, and measuring its floor every 30 s cost an overloaded pool a quarter of its work. A ten times slower endpoint was never ejected, since its calls met their deadline before they were evidence.

Limits judge means of a window and measure the floor only while it is in doubt; an overdue request is evidence while it still runs.

--- a/packages/decisions/src/concurrency-limit.ts
+++ b/packages/decisions/src/concurrency-limit.ts
@@ -32,9 +32,21 @@
  */
 const floorTermMs = 30_000;
 
+/**
+ * Latency over the floor up to which the floor is not in doubt, so that it need not be measured. Measured every 30 s
+ * regardless, it cost an overloaded pool a quarter of its work for a second, and held up short calls behind long ones.
+ */
+const floorDoubt = 1.5;
+
 /** Part of the limit that is used while the floor is measured. */
 const floorProbeUse = 0.5;
 
+/**
+ * Measurements of which the mean is taken, at the least; a limit's worth if that is more. Judged one by one, calls of
+ * 100–300 ms shrank the limit of a healthy endpoint to a third, as the shortest ever seen was the floor.
+ */
+const minWindow = 16;
+
 /** Fraction of the limit that must be in use before it grows; an unused limit proves nothing. */
 const growthUse = 0.8;
 
@@ -46,10 +58,11 @@
 	#floorMs = Number.POSITIVE_INFINITY;
 	#lastDecreaseAt = Number.NEGATIVE_INFINITY;
 	#floorUntil: number | undefined;
-	/** Least latency of the measurement of the floor that is under way. */
-	#probedMs: number | undefined;
-	/** Measurements that it still takes. */
-	#probesLeft = 0;
+	/** While the floor is measured anew. */
+	#isProbing = false;
+	#windowSum = 0;
+	#windowCount = 0;
+	#windowMostInFlight = 0;
 
 	constructor(bounds: LimitBounds) {
 		this.#bounds = bounds;
@@ -58,7 +71,7 @@
 
 	/** Requests, a whole number. */
 	get limit(): number {
-		const used = this.#probedMs === undefined ? this.#limit : this.#limit * floorProbeUse;
+		const used = this.#isProbing ? this.#limit * floorProbeUse : this.#limit;
 		return Math.max(this.#bounds.min, Math.floor(used));
 	}
 
@@ -75,17 +88,26 @@
 	/**
 	 * Learns from a finished request.
 	 *
-	 * @param latencyMs - time at the endpoint, divided by the work if that differs much between requests
+	 * @param latencyMs - time at the endpoint, divided by the work that it turned out to be, if that is known
 	 * @param inFlight - requests there when it started
 	 * @param hasFailed - refused or timed out for want of capacity
 	 */
 	record(latencyMs: number, inFlight: number, hasFailed: boolean, now: number): void {
-		this.#measureFloor(latencyMs, inFlight, now);
-		if (hasFailed || latencyMs > latencyTolerance * this.#floorMs) {
+		if (hasFailed) {
 			this.#decrease(now);
-		} else if (this.#probedMs === undefined && inFlight >= growthUse * this.limit) {
-			// One more for each limit's worth of good measurements.
-			this.#limit = Math.min(this.#bounds.max, this.#limit + (1 / this.#limit));
+			return;
+		}
+
+		// What started under the full limit says nothing of the floor.
+		if (this.#isProbing && inFlight > this.limit) {
+			return;
+		}
+
+		this.#windowSum += latencyMs;
+		this.#windowCount += 1;
+		this.#windowMostInFlight = Math.max(this.#windowMostInFlight, inFlight);
+		if (this.#windowCount >= Math.max(minWindow, this.limit)) {
+			this.#closeWindow(now);
 		}
 	}
 
@@ -96,29 +118,40 @@
 		}
 	}
 
-	#measureFloor(latencyMs: number, inFlight: number, now: number): void {
-		this.#floorUntil ??= now + floorTermMs;
-		this.#floorMs = Math.min(this.#floorMs, latencyMs);
-		if (this.#probedMs === undefined) {
-			if (now >= this.#floorUntil) {
-				this.#probedMs = Number.POSITIVE_INFINITY;
-				this.#probesLeft = this.limit;
-			}
-
+	#closeWindow(now: number): void {
+		const meanMs = this.#windowSum / this.#windowCount;
+		const wasUsed = this.#windowMostInFlight >= growthUse * this.limit;
+		this.#windowSum = 0;
+		this.#windowCount = 0;
+		this.#windowMostInFlight = 0;
+		if (this.#followFloor(meanMs, now)) {
 			return;
 		}
 
-		// Requests that started under the full limit don't count.
-		if (inFlight <= this.limit) {
-			this.#probedMs = Math.min(this.#probedMs, latencyMs);
-			this.#probesLeft -= 1;
+		if (meanMs > latencyTolerance * this.#floorMs) {
+			this.#decrease(now);
+		} else if (wasUsed) {
+			this.#limit = Math.min(this.#bounds.max, this.#limit + 1);
+		}
+	}
+
+	/** Keeps the floor; true if this window measured it and is to have no other effect. */
+	#followFloor(meanMs: number, now: number): boolean {
+		if (this.#isProbing) {
+			this.#isProbing = false;
+			this.#floorMs = meanMs;
+			this.#floorUntil = now + floorTermMs;
+			return true;
 		}
 
-		if (this.#probesLeft <= 0) {
-			this.#floorMs = this.#probedMs;
-			this.#probedMs = undefined;
+		this.#floorMs = Math.min(this.#floorMs, meanMs);
+		if (meanMs <= floorDoubt * this.#floorMs) {
 			this.#floorUntil = now + floorTermMs;
 		}
+
+		this.#floorUntil ??= now + floorTermMs;
+		this.#isProbing = now >= this.#floorUntil;
+		return false;
 	}
 
 	#decrease(now: number): void {
--- a/packages/decisions/src/ejection.ts
+++ b/packages/decisions/src/ejection.ts
@@ -20,13 +20,16 @@
 /** Requests before the averages count. */
 const minEvidence = 5;
 
-/** Failures in a row that eject; by chance at a failure rate of 10% it happens once in 100,000 requests. */
-const maxConsecutiveFailures = 5;
+/** Bad requests in a row that eject; by chance, where one in ten is bad, it happens once in 100,000 requests. */
+const maxConsecutiveBad = 5;
 
-/** Failing part that ejects: with retries within their budget of 10%, more than a quarter can't be mended by trying again. */
-const maxFailureRate = 0.25;
+/** Part of bad requests that ejects: with retries within their budget of 10%, more than a quarter can't be mended by trying again. */
+const maxBadRate = 0.25;
 
-/** Slowness over the median of the others that ejects; differences below it are left to routing. */
+/**
+ * Slowness over the median of the others from which a request is as bad as a failed one; smaller differences are left to
+ * routing. Of heavy-tailed lengths (lognormal, sigma 0.8) 4% pass it on a healthy endpoint.
+ */
 const maxRelativeSlowness = 3;
 
 /** Most of a pool that may be out at once; the rest must carry the load. One may be out in a pool of two or more. */
@@ -51,8 +54,8 @@
 type Health = {
 	isEjected: boolean;
 	count: number;
-	consecutiveFailures: number;
-	failureRate: number;
+	consecutiveBad: number;
+	badRate: number;
 	slowness: number;
 	probesPassed: number;
 	probeIntervalMs: number;
@@ -84,8 +87,14 @@
 		return this.#list().filter(({isEjected}) => isEjected).length;
 	}
 
+	/** Whether a request that still runs has taken so long that `record` should be told now rather than at its end. */
+	isOverdue(endpoint: string, slowness: number): boolean {
+		const health = this.#endpoints.get(endpoint);
+		return health !== undefined && this.#isSlow(health, slowness);
+	}
+
 	/**
-	 * Learns from a request that has ended, or that is overdue and still runs.
+	 * Learns from a request that has ended, or that is overdue; once from each.
 	 *
 	 * @returns whether this ejected the endpoint; what runs there may then be tried elsewhere
 	 */
@@ -95,15 +104,17 @@
 			return false;
 		}
 
+		const isBad = hasFailed || this.#isSlow(health, slowness);
 		const weight = Math.max(smoothing, 1 / (health.count + 1));
 		health.count += 1;
-		health.consecutiveFailures = hasFailed ? health.consecutiveFailures + 1 : 0;
-		health.failureRate += weight * (Number(hasFailed) - health.failureRate);
+		health.consecutiveBad = isBad ? health.consecutiveBad + 1 : 0;
+		health.badRate += weight * (Number(isBad) - health.badRate);
 		if (!hasFailed) {
 			health.slowness += weight * (slowness - health.slowness);
 		}
 
-		if (!this.#isBad(health) || !this.#mayEject()) {
+		const hasEvidence = health.consecutiveBad >= maxConsecutiveBad || (health.count >= minEvidence && health.badRate > maxBadRate);
+		if (!hasEvidence || !this.#mayEject()) {
 			return false;
 		}
 
@@ -133,7 +144,7 @@
 			return;
 		}
 
-		if (hasFailed || slowness > maxRelativeSlowness * this.#findTypicalSlowness(health)) {
+		if (hasFailed || this.#isSlow(health, slowness)) {
 			health.probesPassed = 0;
 			health.probeIntervalMs = Math.min(maxProbeMs, health.probeIntervalMs * probeBackoff);
 			health.nextProbeAt = now + health.probeIntervalMs;
@@ -152,13 +163,8 @@
 		return [...this.#endpoints.values()];
 	}
 
-	#isBad(health: Health): boolean {
-		if (health.consecutiveFailures >= maxConsecutiveFailures) {
-			return true;
-		}
-
-		return health.count >= minEvidence
-			&& (health.failureRate > maxFailureRate || health.slowness > maxRelativeSlowness * this.#findTypicalSlowness(health));
+	#isSlow(health: Health, slowness: number): boolean {
+		return slowness > maxRelativeSlowness * this.#findTypicalSlowness(health);
 	}
 
 	#mayEject(): boolean {
@@ -179,6 +185,6 @@
 
 function createHealth(): Health {
 	return {
-		isEjected: false, count: 0, consecutiveFailures: 0, failureRate: 0, slowness: 1, probesPassed: 0, probeIntervalMs: probeMs, nextProbeAt: 0,
+		isEjected: false, count: 0, consecutiveBad: 0, badRate: 0, slowness: 1, probesPassed: 0, probeIntervalMs: probeMs, nextProbeAt: 0,
 	};
 }
--- /dev/null
+++ b/packages/load/src/model/run-calls.ts
@@ -0,0 +1,66 @@
+/**
+ * The tick loop of the patterns made of calls, and what callers received.
+ */
+import {Random} from '@wasabiusher/shared';
+import {BaselinePolicy} from './baseline-policy.js';
+import {
+	tickMs, type Call, type CallOutcome, type CallRun,
+} from './call.js';
+import {createPool, type PoolShape} from './pool.js';
+import {RealPolicy} from './real-policy.js';
+
+const policies = {real: RealPolicy, baseline: BaselinePolicy} as const;
+
+export type PolicyName = keyof typeof policies;
+
+/** Longest that a run goes on after the last arrival, in milliseconds. */
+const maxTailMs = 300_000;
+
+/** Runs a policy on arrivals until each has ended. */
+export function runCalls(name: PolicyName, shape: PoolShape, arrivals: readonly Call[], seed: number): CallRun {
+	const random = new Random(seed);
+	const policy = new policies[name](createPool(shape, random), random);
+	let next = 0;
+	const lastAt = arrivals.at(-1)?.at ?? 0;
+	for (let now = 0; now < lastAt + maxTailMs && (next < arrivals.length || policy.open > 0); now += tickMs) {
+		for (; next < arrivals.length && arrivals[next]!.at <= now; next++) {
+			policy.arrive(arrivals[next]!, now);
+		}
+
+		policy.tick(now);
+	}
+
+	return policy.run;
+}
+
+/** A value such that the given part of the values is at most it; 0 of none. */
+export function findPercentile(values: readonly number[], part: number): number {
+	const sorted = values.toSorted((a, b) => a - b);
+	return sorted[Math.min(sorted.length - 1, Math.floor(part * sorted.length))] ?? 0;
+}
+
+/** Time from sending to answer of those answered in time, in milliseconds. */
+export function listTimes(outcomes: readonly CallOutcome[]): number[] {
+	return outcomes.filter(({kind}) => kind === 'answered').map(({call, at}) => at - call.at);
+}
+
+/** Time until the caller was told or gave up, of all but those refused. */
+export function listWaits(outcomes: readonly CallOutcome[]): number[] {
+	return outcomes.filter(({kind}) => kind !== 'refused').map(({call, at}) => at - call.at);
+}
+
+export function countKind(outcomes: readonly CallOutcome[], kind: CallOutcome['kind']): number {
+	return outcomes.filter(outcome => outcome.kind === kind).length;
+}
+
+/** Part of the outcomes that were answered in time. */
+export function findPartInTime(outcomes: readonly CallOutcome[]): number {
+	return outcomes.length === 0 ? 1 : countKind(outcomes, 'answered') / outcomes.length;
+}
+
+/** Work answered in time from one time to another, in milliseconds of slots. */
+export function sumWork(outcomes: readonly CallOutcome[], from: number, to: number): number {
+	return outcomes
+		.filter(({kind, at}) => kind === 'answered' && at >= from && at < to)
+		.reduce((sum, {call}) => sum + call.workMs, 0);
+}
