--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,5 +1,6 @@
 /** Decisions under load: pure, without I/O or timers. */
 export * from './admission.js';
+export * from './burn.js';
 export * from './concurrency-limit.js';
 export * from './ejection.js';
 export * from './fair-queue.js';
