Add the operators' command line

Cause: configurations could be applied by curl only, unchecked before they were sent, and nothing joined what the entries tell.

Change: wasabiusher validate, diff, apply, history, status and burn.

--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,3 @@
+/** The operators' command line. */
+export * from './document.js';
+export * from './program.js';
--- /dev/null
+++ b/packages/cli/src/layout.ts
@@ -0,0 +1,21 @@
+/**
+ * Tables of text for people.
+ */
+
+/** Lays out rows under a heading, in columns as wide as their widest cell. */
+export function formatTable(heading: readonly string[], rows: ReadonlyArray<readonly string[]>): string {
+	const all = [heading, ...rows];
+	const widths = heading.map((_, column) => Math.max(...all.map(row => row[column]?.length ?? 0)));
+	return all
+		.map(row => row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd())
+		.join('\n');
+}
+
+/** `2026-12-02 20:15:00Z`. */
+export function formatTime(timeMs: number): string {
+	return `${new Date(timeMs).toISOString().slice(0, 19).replace('T', ' ')}Z`;
+}
+
+export function formatYes(isYes: boolean): string {
+	return isYes ? 'yes' : 'no';
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,16 @@
+/**
+ * `wasabiusher`: the operators' command line.
+ */
+import process from 'node:process';
+import {runProgram} from './program.js';
+
+process.exitCode = await runProgram({
+	argv: process.argv.slice(2),
+	environment: process.env,
+	writeOut(text) {
+		process.stdout.write(`${text}\n`);
+	},
+	writeError(text) {
+		process.stderr.write(`${text}\n`);
+	},
+});
