Show the events of each objective as metrics

Cause: the burn report needs, from each entry, the good and bad events of the last hours; counters since the start don't tell them.

--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -6,4 +6,5 @@
 export * from './executor.js';
 export * from './executor-queue.js';
 export * from './invariants.js';
+export * from './objective-metrics.js';
 export * from './steps.js';
