--- /dev/null
+++ b/packages/load/src/index.ts
@@ -0,0 +1,5 @@
+/** Bounded load, and the check of what callers received. */
+export type * from './outcome.js';
+export * from './report.js';
+export * from './run.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/load/src/ledger-check.ts
@@ -0,0 +1,42 @@
+/**
+ * Compares what callers were told with what the ledgers have taken.
+ */
+import {request} from 'undici';
+import {z} from 'zod';
+import type {Outcome, Violation} from './outcome.js';
+
+const countsSchema = z.record(z.string(), z.number());
+
+/** How often each posting was taken, over all ledgers. */
+export async function readPostings(ledgers: readonly string[]): Promise<Map<string, number>> {
+	const answers = await Promise.all(ledgers.map(async ledger => {
+		const {body} = await request(new URL('/postings', ledger));
+		return countsSchema.parse(await body.json());
+	}));
+	const counts = new Map<string, number>();
+	for (const [key, count] of answers.flatMap(answer => Object.entries(answer))) {
+		counts.set(key, (counts.get(key) ?? 0) + count);
+	}
+
+	return counts;
+}
+
+/** What each outcome promises of the number of postings. */
+const promises: Readonly<Record<Outcome['kind'], {most: number; least: number; tooFew: Violation}>> = {
+	answered: {least: 1, most: 1, tooFew: 'lost'},
+	refused: {least: 0, most: 0, tooFew: 'lost'},
+	unknown: {least: 0, most: 1, tooFew: 'lost'},
+};
+
+export function judgePosting({kind}: Pick<Outcome, 'kind'>, count: number): Violation[] {
+	const {least, most, tooFew} = promises[kind];
+	if (count < least) {
+		return [tooFew];
+	}
+
+	if (count <= most) {
+		return [];
+	}
+
+	return count > 1 ? ['doubled'] : ['untrue-refusal'];
+}
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -7,6 +7,7 @@
 const programs: Readonly<Record<string, string>> = {
 	'wasabiusher-entry': 'packages/entry/src/main.ts',
 	'wasabiusher-agent': 'packages/agent/src/main.ts',
+	'wasabiusher-load': 'packages/load/src/main.ts',
 	wasabiusher: 'packages/cli/src/main.ts',
 	'wasabiusher-standins': 'packages/standins/src/main.ts',
 };
