--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,12 +4,12 @@
 import {Registry, collectDefaultMetrics} from 'prom-client';
 import {addOperationRoutes, HttpServer, type Daemon} from '@wasabiusher/daemon';
 import type {Message} from '@wasabiusher/link';
-import {HttpMembershipList, HttpTableService} from '@wasabiusher/platform';
+import {HttpMembershipList, HttpObjectStore, HttpTableService} from '@wasabiusher/platform';
 import {ConfigurationHistory} from '@wasabiusher/record';
 import {
 	describeError, emptyConfiguration, hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
 } from '@wasabiusher/shared';
-import {Dispatcher, StepRunner} from '@wasabiusher/systems';
+import {Dispatcher, Invariants, StepRunner} from '@wasabiusher/systems';
 import {answerError} from './answers.js';
 import {addCallerRoutes, addUnknownRoute} from './caller-routes.js';
 import {addOperatorRoutes} from './operator-routes.js';
@@ -95,7 +95,7 @@
 		const dispatcher = this.#dispatcher;
 		addOperationRoutes(this.#callers, this.#registry, () => !this.#isLeaving && this.#accepted.version > 0);
 		collectDefaultMetrics({register: this.#registry});
-		addStepRoutes(this.#callers, {runner: new StepRunner(dispatcher), tokens: this.#settings.trainerTokens, configuration});
+		addStepRoutes(this.#callers, {runner: this.#createStepRunner(), tokens: this.#settings.trainerTokens, configuration});
 		addCallerRoutes(this.#callers, {dispatcher, configuration});
 		addOperatorRoutes(this.#operators, {
 			history: this.#history,
@@ -116,6 +116,23 @@
 		});
 	}
 
+	#createStepRunner(): StepRunner {
+		const {name, platform} = this.#settings;
+		const dispatcher = this.#dispatcher;
+		return new StepRunner({
+			dispatcher,
+			name,
+			tables: new HttpTableService(platform),
+			objects: new HttpObjectStore(platform),
+			invariants: new Invariants(this.#log, this.#registry),
+			random: new Random(hashToNumber(`${name}/steps`)),
+			log: this.#log,
+			registry: this.#registry,
+			address: () => this.#addresses.callers,
+			listVersions: model => [...dispatcher.endpoints].flatMap(({status}) => status?.models.filter(held => held.model === model).map(({version}) => version) ?? []),
+		});
+	}
+
 	#receive(agent: string, message: Message): void {
 		if (message.kind === 'configuration') {
 			this.#adopt(message.accepted, agent);
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -9,3 +9,8 @@
 export * from './invariants.js';
 export * from './objective-metrics.js';
 export * from './steps.js';
+export type {Delivery} from './steps-delivery.js';
+export type {StepRequest} from './steps-request.js';
+export type {SlotFacts, StepDecisions} from './steps-slots.js';
+export type {Step} from './steps-step.js';
+export * from './weight-rollout.js';
