--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -7,6 +7,7 @@
 export * from './executor.js';
 export * from './executor-queue.js';
 export * from './invariants.js';
+export * from './objective-metrics.js';
 export * from './steps.js';
 export type {Delivery} from './steps-delivery.js';
 export type {StepRequest} from './steps-request.js';
