--- a/xo.config.js
+++ b/xo.config.js
@@ -67,7 +67,13 @@
 		},
 	},
 	{
-		files: ['packages/platform/src/http-engine.ts', 'packages/platform/src/generation-stream.ts', 'packages/standins/src/engine*.ts', 'packages/entry/src/completions*.ts', 'packages/embedded/src/scenario.ts'],
+		files: [
+			'packages/platform/src/http-engine.ts',
+			'packages/platform/src/generation-stream.ts',
+			'packages/standins/src/engine*.ts',
+			'packages/entry/src/completions*.ts',
+			'packages/embedded/src/scenario.ts',
+		],
 		rules: {
 			// Field names of the published completions protocol.
 			'@typescript-eslint/naming-convention': 'off',
