Prove steps and configuration too, and show that the runs catch mistakes

Cause: the matrix had no samples and no configuration, and nothing showed that it can fail. Change: paths of samples and configuration; messages lost and repeated; checks inside the systems count as broken; npm run mutants bundles the proof with one mistake at a time. Ruled out: hedging was not reached before since it wants 32 times of answers.

--- a/packages/proof/src/agent-node.ts
+++ b/packages/proof/src/agent-node.ts
@@ -3,8 +3,11 @@
  */
 import {EndpointWatch, PoisonRelay} from '@wasabiusher/agent';
 import type {EndpointStatus, Message, MessageOf} from '@wasabiusher/link';
-import type {Log} from '@wasabiusher/shared';
-import {Executor, type Endpoint} from '@wasabiusher/systems';
+import type {Log, Random} from '@wasabiusher/shared';
+import {
+	ConfigurationAdopter, Executor, Invariants, type ConfigurationOutput, type Endpoint,
+} from '@wasabiusher/systems';
+import {adopterMs, isConfigurationMessage} from './configuration-messages.js';
 import type {Hooks} from './hooks.js';
 import type {Peer, Wire} from './wire.js';
 
@@ -18,6 +21,7 @@
 	limit: number;
 	wire: Wire;
 	hooks: Hooks;
+	random: Random;
 	log: Log;
 };
 
@@ -27,11 +31,14 @@
 export class AgentNode implements Peer {
 	readonly name: string;
 	readonly executor: Executor;
+	readonly adopter: ConfigurationAdopter;
+	/** Versions of the configuration as they came into force here. */
+	readonly adopted: number[] = [];
 	readonly #settings: AgentNodeSettings;
 	readonly #watch: EndpointWatch;
 	readonly #poison: PoisonRelay;
 	readonly #entries = new Set<string>();
-	readonly #timer: NodeJS.Timeout;
+	readonly #timers: NodeJS.Timeout[];
 	readonly #handlers: Handlers;
 	#isAlive = true;
 	#isLeaving = false;
@@ -65,14 +72,30 @@
 			},
 		});
 		this.#handlers = this.#createHandlers();
-		this.#timer = setInterval(() => {
-			void this.#refresh();
-		}, reportMs);
+		this.adopter = new ConfigurationAdopter({
+			name,
+			dataCentre: 'local',
+			log,
+			random: settings.random,
+			invariants: new Invariants(log),
+			onAdopted: ({version}) => {
+				this.adopted.push(version);
+			},
+		});
+		this.#timers = [
+			setInterval(() => {
+				void this.#refresh();
+			}, reportMs),
+			setInterval(() => {
+				void this.#tick();
+			}, adopterMs),
+		];
 	}
 
 	attach(peer: string): void {
 		this.#entries.add(peer);
 		this.executor.attach(peer);
+		this.#sendAll(this.adopter.onLinkUp(peer));
 		void this.#refresh();
 		const suspicions = this.#poison.list();
 		if (suspicions.length > 0) {
@@ -83,6 +106,7 @@
 	detach(peer: string): void {
 		this.#entries.delete(peer);
 		this.executor.detach(peer);
+		this.adopter.onLinkDown(peer);
 	}
 
 	receive(from: string, message: Message): void {
@@ -90,6 +114,11 @@
 			return;
 		}
 
+		if (isConfigurationMessage(message)) {
+			this.#sendAll(this.adopter.receive(from, message));
+			return;
+		}
+
 		// The table pairs each kind with a handler of that kind's message.
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 		(this.#handlers[message.kind] as ((from: string, message: Message) => void) | undefined)?.(from, message);
@@ -104,7 +133,10 @@
 	/** The process is gone; its endpoint lives on. */
 	kill(): void {
 		this.#isAlive = false;
-		clearInterval(this.#timer);
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
 		this.#settings.wire.remove(this.name);
 	}
 
@@ -131,6 +163,20 @@
 		};
 	}
 
+	get isAlive(): boolean {
+		return this.#isAlive;
+	}
+
+	async #tick(): Promise<void> {
+		this.#sendAll(await this.adopter.tick());
+	}
+
+	#sendAll(outputs: readonly ConfigurationOutput[]): void {
+		for (const {to, message} of outputs) {
+			this.#send(to, message);
+		}
+	}
+
 	async #refresh(): Promise<void> {
 		await this.#watch.refresh();
 		this.#broadcast({kind: 'status', status: this.#describe()});
--- a/packages/proof/src/callers.ts
+++ b/packages/proof/src/callers.ts
@@ -3,6 +3,7 @@
  */
 import type {Problem} from '@wasabiusher/shared';
 import type {Call, CallListener} from '@wasabiusher/systems';
+import {formatToken} from './fake-engine.js';
 import {modelName, profiles, type World} from './world.js';
 
 /** Tokens of an answer. */
@@ -141,5 +142,5 @@
 		return content;
 	}
 
-	return Array.from({length: answerTokens}, (_, index) => `${index + 1}:${content} `).join('');
+	return Array.from({length: answerTokens}, (_, index) => formatToken(index + 1, 1, content)).join('');
 }
--- a/packages/proof/src/entry-node.ts
+++ b/packages/proof/src/entry-node.ts
@@ -3,13 +3,14 @@
  */
 import type {Message} from '@wasabiusher/link';
 import type {ConditionalWrite, ObjectStore, TableService} from '@wasabiusher/platform';
-import {ClaimLog} from '@wasabiusher/record';
+import {ClaimLog, ConfigurationHistory} from '@wasabiusher/record';
 import type {Log, Random} from '@wasabiusher/shared';
 import {
-	ClaimedCalls, Dispatcher, Invariants, type Call, type CallListener, type Run,
+	ClaimedCalls, ConfigurationAdopter, Dispatcher, Invariants, StepRunner, type Call, type CallListener, type ConfigurationOutput, type Run,
 } from '@wasabiusher/systems';
 import type {Hooks} from './hooks.js';
 import {createNodeObjects, createNodeTables, type Life} from './node-storage.js';
+import {adopterMs, isConfigurationMessage} from './configuration-messages.js';
 import type {Peer, Wire} from './wire.js';
 
 export type EntryNodeSettings = {
@@ -29,31 +30,74 @@
 export class EntryNode implements Peer {
 	readonly name: string;
 	readonly dispatcher: Dispatcher;
+	readonly steps: StepRunner;
+	readonly history: ConfigurationHistory;
+	readonly adopter: ConfigurationAdopter;
+	/** Versions of the configuration as they came into force here. */
+	readonly adopted: number[] = [];
 	readonly #settings: EntryNodeSettings;
 	readonly #claimed: ClaimedCalls;
+	readonly #peers = new Set<string>();
+	readonly #timer: NodeJS.Timeout;
 	readonly #life: Life;
 
 	constructor(settings: EntryNodeSettings) {
 		const {name, wire, random, log} = settings;
+		const invariants = new Invariants(log);
 		this.name = name;
 		this.#settings = settings;
 		this.#life = {
 			isAlive: true,
 			onWrite: writes => {
-				this.#passClaims(writes);
+				this.#passWrites(writes);
 			},
 		};
+		const tables = createNodeTables(settings.tables, this.#life);
+		const objects = createNodeObjects(settings.objects, this.#life);
+		const send = (agent: string, message: Message) => this.#life.isAlive && wire.sendToAgent(name, agent, message);
 		this.dispatcher = new Dispatcher({
 			random,
-			send: (agent, message) => this.#life.isAlive && wire.sendToAgent(name, agent, message),
+			invariants,
+			send,
+			broadcast: (message, except) => {
+				for (const peer of this.#peers) {
+					if (peer !== except) {
+						send(peer, message);
+					}
+				}
+			},
 		});
 		this.#claimed = new ClaimedCalls({
+			dispatcher: this.dispatcher, claims: new ClaimLog({tables, objects, name}), invariants, random, log,
+		});
+		this.steps = new StepRunner({
 			dispatcher: this.dispatcher,
-			claims: new ClaimLog({tables: createNodeTables(settings.tables, this.#life), objects: createNodeObjects(settings.objects, this.#life), name}),
-			invariants: new Invariants(log),
+			name,
+			tables,
+			objects,
+			invariants,
 			random,
 			log,
+			address: () => name,
+			listVersions: model => [...this.dispatcher.endpoints].flatMap(({status}) => status?.models.filter(held => held.model === model).map(({version}) => version) ?? []),
+		});
+		this.history = new ConfigurationHistory(tables);
+		this.adopter = new ConfigurationAdopter({
+			name,
+			dataCentre: 'local',
+			log,
+			random,
+			invariants,
+			reader: {history: this.history, listEntries: () => [name]},
+			onAdopted: ({version}) => {
+				this.adopted.push(version);
+				settings.hooks.pass({step: 'adopt', entry: name});
+			},
 		});
+		this.#timer = setInterval(() => {
+			void this.#tick();
+		}, adopterMs);
+		void this.#tick();
 	}
 
 	get isAlive(): boolean {
@@ -61,11 +105,22 @@
 	}
 
 	attach(peer: string): void {
+		this.#peers.add(peer);
 		this.dispatcher.attach(peer, 'local');
+		this.send(this.adopter.onLinkUp(peer));
 	}
 
 	detach(peer: string): void {
+		this.#peers.delete(peer);
 		this.dispatcher.detach(peer);
+		this.adopter.onLinkDown(peer);
+	}
+
+	/** Sends what the adopter asks for. */
+	send(outputs: readonly ConfigurationOutput[]): void {
+		for (const {to, message} of this.#life.isAlive ? outputs : []) {
+			this.#settings.wire.sendToAgent(this.name, to, message);
+		}
 	}
 
 	receive(from: string, message: Message): void {
@@ -77,7 +132,13 @@
 			this.#settings.hooks.pass({step: 'deliver', entry: this.name, agent: from});
 		}
 
-		if (this.#life.isAlive) {
+		if (!this.#life.isAlive) {
+			return;
+		}
+
+		if (isConfigurationMessage(message)) {
+			this.send(this.adopter.receive(from, message));
+		} else {
 			this.dispatcher.receive(from, message);
 		}
 	}
@@ -95,6 +156,8 @@
 
 	kill(): void {
 		this.#life.isAlive = false;
+		clearInterval(this.#timer);
+		this.steps.stop();
 		this.#settings.wire.remove(this.name);
 	}
 
@@ -114,11 +177,18 @@
 		};
 	}
 
-	/** The first write of a claim and its completion are steps of the path. */
-	#passClaims(writes: readonly ConditionalWrite[]): void {
-		for (const {table, expect} of writes) {
-			if (table === 'claims') {
-				this.#settings.hooks.pass({step: expect === 0 ? 'claim' : 'complete', entry: this.name});
+	async #tick(): Promise<void> {
+		this.send(await this.adopter.tick());
+	}
+
+	/** Writes to the store are steps of their paths. */
+	#passWrites(writes: readonly ConditionalWrite[]): void {
+		const tables = new Set(writes.map(({table}) => table));
+		const isFirst = writes.every(({expect}) => expect === 0);
+		const steps = {claims: isFirst ? 'claim' : 'complete', samples: 'commit', configuration: 'write'} as const;
+		for (const [table, step] of Object.entries(steps)) {
+			if (tables.has(table)) {
+				this.#settings.hooks.pass({step, entry: this.name});
 			}
 		}
 	}
--- a/packages/proof/src/fake-engine.ts
+++ b/packages/proof/src/fake-engine.ts
@@ -16,6 +16,11 @@
 /** A prompt with this text crashes each engine that runs it. */
 export const poisonText = 'poison';
 
+/** The text of a token: its place, the version that truly made it, and what was asked. */
+export function formatToken(place: number, version: number, prompt: string): string {
+	return `${place}@${version}:${prompt} `;
+}
+
 type Running = {crash(): void};
 
 /** One engine. */
@@ -91,7 +96,8 @@
 				throw new PlatformError('unknown', 'the engine crashed');
 			}
 
-			yield {kind: 'part', part: {text: `${made}:${prompt} `, tokens: 1, version: this.#models.get(request.model) ?? 0}};
+			const version = this.#models.get(request.model) ?? 0;
+			yield {kind: 'part', part: {text: formatToken(made, version, prompt), tokens: 1, version}};
 			this.#hooks.pass({step: 'stream', agent: this.name});
 		}
 
@@ -140,6 +146,11 @@
 		}
 	}
 
+	/** Brings a version into force at once, as an order that was carried out does. */
+	setVersion(model: string, version: number): void {
+		this.#models.set(model, version);
+	}
+
 	async listCacheEvents(): Promise<CacheEvent[]> {
 		return [];
 	}
--- a/packages/proof/src/faults.ts
+++ b/packages/proof/src/faults.ts
@@ -10,6 +10,9 @@
 /** Time until a process that died is replaced, in milliseconds. */
 const replaceMs = 2000;
 
+/** Messages of each link that are lost or repeated. */
+const disturbed = 3;
+
 export type Fault = {
 	title: string;
 	/** Paths on which it can matter. */
@@ -20,7 +23,7 @@
 
 /** The endpoint concerned; any of its pool before one was chosen. */
 function findEndpointName(world: World, {agent}: Passage, path: Path): string {
-	return agent ?? (path === 'call' ? world.engines : world.ledgers)[0]!.name;
+	return agent ?? (path === 'posting' ? world.ledgers : world.engines)[0]!.name;
 }
 
 /** The entry concerned; the first living one where the step is at an endpoint. */
@@ -40,14 +43,14 @@
 	const all: Record<string, Fault> = {
 		'endpoint-crash': {
 			title: 'the endpoint crashes',
-			paths: ['call', 'posting'],
+			paths: ['call', 'posting', 'sample'],
 			inject(world, passage) {
 				world.findEndpoint(findEndpointName(world, passage, path)).crash();
 			},
 		},
 		'endpoint-stall': {
 			title: 'the endpoint stalls for a while',
-			paths: ['call', 'posting'],
+			paths: ['call', 'posting', 'sample'],
 			inject(world, passage) {
 				const endpoint = world.findEndpoint(findEndpointName(world, passage, path));
 				setForWhile(isOn => {
@@ -57,21 +60,21 @@
 		},
 		'agent-death': {
 			title: 'the agent dies and is started again beside the living endpoint',
-			paths: ['call', 'posting'],
+			paths: ['call', 'posting', 'sample', 'configuration'],
 			inject(world, passage) {
 				world.restartAgent(findEndpointName(world, passage, path), replaceMs);
 			},
 		},
 		'entry-death': {
 			title: 'the entry dies and is replaced',
-			paths: ['call', 'posting'],
+			paths: ['call', 'posting', 'sample', 'configuration'],
 			inject(world, passage) {
 				world.replaceEntry(findEntryName(world, passage), replaceMs);
 			},
 		},
 		'both-deaths': {
 			title: 'the entry and the agent die at once',
-			paths: ['call', 'posting'],
+			paths: ['call', 'posting', 'sample', 'configuration'],
 			inject(world, passage) {
 				world.restartAgent(findEndpointName(world, passage, path), replaceMs);
 				world.replaceEntry(findEntryName(world, passage), replaceMs);
@@ -79,28 +82,42 @@
 		},
 		'link-cut': {
 			title: 'the agent\'s links are cut and replaced',
-			paths: ['call', 'posting'],
+			paths: ['call', 'posting', 'sample', 'configuration'],
 			inject(world, passage) {
 				world.wire.cut(findEndpointName(world, passage, path));
 			},
 		},
 		'link-silent': {
 			title: 'the agent\'s links go silent for good',
-			paths: ['call', 'posting'],
+			paths: ['call', 'posting', 'sample', 'configuration'],
 			inject(world, passage) {
 				world.wire.silence(findEndpointName(world, passage, path));
 			},
 		},
 		partition: {
 			title: 'the entry is parted from all agents for a while',
-			paths: ['call', 'posting'],
+			paths: ['call', 'posting', 'sample', 'configuration'],
 			inject(world, passage) {
 				world.wire.part(findEntryName(world, passage), outageMs);
 			},
 		},
+		'messages-lost': {
+			title: 'messages on the agent\'s links vanish one by one',
+			paths: ['call', 'posting', 'sample', 'configuration'],
+			inject(world, passage) {
+				world.wire.disturb(findEndpointName(world, passage, path), {lost: disturbed});
+			},
+		},
+		'messages-repeated': {
+			title: 'messages on the agent\'s links come twice',
+			paths: ['call', 'posting', 'sample', 'configuration'],
+			inject(world, passage) {
+				world.wire.disturb(findEndpointName(world, passage, path), {repeated: disturbed});
+			},
+		},
 		leaving: {
 			title: 'the endpoint begins to leave',
-			paths: ['call', 'posting'],
+			paths: ['call', 'posting', 'sample'],
 			inject(world, passage) {
 				const name = findEndpointName(world, passage, path);
 				void world.agents.find(agent => agent.name === name)?.drain();
@@ -108,7 +125,7 @@
 		},
 		'store-down': {
 			title: 'the platform\'s store is down for a while',
-			paths: ['posting'],
+			paths: ['posting', 'sample', 'configuration'],
 			inject(world) {
 				setForWhile(isOn => {
 					world.tables.switches.isDown = isOn;
@@ -117,7 +134,7 @@
 		},
 		'store-slow': {
 			title: 'the platform\'s store is slow for a while',
-			paths: ['posting'],
+			paths: ['posting', 'sample', 'configuration'],
 			inject(world) {
 				setForWhile(isOn => {
 					world.tables.switches.delayMs = isOn ? 2000 : 0;
@@ -126,7 +143,7 @@
 		},
 		'store-timeout': {
 			title: 'the platform\'s store is slower than its clients wait',
-			paths: ['posting'],
+			paths: ['posting', 'sample', 'configuration'],
 			inject(world) {
 				setForWhile(isOn => {
 					world.tables.switches.delayMs = isOn ? 4000 : 0;
@@ -135,7 +152,7 @@
 		},
 		'answer-lost': {
 			title: 'the store\'s next answers are lost after the writes took effect',
-			paths: ['posting'],
+			paths: ['posting', 'sample', 'configuration'],
 			inject(world) {
 				world.tables.switches.answersToLose = 2;
 			},
--- a/packages/proof/src/hooks.ts
+++ b/packages/proof/src/hooks.ts
@@ -6,6 +6,8 @@
 export const paths = {
 	call: ['admit', 'dispatch', 'run', 'stream', 'finish', 'deliver'],
 	posting: ['admit', 'claim', 'dispatch', 'run', 'finish', 'deliver', 'complete'],
+	sample: ['admit', 'dispatch', 'run', 'stream', 'finish', 'commit', 'hand-over', 'acknowledge'],
+	configuration: ['change', 'write', 'adopt'],
 } as const;
 
 export type Path = keyof typeof paths;
--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -2,3 +2,6 @@
 export * from './faults.js';
 export * from './hooks.js';
 export * from './run-cell.js';
+export * from './find-broken-run.js';
+export * from './mutants.js';
+export * from './soak.js';
--- a/packages/proof/src/soak.ts
+++ b/packages/proof/src/soak.ts
@@ -13,10 +13,12 @@
 /** The n-th passage of a step at which a fault may come; with four requests and their retries all are reached. */
 const maxCount = 6;
 
+const allPaths: readonly Path[] = ['call', 'posting', 'sample', 'configuration'];
+
 /** Draws the run of a seed. */
-export function createRandomCell(seed: number): Cell {
+export function createRandomCell(seed: number, among: readonly Path[] = allPaths): Cell {
 	const random = new Random(seed);
-	const path: Path = random.pick(['call', 'posting'] as const);
+	const path = random.pick(among);
 	const names = Object.keys(createFaults(path));
 	const injections: Injection[] = Array.from({length: random.integer(1, maxInjections)}, () => ({
 		fault: random.pick(names), step: random.pick(paths[path]), count: random.integer(1, maxCount),
--- a/packages/proof/src/wire.ts
+++ b/packages/proof/src/wire.ts
@@ -28,6 +28,10 @@
 	isSilent: boolean;
 	/** The link can not be replaced while this holds. */
 	isParted: boolean;
+	/** Messages to vanish, one by one, though the link works. */
+	toLose: number;
+	/** Messages to come twice. */
+	toRepeat: number;
 	/** Counts up with each replacement; what was sent on an earlier one never arrives. */
 	generation: number;
 };
@@ -38,7 +42,7 @@
 
 	connect(entry: Peer, agent: Peer): void {
 		const link = {
-			entry, agent, isUp: false, isSilent: false, isParted: false, generation: 0,
+			entry, agent, isUp: false, isSilent: false, isParted: false, toLose: 0, toRepeat: 0, generation: 0,
 		};
 		this.#links.set(formatLink(entry.name, agent.name), link);
 		this.#raise(link);
@@ -91,6 +95,14 @@
 		}
 	}
 
+	/** The next messages on each link vanish, or come twice: what the sequence numbers are for. */
+	disturb(name: string, {lost = 0, repeated = 0}: {lost?: number; repeated?: number}): void {
+		for (const link of this.#listOf(name)) {
+			link.toLose += lost;
+			link.toRepeat += repeated;
+		}
+	}
+
 	/** A process is gone: its links close, and its peers see it at once, as a closed socket tells. */
 	remove(name: string): void {
 		for (const [key, link] of this.#links) {
@@ -110,18 +122,24 @@
 			return false;
 		}
 
-		if (link.isSilent) {
+		if (link.isSilent || link.toLose > 0) {
+			link.toLose -= Number(!link.isSilent);
 			return true;
 		}
 
 		// Through the codec, so that what arrives is what a real link would deliver.
 		const bytes = encodeMessage(message);
 		const {generation} = link;
-		setTimeout(() => {
-			if (link.isUp && !link.isSilent && link.generation === generation) {
-				receiver().receive(from, decodeMessage(bytes));
-			}
-		}, delayMs);
+		const times = link.toRepeat > 0 ? 2 : 1;
+		link.toRepeat -= Number(link.toRepeat > 0);
+		for (let time = 1; time <= times; time += 1) {
+			setTimeout(() => {
+				if (link.isUp && !link.isSilent && link.generation === generation) {
+					receiver().receive(from, decodeMessage(bytes));
+				}
+			}, delayMs * time);
+		}
+
 		return true;
 	}
 
--- a/packages/proof/src/world.ts
+++ b/packages/proof/src/world.ts
@@ -1,7 +1,7 @@
 /**
  * A few entries and agents over one wire and one store, under the paused clock.
  */
-import {createSilentLog, Random, type Profile} from '@wasabiusher/shared';
+import {Log, Random, type Profile} from '@wasabiusher/shared';
 import {MemoryObjectStore, MemoryTableService} from '@wasabiusher/standins';
 import {AgentNode} from './agent-node.js';
 import {EntryNode} from './entry-node.js';
@@ -19,13 +19,16 @@
 export const smallWorld: WorldSize = {entries: 2, engines: 3, ledgers: 2};
 
 /** Profiles of the proof. */
-export const profiles: Readonly<Record<'query' | 'posting', Profile>> = {
+export const profiles: Readonly<Record<'query' | 'posting' | 'rollout', Profile>> = {
 	query: {
-		class: 'interactive', priority: 5, idempotent: true, deadlineMs: 20_000, share: 1, hedge: false, objective: {},
+		class: 'interactive', priority: 5, idempotent: true, deadlineMs: 20_000, share: 1, hedge: true, objective: {},
 	},
 	posting: {
 		class: 'interactive', priority: 5, idempotent: false, deadlineMs: 20_000, share: 1, hedge: false, objective: {},
 	},
+	rollout: {
+		class: 'rollout', priority: 5, idempotent: true, deadlineMs: 20_000, share: 1, hedge: false, objective: {}, freshness: {versions: 1},
+	},
 };
 
 /** The model that all engines hold. */
@@ -43,7 +46,14 @@
 	readonly agents: AgentNode[] = [];
 	readonly entries: EntryNode[] = [];
 	readonly random: Random;
-	readonly #log = createSilentLog();
+	/** Lines of checks that failed inside the systems. */
+	readonly brokenInvariants: string[] = [];
+	readonly #log = new Log('proof', 'error', line => {
+		if (line.includes('event=invariant_broken')) {
+			this.brokenInvariants.push(line);
+		}
+	});
+
 	#names = 0;
 
 	constructor(seed: number, size: WorldSize = smallWorld) {
@@ -74,6 +84,7 @@
 			limit,
 			wire: this.wire,
 			hooks: this.hooks,
+			random: this.random,
 			log: this.#log,
 		});
 		this.agents.push(agent);
