--- /dev/null
+++ b/packages/entry/__tests__/view.spec.ts
@@ -0,0 +1,218 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import type {LinkClientOptions, Message} from '@wasabiusher/link';
+import type {Member} from '@wasabiusher/platform';
+import {createSilentLog, Random} from '@wasabiusher/shared';
+import {Dispatcher} from '@wasabiusher/systems';
+import {View, type AgentLink} from '../src/view.js';
+import {ViewSubset} from '../src/view-subset.js';
+import {createStatus} from './fixtures.js';
+
+/** A link that the test opens and breaks. */
+class FakeLink implements AgentLink {
+	isUp = false;
+	isClosed = false;
+	readonly sent: Message[] = [];
+	readonly options: LinkClientOptions;
+
+	constructor(options: LinkClientOptions) {
+		this.options = options;
+	}
+
+	send(message: Message): boolean {
+		if (this.isUp) {
+			this.sent.push(message);
+		}
+
+		return this.isUp;
+	}
+
+	open(): void {
+		this.isUp = true;
+		this.options.onUp('');
+		this.options.onMessage({kind: 'status', status: createStatus()});
+	}
+
+	close(): void {
+		this.isClosed = true;
+		if (this.isUp) {
+			this.isUp = false;
+			this.options.onDown();
+		}
+	}
+}
+
+function createMember(id: string, changes: Partial<Member> = {}): Member {
+	return {
+		id, role: 'agent', address: `10.0.0.1:${id.length}`, dataCentre: 'muroran', region: 'hokkaido', service: 'models', state: 'live', ...changes,
+	};
+}
+
+type Fixture = {view: View; dispatcher: Dispatcher; links: FakeLink[]; members: Member[] | Error};
+
+function createFixture(members: Member[]): Fixture {
+	const links: FakeLink[] = [];
+	const fixture: Fixture = {
+		links,
+		members,
+		dispatcher: new Dispatcher({random: new Random(1), send: (agent, message) => fixture.view.send(agent, message)}),
+		view: new View({
+			identity: {name: 'entry-1', keys: ['k']},
+			dataCentre: 'muroran',
+			membership: {
+				async list() {
+					if (fixture.members instanceof Error) {
+						throw fixture.members;
+					}
+
+					return fixture.members;
+				},
+				async announce() {
+					// The view only reads.
+				},
+			},
+			random: new Random(1),
+			log: createSilentLog(),
+			dispatcher: () => fixture.dispatcher,
+			onMessage(agent, message) {
+				fixture.dispatcher.receive(agent, message);
+			},
+			onUp: () => undefined,
+			onDown: () => undefined,
+			connect(options) {
+				const link = new FakeLink(options);
+				links.push(link);
+				return link;
+			},
+		}),
+	};
+	return fixture;
+}
+
+describe('View', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('links to agents as they are listed', async () => {
+		const {view, links, dispatcher} = createFixture([createMember('a1'), createMember('e2', {role: 'entry'})]);
+		await view.refresh();
+		links[0]!.open();
+		expect(links).to.have.lengthOf(1);
+		expect(view.entries).to.deep.equal(['e2']);
+		expect(dispatcher.endpoints.get('a1')).to.include({isUp: true, dataCentre: 'muroran'});
+	});
+
+	it('keeps what it has while the list is unavailable or empty', async () => {
+		const fixture = createFixture([createMember('a1')]);
+		await fixture.view.refresh();
+		fixture.links[0]!.open();
+		fixture.members = new Error('down');
+		await fixture.view.refresh();
+		fixture.members = [];
+		await clock.tickAsync(60_000);
+		await fixture.view.refresh();
+		expect(fixture.links[0]!.isClosed).to.equal(false);
+		expect(fixture.dispatcher.endpoints.listServing('models')).to.have.lengthOf(1);
+	});
+
+	it('gives a leaving agent no new work, and lets its link go when nothing is open there', async () => {
+		const fixture = createFixture([createMember('a1'), createMember('b22')]);
+		await fixture.view.refresh();
+		for (const link of fixture.links) {
+			link.open();
+		}
+
+		const row = fixture.dispatcher.endpoints.get('a1')!;
+		row.open = 1;
+		fixture.members = [createMember('a1', {state: 'leaving'}), createMember('b22')];
+		await fixture.view.refresh();
+		expect(fixture.dispatcher.endpoints.listServing('models').map(({id}) => id)).to.deep.equal(['b22']);
+		expect(fixture.links[0]!.isClosed).to.equal(false);
+		row.open = 0;
+		await fixture.view.refresh();
+		expect(fixture.links[0]!.isClosed).to.equal(true);
+		expect(fixture.dispatcher.endpoints.has('a1')).to.equal(false);
+	});
+
+	it('goes on with a live agent that the list has lost, for a while', async () => {
+		const fixture = createFixture([createMember('a1'), createMember('b22')]);
+		await fixture.view.refresh();
+		for (const link of fixture.links) {
+			link.open();
+		}
+
+		fixture.members = [createMember('b22')];
+		await fixture.view.refresh();
+		await clock.tickAsync(9000);
+		await fixture.view.refresh();
+		expect(fixture.dispatcher.endpoints.listServing('models')).to.have.lengthOf(2);
+		fixture.members = [createMember('a1'), createMember('b22')];
+		await fixture.view.refresh();
+		await clock.tickAsync(9000);
+		fixture.members = [createMember('b22')];
+		await fixture.view.refresh();
+		expect(fixture.dispatcher.endpoints.listServing('models')).to.have.lengthOf(2);
+		await clock.tickAsync(11_000);
+		await fixture.view.refresh();
+		expect(fixture.dispatcher.endpoints.listServing('models')).to.have.lengthOf(1);
+	});
+
+	it('links anew to an agent whose address has changed, and hears nothing of the old link', async () => {
+		const fixture = createFixture([createMember('a1')]);
+		await fixture.view.refresh();
+		fixture.links[0]!.open();
+		fixture.members = [createMember('a1', {address: '10.0.0.9:1'})];
+		await fixture.view.refresh();
+		expect(fixture.links.map(({options, isClosed}) => [options.address, isClosed])).to.deep.equal([['10.0.0.1:2', true], ['10.0.0.9:1', false]]);
+		expect(fixture.dispatcher.endpoints.get('a1')!.isUp).to.equal(false);
+		fixture.links[1]!.open();
+		fixture.links[0]!.options.onDown();
+		fixture.links[0]!.options.onMessage({kind: 'status', status: createStatus({service: 'other'})});
+		expect(fixture.dispatcher.endpoints.listServing('models')).to.have.lengthOf(1);
+	});
+});
+
+describe('ViewSubset', () => {
+	function listMembers(entries: number, agents: number): Member[] {
+		return [
+			...Array.from({length: entries}, (_, i) => createMember(`e${i}`, {role: 'entry'})),
+			...Array.from({length: agents}, (_, i) => createMember(`a${i}`)),
+		];
+	}
+
+	it('bounds the links at both ends and is the same for each process', () => {
+		const members = listMembers(20, 200);
+		const counts = new Map<string, number>();
+		for (let i = 0; i < 20; i += 1) {
+			const chosen = new ViewSubset({name: `e${i}`, dataCentre: 'muroran'}).choose(members.toReversed());
+			expect([...chosen]).to.have.members([...new ViewSubset({name: `e${i}`, dataCentre: 'muroran'}).choose(members)]);
+			expect(chosen.size).to.be.within(60, 64);
+			for (const agent of chosen) {
+				counts.set(agent, (counts.get(agent) ?? 0) + 1);
+			}
+		}
+
+		// 20 entries with 64 links each make 6.4 a agent.
+		expect(Math.min(...counts.values())).to.be.at.least(5);
+		expect(Math.max(...counts.values())).to.be.at.most(8);
+	});
+
+	it('takes each service for itself, and a few agents elsewhere to spill to', () => {
+		const members = [
+			...listMembers(1, 100),
+			createMember('ledger-1', {service: 'ledger'}),
+			...Array.from({length: 30}, (_, i) => createMember(`far${i}`, {dataCentre: 'ishikari'})),
+		];
+		const chosen = [...new ViewSubset({name: 'e0', dataCentre: 'muroran'}).choose(members)];
+		expect(chosen).to.include('ledger-1');
+		expect(chosen.filter(id => id.startsWith('far'))).to.have.lengthOf(8);
+		expect(chosen).to.have.lengthOf(64 + 1 + 8);
+	});
+});
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -26,6 +26,12 @@
 /** How often the configuration adopter looks for a change, in milliseconds. */
 const configurationMs = 1000;
 
+/**
+ * Longest wait of a drain for the samples under way, in milliseconds: most rollouts end within
+ * it. Longer ones are drawn again by the entry that goes on with the step, and none is lost.
+ */
+const stepGraceMs = 30_000;
+
 /** Key used while none is set; such a process listens on loopback only. */
 const loopbackKey = 'loopback';
 
@@ -50,6 +56,7 @@
 	readonly #metrics: EntryMetrics;
 	readonly #dispatcher: Dispatcher;
 	readonly #claimed: ClaimedCalls;
+	readonly #steps: StepRunner;
 	readonly #view: View;
 	readonly #adopter: ConfigurationAdopter;
 	readonly #announcer: Announcer;
@@ -66,6 +73,7 @@
 		this.#metrics = new EntryMetrics(this.#registry, () => this.#readState());
 		this.#dispatcher = this.#createDispatcher();
 		this.#claimed = this.#createClaimed();
+		this.#steps = this.#createStepRunner();
 		this.#view = this.#createView();
 		this.#adopter = this.#createAdopter();
 		this.#announcer = new Announcer(this.#platform.members, log, () => this.#createMember());
@@ -100,7 +108,9 @@
 		this.#isLeaving = true;
 		void this.#announcer.announce();
 		await this.#notice.give();
+		const handedOver = this.#steps.drain(stepGraceMs);
 		await this.#closeCallers();
+		await handedOver;
 		await this.#claimed.drain();
 		this.#invariants.checkNothingCutOff(this.#claimed.openCalls);
 		clearInterval(this.#timer);
@@ -176,10 +186,6 @@
 		});
 	}
 
-	#createStepRunner(): StepRunner {
-		return new StepRunner(this.#dispatcher);
-	}
-
 	#addRoutes(): void {
 		const configuration = (): Configuration => this.#adopter.accepted.configuration;
 		addOperationRoutes(this.#callers, this.#registry, () => {
@@ -187,7 +193,7 @@
 			return this.#isReady;
 		});
 		addOperationRoutes(this.#operators, this.#registry, () => this.#isReady);
-		addStepRoutes(this.#callers, {runner: this.#createStepRunner(), tokens: this.#settings.trainerTokens, configuration});
+		addStepRoutes(this.#callers, {runner: this.#steps, tokens: this.#settings.trainerTokens, configuration});
 		addCallerRoutes(this.#callers, {submit: this.#createSubmit(), configuration});
 		addOperatorRoutes(this.#operators, {
 			history: this.#history,
@@ -208,6 +214,24 @@
 			: this.#claimed.submit(call, key, listener);
 	}
 
+	#createStepRunner(): StepRunner {
+		const {name} = this.#settings;
+		const {tables, objects} = this.#platform;
+		const dispatcher = this.#dispatcher;
+		return new StepRunner({
+			dispatcher,
+			name,
+			tables,
+			objects,
+			invariants: this.#invariants,
+			random: new Random(hashToNumber(`${name}/steps`)),
+			log: this.#log,
+			registry: this.#registry,
+			address: () => this.#addresses.callers,
+			listVersions: model => [...dispatcher.endpoints].flatMap(({status}) => status?.models.filter(held => held.model === model).map(({version}) => version) ?? []),
+		});
+	}
+
 	#receive(agent: string, message: Message): void {
 		if (isConfigurationMessage(message)) {
 			this.#send(this.#adopter.receive(agent, message));
