Wire control and the objectives' counts into the entry

The entry takes its part in the control of weights, hands its leases back when it drains, tells rollouts and quarantine in its status, and counts calls answered in time for the burn report; a caller that went away counts neither way.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,11 +10,12 @@
 	hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
 } from '@wasabiusher/shared';
 import {
-	ClaimedCalls, ConfigurationAdopter, Dispatcher, Invariants, StepRunner, type ConfigurationMessage, type ConfigurationOutput,
+	ClaimedCalls, ConfigurationAdopter, Dispatcher, Invariants, ObjectiveMetrics, StepRunner, type CallRecord, type ConfigurationMessage, type ConfigurationOutput,
 } from '@wasabiusher/systems';
 import {Announcer} from './announcer.js';
 import {answerError} from './answers.js';
 import {addCallerRoutes, addUnknownRoute, type CallerRoutes} from './caller-routes.js';
+import {createControl, type Control} from './control.js';
 import {DrainNotice} from './drain-notice.js';
 import {EntryMetrics} from './metrics.js';
 import {addOperatorRoutes} from './operator-routes.js';
@@ -60,6 +61,8 @@
 	readonly #view: View;
 	readonly #adopter: ConfigurationAdopter;
 	readonly #announcer: Announcer;
+	readonly #objectives: ObjectiveMetrics;
+	readonly #control: Control;
 	#timer: NodeJS.Timeout | undefined;
 	#addresses = {callers: '', operators: ''};
 	#isLeaving = false;
@@ -77,6 +80,8 @@
 		this.#view = this.#createView();
 		this.#adopter = this.#createAdopter();
 		this.#announcer = new Announcer(this.#platform.members, log, () => this.#createMember());
+		this.#objectives = new ObjectiveMetrics(this.#registry, () => this.#adopter.accepted.configuration.profiles);
+		this.#control = this.#createControl();
 		collectDefaultMetrics({register: this.#registry});
 		this.#addRoutes();
 	}
@@ -97,6 +102,7 @@
 			operators: await this.#operators.listen(this.#settings.operatorListen),
 		};
 		await this.#announcer.start();
+		this.#control.start();
 		this.#log.info('entry_started', {...this.#addresses});
 		for (const secret of listUnguarded(this.#settings)) {
 			this.#log.warn('loopback_only', {unset: secret});
@@ -107,10 +113,12 @@
 	async drain(): Promise<void> {
 		this.#isLeaving = true;
 		void this.#announcer.announce();
+		const released = this.#control.stop();
 		await this.#notice.give();
 		const handedOver = this.#steps.drain(stepGraceMs);
 		await this.#closeCallers();
 		await handedOver;
+		await released;
 		await this.#claimed.drain();
 		this.#invariants.checkNothingCutOff(this.#claimed.openCalls);
 		clearInterval(this.#timer);
@@ -134,11 +142,33 @@
 				this.#view.broadcast(message, except);
 			},
 			onEnded: record => {
-				this.#metrics.recordCall(record);
+				this.#record(record);
 			},
 		});
 	}
 
+	#record(record: CallRecord): void {
+		this.#metrics.recordCall(record);
+		// A caller that went away had its answer neither in time nor late.
+		if (record.outcome !== 'cancelled') {
+			this.#objectives.record(record.call.profileName, 'answeredInTime', record.outcome === 'answered');
+		}
+	}
+
+	#createControl(): Control {
+		const {name} = this.#settings;
+		const {tables, weights} = this.#platform;
+		return createControl({
+			name,
+			tables,
+			weights,
+			random: new Random(hashToNumber(`${name}/control`)),
+			log: this.#log,
+			listEndpoints: () => this.#dispatcher.endpoints,
+			send: (agent, message) => this.#view.send(agent, message),
+		});
+	}
+
 	#createClaimed(): ClaimedCalls {
 		const {name} = this.#settings;
 		const {tables, objects} = this.#platform;
@@ -237,6 +267,7 @@
 			this.#send(this.#adopter.receive(agent, message));
 		} else {
 			this.#dispatcher.receive(agent, message);
+			this.#control.onMessage(agent, message);
 		}
 	}
 
@@ -294,7 +325,7 @@
 			isStoreReachable: this.#adopter.describe().isStoreReachable,
 			endpoints: this.#dispatcher.endpoints,
 			quarantine: this.#dispatcher.describeQuarantine(),
-			rollouts: [],
+			rollouts: this.#control.describe(),
 		});
 	}
 }
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -39,7 +39,7 @@
 	/** Names of the processes that are behind. */
 	lagging: string[];
 	/** Requests that are not run at present, since they have crashed endpoints. */
-	quarantine: QuarantineStatus[];
+	quarantine: Array<{fingerprint: string; crashes: string[]; untilMs: number}>;
 	/** Weight rollouts under way or stuck, as control describes them. */
 	rollouts: unknown[];
 };
@@ -54,7 +54,7 @@
 	accepted: AcceptedConfiguration;
 	isStoreReachable?: boolean;
 	endpoints: Iterable<DescribedRow>;
-	quarantine: EntryStatus['quarantine'];
+	quarantine: QuarantineStatus[];
 	rollouts: unknown[];
 };
 
@@ -94,7 +94,8 @@
 		}],
 		agents,
 		lagging: agents.filter(({isLagging}) => isLagging).map(agent => agent.name),
-		quarantine,
+		// Milliseconds since the epoch, for people's clocks.
+		quarantine: quarantine.map(({fingerprint, crashes, remainingMs}) => ({fingerprint, crashes, untilMs: Date.now() + remainingMs})),
 		rollouts,
 	};
 }
