--- a/packages/systems/__tests__/dispatcher-decisions.spec.ts
+++ b/packages/systems/__tests__/dispatcher-decisions.spec.ts
@@ -160,6 +160,19 @@
 		expect(listOpens(fixture).slice(before).map(({agent}) => agent)).to.include('a1');
 	});
 
+	it('uses an endpoint that was taken out when no other holds the model', async () => {
+		const fixture = createFixture(['a1', 'a2', 'a3']);
+		fixture.dispatcher.receive('a1', {kind: 'status', status: createStatus({models: [{model: 'hazard', version: 1}]})});
+		for (let i = 0; i < 6; i += 1) {
+			submit(fixture, {...createCall(`c${i}`, {idempotent: false}), model: 'hazard'});
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(100);
+			sendFailed(fixture, 'unknown');
+		}
+
+		expect(listOpens(fixture).map(({agent}) => agent)).to.deep.equal(Array.from({length: 6}, () => 'a1'));
+	});
+
 	it('starts a slow call a second time elsewhere, and stops the slower one', async () => {
 		const fixture = createFixture(['a1', 'a2']);
 		const profile = {hedge: true};
--- a/packages/systems/src/dispatcher-endpoints.ts
+++ b/packages/systems/src/dispatcher-endpoints.ts
@@ -82,9 +82,15 @@
 		return model === undefined ? serving : serving.filter(({status}) => status!.models.some(held => held.model === model));
 	}
 
-	/** Requests that the endpoints of a service run at once, less what is still draining there; at least 1. */
-	countSlots(service: string): number {
-		const free = this.listServing(service).map(({status, draining}) => Math.max(0, status!.limit - draining));
+	/**
+	 * Requests that the endpoints of a service run at once, less what is still draining there; at least 1.
+	 *
+	 * @param isUsed - leaves out endpoints that get no calls for another reason
+	 */
+	countSlots(service: string, isUsed: (endpoint: string) => boolean = () => true): number {
+		const free = this.listServing(service)
+			.filter(({id}) => isUsed(id))
+			.map(({status, draining}) => Math.max(0, status!.limit - draining));
 		return Math.max(1, free.reduce((sum, slots) => sum + slots, 0));
 	}
 
--- a/packages/systems/src/dispatcher-probes.ts
+++ b/packages/systems/src/dispatcher-probes.ts
@@ -8,7 +8,7 @@
 import type {AttemptOutcome} from './dispatcher-outcome.js';
 import type {EndpointRow} from './dispatcher-endpoints.js';
 import type {Pool} from './dispatcher-pool.js';
-import type {AttemptOwner} from './dispatcher-run.js';
+import type {AttemptOwner} from './dispatcher-run-context.js';
 
 /** Tokens of a probe at the most: enough to show the pace, little beside a caller's answer. */
 const maxProbeTokens = 16;
--- a/packages/systems/src/dispatcher-routing.ts
+++ b/packages/systems/src/dispatcher-routing.ts
@@ -85,6 +85,8 @@
 		const {random, dataCentre} = this.#settings;
 		const blocks = this.#findBlocks(call);
 		const poolMs = pool.estimateMs(call.cost) ?? coldMsPerCost[call.work.kind] * call.cost;
+		// One that was taken out of use is better than none, as when no other holds the model.
+		const isAnyUsed = rows.some(({id}) => !pool.ejection.isEjected(id));
 		const candidates = rows.map((row): Candidate => ({
 			id: row.id,
 			load: row.load.load,
@@ -92,7 +94,7 @@
 			dataCentre: row.dataCentre,
 			serviceMs: row.msPerCost === undefined ? poolMs : row.msPerCost * call.cost,
 			cached: this.prefixes.match(row.id, blocks),
-			isEjected: pool.ejection.isEjected(row.id),
+			isEjected: isAnyUsed && pool.ejection.isEjected(row.id),
 		}));
 		return chooseEndpoint(candidates, random, {dataCentre})?.id;
 	}
--- a/packages/systems/src/dispatcher-run.ts
+++ b/packages/systems/src/dispatcher-run.ts
@@ -7,60 +7,19 @@
 	createProblem, describeError, type Problem, type Ran,
 } from '@wasabiusher/shared';
 import type {
-	Call, CallListener, CallRecord, Progress, Run,
+	Call, CallListener, CallRecord, Run,
 } from './call.js';
 import type {Attempt} from './dispatcher-attempt.js';
-import type {History, Route} from './dispatcher-routing.js';
+import type {Route} from './dispatcher-routing.js';
+import type {AttemptOwner, RunContext} from './dispatcher-run-context.js';
+import {CallTimes} from './call-times.js';
 import {
 	describeExpiry, describeFailure, mergeRan, type AttemptFailure, type AttemptOutcome,
 } from './dispatcher-outcome.js';
 
-/** What a run is told of one of its attempts. */
-export type AttemptOwner = {
-	onEvent(attempt: Attempt, event: AnswerEvent): void;
-	onSettled(attempt: Attempt, outcome: AttemptOutcome): void;
-};
-
-/** What is known when the attempts made so far have failed. */
-export type RetryFacts = {
-	/** Of all attempts together. */
-	ran: Ran;
-	/** The last one was refused by the agent at once. */
-	isRefusal: boolean;
-	attempts: number;
-	refusals: number;
-};
-
-/** What a run asks of the dispatcher. */
-export type RunContext = {
-	/** The call's turn has come. */
-	onStarted(call: Call): void;
-	choose(call: Call, history: History): Route;
-	createAttempt(call: Call, number: number, endpoint: string, owner: AttemptOwner): Attempt;
-	/** Sends the attempt's request. */
-	startAttempt(call: Call, attempt: Attempt, isSuspect: boolean): void;
-	/** Wait before a further attempt, in milliseconds, counted against its budget; undefined if none may be made. */
-	decideRetry(call: Call, facts: RetryFacts): number | undefined;
-	/** Wait for a first event after which a call is slow, in milliseconds; undefined if it may not be hedged. */
-	findHedgeDelay(call: Call): number | undefined;
-	/** Takes a second attempt for a slow call; false if there is no room for one. */
-	tryHedge(call: Call, startedAt: number): boolean;
-	/** The first event came so long after the first attempt was sent. */
-	onFirstEvent(call: Call, waitMs: number): void;
-	/** Before an attempt: whether it keeps the promise of at most one run. */
-	checkAtMostOnce(call: Call, mayHaveRun: boolean): boolean;
-	/** Before the caller is told: what may be said, given whether any attempt may have run. */
-	checkRan(call: Call, ran: Ran, mayHaveRun: boolean): Ran;
-	onEnded(run: CallRun, record: CallRecord): void;
-};
-
 /** Why what waited for a run is given up; one for all, since making one for each takes longer than a routing decision. */
 const endedReason = new Error('the call has ended');
 
-const progressOf: Readonly<Record<AnswerEvent['kind'], Progress>> = {
-	head: 'head', body: 'content', parts: 'content', finished: 'content',
-};
-
 /** A call on its way. */
 export class CallRun implements Run {
 	readonly call: Call;
@@ -68,14 +27,12 @@
 	readonly abort = new AbortController();
 	readonly #listener: CallListener;
 	readonly #context: RunContext;
-	readonly #acceptedAt = performance.now();
+	readonly #times = new CallTimes();
 	readonly #expiry: NodeJS.Timeout;
 	readonly #owner: AttemptOwner;
 	readonly #open = new Set<Attempt>();
 	/** Endpoints that have failed or refused this call. */
 	readonly #tried = new Set<string>();
-	#startedAt: number | undefined;
-	#firstContentAt: number | undefined;
 	#isEnded = false;
 	#isPaused = false;
 	#isHedged = false;
@@ -88,7 +45,6 @@
 	#roundAt = 0;
 	/** Of the attempts that are over. */
 	#ran: Ran = 'no';
-	#progress: Progress = 'nothing';
 	/** The attempt whose events are the answer: the first that had any. */
 	#winner: Attempt | undefined;
 	#failure: AttemptFailure | undefined;
@@ -121,7 +77,7 @@
 
 	/** Makes attempts until one is whole or none may follow; resolves when the run has ended. */
 	async drive(): Promise<void> {
-		this.#startedAt = performance.now();
+		this.#times.recordStart();
 		this.#context.onStarted(this.call);
 		if (performance.now() >= this.call.deadlineAt) {
 			this.#expire();
@@ -235,7 +191,7 @@
 			return;
 		}
 
-		this.#noteProgress(event);
+		this.#times.recordEvent(event);
 		// Ended before the listener closes the connection, which would count as a cancellation.
 		if (event.kind === 'finished') {
 			this.#end('answered');
@@ -266,17 +222,6 @@
 		return this.#winner === attempt;
 	}
 
-	#noteProgress({kind}: AnswerEvent): void {
-		if (this.#progress === 'content') {
-			return;
-		}
-
-		this.#progress = progressOf[kind];
-		if (this.#progress === 'content') {
-			this.#firstContentAt = performance.now();
-		}
-	}
-
 	/** Stops an attempt that is not needed any more; it may have run. */
 	#drop(attempt: Attempt): void {
 		this.#open.delete(attempt);
@@ -323,7 +268,7 @@
 		}
 
 		this.#winner = undefined;
-		this.#progress = 'nothing';
+		this.#times.restart();
 		const refusals = this.#refusals;
 		return this.#context.decideRetry(this.call, {
 			ran, isRefusal: this.#failure?.refusal !== undefined, attempts: this.#attempts - refusals, refusals,
@@ -377,20 +322,8 @@
 		}
 
 		this.#onRoundOver?.();
-		this.#context.onEnded(this, this.#createRecord(outcome, problem));
-	}
-
-	#createRecord(outcome: CallRecord['outcome'], problem?: Problem): CallRecord {
-		const now = performance.now();
-		return {
-			call: this.call,
-			outcome,
-			problem,
-			progress: this.#progress,
-			queueMs: (this.#startedAt ?? now) - this.#acceptedAt,
-			firstContentMs: this.#firstContentAt === undefined ? undefined : this.#firstContentAt - this.#acceptedAt,
-			durationMs: now - this.#acceptedAt,
-			attempts: this.#attempts,
-		};
+		this.#context.onEnded(this.call, {
+			call: this.call, outcome, problem, attempts: this.#attempts, ...this.#times.describe(),
+		});
 	}
 }
