--- a/packages/entry/__tests__/view.spec.ts
+++ b/packages/entry/__tests__/view.spec.ts
@@ -48,13 +48,14 @@
 	};
 }
 
-type Fixture = {view: View; dispatcher: Dispatcher; links: FakeLink[]; members: Member[] | Error};
+type Fixture = {view: View; dispatcher: Dispatcher; links: FakeLink[]; members: Member[] | Error; lost: string[]};
 
 function createFixture(members: Member[]): Fixture {
 	const links: FakeLink[] = [];
 	const fixture: Fixture = {
 		links,
 		members,
+		lost: [],
 		dispatcher: new Dispatcher({random: new Random(1), send: (agent, message) => fixture.view.send(agent, message)}),
 		view: new View({
 			identity: {name: 'entry-1', keys: ['k']},
@@ -78,7 +79,9 @@
 				fixture.dispatcher.receive(agent, message);
 			},
 			onUp: () => undefined,
-			onDown: () => undefined,
+			onDown(agent) {
+				fixture.lost.push(agent);
+			},
 			connect(options) {
 				const link = new FakeLink(options);
 				links.push(link);
@@ -109,6 +112,18 @@
 		expect(dispatcher.endpoints.get('a1')).to.include({isUp: true, dataCentre: 'muroran'});
 	});
 
+	it('tells of a lost link once, and not of each try to open it', async () => {
+		const fixture = createFixture([createMember('a1')]);
+		await fixture.view.refresh();
+		const [link] = fixture.links;
+		link!.options.onDown();
+		expect(fixture.lost).to.deep.equal([]);
+		link!.open();
+		link!.options.onDown();
+		link!.options.onDown();
+		expect(fixture.lost).to.deep.equal(['a1']);
+	});
+
 	it('keeps what it has while the list is unavailable or empty', async () => {
 		const fixture = createFixture([createMember('a1')]);
 		await fixture.view.refresh();
--- a/packages/entry/src/completions-body.ts
+++ b/packages/entry/src/completions-body.ts
@@ -29,9 +29,10 @@
 	z.tuple([z.string()]).transform(([prompt]) => prompt),
 ], 'expected a text or a list of one text');
 
-/** Text, or the text parts of a message. */
+/** Text, the text parts of a message, or none, as in messages that only call tools. */
 const contentSchema = z.union([
 	z.string(),
+	z.null().transform(() => ''),
 	z.array(z.object({type: z.literal('text'), text: z.string()})).transform(parts => parts.map(({text}) => text).join('')),
 ], 'expected a text or a list of text parts');
 
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -47,6 +47,8 @@
 type ViewedAgent = {
 	address: string;
 	client: AgentLink;
+	/** Its link has been up since it was last lost. */
+	isLinked: boolean;
 	/** Since when it is not wanted, on the monotonic clock in milliseconds; undefined while it is. */
 	unwantedSince?: number;
 };
@@ -170,7 +172,7 @@
 	#want({id, address, dataCentre}: Member): void {
 		const agent = this.#agents.get(id);
 		if (!agent) {
-			this.#agents.set(id, {address, client: this.#connect(id, address, dataCentre)});
+			this.#agents.set(id, {address, client: this.#connect(id, address, dataCentre), isLinked: false});
 			return;
 		}
 
@@ -203,24 +205,17 @@
 	}
 
 	#connect(agent: string, address: string, dataCentre: string): AgentLink {
-		const {identity, random, log, dispatcher, onMessage, onUp, onDown, connect = openLink} = this.#settings;
+		const {identity, random, onMessage, connect = openLink} = this.#settings;
 		// What an earlier link of the same agent still says is not heard.
 		const client: AgentLink = connect({
 			address,
 			identity,
 			random,
 			onUp: () => {
-				if (this.#agents.get(agent)?.client === client) {
-					dispatcher().attach(agent, dataCentre);
-					onUp(agent);
-				}
+				this.#noteUp(agent, client, dataCentre);
 			},
 			onDown: error => {
-				if (this.#agents.get(agent)?.client === client) {
-					dispatcher().detach(agent);
-					onDown(agent);
-					log.warn('link_down', {agent, reason: error?.message});
-				}
+				this.#noteDown(agent, client, error?.message);
 			},
 			onMessage: message => {
 				if (this.#agents.get(agent)?.client === client) {
@@ -230,4 +225,33 @@
 		});
 		return client;
 	}
+
+	#noteUp(id: string, client: AgentLink, dataCentre: string): void {
+		const agent = this.#agents.get(id);
+		if (agent?.client === client) {
+			const {dispatcher, onUp} = this.#settings;
+			agent.isLinked = true;
+			dispatcher().attach(id, dataCentre);
+			onUp(id);
+		}
+	}
+
+	/** A link was lost, or could not be opened, which is tried again and again. */
+	#noteDown(id: string, client: AgentLink, reason: string | undefined): void {
+		const agent = this.#agents.get(id);
+		if (agent?.client !== client) {
+			return;
+		}
+
+		const {dispatcher, onDown, log} = this.#settings;
+		if (!agent.isLinked) {
+			log.debug('link_not_opened', {agent: id, reason});
+			return;
+		}
+
+		agent.isLinked = false;
+		dispatcher().detach(id);
+		onDown(id);
+		log.warn('link_lost', {agent: id, reason});
+	}
 }
