--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,11 +10,12 @@
 	hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
 } from '@wasabiusher/shared';
 import {
-	ClaimedCalls, ConfigurationAdopter, Dispatcher, Invariants, ObjectiveMetrics, StepRunner, type CallRecord, type ConfigurationMessage, type ConfigurationOutput,
+	ClaimedCalls, Dispatcher, Invariants, ObjectiveMetrics, StepRunner, type CallRecord,
 } from '@wasabiusher/systems';
 import {Announcer} from './announcer.js';
 import {answerError} from './answers.js';
 import {addCallerRoutes, addUnknownRoute, type CallerRoutes} from './caller-routes.js';
+import {ConfigurationLink, isConfigurationMessage} from './configuration-link.js';
 import {createControl, type Control} from './control.js';
 import {DrainNotice} from './drain-notice.js';
 import {EntryMetrics} from './metrics.js';
@@ -24,9 +25,6 @@
 import {addStepRoutes} from './step-routes.js';
 import {View} from './view.js';
 
-/** How often the configuration adopter looks for a change, in milliseconds. */
-const configurationMs = 1000;
-
 /**
  * Longest wait of a drain for the samples under way, in milliseconds: most rollouts end within
  * it. Longer ones are drawn again by the entry that goes on with the step, and none is lost.
@@ -36,13 +34,6 @@
 /** Key used while none is set; such a process listens on loopback only. */
 const loopbackKey = 'loopback';
 
-/** Kinds of messages that are the configuration adopter's. */
-const configurationKinds: ReadonlySet<Message['kind']> = new Set(['configuration', 'configuration-delta', 'digest']);
-
-function isConfigurationMessage(message: Message): message is ConfigurationMessage {
-	return configurationKinds.has(message.kind);
-}
-
 /** One entry. */
 export class Entry implements Daemon {
 	readonly #settings: EntrySettings;
@@ -59,11 +50,10 @@
 	readonly #claimed: ClaimedCalls;
 	readonly #steps: StepRunner;
 	readonly #view: View;
-	readonly #adopter: ConfigurationAdopter;
+	readonly #configuration: ConfigurationLink;
 	readonly #announcer: Announcer;
 	readonly #objectives: ObjectiveMetrics;
 	readonly #control: Control;
-	#timer: NodeJS.Timeout | undefined;
 	#addresses = {callers: '', operators: ''};
 	#isLeaving = false;
 
@@ -78,9 +68,9 @@
 		this.#claimed = this.#createClaimed();
 		this.#steps = this.#createStepRunner();
 		this.#view = this.#createView();
-		this.#adopter = this.#createAdopter();
+		this.#configuration = this.#createConfiguration();
 		this.#announcer = new Announcer(this.#platform.members, log, () => this.#createMember());
-		this.#objectives = new ObjectiveMetrics(this.#registry, () => this.#adopter.accepted.configuration.profiles);
+		this.#objectives = new ObjectiveMetrics(this.#registry, () => this.#configuration.accepted.configuration.profiles);
 		this.#control = this.#createControl();
 		collectDefaultMetrics({register: this.#registry});
 		this.#addRoutes();
@@ -92,11 +82,8 @@
 	}
 
 	async start(): Promise<void> {
-		await this.#adopt();
+		await this.#configuration.start();
 		await this.#view.start();
-		this.#timer = setInterval(() => {
-			void this.#adopt();
-		}, configurationMs);
 		this.#addresses = {
 			callers: await this.#callers.listen(this.#settings.listen),
 			operators: await this.#operators.listen(this.#settings.operatorListen),
@@ -120,15 +107,15 @@
 		await handedOver;
 		await released;
 		await this.#claimed.drain();
-		this.#invariants.checkNothingCutOff(this.#claimed.openCalls);
-		clearInterval(this.#timer);
+		this.#invariants.checkNothingCutOff(this.#dispatcher.openCalls + this.#claimed.openCalls);
+		this.#configuration.stop();
 		this.#announcer.stop();
 		await this.#operators.close();
 		this.#view.stop();
 	}
 
 	get #isReady(): boolean {
-		return !this.#isLeaving && this.#adopter.isReady && this.#adopter.accepted.version > 0;
+		return !this.#isLeaving && this.#configuration.isReady;
 	}
 
 	#createDispatcher(): Dispatcher {
@@ -194,30 +181,30 @@
 				this.#receive(agent, message);
 			},
 			onUp: agent => {
-				this.#send(this.#adopter.onLinkUp(agent));
+				this.#configuration.onLinkUp(agent);
 			},
 			onDown: agent => {
-				this.#adopter.onLinkDown(agent);
+				this.#configuration.onLinkDown(agent);
 				this.#metrics.recordLinkLoss();
 			},
 		});
 	}
 
-	#createAdopter(): ConfigurationAdopter {
+	#createConfiguration(): ConfigurationLink {
 		const {name, dataCentre} = this.#settings;
-		return new ConfigurationAdopter({
+		return new ConfigurationLink({
 			name,
 			dataCentre,
 			log: this.#log,
 			random: new Random(hashToNumber(`${name}/configuration`)),
 			invariants: this.#invariants,
 			reader: {history: this.#history, listEntries: () => [...this.#view.entries]},
-			onAdopted: () => undefined,
+			send: (agent, message) => this.#view.send(agent, message),
 		});
 	}
 
 	#addRoutes(): void {
-		const configuration = (): Configuration => this.#adopter.accepted.configuration;
+		const configuration = (): Configuration => this.#configuration.accepted.configuration;
 		addOperationRoutes(this.#callers, this.#registry, () => {
 			this.#notice.recordCheck();
 			return this.#isReady;
@@ -228,9 +215,9 @@
 		addOperatorRoutes(this.#operators, {
 			history: this.#history,
 			tokens: this.#settings.operatorTokens,
-			current: () => this.#adopter.accepted,
+			current: () => this.#configuration.accepted,
 			adopt: accepted => {
-				this.#send(this.#adopter.offer(accepted));
+				this.#configuration.offer(accepted);
 			},
 			status: () => this.#describe(),
 		});
@@ -264,23 +251,13 @@
 
 	#receive(agent: string, message: Message): void {
 		if (isConfigurationMessage(message)) {
-			this.#send(this.#adopter.receive(agent, message));
+			this.#configuration.receive(agent, message);
 		} else {
 			this.#dispatcher.receive(agent, message);
 			this.#control.onMessage(agent, message);
 		}
 	}
 
-	#send(outputs: readonly ConfigurationOutput[]): void {
-		for (const {to, message} of outputs) {
-			this.#view.send(to, message);
-		}
-	}
-
-	async #adopt(): Promise<void> {
-		this.#send(await this.#adopter.tick());
-	}
-
 	/** Ends when the last caller has its answer, or at the limit that the settings give. */
 	async #closeCallers(): Promise<void> {
 		const {drainLimitMs} = this.#settings;
@@ -308,21 +285,21 @@
 			draining: this.#dispatcher.drainingAttempts,
 			linksUp: up,
 			links: all,
-			configurationVersion: this.#adopter.accepted.version,
+			configurationVersion: this.#configuration.accepted.version,
 			isReady: this.#isReady,
 		};
 	}
 
 	#describe(): EntryStatus {
 		const {name, dataCentre} = this.#settings;
-		const {accepted} = this.#adopter;
+		const {accepted} = this.#configuration;
 		return describeStatus({
 			name,
 			dataCentre,
 			isLeaving: this.#isLeaving,
 			openCalls: this.#dispatcher.openCalls,
 			accepted,
-			isStoreReachable: this.#adopter.describe().isStoreReachable,
+			isStoreReachable: this.#configuration.describe().isStoreReachable,
 			endpoints: this.#dispatcher.endpoints,
 			quarantine: this.#dispatcher.describeQuarantine(),
 			rollouts: this.#control.describe(),
