Let samples of a group find the endpoint that caches their prompt

Cause: draws of steps gave no prefix, so the eight samples of a group were spread without regard to caches. Change: the prompt is the prefix of a draw's call.

--- a/packages/systems/src/steps-drawing.ts
+++ b/packages/systems/src/steps-drawing.ts
@@ -106,5 +106,6 @@
 		deadlineAt: performance.now() + profile.deadlineMs,
 		cost: maxTokens,
 		fingerprint: hashText(prompt),
+		prefix: prompt,
 	};
 }
