--- /dev/null
+++ b/scripts/mutants.ts
@@ -0,0 +1,246 @@
+/**
+ * Deliberate faults in the record's code, each of which the tests must catch.
+ *
+ * `npm run mutants` copies the sources to a directory of its own, applies one fault after the other there, runs the
+ * tests that should catch it, and prints caught or not. The sources themselves are never changed.
+ */
+import {spawnSync} from 'node:child_process';
+import {
+	cpSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, symlinkSync, writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+
+type Patch = {file: string; find: string; replace: string};
+
+type Mutant = {name: string; patches: Patch[]; specs: string[]};
+
+const record = (file: string) => `packages/record/src/${file}.ts`;
+const systems = (file: string) => `packages/systems/src/${file}.ts`;
+const recordSpec = (name: string) => `packages/record/__tests__/${name}.spec.ts`;
+const systemsSpec = (name: string) => `packages/systems/__tests__/${name}.spec.ts`;
+
+const withoutInvariants: Patch = {file: systems('invariants'), find: 'if (!holds) {', replace: 'if (false as boolean) {'};
+const trueInvariants: Patch = {file: systems('invariants'), find: 'return holds;', replace: 'return true;'};
+
+/** Without the second line of defence, so that the first one is seen to be tested by itself. */
+const unguarded = [withoutInvariants, trueInvariants];
+
+const mutants: Mutant[] = [
+	{
+		name: 'a holder does not see that its lease has lapsed',
+		patches: [{file: record('lease-holder'), find: 'return performance.now() < this.#heldUntil;', replace: 'return this.#heldUntil > 0;'}],
+		specs: [recordSpec('lease-holder')],
+	},
+	{
+		name: 'the term is counted from the answer',
+		patches: [{file: record('lease-holder'), find: 'this.#heldUntil = sentAt +', replace: 'this.#heldUntil = performance.now() +'}],
+		specs: [recordSpec('lease-holder')],
+	},
+	{
+		name: 'a lease is taken over without waiting for its term',
+		patches: [{file: record('lease-holder'), find: 'return this.#countMsToTakeOver() <= 0 && this.#pace.tryTake();', replace: 'return this.#pace.tryTake();'}],
+		specs: [recordSpec('lease-holder')],
+	},
+	{
+		name: 'the fence stays when the holder changes',
+		patches: [{file: record('lease-holder'), find: '(isOurs ? 0 : 1)', replace: '(this.#lease ? 0 : 1)'}],
+		specs: [recordSpec('lease-holder')],
+	},
+	{
+		name: 'take-overs have no cap',
+		patches: [{file: record('take-over-pace'), find: 'this.#tokens -= 1;', replace: ''}],
+		specs: [recordSpec('lease-holder')],
+	},
+	{
+		name: 'a lost answer is taken for a refusal',
+		patches: [{file: record('settled-write'), find: 'return witness === \'ours\';', replace: 'return false;'}],
+		specs: [recordSpec('configuration-history'), recordSpec('sample-log')],
+	},
+	{
+		name: 'a lost answer is taken for a success',
+		patches: [{file: record('settled-write'), find: 'isDoubtful = true;', replace: 'if (outcome === \'unknown\') {\n\t\t\treturn true;\n\t\t}\n\n\t\tisDoubtful = true;'}],
+		specs: [recordSpec('configuration-history'), recordSpec('sample-log')],
+	},
+	{
+		name: 'an earlier owner of a step commits',
+		patches: [
+			{file: record('sample-log'), find: 'key: this.#step, expect: this.#version, value: head,', replace: 'key: this.#step, expect: undefined as never, value: head,'},
+			{file: record('sample-log'), find: 'expect: 0,\n', replace: 'expect: undefined as never,\n'},
+		],
+		specs: [recordSpec('sample-log')],
+	},
+	{
+		name: 'a lower configuration is adopted',
+		patches: [...unguarded, {file: systems('configuration-adopter'), find: 'if (accepted.version <= this.#accepted.version) {', replace: 'if (accepted.version === this.#accepted.version) {'}],
+		specs: [systemsSpec('configuration-adopter')],
+	},
+	{
+		name: 'a delta is applied unchecked',
+		patches: [
+			{file: 'packages/shared/src/configuration-delta.ts', find: 'return hashConfiguration(configuration) === hash ?', replace: 'return hash !== undefined ?'},
+			{file: 'packages/shared/src/configuration-delta.ts', find: 'accepted.version < from ||', replace: ''},
+		],
+		specs: [systemsSpec('configuration-adopter')],
+	},
+	{
+		name: 'a new process is ready with neither store nor peers',
+		patches: [{file: systems('configuration-adopter'), find: 'return heard.length >= needed', replace: 'return heard.length >= 0'}],
+		specs: [systemsSpec('configuration-adopter')],
+	},
+	{
+		name: 'the claim is dropped',
+		patches: [{file: systems('claimed-calls'), find: 'if (result.kind !== \'granted\') {', replace: 'if (result.kind === \'unavailable\') {'}],
+		specs: [systemsSpec('claimed-calls')],
+	},
+	{
+		name: 'a call whose caller was told runs after all',
+		patches: [{file: systems('claimed-calls'), find: 'attempt.isOver ? {kind: \'released\'} : await', replace: 'await'}],
+		specs: [systemsSpec('claimed-calls')],
+	},
+	{
+		name: '"not run" is said while a claim may exist',
+		patches: [...unguarded, {file: systems('claimed-calls'), find: 'attempt.mayBeClaimed ? \'unknown\' : \'no\'', replace: '\'no\''}],
+		specs: [systemsSpec('claimed-calls')],
+	},
+	{
+		name: 'a run that may have taken effect is released',
+		patches: [{file: systems('claimed-calls'), find: 'problem.ran === \'no\' ? \'released\' : \'doubtful\'', replace: '\'released\''}],
+		specs: [systemsSpec('claimed-calls')],
+	},
+	{
+		name: 'a key may stand for two calls',
+		patches: [{file: systems('claimed-calls'), find: 'if (first.fingerprint !== attempt.call.fingerprint) {', replace: 'if (first.fingerprint === \'\') {'}],
+		specs: [systemsSpec('claimed-calls')],
+	},
+	{
+		name: 'stale samples are handed over',
+		patches: [
+			...unguarded,
+			{
+				file: systems('steps-freshness'),
+				find: 'return versionsBehind <= maxVersionsBehind && secondsBehind <= maxSecondsBehind;',
+				replace: 'return versionsBehind <= maxVersionsBehind || secondsBehind <= maxSecondsBehind;',
+			},
+		],
+		specs: [systemsSpec('steps')],
+	},
+	{
+		name: 'the cursor is ignored',
+		patches: [...unguarded, {file: systems('steps-step'), find: '!received.has(place) && state !== \'done\'', replace: 'state !== \'done\''}],
+		specs: [systemsSpec('steps')],
+	},
+	{
+		name: 'a sample is labelled with its first version only',
+		patches: [{file: systems('steps-drawing'), find: 'appendSpan(versions, part.version, part.tokens)', replace: 'appendSpan(versions, versions[0]?.version ?? part.version, part.tokens)'}],
+		specs: [systemsSpec('steps')],
+	},
+	{
+		name: 'groups are handed over in parts',
+		patches: [
+			{file: systems('steps-step'), find: 'if (missing.every(({state}) => state === \'ready\')) {', replace: 'if (true as boolean) {'},
+			{file: systems('steps-step'), find: '...missing.map(({sample}) => sample!)', replace: '...missing.filter(({state}) => state === \'ready\').map(({sample}) => sample!)'},
+		],
+		specs: [systemsSpec('steps')],
+	},
+	{
+		name: 'the second attempt to finish replaces the sample',
+		patches: [{file: systems('steps-slots'), find: '\t\tdrawing.cancel();\n', replace: '\t\t// The mutant lets it go on.\n\t\tvoid drawing;\n'}],
+		specs: [systemsSpec('steps')],
+	},
+	{
+		name: 'what gets ready while the trainer reads is missed',
+		patches: [{file: systems('steps-step'), find: ' || this.#changes !== since', replace: ''}],
+		specs: [systemsSpec('steps')],
+	},
+	{
+		name: 'a step is not gone on with from the record',
+		patches: [{file: systems('steps'), find: '\t\trestore(step, finding);\n', replace: ''}],
+		specs: [systemsSpec('steps')],
+	},
+	{
+		name: 'a scorer is asked under a key of each try',
+		// The patched text is a template of the source.
+		// eslint-disable-next-line no-template-curly-in-string
+		patches: [{file: systems('steps-scoring'), find: '#${hashText(sample.text)}`;', replace: '#${hashText(sample.text)}#${tries}`;'}],
+		specs: [systemsSpec('steps')],
+	},
+];
+
+function copySources(root: string): string {
+	const copy = mkdtempSync(path.join(tmpdir(), 'wasabiusher-mutants-'));
+	for (const name of ['packages', 'scripts', 'package.json', 'tsconfig.json']) {
+		cpSync(path.join(root, name), path.join(copy, name), {recursive: true});
+	}
+
+	// Libraries are shared; the packages of the workspace are those of the copy.
+	const modules = path.join(copy, 'node_modules');
+	mkdirSync(path.join(modules, '@wasabiusher'), {recursive: true});
+	for (const name of readdirSync(path.join(root, 'node_modules')).filter(module => module !== '@wasabiusher')) {
+		symlinkSync(path.join(root, 'node_modules', name), path.join(modules, name));
+	}
+
+	for (const name of readdirSync(path.join(copy, 'packages'))) {
+		symlinkSync(path.join('..', '..', 'packages', name), path.join(modules, '@wasabiusher', name));
+	}
+
+	return copy;
+}
+
+function patchSources(copy: string, patches: readonly Patch[]): Map<string, string> {
+	const originals = new Map<string, string>();
+	for (const {file, find, replace} of patches) {
+		const target = path.join(copy, file);
+		const source = readFileSync(target, 'utf8');
+		if (!source.includes(find)) {
+			throw new Error(`${file} has no "${find}": mend the list in scripts/mutants.ts`);
+		}
+
+		originals.set(target, originals.get(target) ?? source);
+		writeFileSync(target, source.replace(find, () => replace));
+	}
+
+	return originals;
+}
+
+/** How many tests fail; a run that ends in any other way, such as a file that can not be loaded, is an error of this list. */
+function countFailures(copy: string, specs: readonly string[]): number {
+	const mocha = path.join(copy, 'node_modules', 'mocha', 'bin', 'mocha.js');
+	const {status, stdout} = spawnSync(process.execPath, [mocha, '--no-config', '--node-option', 'import=tsx', '--exit', '--timeout', '20000', '--reporter', 'dot', ...specs], {
+		cwd: copy, encoding: 'utf8', timeout: 120_000,
+	});
+	const failures = Number(/(\d+) failing/v.exec(stdout)?.[1] ?? 0);
+	if (failures === 0 && status !== 0) {
+		throw new Error(`the tests did not run: ${stdout}`);
+	}
+
+	return failures;
+}
+
+function run(): number {
+	const copy = copySources(process.cwd());
+	let missed = 0;
+	try {
+		if (countFailures(copy, [...new Set(mutants.flatMap(({specs}) => specs))]) > 0) {
+			throw new Error('the tests fail without any mutant');
+		}
+
+		for (const {name, patches, specs} of mutants) {
+			const originals = patchSources(copy, patches);
+			const failures = countFailures(copy, specs);
+			missed += failures > 0 ? 0 : 1;
+			process.stdout.write(`${failures > 0 ? `caught by ${failures}` : 'NOT CAUGHT'}: ${name}\n`);
+			for (const [file, source] of originals) {
+				writeFileSync(file, source);
+			}
+		}
+	} finally {
+		rmSync(copy, {recursive: true});
+	}
+
+	process.stdout.write(`${mutants.length - missed} caught, ${missed} not caught\n`);
+	return missed === 0 ? 0 : 1;
+}
+
+process.exitCode = run();
