--- a/packages/systems/__tests__/dispatcher-fixtures.ts
+++ b/packages/systems/__tests__/dispatcher-fixtures.ts
@@ -11,6 +11,8 @@
 export type Fixture = {
 	dispatcher: Dispatcher;
 	sent: Sent[];
+	/** What was told to all agents but one. */
+	told: Array<{message: Message; except?: string}>;
 	records: CallRecord[];
 	down: Set<string>;
 	/** Messages of one kind, oldest first. */
@@ -37,12 +39,14 @@
 	};
 }
 
-export function createFixture(agents: string[]): Fixture {
+export function createFixture(agents: string[], dataCentre = 'tomakomai'): Fixture {
 	const sent: Sent[] = [];
 	const records: CallRecord[] = [];
+	const told: Fixture['told'] = [];
 	const down = new Set<string>();
 	const dispatcher = new Dispatcher({
 		random: new Random(1),
+		dataCentre,
 		send(agent, message) {
 			if (down.has(agent)) {
 				return false;
@@ -51,18 +55,22 @@
 			sent.push({agent, message});
 			return true;
 		},
+		broadcast(message, except) {
+			told.push({message, except});
+		},
 		onEnded(record) {
 			records.push(record);
 		},
 	});
 	for (const agent of agents) {
-		dispatcher.attach(agent, 'tomakomai');
+		dispatcher.attach(agent, dataCentre);
 		dispatcher.receive(agent, {kind: 'status', status: createStatus()});
 	}
 
 	return {
 		dispatcher,
 		sent,
+		told,
 		records,
 		down,
 		list: kind => sent.filter(({message}) => message.kind === kind) as never,
--- a/packages/systems/src/dispatcher.ts
+++ b/packages/systems/src/dispatcher.ts
@@ -16,7 +16,9 @@
 import {Pool} from './dispatcher-pool.js';
 import {probeIfDue} from './dispatcher-probes.js';
 import {Router} from './dispatcher-routing.js';
+import type {Invariants} from './invariants.js';
 import {CallRun, type AttemptOwner, type RunContext} from './dispatcher-run.js';
+import {SuspicionExchange, type QuarantineStatus} from './suspicion-exchange.js';
 
 export type * from './call.js';
 export type {EndpointRow} from './dispatcher-endpoints.js';
@@ -25,8 +27,12 @@
 	random: Random;
 	/** Data centre of this entry; endpoints elsewhere cost more. */
 	dataCentre?: string;
+	/** Checks what must always hold, where it could be broken here. */
+	invariants?: Invariants;
 	/** Sends to an agent by name; false if it has no link at present. */
 	send(agent: string, message: Message): boolean;
+	/** Sends to all agents that have a link, but one. */
+	broadcast?(message: Message, except?: string): void;
 	/** Hears of each call once, when it has ended. */
 	onEnded?(record: CallRecord): void;
 };
@@ -43,7 +49,7 @@
 	readonly #attempts = new Table<Attempt>();
 	readonly #pools = new Map<string, Pool>();
 	readonly #resumeTimers = new Map<string, NodeJS.Timeout>();
-	readonly #guard = new PoisonGuard();
+	readonly #suspicions: SuspicionExchange;
 	readonly #retries = new RetryBudget();
 	readonly #router: Router;
 	readonly #context: RunContext;
@@ -51,8 +57,14 @@
 	constructor(settings: DispatcherSettings) {
 		this.#settings = settings;
 		const {random, dataCentre} = settings;
+		this.#suspicions = new SuspicionExchange({
+			guard: new PoisonGuard(),
+			broadcast(message, except) {
+				settings.broadcast?.(message, except);
+			},
+		});
 		this.#router = new Router({
-			endpoints: this.endpoints, guard: this.#guard, random, dataCentre,
+			endpoints: this.endpoints, suspicions: this.#suspicions, random, dataCentre,
 		});
 		this.#context = this.#createContext();
 	}
@@ -87,10 +99,12 @@
 
 	/** Takes a message from an agent. */
 	receive(agent: string, message: Message): void {
-		if (message.kind === 'status') {
-			this.#updateStatus(agent, message.status);
-		} else if (isAttemptMessage(message)) {
+		if (isAttemptMessage(message)) {
 			this.#receiveForAttempt(agent, message);
+		} else if (message.kind === 'status') {
+			this.#updateStatus(agent, message.status);
+		} else if (message.kind === 'suspicions') {
+			this.#suspicions.receive(agent, message);
 		}
 	}
 
@@ -103,6 +117,11 @@
 			attempt.relink();
 		}
 
+		const greeting = this.#suspicions.createGreeting();
+		if (greeting) {
+			this.#settings.send(agent, greeting);
+		}
+
 		this.#refreshAllSlots();
 	}
 
@@ -135,13 +154,37 @@
 		this.#refreshAllSlots();
 	}
 
-	/** Attempts at an agent that have not settled. */
-	countAttempts(agent: string): number {
-		return this.#attempts.filter(({endpoint}) => endpoint === agent).length;
+	/** Sends no new work to an agent; what it has goes on. */
+	retire(agent: string): void {
+		this.#setRetiring(agent, true);
+	}
+
+	/** Takes an agent back into use. */
+	restore(agent: string): void {
+		this.#setRetiring(agent, false);
+	}
+
+	/** Whether no attempt of this entry is at an agent any more. */
+	isIdle(agent: string): boolean {
+		const row = this.endpoints.get(agent);
+		return !row || row.open + row.draining === 0;
+	}
+
+	/** What is quarantined at present. */
+	describeQuarantine(): QuarantineStatus[] {
+		return this.#suspicions.describe();
+	}
+
+	#setRetiring(agent: string, isRetiring: boolean): void {
+		const row = this.endpoints.get(agent);
+		if (row && row.isRetiring !== isRetiring) {
+			row.isRetiring = isRetiring;
+			this.#refreshAllSlots();
+		}
 	}
 
 	#createContext(): RunContext {
-		const {random, onEnded} = this.#settings;
+		const {random, invariants, onEnded} = this.#settings;
 		return {
 			onStarted: call => {
 				const pool = this.#findPool(call.service);
@@ -153,6 +196,7 @@
 			createAttempt: (call, number, endpoint, owner) => this.#createAttempt(call, number, endpoint, owner),
 			startAttempt: (call, attempt, isSuspect) => {
 				this.#router.recordSent(call, attempt.endpoint);
+				invariants?.checkTakesWork(attempt.endpoint, this.endpoints.findLeavingMs(attempt.endpoint, performance.now()));
 				attempt.start(createOpen(call, attempt.number, isSuspect));
 			},
 			decideRetry: (call, facts) => {
@@ -174,6 +218,8 @@
 			onFirstEvent: ({service}, waitMs) => {
 				this.#findPool(service).hedging.recordTime(waitMs);
 			},
+			checkAtMostOnce: ({id, profile}, mayHaveRun) => invariants?.checkAtMostOnce(id, {isIdempotent: profile.idempotent, mayHaveRun}) ?? true,
+			checkRan: ({id}, ran, mayHaveRun) => invariants?.checkRan(id, ran, mayHaveRun) ?? ran,
 			onEnded: (run, record) => {
 				this.#runs.remove(run.id);
 				this.#findPool(run.call.service).admission.release(run.id);
@@ -217,7 +263,7 @@
 	#learn(call: Call, attempt: Attempt, outcome: AttemptOutcome, wasStopping: boolean): void {
 		const isLeaving = outcome.kind === 'failed' && outcome.refusal === 'leaving';
 		if (isLeaving) {
-			this.endpoints.markLeaving(attempt.endpoint);
+			this.endpoints.markLeaving(attempt.endpoint, performance.now());
 		}
 
 		if (isLeaving || wasStopping) {
@@ -233,7 +279,7 @@
 		const pool = this.#findPool(call.service);
 		const row = this.endpoints.get(attempt.endpoint);
 		if (outcome.kind === 'finished') {
-			this.#guard.recordFinished(call.fingerprint);
+			this.#suspicions.recordFinished(call.fingerprint);
 			if (row && !attempt.wasPaused) {
 				this.#judge(pool, call, attempt, false);
 				recordPace(row, call.cost, attempt.runMs);
