Decide on steps by the decisions on steps

Cause: the order, the copies and the gate of a step were placeholders beside the modules in decisions. Change: StepDecisions uses judgeDispatch, isStale, orderSamples, planCopies and LengthPrediction; a step is begun before its trainer takes it only as far as its bound allows; entry.ts gives the runner its view of endpoints. The forecast's interval is left out for the step that the trainer is at: it makes no new version before it has the step, and waiting for one would never end.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,7 +10,7 @@
 	hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
 } from '@wasabiusher/shared';
 import {
-	ClaimedCalls, ConfigurationAdopter, Dispatcher, Invariants, StepRunner, type ConfigurationMessage, type ConfigurationOutput,
+	ClaimedCalls, ConfigurationAdopter, createStepEndpoints, Dispatcher, Invariants, StepRunner, type ConfigurationMessage, type ConfigurationOutput,
 } from '@wasabiusher/systems';
 import {Announcer} from './announcer.js';
 import {answerError} from './answers.js';
@@ -218,7 +218,7 @@
 			log: this.#log,
 			registry: this.#registry,
 			address: () => this.#addresses.callers,
-			listVersions: model => [...dispatcher.endpoints].flatMap(({status}) => status?.models.filter(held => held.model === model).map(({version}) => version) ?? []),
+			endpoints: createStepEndpoints(dispatcher.endpoints),
 		});
 	}
 
--- a/packages/systems/__tests__/steps-fixtures.ts
+++ b/packages/systems/__tests__/steps-fixtures.ts
@@ -1,11 +1,12 @@
 import {expect} from 'chai';
 import {Registry} from 'prom-client';
+import type {IdleEndpoint} from '@wasabiusher/decisions';
 import {
 	createProblem, createSilentLog, profileSchema, Random, type Problem, type Sample,
 } from '@wasabiusher/shared';
 import {Faults, FaultyObjects, FaultyTables} from '../../record/__tests__/faulty-storage.js';
 import {
-	Invariants, StepRunner, type Call, type CallListener, type Run, type Step, type StepDecisions, type StepRequest,
+	Invariants, StepRunner, type Call, type CallListener, type Run, type Step, type StepRequest,
 } from '../src/index.js';
 
 /** The engines and the scorer behind any number of entries. */
@@ -23,6 +24,8 @@
 	/** Scores whose answer is lost, by how often from now on. */
 	lostScores = 0;
 	running = 0;
+	/** Endpoints that a second attempt could go to. */
+	idle: IdleEndpoint[] = [];
 
 	/** The dispatcher of one entry; a dead one's listeners hear nothing. */
 	createDispatcher(): {submit(call: Call, listener: CallListener): Run; kill(): void} {
@@ -124,7 +127,7 @@
 	readonly objects = new FaultyObjects(this.faults);
 	readonly entries: FakeEntry[] = [];
 
-	createEntry(name: string, decisions?: StepDecisions): FakeEntry {
+	createEntry(name: string): FakeEntry {
 		const log = createSilentLog();
 		const registry = new Registry();
 		const dispatcher = this.endpoints.createDispatcher();
@@ -137,9 +140,11 @@
 			random: new Random(name.length),
 			log,
 			registry,
-			decisions,
 			address: () => name,
-			listVersions: () => [this.endpoints.version],
+			endpoints: {
+				listVersions: () => [this.endpoints.version],
+				listIdle: () => this.endpoints.idle,
+			},
 		});
 		const entry = {
 			runner,
--- a/packages/systems/__tests__/steps.spec.ts
+++ b/packages/systems/__tests__/steps.spec.ts
@@ -217,6 +217,28 @@
 		expect(trainer.isWhole).to.be.true;
 	});
 
+	it('begins the next step only as far as its bound allows', async () => {
+		const entry = world.createEntry('entry-0');
+		void trainer.pull(entry.runner, await openHere(entry));
+		await clock.tickAsync(50);
+		const strict = profileSchema.parse({
+			class: 'rollout', idempotent: true, deadlineMs: 10_000, freshness: {versions: 0},
+		});
+		const next = await openHere(entry, createRequest({id: 'step-2'}));
+		await openHere(entry, createRequest({id: 'step-3', profile: strict}));
+		world.endpoints.treat = ({id}) => id.startsWith('step-1/') ? 'hang' : undefined;
+		expect(world.endpoints.running).to.equal(24);
+		await clock.tickAsync(500);
+		expect(next.describe().ready).to.equal(12);
+		const last = await locateHere(entry, {}, 'step-3');
+		await clock.tickAsync(5000);
+		expect(last.describe().ready).to.equal(0);
+		const ahead = new FakeTrainer();
+		void ahead.pull(entry.runner, last);
+		await clock.tickAsync(500);
+		expect(ahead.isWhole).to.be.true;
+	});
+
 	it('judges age in seconds since the oldest part was superseded', async () => {
 		const entry = world.createEntry('entry-0');
 		const profile = profileSchema.parse({
@@ -253,15 +275,8 @@
 	});
 
 	it('takes the first of two attempts and stops the other', async () => {
-		let isDoubled = false;
-		const entry = world.createEntry('entry-0', {
-			order: idle => idle,
-			double(drawing) {
-				const chosen = isDoubled ? [] : drawing.slice(0, 1);
-				isDoubled = true;
-				return chosen;
-			},
-		});
+		const entry = world.createEntry('entry-0');
+		world.endpoints.idle = [{id: 'idle', slots: 8, speed: 0.02}];
 		world.endpoints.treat = ({id}) => id.startsWith('step-1/0/0#') && id.endsWith('-1') ? 'hang' : undefined;
 		void trainer.pull(entry.runner, await openHere(entry));
 		await clock.tickAsync(2000);
--- a/packages/systems/src/steps-delivery.ts
+++ b/packages/systems/src/steps-delivery.ts
@@ -81,7 +81,7 @@
 /** The last look before hand-over; what has turned stale since it was listed is left for the next round. */
 function mayHandOver(step: Step, sample: Sample, place: number, {received, invariants, metrics}: PullOptions): boolean {
 	const freshness = describeFreshness(sample, step.terms);
-	if (!isFresh(freshness)) {
+	if (!isFresh(sample, step.terms)) {
 		return false;
 	}
 
--- a/packages/systems/src/steps-freshness.ts
+++ b/packages/systems/src/steps-freshness.ts
@@ -4,6 +4,7 @@
  * Versions are those that the engine reported for each part, never those that were ordered. Times are counted from
  * when this process first heard of a version, by a report of an engine or by a trainer's pull.
  */
+import {isStale} from '@wasabiusher/decisions';
 import {
 	findOldestVersion, type Freshness, type VersionSpan,
 } from '@wasabiusher/shared';
@@ -28,10 +29,10 @@
 		}
 	}
 
-	/** Seconds since a version newer than the given one was first heard of; 0 if none was. */
-	countSecondsBehind(model: string, version: number): number {
+	/** When a version newer than the given one was first heard of, on the monotonic clock; undefined if none was. */
+	findSupersededAt(model: string, version: number): number | undefined {
 		const newer = [...this.#firstHeard.get(model) ?? []].filter(([other]) => other > version);
-		return newer.length === 0 ? 0 : (performance.now() - Math.min(...newer.map(([, at]) => at))) / 1000;
+		return newer.length === 0 ? undefined : Math.min(...newer.map(([, at]) => at));
 	}
 }
 
@@ -41,18 +42,25 @@
 /** By what samples are judged. */
 export type FreshnessTerms = {freshness: Freshness | undefined; clock: VersionClock; trainerVersion: number};
 
-/** Judges how stale a sample is for a trainer; a draft without any part is as fresh as can be. */
+/** Describes how stale a sample is, for the invariant and the metric; a draft without any part is as fresh as can be. */
 export function describeFreshness({id, model, versions}: Dated, {freshness, clock, trainerVersion}: FreshnessTerms): FreshnessFacts {
 	const oldest = versions.length === 0 ? trainerVersion : findOldestVersion(versions);
+	const supersededAt = clock.findSupersededAt(model, oldest);
 	return {
 		id,
 		versionsBehind: trainerVersion - oldest,
 		maxVersionsBehind: freshness?.versions ?? Number.POSITIVE_INFINITY,
-		secondsBehind: clock.countSecondsBehind(model, oldest),
+		secondsBehind: supersededAt === undefined ? 0 : (performance.now() - supersededAt) / 1000,
 		maxSecondsBehind: freshness?.seconds,
 	};
 }
 
-export function isFresh({versionsBehind, maxVersionsBehind, secondsBehind, maxSecondsBehind = Number.POSITIVE_INFINITY}: FreshnessFacts): boolean {
-	return versionsBehind <= maxVersionsBehind && secondsBehind <= maxSecondsBehind;
+/** Whether a sample may be handed over, by the decision on staleness. */
+export function isFresh({model, versions}: Dated, {freshness, clock, trainerVersion}: FreshnessTerms): boolean {
+	if (!freshness || versions.length === 0) {
+		return true;
+	}
+
+	const oldestVersion = findOldestVersion(versions);
+	return !isStale(freshness, {oldestVersion, supersededAt: clock.findSupersededAt(model, oldestVersion)}, trainerVersion, performance.now());
 }
--- a/packages/systems/src/steps-maker.ts
+++ b/packages/systems/src/steps-maker.ts
@@ -8,14 +8,16 @@
 import type {Problem, Random, Sample} from '@wasabiusher/shared';
 import type {Dispatcher} from './dispatcher.js';
 import type {Invariants} from './invariants.js';
+import type {StepDecisions} from './steps-decisions.js';
 import {drawSample, type Draft} from './steps-drawing.js';
+import type {StepEndpoints} from './steps-endpoints.js';
 import {
-	describeFreshness, isFresh, type Dated, type FreshnessTerms, type VersionClock,
+	isFresh, type Dated, type FreshnessTerms, type VersionClock,
 } from './steps-freshness.js';
 import type {StepMetrics} from './steps-metrics.js';
 import {formatPlace, type StepRequest} from './steps-request.js';
 import type {Scorer} from './steps-scoring.js';
-import {cancelDrawings, type Slot, type StepDecisions} from './steps-slots.js';
+import {cancelDrawings, type Slot} from './steps-slots.js';
 
 /** Least wait before a sample that failed is drawn again, in milliseconds. */
 const redrawMs = 200;
@@ -32,8 +34,7 @@
 	metrics: StepMetrics;
 	random: Random;
 	decisions: StepDecisions;
-	/** Versions of a model that endpoints report; empty if none is known. */
-	listVersions(model: string): number[];
+	endpoints: StepEndpoints;
 };
 
 /** Who is told of what was made. */
@@ -42,6 +43,8 @@
 	describeTerms(): FreshnessTerms;
 	/** A sample was finished here. */
 	onReady(sample: Sample): void;
+	/** A place is to be drawn anew. */
+	onIdle(): void;
 	/** A place has changed: more may be drawn or handed over. */
 	onChange(): void;
 };
@@ -115,7 +118,7 @@
 		const dated: Dated[] = slot.sample ? [slot.sample] : [...slot.drawings.values()].map(({draft: {versions}}) => ({id, model, versions}));
 		const terms = this.#listener.describeTerms();
 		// Attempts race, so a place is given up when none of them can be handed over any more.
-		if (dated.length === 0 || dated.some(one => isFresh(describeFreshness(one, terms)))) {
+		if (dated.length === 0 || dated.some(one => isFresh(one, terms))) {
 			return false;
 		}
 
@@ -123,11 +126,12 @@
 		this.release(slot);
 		slot.state = 'idle';
 		slot.isHandedOver = false;
+		this.#listener.onIdle();
 		return true;
 	}
 
 	async #finish(slot: Slot, number: number, draft: Draft): Promise<void> {
-		const {invariants, scorer, clock} = this.#context;
+		const {invariants, scorer, clock, decisions} = this.#context;
 		const sample = this.#createSample(slot, number, draft);
 		for (const {version} of draft.versions) {
 			clock.note(this.#request.model, version);
@@ -138,6 +142,7 @@
 			return;
 		}
 
+		decisions.noteFinished(this.#request, slot, draft.tokens);
 		this.hold(slot, sample);
 		// What is stale already need not be scored.
 		if (this.giveUpIfStale(slot)) {
@@ -188,6 +193,7 @@
 		slot.state = 'idle';
 		const jitteredMs = waitMs * (1 + this.#context.random.next());
 		slot.notBefore = performance.now() + jitteredMs;
+		this.#listener.onIdle();
 		setTimeout(() => {
 			this.#listener.onChange();
 		}, jitteredMs).unref();
--- a/packages/systems/src/steps-slots.ts
+++ b/packages/systems/src/steps-slots.ts
@@ -41,20 +41,6 @@
 	tokens: number;
 };
 
-/** Decisions of a step, replaceable as a whole. */
-export type StepDecisions = {
-	/** In which order idle places are started. */
-	order(idle: readonly SlotFacts[], all: readonly SlotFacts[]): readonly SlotFacts[];
-	/** Places to be drawn a second time beside the attempt that is under way; asked each second. */
-	double(drawing: readonly SlotFacts[], all: readonly SlotFacts[]): readonly SlotFacts[];
-};
-
-/** Groups in their order, so that the first ones are whole early; no attempt is doubled. */
-export const plainStepDecisions: StepDecisions = {
-	order: idle => idle,
-	double: () => [],
-};
-
 export function createSlots(total: number, groupSize: number): Slot[] {
 	return Array.from({length: total}, (_, place) => ({
 		place, group: Math.floor(place / groupSize), state: 'idle', draws: 0, drawings: new Map(), startedAt: 0, notBefore: 0, isHandedOver: false,
--- a/packages/systems/src/steps-step.ts
+++ b/packages/systems/src/steps-step.ts
@@ -5,7 +5,7 @@
  */
 import {createProblem, type Problem, type Sample} from '@wasabiusher/shared';
 import {SampleSet} from './steps-cursor.js';
-import {describeFreshness, isFresh, type FreshnessTerms} from './steps-freshness.js';
+import {isFresh, type FreshnessTerms} from './steps-freshness.js';
 import {SampleMaker, type StepContext} from './steps-maker.js';
 import {
 	countSamples, hashStepRequest, toPlace, type StepRequest,
@@ -35,6 +35,13 @@
 /** A sample that can not be made. */
 export type FailedPlace = {place: number; problem: Problem};
 
+export type StepListener = {
+	/** Called with each sample that was finished here. */
+	onReady(sample: Sample): void;
+	/** Steps that the trainer takes before this one. */
+	countStepsAhead(): number;
+};
+
 /** One step. */
 export class Step {
 	readonly request: StepRequest;
@@ -47,24 +54,32 @@
 	readonly #maker: SampleMaker;
 	readonly #slots: Slot[];
 	readonly #waiting = new Set<() => void>();
+	readonly #countStepsAhead: () => number;
+	/** Idle places in the order in which they are started; undefined when it has to be worked out anew. */
+	#queue: number[] | undefined;
 	#trainerVersion = 0;
+	#wasPulled = false;
+	#isDelivered = false;
 	#pull: AbortController | undefined;
 	#lastPullAt = performance.now();
 	#changes = 0;
 	#isDropped = false;
 	#isDraining = false;
 
-	/** @param onReady - called with each sample that was finished here */
-	constructor(request: StepRequest, context: StepContext, onReady: (sample: Sample) => void) {
+	constructor(request: StepRequest, context: StepContext, {onReady, countStepsAhead}: StepListener) {
 		this.request = request;
 		this.fingerprint = hashStepRequest(request);
 		this.total = countSamples(request);
 		this.acknowledged = new SampleSet(this.total);
 		this.#context = context;
+		this.#countStepsAhead = countStepsAhead;
 		this.#slots = createSlots(this.total, request.groupSize);
 		this.#maker = new SampleMaker(request, context, {
 			describeTerms: () => this.terms,
 			onReady,
+			onIdle: () => {
+				this.#queue = undefined;
+			},
 			onChange: () => {
 				this.#wake();
 				this.advance();
@@ -82,6 +97,11 @@
 		return this.#slots.every(({state}) => state === 'done' || state === 'failed');
 	}
 
+	/** The trainer was handed all of it, or has acknowledged it. */
+	get isDelivered(): boolean {
+		return this.#isDelivered || this.isWhole;
+	}
+
 	/** By what samples are judged at this moment. */
 	get terms(): FreshnessTerms {
 		return {freshness: this.request.profile.freshness, clock: this.#context.clock, trainerVersion: this.#trainerVersion};
@@ -109,7 +129,7 @@
 		for (const sample of samples) {
 			const slot = this.#slots[toPlace(this.request, sample.group, sample.index)];
 			const isWanted = slot?.state === 'idle' || slot?.state === 'drawing';
-			if (isWanted && isFresh(describeFreshness(sample, this.terms))) {
+			if (isWanted && isFresh(sample, this.terms)) {
 				this.#maker.hold(slot, sample);
 			}
 		}
@@ -119,31 +139,28 @@
 
 	/** Draws what is missing and can be drawn now. */
 	advance(): void {
-		if (this.#isDropped || this.#isDraining || !this.#slots.some(({state}) => state === 'idle') || !this.#canBeFresh()) {
+		if (this.#isDropped || this.#isDraining || !this.#slots.some(({state}) => state === 'idle') || !this.#mayStart()) {
 			return;
 		}
 
 		const now = performance.now();
-		const facts = this.#slots.map(slot => describeSlot(slot));
-		const idle = facts.filter(({place, state}) => state === 'idle' && this.#slots[place]!.notBefore <= now);
-		const begun = new Set(facts.filter(({state}) => state !== 'idle').map(({group}) => group));
-		for (const {place, group} of this.#context.decisions.order(idle, facts)) {
-			if (this.#maker.outstanding >= maxOutstanding) {
+		while (this.#maker.outstanding < maxOutstanding) {
+			const place = this.#takeNext(now);
+			if (place === undefined) {
 				return;
 			}
 
-			// A group that was begun is finished whatever is held, since only a whole one can be handed over.
-			if (this.#maker.heldLength < maxHeldLength || begun.has(group)) {
-				this.#maker.draw(this.#slots[place]!);
-			}
+			this.#maker.draw(this.#slots[place]!);
 		}
 	}
 
-	/** Starts second attempts where the decisions ask for them. */
-	double(): void {
+	/** Looks after the step once a second: the order of what is left, and second attempts. */
+	tick(): void {
+		this.#queue = undefined;
+		this.advance();
+		const {decisions, endpoints} = this.#context;
 		const facts = this.#slots.map(slot => describeSlot(slot));
-		const drawing = facts.filter(({state}) => state === 'drawing');
-		for (const {place} of this.#context.decisions.double(drawing, facts)) {
+		for (const place of this.#isDropped || this.#isDraining ? [] : decisions.double(this.request, facts, endpoints.listIdle(this.request.model))) {
 			this.#maker.draw(this.#slots[place]!);
 		}
 	}
@@ -154,6 +171,8 @@
 		const pull = new AbortController();
 		this.#pull = pull;
 		this.#trainerVersion = trainerVersion;
+		this.#wasPulled = true;
+		this.#context.decisions.noteVersion(this.request, trainerVersion);
 		this.#context.clock.note(this.request.model, trainerVersion);
 		for (const slot of this.#slots) {
 			this.#maker.giveUpIfStale(slot);
@@ -201,7 +220,8 @@
 
 	/** Whether a trainer with these samples has the whole step. */
 	isWholeWith(received: SampleSet): boolean {
-		return this.#slots.every(({place, state}) => received.has(place) || state === 'done');
+		this.#isDelivered = this.#slots.every(({place, state}) => received.has(place) || state === 'done');
+		return this.#isDelivered;
 	}
 
 	/** The trainer has these samples for good: they are held no longer, nor drawn if another entry handed them over. */
@@ -257,10 +277,31 @@
 	}
 
 	/** Whether what engines make now could be handed over; otherwise drawing would only waste it. */
-	#canBeFresh(): boolean {
-		const {freshness} = this.request.profile;
-		const versions = this.#context.listVersions(this.request.model);
-		return !freshness || versions.length === 0 || Math.max(...versions) >= this.#trainerVersion - freshness.versions;
+	#mayStart(): boolean {
+		const {decisions, endpoints} = this.#context;
+		const versions = endpoints.listVersions(this.request.model);
+		const engineVersion = versions.length === 0 ? undefined : Math.max(...versions);
+		return decisions.mayStart(this.request, {engineVersion, stepsAhead: this.#wasPulled ? 0 : this.#countStepsAhead()});
+	}
+
+	/** The next idle place in the order; undefined if none may be started now. */
+	#takeNext(now: number): number | undefined {
+		const isDue = (place: number) => this.#slots[place]!.state === 'idle' && this.#slots[place]!.notBefore <= now && this.#hasRoom(place);
+		this.#queue ??= this.#orderIdle();
+		const next = this.#queue.findIndex(place => isDue(place));
+		return next === -1 ? undefined : this.#queue.splice(next, 1)[0];
+	}
+
+	#orderIdle(): number[] {
+		const idle = this.#slots.filter(({state}) => state === 'idle').map(slot => describeSlot(slot));
+		return this.#context.decisions.order(this.request, idle).map(({place}) => place);
+	}
+
+	/** A group that was begun is finished whatever is held, since only a whole one can be handed over. */
+	#hasRoom(place: number): boolean {
+		const {groupSize} = this.request;
+		const first = place - (place % groupSize);
+		return this.#maker.heldLength < maxHeldLength || this.#slots.slice(first, first + groupSize).some(({state}) => state !== 'idle');
 	}
 
 	#wake(): void {
--- a/packages/systems/src/steps.ts
+++ b/packages/systems/src/steps.ts
@@ -17,7 +17,9 @@
 import type {Dispatcher} from './dispatcher.js';
 import type {Invariants} from './invariants.js';
 import {SampleSet} from './steps-cursor.js';
+import {StepDecisions} from './steps-decisions.js';
 import {pullSamples, type Delivery} from './steps-delivery.js';
+import type {StepEndpoints} from './steps-endpoints.js';
 import {VersionClock} from './steps-freshness.js';
 import type {StepContext} from './steps-maker.js';
 import {StepMetrics} from './steps-metrics.js';
@@ -26,7 +28,6 @@
 	hashStepRequest, parsePlace, stepRequestSchema, type StepRequest,
 } from './steps-request.js';
 import {Scorer} from './steps-scoring.js';
-import {plainStepDecisions, type StepDecisions} from './steps-slots.js';
 import {Step} from './steps-step.js';
 
 /** Longest wait for the store before a step is run without it, in milliseconds. */
@@ -58,11 +59,9 @@
 	random: Random;
 	log: Log;
 	registry?: Registry;
-	decisions?: StepDecisions;
+	endpoints: StepEndpoints;
 	/** `ip:port` where other entries reach this one's trainers' routes. */
 	address(): string;
-	/** Versions of a model that endpoints report; empty if none is known. */
-	listVersions(model: string): number[];
 };
 
 export type FindOptions = {
@@ -86,9 +85,9 @@
 
 	constructor(settings: StepRunnerSettings) {
 		this.#settings = settings;
-		const {dispatcher, invariants, random, registry, decisions = plainStepDecisions, listVersions} = settings;
+		const {dispatcher, invariants, random, registry, endpoints} = settings;
 		this.#context = {
-			dispatcher, invariants, random, decisions, listVersions, scorer: new Scorer(dispatcher), clock: new VersionClock(), metrics: new StepMetrics(registry),
+			dispatcher, invariants, random, endpoints, decisions: new StepDecisions(), scorer: new Scorer(dispatcher), clock: new VersionClock(), metrics: new StepMetrics(registry),
 		};
 		this.#timer = setInterval(() => {
 			this.#tick();
@@ -220,8 +219,11 @@
 	#run(request: StepRequest, finding?: Finding): Step {
 		const {tables, objects, log, name, address, random} = this.#settings;
 		const {id} = request;
-		const step = new Step(request, this.#context, sample => {
-			this.#runs.get(id)?.recorder.note(sample);
+		const step: Step = new Step(request, this.#context, {
+			onReady: sample => {
+				this.#runs.get(id)?.recorder.note(sample);
+			},
+			countStepsAhead: () => this.#countStepsBefore(step),
 		});
 		const recorder = new StepRecorder({
 			step,
@@ -260,8 +262,7 @@
 
 	#tick(): void {
 		for (const [id, {step, recorder}] of this.#runs) {
-			step.advance();
-			step.double();
+			step.tick();
 			void recorder.advance();
 			if (step.unpulledMs > abandonMs) {
 				void this.#handBack(id);
@@ -269,6 +270,13 @@
 		}
 	}
 
+	/** Earlier steps of the same trainer and model that it has not been handed whole. */
+	#countStepsBefore(step: Step): number {
+		const steps = [...this.#runs.values()].map(run => run.step);
+		const {trainer, model} = step.request;
+		return steps.slice(0, Math.max(0, steps.indexOf(step))).filter(({request, isDelivered}) => request.trainer === trainer && request.model === model && !isDelivered).length;
+	}
+
 	/** Writes what is left and lets another process own the step. */
 	async #handBack(id: string): Promise<void> {
 		await this.#runs.get(id)?.recorder.release();
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -118,14 +118,15 @@
 		name: 'stale samples are handed over',
 		patches: [
 			...unguarded,
-			{
-				file: systems('steps-freshness'),
-				find: 'return versionsBehind <= maxVersionsBehind && secondsBehind <= maxSecondsBehind;',
-				replace: 'return versionsBehind <= maxVersionsBehind || secondsBehind <= maxSecondsBehind;',
-			},
+			{file: systems('steps-freshness'), find: 'return !isStale(', replace: 'return versions.length > 0 || !isStale('},
 		],
 		specs: [systemsSpec('steps')],
 	},
+	{
+		name: 'work for the next step is begun whatever its bound',
+		patches: [{file: systems('steps-decisions'), find: 'now) === \'start\';', replace: 'now) !== undefined;'}],
+		specs: [systemsSpec('steps')],
+	},
 	{
 		name: 'the cursor is ignored',
 		patches: [...unguarded, {file: systems('steps-step'), find: '!received.has(place) && state !== \'done\'', replace: 'state !== \'done\''}],
