Gather claims of many entries at a few of them

Cause: with some thousand entries each claim is a transaction of its own, and the budget of 300 writes a second carries about 150 keyed calls a second. Change: CommitGateway sends rows to one of two gatherers of the data centre (rendezvous rank; up to 8 entries commit by themselves), whose group commits have a least interval; conditions on the rows keep it correct whoever commits. The link gains the messages commit and committed. ClaimedCalls.drain is bounded, so that a host is replaced though the store stays down. pause stood three times. Figure (paused clock, 50 entries, 500 rows a second for 10 s; commit-gateway.spec.ts): 5,000 rows in at most 110 transactions. Not wired into the entry yet.

--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -93,6 +93,11 @@
 	terms: countSchema,
 });
 
+/** A row to be written if it has the version expected; its value carries the attempt id. */
+const commitWriteSchema = z.object({
+	table: z.string(), key: z.string(), expect: countSchema, value: z.looseObject({attempt: z.string()}),
+});
+
 export const messageKindsSchema = z.discriminatedUnion('kind', [
 	// Handshake.
 	z.object({kind: z.literal('challenge'), protocol: z.int(), nonce: z.string()}),
@@ -152,6 +157,15 @@
 	z.object({
 		kind: z.literal('ordered'), order: z.string(), outcome: z.enum(['done', 'fenced', 'failed']), detail: z.string(),
 	}),
+	// Entry to entry: rows of many entries that one of them commits together.
+	z.object({kind: z.literal('commit'), commit: z.string(), write: commitWriteSchema}),
+	z.object({
+		kind: z.literal('committed'),
+		commit: z.string(),
+		outcome: z.enum(['written', 'lost', 'unavailable', 'unknown']),
+		/** With `lost`: the row that came first, if there is one. */
+		row: z.object({key: z.string(), value: z.unknown(), version: countSchema}).optional(),
+	}),
 	// Both ways: what spreads over the links that exist anyway.
 	z.object({kind: z.literal('configuration'), accepted: acceptedConfigurationSchema}),
 	/** What changed since a version that the receiver said it has. */
--- a/packages/record/src/claim-log.ts
+++ b/packages/record/src/claim-log.ts
@@ -9,9 +9,12 @@
 import type {ObjectStore, StoredRow, TableService} from '@wasabiusher/platform';
 import {z} from 'zod';
 import {RecordError} from './errors.js';
-import {GroupCommit} from './group-commit.js';
+import {GroupCommit, type Committer} from './group-commit.js';
 
-const table = 'claims';
+/** Where claims are. */
+export const claimTable = 'claims';
+
+const table = claimTable;
 
 /** Bodies up to this size stay in the row; larger ones go to the object store, in bytes. */
 const maxRowBodyBytes = 4096;
@@ -69,6 +72,8 @@
 	objects: ObjectStore;
 	/** Name of this process; its start is added. */
 	name: string;
+	/** Who writes the rows; this process itself by default. */
+	commits?: Committer;
 };
 
 type Held = {claim: Claim; version: number};
@@ -77,14 +82,14 @@
 export class ClaimLog {
 	readonly #tables: TableService;
 	readonly #objects: ObjectStore;
-	readonly #commits: GroupCommit;
+	readonly #commits: Committer;
 	readonly #owner: string;
 	readonly #held = new Map<string, Held>();
 
-	constructor({tables, objects, name}: ClaimLogSettings) {
+	constructor({tables, objects, name, commits}: ClaimLogSettings) {
 		this.#tables = tables;
 		this.#objects = objects;
-		this.#commits = new GroupCommit(tables);
+		this.#commits = commits ?? new GroupCommit(tables);
 		this.#owner = `${name}/${randomUUID()}`;
 	}
 
--- a/packages/record/src/group-commit.ts
+++ b/packages/record/src/group-commit.ts
@@ -12,6 +12,16 @@
 /** Most rows of one transaction. */
 const maxBatch = 200;
 
+/** Whoever commits rows for a process: itself, or another process that gathers the rows of many. */
+export type Committer = {
+	/**
+	 * Writes one row.
+	 *
+	 * @throws {RecordError} `unavailable` if it was not written and will not be, `unknown` if it may have been
+	 */
+	write(write: GroupWrite): Promise<GroupResult>;
+};
+
 /** A row to be written; its value carries the attempt id. */
 export type GroupWrite = GuardedWrite & {value: {attempt: string}};
 
@@ -25,20 +35,19 @@
 };
 
 /** Commits the writes of one process. */
-export class GroupCommit {
+export class GroupCommit implements Committer {
 	readonly #tables: TableService;
+	readonly #intervalMs: () => number;
 	#waiting: Waiting[] = [];
 	#isCommitting = false;
+	#startedAt = Number.NEGATIVE_INFINITY;
 
-	constructor(tables: TableService) {
+	/** @param intervalMs - least time from one transaction's start to the next one's, in milliseconds */
+	constructor(tables: TableService, intervalMs: () => number = () => 0) {
 		this.#tables = tables;
+		this.#intervalMs = intervalMs;
 	}
 
-	/**
-	 * Writes one row.
-	 *
-	 * @throws {RecordError} `unavailable` if it was not written and will not be, `unknown` if it may have been
-	 */
 	async write(write: GroupWrite): Promise<GroupResult> {
 		return new Promise((resolve, reject) => {
 			this.#waiting.push({write, resolve, reject});
@@ -55,6 +64,8 @@
 		// Writes of one moment go together, the first ones too.
 		await Promise.resolve();
 		while (this.#waiting.length > 0) {
+			// eslint-disable-next-line no-await-in-loop
+			await this.#waitForTurn();
 			const batch = this.#takeBatch();
 			// One transaction at a time, so that the next one takes all that came meanwhile.
 			// eslint-disable-next-line no-await-in-loop
@@ -64,6 +75,17 @@
 		this.#isCommitting = false;
 	}
 
+	async #waitForTurn(): Promise<void> {
+		const waitMs = this.#startedAt + this.#intervalMs() - performance.now();
+		if (waitMs > 0) {
+			await new Promise<void>(resolve => {
+				setTimeout(resolve, waitMs);
+			});
+		}
+
+		this.#startedAt = performance.now();
+	}
+
 	/** The oldest waiting writes; a row occurs once, since its second write would fail the whole batch. */
 	#takeBatch(): Waiting[] {
 		const batch = new Map<string, Waiting>();
--- a/packages/systems/src/claimed-calls.ts
+++ b/packages/systems/src/claimed-calls.ts
@@ -20,6 +20,7 @@
 	Call, CallListener, Dispatcher, Run,
 } from './dispatcher.js';
 import type {Invariants} from './invariants.js';
+import {pause} from './pause.js';
 
 /** First and greatest wait before the record is asked again, in milliseconds; doubled in between, with jitter. */
 const firstWaitMs = 100;
@@ -37,6 +38,9 @@
 /** The run of a call that was refused at once. */
 const endedRun: Run = {cancel: () => undefined, pause: () => undefined, resume: () => undefined};
 
+/** Longest wait for the record of ended runs when the process leaves, in milliseconds. */
+const drainLimitMs = 30_000;
+
 /** When a refused caller should come back at the earliest, in milliseconds. */
 const retryAfterMs = 1000;
 
@@ -73,9 +77,13 @@
 		return this.#serving.size;
 	}
 
-	/** Resolves when all tries so far have ended and are recorded. */
-	async drain(): Promise<void> {
-		await Promise.all(this.#serving);
+	/**
+	 * Resolves when all tries so far have ended and are recorded.
+	 *
+	 * @param limitMs - longest wait, in milliseconds: a host is replaced though the store stays down
+	 */
+	async drain(limitMs = drainLimitMs): Promise<void> {
+		await Promise.race([Promise.all(this.#serving), pause(limitMs)]);
 	}
 
 	/**
@@ -293,10 +301,7 @@
 	}
 
 	async #wait(waitMs: number): Promise<void> {
-		const jitteredMs = waitMs * (0.5 + this.#settings.random.next());
-		await new Promise<void>(resolve => {
-			setTimeout(resolve, jitteredMs).unref();
-		});
+		await pause(waitMs * (0.5 + this.#settings.random.next()));
 	}
 }
 
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -1,6 +1,7 @@
 /** What runs over the tables: the entry's dispatch of calls and the agent's execution of them. */
 export * from './answer-buffer.js';
 export * from './claimed-calls.js';
+export * from './commit-gateway.js';
 export * from './configuration-adopter.js';
 export * from './dispatcher.js';
 export type {Endpoint} from './endpoint-run.js';
--- a/packages/systems/src/steps-scoring.ts
+++ b/packages/systems/src/steps-scoring.ts
@@ -13,6 +13,7 @@
 import {z} from 'zod';
 import {AnswerCollector} from './answer-collector.js';
 import type {Call, Dispatcher} from './dispatcher.js';
+import {pause} from './pause.js';
 
 /** Greatest answer of a scorer, in bytes. */
 const maxAnswerBytes = 16_384;
@@ -95,12 +96,6 @@
 	}
 }
 
-async function pause(ms: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, ms).unref();
-	});
-}
-
 function readScore({answer}: AnswerCollector): Outcome {
 	if (answer?.status !== 200) {
 		return {malformed: `the scorer answered with status ${answer?.status ?? 'none'}`};
--- a/packages/systems/src/steps.ts
+++ b/packages/systems/src/steps.ts
@@ -16,6 +16,7 @@
 } from '@wasabiusher/shared';
 import type {Dispatcher} from './dispatcher.js';
 import type {Invariants} from './invariants.js';
+import {pause} from './pause.js';
 import {SampleSet} from './steps-cursor.js';
 import {StepDecisions} from './steps-decisions.js';
 import {pullSamples, type Delivery} from './steps-delivery.js';
@@ -311,10 +312,4 @@
 	return {kind: 'refused', problem: createProblem('unavailable', `the record of step "${id}" can not be read now; post the step again to go on without it`, 'no', retryAfterMs)};
 }
 
-async function pause(ms: number): Promise<undefined> {
-	return new Promise(resolve => {
-		setTimeout(resolve, ms, undefined).unref();
-	});
-}
-
 export {type StepStatus} from './steps-step.js';
