--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,11 +10,13 @@
 	hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
 } from '@wasabiusher/shared';
 import {
-	ClaimedCalls, ConfigurationAdopter, createStepEndpoints, Dispatcher, Invariants, StepRunner, type ConfigurationMessage, type ConfigurationOutput,
+	ClaimedCalls, ConfigurationAdopter, createStepEndpoints, Dispatcher, Invariants, ObjectiveMetrics, StepRunner, type CallRecord,
+	type ConfigurationMessage, type ConfigurationOutput,
 } from '@wasabiusher/systems';
 import {Announcer} from './announcer.js';
 import {answerError} from './answers.js';
 import {addCallerRoutes, addUnknownRoute, type CallerRoutes} from './caller-routes.js';
+import {createControl, type Control} from './control.js';
 import {DrainNotice} from './drain-notice.js';
 import {EntryMetrics} from './metrics.js';
 import {addOperatorRoutes} from './operator-routes.js';
@@ -26,6 +28,12 @@
 /** How often the configuration adopter looks for a change, in milliseconds. */
 const configurationMs = 1000;
 
+/**
+ * Longest wait of a drain for the samples under way, in milliseconds: most rollouts end within
+ * it. Longer ones are drawn again by the entry that goes on with the step, and none is lost.
+ */
+const stepGraceMs = 30_000;
+
 /** Key used while none is set; such a process listens on loopback only. */
 const loopbackKey = 'loopback';
 
@@ -50,9 +58,12 @@
 	readonly #metrics: EntryMetrics;
 	readonly #dispatcher: Dispatcher;
 	readonly #claimed: ClaimedCalls;
+	readonly #steps: StepRunner;
 	readonly #view: View;
 	readonly #adopter: ConfigurationAdopter;
 	readonly #announcer: Announcer;
+	readonly #objectives: ObjectiveMetrics;
+	readonly #control: Control;
 	#timer: NodeJS.Timeout | undefined;
 	#addresses = {callers: '', operators: ''};
 	#isLeaving = false;
@@ -66,9 +77,12 @@
 		this.#metrics = new EntryMetrics(this.#registry, () => this.#readState());
 		this.#dispatcher = this.#createDispatcher();
 		this.#claimed = this.#createClaimed();
+		this.#steps = this.#createStepRunner();
 		this.#view = this.#createView();
 		this.#adopter = this.#createAdopter();
 		this.#announcer = new Announcer(this.#platform.members, log, () => this.#createMember());
+		this.#objectives = new ObjectiveMetrics(this.#registry, () => this.#adopter.accepted.configuration.profiles);
+		this.#control = this.#createControl();
 		collectDefaultMetrics({register: this.#registry});
 		this.#addRoutes();
 	}
@@ -89,6 +103,7 @@
 			operators: await this.#operators.listen(this.#settings.operatorListen),
 		};
 		await this.#announcer.start();
+		this.#control.start();
 		this.#log.info('entry_started', {...this.#addresses});
 		for (const secret of listUnguarded(this.#settings)) {
 			this.#log.warn('loopback_only', {unset: secret});
@@ -99,8 +114,12 @@
 	async drain(): Promise<void> {
 		this.#isLeaving = true;
 		void this.#announcer.announce();
+		const released = this.#control.stop();
 		await this.#notice.give();
+		const handedOver = this.#steps.drain(stepGraceMs);
 		await this.#closeCallers();
+		await handedOver;
+		await released;
 		await this.#claimed.drain();
 		this.#invariants.checkNothingCutOff(this.#claimed.openCalls);
 		clearInterval(this.#timer);
@@ -124,11 +143,33 @@
 				this.#view.broadcast(message, except);
 			},
 			onEnded: record => {
-				this.#metrics.recordCall(record);
+				this.#record(record);
 			},
 		});
 	}
 
+	#record(record: CallRecord): void {
+		this.#metrics.recordCall(record);
+		// A caller that went away had its answer neither in time nor late.
+		if (record.outcome !== 'cancelled') {
+			this.#objectives.record(record.call.profileName, 'answeredInTime', record.outcome === 'answered');
+		}
+	}
+
+	#createControl(): Control {
+		const {name} = this.#settings;
+		const {tables, weights} = this.#platform;
+		return createControl({
+			name,
+			tables,
+			weights,
+			random: new Random(hashToNumber(`${name}/control`)),
+			log: this.#log,
+			listEndpoints: () => this.#dispatcher.endpoints,
+			send: (agent, message) => this.#view.send(agent, message),
+		});
+	}
+
 	#createClaimed(): ClaimedCalls {
 		const {name} = this.#settings;
 		const {tables, objects} = this.#platform;
@@ -183,7 +224,7 @@
 			return this.#isReady;
 		});
 		addOperationRoutes(this.#operators, this.#registry, () => this.#isReady);
-		addStepRoutes(this.#callers, {runner: this.#createStepRunner(), tokens: this.#settings.trainerTokens, configuration});
+		addStepRoutes(this.#callers, {runner: this.#steps, tokens: this.#settings.trainerTokens, configuration});
 		addCallerRoutes(this.#callers, {submit: this.#createSubmit(), configuration});
 		addOperatorRoutes(this.#operators, {
 			history: this.#history,
@@ -227,6 +268,7 @@
 			this.#send(this.#adopter.receive(agent, message));
 		} else {
 			this.#dispatcher.receive(agent, message);
+			this.#control.onMessage(agent, message);
 		}
 	}
 
@@ -284,7 +326,7 @@
 			isStoreReachable: this.#adopter.describe().isStoreReachable,
 			endpoints: this.#dispatcher.endpoints,
 			quarantine: this.#dispatcher.describeQuarantine(),
-			rollouts: [],
+			rollouts: this.#control.describe(),
 		});
 	}
 }
