Wire the gathering of claims into the entry, and refuse steps at an entry that leaves

Change: Claims bundles the links between entries, the gateway and the keyed calls; entry.ts and view.ts gain the hooks. An entry that drains refused nothing about steps it had handed on, and would have begun them anew; it now says that it is leaving.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,19 +3,20 @@
  */
 import {Registry, collectDefaultMetrics} from 'prom-client';
 import {addOperationRoutes, HttpServer, type Daemon} from '@wasabiusher/daemon';
-import type {Message} from '@wasabiusher/link';
+import type {Identity, Message} from '@wasabiusher/link';
 import {platformAdapters, type Member, type Platform} from '@wasabiusher/platform';
-import {ClaimLog, ConfigurationHistory} from '@wasabiusher/record';
+import {ConfigurationHistory} from '@wasabiusher/record';
 import {
 	hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
 } from '@wasabiusher/shared';
 import {
-	ClaimedCalls, ConfigurationAdopter, createStepEndpoints, Dispatcher, Invariants, ObjectiveMetrics, StepRunner, type CallRecord,
+	ConfigurationAdopter, createStepEndpoints, Dispatcher, Invariants, ObjectiveMetrics, StepRunner, type CallRecord,
 	type ConfigurationMessage, type ConfigurationOutput,
 } from '@wasabiusher/systems';
 import {Announcer} from './announcer.js';
 import {answerError} from './answers.js';
 import {addCallerRoutes, addUnknownRoute, type CallerRoutes} from './caller-routes.js';
+import {Claims} from './claims.js';
 import {createControl, type Control} from './control.js';
 import {DrainNotice} from './drain-notice.js';
 import {EntryMetrics} from './metrics.js';
@@ -57,7 +58,7 @@
 	readonly #invariants: Invariants;
 	readonly #metrics: EntryMetrics;
 	readonly #dispatcher: Dispatcher;
-	readonly #claimed: ClaimedCalls;
+	readonly #claims: Claims;
 	readonly #steps: StepRunner;
 	readonly #view: View;
 	readonly #adopter: ConfigurationAdopter;
@@ -76,7 +77,7 @@
 		this.#invariants = new Invariants(log, this.#registry);
 		this.#metrics = new EntryMetrics(this.#registry, () => this.#readState());
 		this.#dispatcher = this.#createDispatcher();
-		this.#claimed = this.#createClaimed();
+		this.#claims = this.#createClaims();
 		this.#steps = this.#createStepRunner();
 		this.#view = this.#createView();
 		this.#adopter = this.#createAdopter();
@@ -116,18 +117,24 @@
 		void this.#announcer.announce();
 		const released = this.#control.stop();
 		await this.#notice.give();
+		await this.#claims.endGathering();
 		const handedOver = this.#steps.drain(stepGraceMs);
 		await this.#closeCallers();
 		await handedOver;
 		await released;
-		await this.#claimed.drain();
-		this.#invariants.checkNothingCutOff(this.#claimed.openCalls);
+		await this.#claims.drain();
+		this.#invariants.checkNothingCutOff(this.#claims.openCalls);
 		clearInterval(this.#timer);
 		this.#announcer.stop();
 		await this.#operators.close();
 		this.#view.stop();
 	}
 
+	get #identity(): Identity {
+		const {name, linkKeys: [key = loopbackKey, ...otherKeys]} = this.#settings;
+		return {name, keys: [key, ...otherKeys]};
+	}
+
 	get #isReady(): boolean {
 		return !this.#isLeaving && this.#adopter.isReady && this.#adopter.accepted.version > 0;
 	}
@@ -170,22 +177,24 @@
 		});
 	}
 
-	#createClaimed(): ClaimedCalls {
-		const {name} = this.#settings;
+	#createClaims(): Claims {
 		const {tables, objects} = this.#platform;
-		return new ClaimedCalls({
+		return new Claims({
+			identity: this.#identity,
+			server: this.#callers.server,
+			tables,
+			objects,
 			dispatcher: this.#dispatcher,
-			claims: new ClaimLog({tables, objects, name}),
 			invariants: this.#invariants,
-			random: new Random(hashToNumber(`${name}/claims`)),
 			log: this.#log,
+			listEntries: () => this.#view.entries,
 		});
 	}
 
 	#createView(): View {
-		const {name, dataCentre, linkKeys: [key = loopbackKey, ...otherKeys]} = this.#settings;
+		const {name, dataCentre} = this.#settings;
 		return new View({
-			identity: {name, keys: [key, ...otherKeys]},
+			identity: this.#identity,
 			dataCentre,
 			membership: this.#platform.members,
 			random: new Random(hashToNumber(`${name}/links`)),
@@ -201,6 +210,9 @@
 				this.#adopter.onLinkDown(agent);
 				this.#metrics.recordLinkLoss();
 			},
+			onMembers: members => {
+				this.#claims.follow(members);
+			},
 		});
 	}
 
@@ -242,7 +254,7 @@
 	#createSubmit(): CallerRoutes['submit'] {
 		return (call, listener, key) => key === undefined || call.profile.idempotent
 			? this.#dispatcher.submit(call, listener)
-			: this.#claimed.submit(call, key, listener);
+			: this.#claims.submit(call, key, listener);
 	}
 
 	#createStepRunner(): StepRunner {
@@ -305,7 +317,7 @@
 	#readState() {
 		const {up, all} = this.#view.counts;
 		return {
-			openCalls: this.#dispatcher.openCalls + this.#claimed.openCalls,
+			openCalls: this.#dispatcher.openCalls + this.#claims.openCalls,
 			draining: this.#dispatcher.drainingAttempts,
 			linksUp: up,
 			links: all,
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -37,6 +37,8 @@
 	onMessage(agent: string, message: Message): void;
 	onUp(agent: string): void;
 	onDown(agent: string): void;
+	/** Hears of each list that was read. */
+	onMembers?(members: readonly Member[]): void;
 	/** Opens a link; `LinkClient` by default. */
 	connect?(options: LinkClientOptions): AgentLink;
 };
@@ -127,7 +129,9 @@
 		this.#isRefreshing = true;
 		const {membership, log} = this.#settings;
 		try {
-			this.#follow(await membership.list());
+			const members = await membership.list();
+			this.#follow(members);
+			this.#settings.onMembers?.(members);
 		} catch (error) {
 			log.warn('membership_unavailable', {reason: describeError(error)});
 		} finally {
--- a/packages/systems/__tests__/steps.spec.ts
+++ b/packages/systems/__tests__/steps.spec.ts
@@ -319,6 +319,8 @@
 		const draining = first.runner.drain(5000);
 		await clock.tickAsync(1000);
 		await Promise.all([draining, pulling]);
+		const refused = await first.runner.locate('step-1');
+		expect(refused.kind === 'refused' && refused.problem.kind).to.equal('unavailable');
 		expect(world.endpoints.generated).to.equal(12);
 		void trainer.pull(second.runner, await locateHere(second));
 		await clock.tickAsync(10);
--- a/packages/systems/src/steps.ts
+++ b/packages/systems/src/steps.ts
@@ -83,6 +83,7 @@
 	readonly #runs = new Map<string, Run>();
 	readonly #opening = new Map<string, Promise<Placement>>();
 	readonly #timer: NodeJS.Timeout;
+	#isDraining = false;
 
 	constructor(settings: StepRunnerSettings) {
 		this.#settings = settings;
@@ -144,6 +145,7 @@
 	 */
 	async drain(graceMs: number): Promise<void> {
 		const endAt = performance.now() + graceMs;
+		this.#isDraining = true;
 		for (const {step} of this.#runs.values()) {
 			step.drain();
 		}
@@ -172,6 +174,10 @@
 			return request && hashStepRequest(request) !== run.step.fingerprint ? refuseOther(id) : {kind: 'here', step: run.step};
 		}
 
+		if (this.#isDraining) {
+			return {kind: 'refused', problem: createProblem('unavailable', 'this entry is leaving; another one goes on with the step', 'no', retryAfterMs)};
+		}
+
 		// Two exchanges about a step that come at once must not begin it twice.
 		const opening = this.#opening.get(id) ?? this.#begin(id, options, request).finally(() => {
 			this.#opening.delete(id);
