Catch five more deliberate faults, one of which no test saw

Cause: npm run mutants, extended to gatherers, retries, attempts and orders, showed that a part which a resume sends again could enter an answer twice without any test failing.

--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -160,6 +160,31 @@
 		patches: [{file: systems('steps'), find: '\t\trestore(step, finding);\n', replace: ''}],
 		specs: [systemsSpec('steps')],
 	},
+	{
+		name: 'a gatherer writes any row for others',
+		patches: [{file: systems('commit-gateway'), find: 'if (write.table !== claimTable) {', replace: 'if (write.table === \'\') {'}],
+		specs: [systemsSpec('commit-gateway')],
+	},
+	{
+		name: 'a non-idempotent call that may have run is retried',
+		patches: [{file: 'packages/decisions/src/retries.ts', find: 'if (ran !== \'no\' && !isIdempotent) {', replace: 'if (ran === \'yes\' && !isIdempotent) {'}],
+		specs: ['packages/decisions/__tests__/retries.spec.ts', systemsSpec('dispatcher')],
+	},
+	{
+		name: '"not run" is said of an attempt that was sent',
+		patches: [{file: systems('dispatcher-attempt'), find: 'return this.#next > 0 ? \'yes\' : \'unknown\';', replace: 'return this.#next > 0 ? \'yes\' : \'no\';'}],
+		specs: [systemsSpec('dispatcher')],
+	},
+	{
+		name: 'a part that was sent again enters the answer twice',
+		patches: [{file: systems('dispatcher-attempt'), find: 'if (sequence < this.#next) {', replace: 'if (sequence < 0) {'}],
+		specs: [systemsSpec('dispatcher-attempt')],
+	},
+	{
+		name: 'an order with an old fence is carried out',
+		patches: [{file: 'packages/agent/src/order-desk.ts', find: 'if (!await floor.raise(fence)) {', replace: 'if (!await floor.raise(fence) && fence < 0) {'}],
+		specs: ['packages/agent/__tests__/order-desk.spec.ts'],
+	},
 	{
 		name: 'a scorer is asked under a key of each try',
 		// The patched text is a template of the source.
@@ -189,22 +214,42 @@
 	return copy;
 }
 
-function patchSources(copy: string, patches: readonly Patch[]): Map<string, string> {
+/** Applies patches; undefined if the code has moved on, so that one of them does not fit any more. */
+function patchSources(copy: string, patches: readonly Patch[]): Map<string, string> | undefined {
 	const originals = new Map<string, string>();
 	for (const {file, find, replace} of patches) {
 		const target = path.join(copy, file);
 		const source = readFileSync(target, 'utf8');
+		originals.set(target, originals.get(target) ?? source);
 		if (!source.includes(find)) {
-			throw new Error(`${file} has no "${find}": mend the list in scripts/mutants.ts`);
+			restoreSources(originals);
+			return undefined;
 		}
 
-		originals.set(target, originals.get(target) ?? source);
 		writeFileSync(target, source.replace(find, () => replace));
 	}
 
 	return originals;
 }
 
+function restoreSources(originals: ReadonlyMap<string, string>): void {
+	for (const [file, source] of originals) {
+		writeFileSync(file, source);
+	}
+}
+
+/** Applies a mutant, runs its tests and takes it back; resolves to what to print, and whether it was caught. */
+function tryMutant(copy: string, {patches, specs}: Mutant): {isCaught: boolean; verdict: string} {
+	const originals = patchSources(copy, patches);
+	if (!originals) {
+		return {isCaught: false, verdict: 'DOES NOT FIT THE CODE'};
+	}
+
+	const failures = countFailures(copy, specs);
+	restoreSources(originals);
+	return {isCaught: failures > 0, verdict: failures > 0 ? `caught by ${failures}` : 'NOT CAUGHT'};
+}
+
 /** How many tests fail; a run that ends in any other way, such as a file that can not be loaded, is an error of this list. */
 function countFailures(copy: string, specs: readonly string[]): number {
 	const mocha = path.join(copy, 'node_modules', 'mocha', 'bin', 'mocha.js');
@@ -227,14 +272,10 @@
 			throw new Error('the tests fail without any mutant');
 		}
 
-		for (const {name, patches, specs} of mutants) {
-			const originals = patchSources(copy, patches);
-			const failures = countFailures(copy, specs);
-			missed += failures > 0 ? 0 : 1;
-			process.stdout.write(`${failures > 0 ? `caught by ${failures}` : 'NOT CAUGHT'}: ${name}\n`);
-			for (const [file, source] of originals) {
-				writeFileSync(file, source);
-			}
+		for (const mutant of mutants) {
+			const {isCaught, verdict} = tryMutant(copy, mutant);
+			missed += isCaught ? 0 : 1;
+			process.stdout.write(`${verdict}: ${mutant.name}\n`);
 		}
 	} finally {
 		rmSync(copy, {recursive: true});
