--- a/packages/systems/src/claimed-calls.ts
+++ b/packages/systems/src/claimed-calls.ts
@@ -20,11 +20,15 @@
 	Call, CallListener, Dispatcher, Run,
 } from './dispatcher.js';
 import type {Invariants} from './invariants.js';
+import {pause} from './pause.js';
 
 /** First and greatest wait before the record is asked again, in milliseconds; doubled in between, with jitter. */
 const firstWaitMs = 100;
 const maxWaitMs = 1000;
 
+/** No claim is sent again with less than this left, in milliseconds, so that a store that answers leaves no doubt at the deadline. */
+const lastTryMs = 100;
+
 /** Greatest answer kept for a second try, in bytes; postings are answered in a few hundred. */
 const maxAnswerBytes = 65_536;
 
@@ -34,6 +38,9 @@
 /** The run of a call that was refused at once. */
 const endedRun: Run = {cancel: () => undefined, pause: () => undefined, resume: () => undefined};
 
+/** Longest wait for the record of ended runs when the process leaves, in milliseconds. */
+const drainLimitMs = 30_000;
+
 /** When a refused caller should come back at the earliest, in milliseconds. */
 const retryAfterMs = 1000;
 
@@ -70,9 +77,13 @@
 		return this.#serving.size;
 	}
 
-	/** Resolves when all tries so far have ended and are recorded. */
-	async drain(): Promise<void> {
-		await Promise.all(this.#serving);
+	/**
+	 * Resolves when all tries so far have ended and are recorded.
+	 *
+	 * @param limitMs - longest wait, in milliseconds: a host is replaced though the store stays down
+	 */
+	async drain(limitMs = drainLimitMs): Promise<void> {
+		await Promise.race([Promise.all(this.#serving), pause(limitMs)]);
 	}
 
 	/**
@@ -116,6 +127,9 @@
 
 			// eslint-disable-next-line no-await-in-loop
 			await this.#wait(waitMs);
+			if (attempt.call.deadlineAt - performance.now() < lastTryMs) {
+				this.#expire(attempt);
+			}
 		}
 	}
 
@@ -132,7 +146,10 @@
 			return true;
 		}
 
-		return tell(attempt, await ending);
+		attempt.mayBeClaimed = true;
+		const isTold = tell(attempt, await ending);
+		attempt.mayBeClaimed = isTold;
+		return isTold;
 	}
 
 	async #lead(attempt: Try): Promise<boolean> {
@@ -279,16 +296,12 @@
 
 	/** The deadline passed before the call was dispatched here. */
 	#expire(attempt: Try): void {
-		const isClaimed = attempt.mayBeClaimed || this.#open.has(attempt.key);
-		const ran = this.#settings.invariants.checkRan(attempt.call.id, isClaimed ? 'unknown' : 'no', isClaimed);
+		const ran = this.#settings.invariants.checkRan(attempt.call.id, attempt.mayBeClaimed ? 'unknown' : 'no', this.#open.has(attempt.key));
 		fail(attempt, createProblem('unavailable', 'the record of calls could not be reached before the deadline', ran, retryAfterMs));
 	}
 
 	async #wait(waitMs: number): Promise<void> {
-		const jitteredMs = waitMs * (0.5 + this.#settings.random.next());
-		await new Promise<void>(resolve => {
-			setTimeout(resolve, jitteredMs).unref();
-		});
+		await pause(waitMs * (0.5 + this.#settings.random.next()));
 	}
 }
 
