Bring new weights to all engines in waves, from whichever entry holds the lease

Cause: nothing ordered new versions.

Change: WeightRollout plans by the waves of the decisions over what endpoints report, fetches ahead, asks for the lease before each order, tries failures again from what is reported, and says who is stuck. createControl runs one a model service under the lease `orders/<service>`: one lease a service, since an engine compares all orders by one fence.

--- /dev/null
+++ b/packages/entry/src/control.ts
@@ -0,0 +1,132 @@
+/**
+ * The control that an entry takes part in: orders to the engines of each model service, by whoever holds its lease.
+ *
+ * One lease a service, not one a model: an engine compares all orders by one fencing number, so all that may
+ * order it must draw theirs from one lease. Every entry tries for each lease; no host is set aside for control.
+ *
+ * ```ts
+ * const control = createControl({name, tables, weights, random, log, listEndpoints, send});
+ * control.start();                    // once links may come up
+ * control.onMessage(agent, message);  // each message from an agent; others than 'ordered' are ignored
+ * control.describe();                 // rollouts, for `status`
+ * await control.stop();               // gives the leases up
+ * ```
+ */
+import type {EndpointStatus, Message} from '@wasabiusher/link';
+import type {TableService, WeightStore} from '@wasabiusher/platform';
+import {LeaseHolder, TakeOverPace} from '@wasabiusher/record';
+import type {Log, Random} from '@wasabiusher/shared';
+import {WeightRollout, type ControlledEndpoint, type RolloutProgress} from '@wasabiusher/systems';
+
+/** How often each service is looked at, in milliseconds; answers to orders are followed at once. */
+const tickMs = 250;
+
+/** An endpoint in view, as the dispatcher's table has it. */
+export type ViewedEndpoint = {id: string; isUp: boolean; status?: EndpointStatus};
+
+export type ControlSettings = {
+	/** Name of this process, which holds the leases. */
+	name: string;
+	tables: TableService;
+	weights: WeightStore;
+	random: Random;
+	log: Log;
+	/** All endpoints in view. */
+	listEndpoints(): Iterable<ViewedEndpoint>;
+	/** Sends to an agent by name; false if it has no link at present. */
+	send(agent: string, message: Message): boolean;
+};
+
+/** What an entry starts, feeds and stops. */
+export type Control = {
+	start(): void;
+	/** Gives no more orders and gives the leases up. */
+	stop(): Promise<void>;
+	onMessage(agent: string, message: Message): void;
+	/** Rollouts of the services whose lease this entry holds. */
+	describe(): RolloutProgress[];
+};
+
+type Shard = {lease: LeaseHolder; rollout: WeightRollout};
+
+/** Creates the control of one entry. */
+export function createControl(settings: ControlSettings): Control {
+	return new ShardedControl(settings);
+}
+
+class ShardedControl implements Control {
+	readonly #settings: ControlSettings;
+	readonly #shards = new Map<string, Shard>();
+	readonly #pace = new TakeOverPace();
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(settings: ControlSettings) {
+		this.#settings = settings;
+	}
+
+	start(): void {
+		this.#timer ??= setInterval(() => {
+			this.#tick();
+		}, tickMs);
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.#timer);
+		this.#timer = undefined;
+		const shards = [...this.#shards.values()];
+		this.#shards.clear();
+		await Promise.all(shards.map(async ({lease}) => lease.release()));
+	}
+
+	onMessage(agent: string, message: Message): void {
+		if (message.kind === 'ordered') {
+			for (const {rollout} of this.#shards.values()) {
+				rollout.receive(agent, message);
+			}
+		}
+	}
+
+	describe(): RolloutProgress[] {
+		return [...this.#shards.values()].flatMap(({rollout}) => rollout.describe());
+	}
+
+	#tick(): void {
+		for (const service of this.#listModelServices()) {
+			if (!this.#shards.has(service)) {
+				this.#shards.set(service, this.#openShard(service));
+			}
+		}
+
+		for (const {rollout} of this.#shards.values()) {
+			void rollout.tick();
+		}
+	}
+
+	/** Services whose endpoints hold models; plain ones take no orders. */
+	#listModelServices(): Set<string> {
+		const services = new Set<string>();
+		for (const {status} of this.#settings.listEndpoints()) {
+			if (status && status.models.length > 0) {
+				services.add(status.service);
+			}
+		}
+
+		return services;
+	}
+
+	#openShard(service: string): Shard {
+		const {name, tables, weights, random, log, send} = this.#settings;
+		const lease = new LeaseHolder({
+			tables, shard: `orders/${service}`, holder: name, random, log, pace: this.#pace,
+		});
+		const rollout = new WeightRollout({
+			service, weights, lease, log, listEndpoints: () => this.#listEndpointsOf(service), send,
+		});
+		lease.start();
+		return {lease, rollout};
+	}
+
+	#listEndpointsOf(service: string): ControlledEndpoint[] {
+		return [...this.#settings.listEndpoints()].flatMap(({id, isUp, status}) => status?.service === service ? [{agent: id, isUp, status}] : []);
+	}
+}
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -8,3 +8,4 @@
 export * from './executor-queue.js';
 export * from './invariants.js';
 export * from './steps.js';
+export * from './weight-rollout.js';
