Split what had grown large at the agent and in the executor

Change: execution-runner, executor-settings, rollout-progress and link-hub on their own; the work of an attempt is dropped when it ends, and each kept attempt counts 2 KiB against the archive's bound.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -4,7 +4,7 @@
 import {Registry, collectDefaultMetrics} from 'prom-client';
 import {addOperationRoutes, HttpServer, type Daemon} from '@wasabiusher/daemon';
 import {
-	LinkServer, type EndpointStatus, type Link, type LinkError, type LinkListener, type Message, type MessageOf,
+	LinkServer, type EndpointStatus, type Link, type Message, type MessageOf,
 } from '@wasabiusher/link';
 import {
 	HttpEngine, HttpMembershipList, HttpPlainService, HttpTableService, type MembershipList,
@@ -17,7 +17,8 @@
 } from '@wasabiusher/systems';
 import {EndpointWatch} from './endpoint-watch.js';
 import {FenceFloor} from './fence-floor.js';
-import {AgentMetrics} from './metrics.js';
+import {LinkHub} from './link-hub.js';
+import {AgentMetrics, type AgentState} from './metrics.js';
 import {OrderDesk} from './order-desk.js';
 import {PoisonRelay} from './poison-relay.js';
 import {resolveKeys, type AgentSettings} from './settings.js';
@@ -63,7 +64,7 @@
 	readonly #invariants: Invariants;
 	readonly #pace = new StatusPace();
 	readonly #handlers: Handlers;
-	readonly #links = new Map<string, Link>();
+	readonly #hub = this.#createHub();
 	readonly #timers: NodeJS.Timeout[] = [];
 	#linkServer: LinkServer | undefined;
 	#address = '';
@@ -78,7 +79,7 @@
 		this.#floor = new FenceFloor(new HttpTableService(platform), `${service}/${name}`);
 		this.#metrics = new AgentMetrics(this.#registry, () => this.#readState());
 		this.#poison = new PoisonRelay(name, (message, except) => {
-			this.#broadcast(message, except);
+			this.#hub.broadcast(message, except);
 		});
 		this.#invariants = new Invariants(log, this.#registry);
 		this.#adopter = new ConfigurationAdopter({
@@ -91,7 +92,7 @@
 			limit,
 			maxWaiting,
 			log,
-			send: (peer, message) => this.#send(peer, message),
+			send: (peer, message) => this.#hub.send(peer, message),
 			judge: fingerprint => this.#poison.judge(fingerprint),
 			checkCrash: async () => this.#watch.checkCrash(),
 			onFinished: fingerprint => {
@@ -116,7 +117,7 @@
 		const {name} = this.#settings;
 		this.#linkServer = new LinkServer(this.#http.server, {
 			identity: {name, keys: () => resolveKeys(this.#settings)},
-			onLink: link => this.#accept(link),
+			onLink: link => this.#hub.accept(link),
 			onReject: error => {
 				this.#metrics.recordLinkError(error.code);
 				this.#log.warn('link_refused', {code: error.code, reason: error.message});
@@ -220,43 +221,35 @@
 		};
 	}
 
-	/** A new link of the same entry replaces the old one, which may not have noticed yet that it is lost. */
-	#accept(link: Link): LinkListener {
-		this.#links.get(link.peer)?.close();
-		this.#links.set(link.peer, link);
-		this.#executor.attach(link.peer);
-		link.send({kind: 'status', status: this.#describe()});
-		this.#sendAll(this.#adopter.onLinkUp(link.peer));
-		const suspicions = this.#poison.list();
-		if (suspicions.length > 0) {
-			link.send({kind: 'suspicions', suspicions});
-		}
-
-		return {
-			onMessage: message => {
+	#createHub(): LinkHub {
+		return new LinkHub({
+			onUp: peer => {
+				this.#greet(peer);
+			},
+			onDown: peer => {
+				this.#executor.detach(peer);
+				this.#adopter.onLinkDown(peer);
+			},
+			onMessage: (link, message) => {
 				// The table pairs each kind with a handler of that kind's message.
 				// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 				(this.#handlers[message.kind] as ((link: Link, message: Message) => void) | undefined)?.(link, message);
 			},
-			onUnknown: error => {
-				this.#metrics.recordLinkError(error.code);
-			},
-			onClose: error => {
-				this.#drop(link, error);
+			onError: (peer, {code, message}) => {
+				this.#metrics.recordLinkError(code);
+				this.#log.warn('link_error', {peer, code, reason: message});
 			},
-		};
+		});
 	}
 
-	#drop(link: Link, error?: LinkError): void {
-		if (error) {
-			this.#metrics.recordLinkError(error.code);
-			this.#log.warn('link_lost', {peer: link.peer, code: error.code, reason: error.message});
-		}
-
-		if (this.#links.get(link.peer) === link) {
-			this.#links.delete(link.peer);
-			this.#executor.detach(link.peer);
-			this.#adopter.onLinkDown(link.peer);
+	/** Tells an entry whose link came up what it needs to know. */
+	#greet(peer: string): void {
+		this.#executor.attach(peer);
+		this.#hub.send(peer, {kind: 'status', status: this.#describe()});
+		this.#sendAll(this.#adopter.onLinkUp(peer));
+		const suspicions = this.#poison.list();
+		if (suspicions.length > 0) {
+			this.#hub.send(peer, {kind: 'suspicions', suspicions});
 		}
 	}
 
@@ -270,7 +263,7 @@
 
 	#sendAll(outputs: readonly ConfigurationOutput[]): void {
 		for (const {to, message} of outputs) {
-			this.#send(to, message);
+			this.#hub.send(to, message);
 		}
 	}
 
@@ -316,7 +309,7 @@
 	#tellStatus(isUrgent = false): void {
 		const status = this.#describe();
 		if (this.#pace.shouldTell(status, performance.now()) || isUrgent) {
-			this.#broadcast({kind: 'status', status});
+			this.#hub.broadcast({kind: 'status', status});
 		}
 	}
 
@@ -333,24 +326,7 @@
 		};
 	}
 
-	#readState() {
-		const links = [...this.#links.values()];
-		return {
-			status: this.#describe(), links: links.length, bufferedBytes: links.reduce((sum, link) => sum + link.bufferedBytes, 0),
-		};
-	}
-
-	#send(peer: string, message: Message): boolean {
-		const link = this.#links.get(peer);
-		link?.send(message);
-		return link !== undefined;
-	}
-
-	#broadcast(message: Message, except?: string): void {
-		for (const link of this.#links.values()) {
-			if (link.peer !== except) {
-				link.send(message);
-			}
-		}
+	#readState(): AgentState {
+		return {status: this.#describe(), links: this.#hub.size, bufferedBytes: this.#hub.bufferedBytes};
 	}
 }
--- a/packages/systems/src/answer-archive.ts
+++ b/packages/systems/src/answer-archive.ts
@@ -10,6 +10,9 @@
 /** Bytes of ended answers kept, the oldest dropped first: a quarter of an agent's 64 MB. */
 const maxBytes = 16 * 1024 * 1024;
 
+/** What an ended attempt weighs besides its answer, in bytes. */
+const rowBytes = 2048;
+
 type Kept = {execution: Execution; bytes: number; timer: NodeJS.Timeout};
 
 /** Ended attempts in order of their end. */
@@ -33,7 +36,7 @@
 			this.drop(execution);
 		}, keepMs);
 		timer.unref();
-		const {bytes} = execution.buffer;
+		const bytes = rowBytes + execution.buffer.bytes;
 		this.#kept.set(execution.id, {execution, bytes, timer});
 		this.#bytes += bytes;
 		this.#shrink();
--- a/packages/systems/src/endpoint-run.ts
+++ b/packages/systems/src/endpoint-run.ts
@@ -1,15 +1,15 @@
 /**
  * One run at an endpoint: its stream of events, and the proof that it has stopped.
  */
-import type {AnswerEvent, MessageOf} from '@wasabiusher/link';
+import type {AnswerEvent, MessageOf, Work} from '@wasabiusher/link';
 import {PlatformError, type Engine, type PlainService} from '@wasabiusher/platform';
 import {maxChunkBytes} from './answer-buffer.js';
 
 /** The endpoint that an agent stands beside. */
 export type Endpoint = {kind: 'model'; engine: Engine} | {kind: 'plain'; service: PlainService};
 
-/** What runs: the `open` message's work, and how it is stopped. */
-export type EndpointRun = {open: MessageOf<'open'>; signal: AbortSignal};
+/** What runs, under which name and urgency, and how it is stopped. */
+export type EndpointRun = {open: Pick<MessageOf<'open'>, 'request' | 'attempt' | 'priority'>; work: Work; signal: AbortSignal};
 
 /** First wait before an unanswered `cancel` is sent again, in milliseconds; doubled up to the greatest. */
 const firstCancelMs = 100;
@@ -24,13 +24,12 @@
 const maxPlainDrainMs = 30_000;
 
 /** The engine's name of a run. */
-export function formatRunId({request, attempt}: {request: string; attempt: number}): string {
+export function formatRunId({request, attempt}: Pick<MessageOf<'open'>, 'request' | 'attempt'>): string {
 	return `${request}.${attempt}`;
 }
 
 /** Streams a run; throws `PlatformError`, `refused` if the endpoint is of the wrong kind for the work. */
-export function streamRun(endpoint: Endpoint, {open, signal}: EndpointRun): AsyncIterable<AnswerEvent> {
-	const {work} = open;
+export function streamRun(endpoint: Endpoint, {open, work, signal}: EndpointRun): AsyncIterable<AnswerEvent> {
 	if (endpoint.kind === 'model' && work.kind === 'generate') {
 		return streamGeneration(endpoint.engine.generate(work.request, {requestId: formatRunId(open), priority: open.priority, signal}));
 	}
--- a/packages/systems/src/execution.ts
+++ b/packages/systems/src/execution.ts
@@ -1,7 +1,7 @@
 /**
  * One attempt at an agent, from its `open` message until its answer has been acknowledged.
  */
-import type {Message, MessageOf} from '@wasabiusher/link';
+import type {Message, MessageOf, Work} from '@wasabiusher/link';
 import {PlatformError} from '@wasabiusher/platform';
 import {describeError, type Ran} from '@wasabiusher/shared';
 import {AnswerBuffer} from './answer-buffer.js';
@@ -25,7 +25,8 @@
 export type Execution = {
 	readonly id: string;
 	readonly peer: string;
-	readonly open: MessageOf<'open'>;
+	/** What was asked, without the work itself. */
+	readonly open: Omit<MessageOf<'open'>, 'work'>;
 	readonly buffer: AnswerBuffer;
 	/** On the monotonic clock, in milliseconds. */
 	readonly openedAt: number;
@@ -36,6 +37,8 @@
 	readonly run: AbortController;
 	/** Aborted when the endpoint has restarted, so that there is nothing left to stop. */
 	readonly gone: AbortController;
+	/** Dropped once it has ended. */
+	work?: Work;
 	state: ExecutionState;
 	startedAt: number;
 	deadlineTimer?: NodeJS.Timeout;
@@ -48,12 +51,13 @@
 	return `${peer} ${request} ${attempt}`;
 }
 
-export function createExecution(peer: string, open: MessageOf<'open'>): Execution {
+export function createExecution(peer: string, {work, ...open}: MessageOf<'open'>): Execution {
 	const now = performance.now();
 	return {
 		id: formatExecutionId(peer, open),
 		peer,
 		open,
+		work,
 		buffer: new AnswerBuffer(),
 		openedAt: now,
 		deadlineAt: now + open.remainingMs,
--- a/packages/systems/src/executor.ts
+++ b/packages/systems/src/executor.ts
@@ -8,48 +8,19 @@
 import type {
 	EndpointStatus, Message, MessageOf, Refusal,
 } from '@wasabiusher/link';
-import {PlatformError} from '@wasabiusher/platform';
-import {Table, type Log} from '@wasabiusher/shared';
+import {Table} from '@wasabiusher/shared';
 import {AnswerArchive} from './answer-archive.js';
-import {confirmStop, formatRunId, type Endpoint} from './endpoint-run.js';
+import {formatRunId} from './endpoint-run.js';
 import {
-	createExecution, describeFailure, findStopReason, formatExecutionId, judgeRan, type AttemptName, type Execution, type StopReason,
+	createExecution, formatExecutionId, type AttemptName, type Execution, type StopReason,
 } from './execution.js';
 import {ExecutorLoad} from './executor-load.js';
+import type {ExecutorEvent, ExecutorSettings, Suspicion} from './executor-settings.js';
+import {ExecutionRunner} from './execution-runner.js';
 import {createExecutorQueue, type ExecutorQueue} from './executor-queue.js';
 import {OnceGuard} from './once-guard.js';
-import {PartRate} from './part-gatherer.js';
-import {readRun} from './run-reader.js';
 import {SuspectGate} from './suspect-gate.js';
 
-/** How a request may run by what is known of its content. */
-export type Suspicion = 'free' | 'isolate' | 'quarantined';
-
-/** What an executor reports of each request, for metrics. */
-export type ExecutorEvent
-	= | {kind: 'refused'; reason: Refusal}
-		| {kind: 'started'; waitMs: number}
-		| {kind: 'ended'; outcome: 'finished' | 'stopped' | 'failed' | 'crashed'; runMs: number};
-
-export type ExecutorSettings = {
-	service: string;
-	endpoint: Endpoint;
-	/** Requests run at once at the most. */
-	limit: number;
-	/** Requests waiting at most. */
-	maxWaiting: number;
-	log: Log;
-	/** Sends to an entry by name; false if it has no link at present. */
-	send(peer: string, message: Message): boolean;
-	/** How a request with this content may run; all may, by default. */
-	judge?(fingerprint: string): Suspicion;
-	/** Asked when a stream broke off: whether the endpoint has crashed. It calls `crash` by itself. */
-	checkCrash?(): Promise<boolean>;
-	/** A request with this content was finished. */
-	onFinished?(fingerprint: string): void;
-	observe?(event: ExecutorEvent): void;
-};
-
 /** How long an attempt without a link to its entry goes on before it is stopped, in milliseconds; entries give up after 5 s. */
 const orphanMs = 10_000;
 
@@ -68,7 +39,7 @@
 	readonly #queue: ExecutorQueue;
 	readonly #suspects: SuspectGate;
 	readonly #once = new OnceGuard();
-	readonly #rate = new PartRate();
+	readonly #runner: ExecutionRunner;
 	readonly #orphanTimers = new Map<string, NodeJS.Timeout>();
 	#hasReport = false;
 	#isLeaving = false;
@@ -79,6 +50,14 @@
 		this.#load = new ExecutorLoad({kind: endpoint.kind, limit, maxWaiting});
 		this.#queue = createExecutorQueue(limit, {limitFor: name => this.#load.limitFor(name)});
 		this.#suspects = new SuspectGate(this.#queue);
+		this.#runner = new ExecutionRunner({
+			...settings,
+			load: this.#load,
+			once: this.#once,
+			end: (execution, outcome) => {
+				this.#end(execution, outcome);
+			},
+		});
 		this.#archive = new AnswerArchive(id => {
 			this.#executions.remove(id);
 		});
@@ -225,7 +204,7 @@
 	}
 
 	/** Whether no other attempt of a non-idempotent request may have run or may yet. */
-	#isFirst(peer: string, open: MessageOf<'open'>): boolean {
+	#isFirst(peer: string, open: AttemptName): boolean {
 		const isEarlier = (other: Execution) => other.peer === peer && other.open.request === open.request && other.state === 'waiting';
 		for (const earlier of this.#executions.filter(row => isEarlier(row))) {
 			this.#leaveQueue(earlier, 'cancelled');
@@ -265,7 +244,7 @@
 		execution.deadlineTimer = setTimeout(() => {
 			this.#stop(execution, 'expired');
 		}, open.remainingMs);
-		const run = async () => this.#execute(execution);
+		const run = async () => this.#runner.run(execution, this.#queue.pending + this.#suspects.running);
 		if (isAlone) {
 			this.#suspects.add(run, place.signal);
 			return;
@@ -315,83 +294,14 @@
 		}
 	}
 
-	async #execute(execution: Execution): Promise<void> {
-		const {peer, open} = execution;
-		const inFlight = this.#queue.pending + this.#suspects.running;
-		execution.state = 'running';
-		execution.startedAt = performance.now();
-		this.#load.start(execution);
-		if (!open.isIdempotent) {
-			this.#once.record(peer, open, execution.deadlineAt);
-		}
-
-		this.#settings.send(peer, {kind: 'started', request: open.request, attempt: open.attempt});
-		this.#settings.observe?.({kind: 'started', waitMs: execution.startedAt - execution.openedAt});
-		try {
-			const reading = await readRun(execution, {
-				endpoint: this.#settings.endpoint,
-				rate: this.#rate,
-				send: numbered => {
-					this.#sendPart(execution, numbered);
-				},
-			});
-			this.#load.recordRun(execution, {...reading, inFlight}, performance.now());
-			this.#settings.onFinished?.(open.fingerprint);
-			this.#end(execution);
-		} catch (error) {
-			await this.#fail(execution, error);
-		}
-	}
-
-	async #fail(execution: Execution, error: unknown): Promise<void> {
-		const isBroken = error instanceof PlatformError && (error.code === 'unknown' || error.code === 'unavailable');
-		if (isBroken && !findStopReason(execution) && await this.#settings.checkCrash?.()) {
-			this.#end(execution, describeFailure(execution, error, true));
-			return;
-		}
-
-		// The check may have taken a while: it may have been stopped since.
-		const reason = findStopReason(execution);
-		if (reason) {
-			await this.#finishStop(execution, reason);
-			return;
-		}
-
-		if (judgeRan(execution, error) === 'no') {
-			this.#once.clear(execution.peer, execution.open);
-		}
-
-		this.#end(execution, describeFailure(execution, error, false));
-	}
-
-	/** Holds the slot until the endpoint has stopped; the entry of an expired attempt is not kept waiting for that. */
-	async #finishStop(execution: Execution, reason: StopReason): Promise<void> {
-		const {open, buffer, gone, startedAt} = execution;
-		const {request, attempt} = open;
-		const failure = describeFailure(execution, new PlatformError('unknown', stopTexts[reason]), reason === 'crashed');
-		if (reason === 'crashed') {
-			this.#end(execution, failure);
-			return;
-		}
-
-		execution.state = 'draining';
-		if (reason === 'expired') {
-			execution.outcome = failure;
-			this.#settings.send(execution.peer, failure);
-		}
-
-		await confirmStop(this.#settings.endpoint, {
-			runId: formatRunId(open), hasAnswered: buffer.length > 0, ranMs: performance.now() - startedAt, typicalMs: this.#load.typicalMs, gone: gone.signal,
-		});
-		this.#end(execution, execution.outcome ?? {kind: 'stopped', request, attempt});
-	}
-
 	/** Ends an execution once; its answer stays until it is acknowledged or the archive lets go of it. */
 	#end(execution: Execution, outcome?: Message): void {
 		const wasWaiting = execution.state === 'waiting';
 		const isTold = wasWaiting || execution.outcome !== undefined;
 		execution.state = 'ended';
 		execution.outcome = outcome;
+		// Only the answer is kept; a body may be large.
+		execution.work = undefined;
 		clearTimeout(execution.deadlineTimer);
 		this.#load.release(execution, !wasWaiting);
 		this.#archive.keep(execution);
@@ -435,13 +345,6 @@
 	}
 }
 
-/** What entries are told of each reason. */
-const stopTexts: Readonly<Record<StopReason, string>> = {
-	cancelled: 'cancelled while running',
-	expired: 'the deadline passed while it ran',
-	crashed: 'the endpoint crashed while it ran',
-};
-
 function nameOutcome(outcome: Message | undefined): Extract<ExecutorEvent, {kind: 'ended'}>['outcome'] {
 	if (!outcome) {
 		return 'finished';
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -5,6 +5,7 @@
 export * from './dispatcher.js';
 export type {Endpoint} from './endpoint-run.js';
 export * from './executor.js';
+export type * from './executor-settings.js';
 export * from './executor-queue.js';
 export * from './invariants.js';
 export * from './steps.js';
--- a/packages/systems/src/run-reader.ts
+++ b/packages/systems/src/run-reader.ts
@@ -29,14 +29,14 @@
  * stopped, whether or not the endpoint's client does.
  */
 export async function readRun(execution: Execution, {endpoint, rate, send}: RunSettings): Promise<Reading> {
-	const {open, run, buffer} = execution;
+	const {open, work, run, buffer} = execution;
 	const reading: Reading = {
 		tokens: 0, firstTokens: 0, firstAt: 0, isOverloaded: false, isFinished: false,
 	};
 	const gatherer = new PartGatherer(() => findGatherMs(open.class, rate), event => {
 		send(buffer.append(event));
 	});
-	const events = streamRun(endpoint, {open, signal: run.signal})[Symbol.asyncIterator]();
+	const events = streamRun(endpoint, {open, work: work!, signal: run.signal})[Symbol.asyncIterator]();
 	const stopped = createStop(run.signal);
 	try {
 		while (!reading.isFinished) {
--- a/packages/systems/src/weight-rollout.ts
+++ b/packages/systems/src/weight-rollout.ts
@@ -5,12 +5,13 @@
  * the weight store lists, so another holder goes on from where the last one was: what was fetched is asked for
  * again, which is soon answered. An endpoint counts as done when it reports the version, never by an order.
  */
-import {
-	failReplica, maxFailures, planWave, type Replica, type WavePlan,
-} from '@wasabiusher/decisions';
+import {planWave, type Replica, type WavePlan} from '@wasabiusher/decisions';
 import type {EndpointStatus, Message, MessageOf} from '@wasabiusher/link';
 import type {WeightStore} from '@wasabiusher/platform';
 import {describeError, type Log} from '@wasabiusher/shared';
+import {
+	createProgress, failProgress, followReport, isStuck, type Progress,
+} from './rollout-progress.js';
 
 /** An endpoint as control sees it. */
 export type ControlledEndpoint = {
@@ -59,25 +60,9 @@
 /** Longest wait for the answer to an order, in milliseconds; the agent's own limit towards the engine is 30 s. */
 const orderMs = 35_000;
 
-/** Failed fetches after which an endpoint is told to swap all the same: its engine may not know how to fetch ahead. */
-const fetchFailures = 2;
-
 /** Time in which interactive demand is mostly forgotten, in milliseconds, so that a pause of a second lends nothing. */
 const demandMs = 20_000;
 
-/** Longest time from the answer to a swap until its version shows in a status, in milliseconds; the status goes first. */
-const statusMs = 3000;
-
-/** One endpoint on its way to a version. */
-type Progress = {
-	replica: Replica;
-	fetchFailures: number;
-	/** What the last failure was. */
-	detail: string;
-	/** When a swap was said to be done that no status shows, on the monotonic clock. */
-	swappedAt?: number;
-};
-
 type Rollout = {
 	model: string;
 	version: number;
@@ -327,29 +312,3 @@
 		this.#versionsAt = Number.NEGATIVE_INFINITY;
 	}
 }
-
-function createProgress(agent: string): Progress {
-	return {replica: {id: agent, state: 'old', failures: 0}, fetchFailures: 0, detail: ''};
-}
-
-function followReport(known: Progress, reported: number, wanted: number): Progress {
-	const {replica, swappedAt} = known;
-	if (reported >= wanted) {
-		return {...createProgress(replica.id), replica: {id: replica.id, state: 'current', failures: 0}};
-	}
-
-	// It was there and is no longer, or never showed: the engine was started anew.
-	const isLost = replica.state === 'current' || (swappedAt !== undefined && performance.now() - swappedAt > statusMs);
-	return isLost ? createProgress(replica.id) : known;
-}
-
-function failProgress(known: Progress, kind: PendingOrder['kind'], detail: string): Progress {
-	const replica = failReplica(known.replica, performance.now());
-	const failedFetches = known.fetchFailures + (kind === 'prefetch' ? 1 : 0);
-	const state = failedFetches >= fetchFailures ? 'fetched' : replica.state;
-	return {replica: {...replica, state}, fetchFailures: failedFetches, detail};
-}
-
-function isStuck({state, failures}: Replica): boolean {
-	return state !== 'current' && failures >= maxFailures;
-}
