--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -1,8 +1,9 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import type {Verdict} from '@wasabiusher/decisions';
 import type {Message} from '@wasabiusher/link';
 import {PlatformError} from '@wasabiusher/platform';
-import {windowEvents, type Suspicion} from '../src/index.js';
+import {windowEvents} from '../src/index.js';
 import {
 	createExecutor, createOpen, createPosting, createToken, FakeEngine, FakeService, lastToken,
 } from './executor-fixtures.js';
@@ -461,7 +462,7 @@
 		});
 
 		it('is recognised by its content whatever its entry knows, and refused once quarantined', async () => {
-			const verdicts: Record<string, Suspicion> = {'content of s': 'isolate', 'content of q': 'quarantined'};
+			const verdicts: Record<string, Verdict['kind']> = {'content of s': 'isolate', 'content of q': 'quarantined'};
 			const {executor, find} = createModelExecutor({judge: fingerprint => verdicts[fingerprint] ?? 'free'});
 			openAll(executor, 'a', 's', 'q');
 			await settle();
--- a/packages/systems/src/executor-settings.ts
+++ b/packages/systems/src/executor-settings.ts
@@ -1,13 +1,11 @@
 /**
  * What an executor is given, and what it reports.
  */
+import type {Verdict} from '@wasabiusher/decisions';
 import type {Message, Refusal} from '@wasabiusher/link';
 import type {Log} from '@wasabiusher/shared';
 import type {Endpoint} from './endpoint-run.js';
 
-/** How a request may run by what is known of its content. */
-export type Suspicion = 'free' | 'isolate' | 'quarantined';
-
 /** What an executor reports of each request, for metrics. */
 export type ExecutorEvent
 	= | {kind: 'refused'; reason: Refusal}
@@ -25,7 +23,7 @@
 	/** Sends to an entry by name; false if it has no link at present. */
 	send(peer: string, message: Message): boolean;
 	/** How a request with this content may run; all may, by default. */
-	judge?(fingerprint: string): Suspicion;
+	judge?(fingerprint: string): Verdict['kind'];
 	/** Asked when a stream broke off: whether the endpoint has crashed. It calls `crash` by itself. */
 	checkCrash?(): Promise<boolean>;
 	/** A request with this content was finished. */
--- a/packages/systems/src/executor.ts
+++ b/packages/systems/src/executor.ts
@@ -4,7 +4,7 @@
  * A slot is held from before the endpoint is called until its stream has ended or its
  * stop is confirmed, so work that is still draining stays accounted for.
  */
-import type {AdmissionDecision} from '@wasabiusher/decisions';
+import type {AdmissionDecision, Verdict} from '@wasabiusher/decisions';
 import type {
 	EndpointStatus, Message, MessageOf, Refusal,
 } from '@wasabiusher/link';
@@ -15,7 +15,7 @@
 	createExecution, formatExecutionId, type AttemptName, type Execution, type StopReason,
 } from './execution.js';
 import {ExecutorLoad} from './executor-load.js';
-import type {ExecutorEvent, ExecutorSettings, Suspicion} from './executor-settings.js';
+import type {ExecutorEvent, ExecutorSettings} from './executor-settings.js';
 import {ExecutionRunner} from './execution-runner.js';
 import {createExecutorQueue, type ExecutorQueue} from './executor-queue.js';
 import {OnceGuard} from './once-guard.js';
@@ -92,14 +92,14 @@
 			return;
 		}
 
-		const suspicion = this.#settings.judge?.(open.fingerprint) ?? 'free';
-		const refusal = this.#findRefusal(open, suspicion);
+		const verdict = this.#settings.judge?.(open.fingerprint) ?? 'free';
+		const refusal = this.#findRefusal(open, verdict);
 		if (refusal) {
 			this.#refuse(peer, open, refusal);
 			return;
 		}
 
-		this.#admit(createExecution(peer, open), open.isSuspect || suspicion === 'isolate');
+		this.#admit(createExecution(peer, open), open.isSuspect || verdict === 'isolate');
 	}
 
 	/** The caller is gone: a waiting attempt loses its place at once, a running one is stopped at the endpoint. */
@@ -213,12 +213,12 @@
 		return !this.#once.hasOther(peer, open);
 	}
 
-	#findRefusal(open: MessageOf<'open'>, suspicion: Suspicion): Refusal | undefined {
+	#findRefusal(open: MessageOf<'open'>, verdict: Verdict['kind']): Refusal | undefined {
 		const reasons: Array<[boolean, Refusal]> = [
 			[this.#isLeaving, 'leaving'],
 			[open.service !== this.#settings.service, 'unknown-service'],
 			[open.remainingMs <= 0, 'expired'],
-			[suspicion === 'quarantined', 'quarantined'],
+			[verdict === 'quarantined', 'quarantined'],
 		];
 		return reasons.find(([holds]) => holds)?.[1];
 	}
--- a/packages/systems/src/suspicion-exchange.ts
+++ b/packages/systems/src/suspicion-exchange.ts
@@ -5,7 +5,9 @@
  * Agents see the crashes; entries pass on what is new to them, so that each process hears
  * of a crash within the number of entries and agents between, and no message goes round for ever.
  */
-import type {PoisonGuard, Suspicion, Verdict} from '@wasabiusher/decisions';
+import type {
+	Crash, PoisonGuard, Suspicion, Verdict,
+} from '@wasabiusher/decisions';
 import type {Message, MessageOf} from '@wasabiusher/link';
 
 /** Suspicions told when a link comes up; the newest, some 100 bytes each. */
@@ -47,6 +49,16 @@
 		}
 	}
 
+	/** A crash was seen here: suspects what was in flight, and passes that on. */
+	recordCrash(crash: Crash): void {
+		const {guard, broadcast} = this.#settings;
+		guard.recordCrash(crash, performance.now());
+		const changed = this.#listChanged(new Set(crash.fingerprints));
+		if (changed.length > 0) {
+			broadcast({kind: 'suspicions', suspicions: changed});
+		}
+	}
+
 	/** A request was finished, which clears its content. */
 	recordFinished(fingerprint: string): void {
 		// Most were never suspected, and this is called for each.
