Move engines between models as demand moves, without cutting off a run

Cause: nothing carried out what decisions/placement chooses; an `unload` order would have cut off what ran.

Change: PlacementRunner under the lease of the service's orders, off until an entry tells what waits; the agent retires a model before it unloads it; rollouts and moves leave each other's engines alone.

--- a/packages/agent/__tests__/fixtures.ts
+++ b/packages/agent/__tests__/fixtures.ts
@@ -55,6 +55,8 @@
 	putInForce(order: EngineOrder): void {
 		if (order.kind === 'load') {
 			this.#report.models = [{model: order.model, version: order.version}];
+		} else if (order.kind === 'unload') {
+			this.#report.models = [];
 		}
 	}
 
--- a/packages/agent/__tests__/order-desk.spec.ts
+++ b/packages/agent/__tests__/order-desk.spec.ts
@@ -155,6 +155,33 @@
 		expect(events.filter(event => event === 'mended')).to.have.lengthOf(5);
 	});
 
+	it('unloads a model only when nothing runs for it, and takes work for it again if that fails', async () => {
+		const steps: string[] = [];
+		let isIdle = false;
+		const desk = new OrderDesk({
+			engine: engine.asEngine(),
+			floor: new FenceFloor(tables, 'models/agent-1'),
+			log: createSilentLog(),
+			async retire(model) {
+				steps.push(`retire ${model}`);
+				return isIdle;
+			},
+			restore(model) {
+				steps.push(`restore ${model}`);
+			},
+		});
+		const unload = {kind: 'unload', model: 'trail'} as const;
+		expect(await desk.execute(unload, 2)).to.include({outcome: 'failed'});
+		expect(engine.orders).to.deep.equal([]);
+		expect(steps).to.deep.equal(['retire trail', 'restore trail']);
+		isIdle = true;
+		expect(await desk.execute(unload, 2)).to.include({outcome: 'done'});
+		expect(await desk.execute(unload, 1), 'an older holder retires nothing').to.include({outcome: 'fenced'});
+		expect(steps).to.deep.equal(['retire trail', 'restore trail', 'retire trail']);
+		await desk.execute(createLoad(2), 2);
+		expect(steps.at(-1)).to.equal('restore trail');
+	});
+
 	it('fetches ahead without changing what is wanted', async () => {
 		const {desk} = createDesk();
 		await desk.execute(createLoad(2), 1);
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -30,6 +30,9 @@
 /** How often the agent announces itself, in milliseconds. */
 const announceMs = 5000;
 
+/** Longest wait for the end of runs of a model that is to be unloaded, in milliseconds. */
+const retireMs = 30_000;
+
 /** How often digests are looked after, in milliseconds. */
 const configurationMs = 1000;
 
@@ -182,6 +185,14 @@
 				engine: endpoint.engine,
 				floor: this.#floor,
 				log: this.#log,
+				retire: async model => {
+					const retired = this.#executor.retire(model, retireMs);
+					this.#tellStatus(true);
+					return retired;
+				},
+				restore: model => {
+					this.#executor.restore(model);
+				},
 				observe: outcome => {
 					this.#metrics.recordOrder(outcome);
 				},
@@ -317,7 +328,7 @@
 		const {isHealthy, report} = this.#watch.state;
 		return {
 			...this.#executor.describe(),
-			models: report?.models ?? [],
+			models: (report?.models ?? []).filter(({model}) => !this.#executor.isRetired(model)),
 			role: report?.role ?? '',
 			isHealthy,
 			isLeaving: this.#isLeaving,
--- a/packages/agent/src/order-desk.ts
+++ b/packages/agent/src/order-desk.ts
@@ -21,6 +21,10 @@
 	engine: Engine;
 	floor: FenceFloor;
 	log: Log;
+	/** Takes nothing new for a model that is to be unloaded; resolves to whether nothing runs for it, in time. */
+	retire?(model: string): Promise<boolean>;
+	/** The model is there again, or still. */
+	restore?(model: string): void;
 	/** Told of each order that was refused for its fence, and of each that had to be given again. */
 	observe?(event: 'fenced' | 'mended' | 'failed' | 'done'): void;
 };
@@ -88,7 +92,7 @@
 				return {outcome: 'fenced', detail: `fence ${fence} is older than ${floor.fence}`};
 			}
 
-			await this.#apply(order, fence);
+			await this.#applyBetweenRuns(order, fence);
 			observe?.('done');
 			return {outcome: 'done', detail: ''};
 		} catch (error) {
@@ -99,6 +103,30 @@
 		}
 	}
 
+	/** A model is unloaded only when nothing runs for it, and taken work for only when it is there. */
+	async #applyBetweenRuns(order: EngineOrder, fence: number): Promise<void> {
+		const {retire, restore} = this.#settings;
+		if (order.kind !== 'unload') {
+			await this.#apply(order, fence);
+			if (order.kind === 'load') {
+				restore?.(order.model);
+			}
+
+			return;
+		}
+
+		try {
+			if (await retire?.(order.model) === false) {
+				throw new AgentError('busy', `${order.model} can not be unloaded, as requests for it run`);
+			}
+
+			await this.#apply(order, fence);
+		} catch (error) {
+			restore?.(order.model);
+			throw error;
+		}
+	}
+
 	/** Gives an order and reads back what is in force; throws if that is something else. */
 	async #apply(order: EngineOrder, fence: number): Promise<void> {
 		const {engine} = this.#settings;
--- a/packages/entry/src/control.ts
+++ b/packages/entry/src/control.ts
@@ -16,7 +16,9 @@
 import type {TableService, WeightStore} from '@wasabiusher/platform';
 import {LeaseHolder, TakeOverPace} from '@wasabiusher/record';
 import type {Log, Random} from '@wasabiusher/shared';
-import {WeightRollout, type ControlledEndpoint, type RolloutProgress} from '@wasabiusher/systems';
+import {
+	PlacementRunner, WeightRollout, type ControlledEndpoint, type ModelDemand, type RolloutProgress,
+} from '@wasabiusher/systems';
 
 /** How often each service is looked at, in milliseconds; answers to orders are followed at once. */
 const tickMs = 250;
@@ -33,6 +35,8 @@
 	log: Log;
 	/** All endpoints in view. */
 	listEndpoints(): Iterable<ViewedEndpoint>;
+	/** Requests of a service's models that wait here; engines are moved between models only if this is given. */
+	listWaiting?(service: string): Iterable<ModelDemand>;
 	/** Sends to an agent by name; false if it has no link at present. */
 	send(agent: string, message: Message): boolean;
 };
@@ -47,7 +51,7 @@
 	describe(): RolloutProgress[];
 };
 
-type Shard = {lease: LeaseHolder; rollout: WeightRollout};
+type Shard = {lease: LeaseHolder; rollout: WeightRollout; placement?: PlacementRunner};
 
 /** Creates the control of one entry. */
 export function createControl(settings: ControlSettings): Control {
@@ -80,8 +84,9 @@
 
 	onMessage(agent: string, message: Message): void {
 		if (message.kind === 'ordered') {
-			for (const {rollout} of this.#shards.values()) {
+			for (const {rollout, placement} of this.#shards.values()) {
 				rollout.receive(agent, message);
+				placement?.receive(agent, message);
 			}
 		}
 	}
@@ -97,8 +102,9 @@
 			}
 		}
 
-		for (const {rollout} of this.#shards.values()) {
+		for (const {rollout, placement} of this.#shards.values()) {
 			void rollout.tick();
+			placement?.tick();
 		}
 	}
 
@@ -120,10 +126,31 @@
 			tables, shard: `orders/${service}`, holder: name, random, log, pace: this.#pace,
 		});
 		const rollout = new WeightRollout({
-			service, weights, lease, log, listEndpoints: () => this.#listEndpointsOf(service), send,
+			service,
+			weights,
+			lease,
+			log,
+			// Two orders about one engine would cross.
+			listEndpoints: () => this.#listEndpointsOf(service).filter(({agent}) => !placement?.isMoving(agent)),
+			send,
 		});
+		const placement = this.#createPlacement(service, lease, rollout);
 		lease.start();
-		return {lease, rollout};
+		return {lease, rollout, placement};
+	}
+
+	#createPlacement(service: string, lease: LeaseHolder, rollout: WeightRollout): PlacementRunner | undefined {
+		const {log, send, listWaiting} = this.#settings;
+		return listWaiting && new PlacementRunner({
+			service,
+			lease,
+			log,
+			send,
+			listEndpoints: () => this.#listEndpointsOf(service),
+			listWaiting: () => listWaiting(service),
+			isOrdered: agent => rollout.isOrdered(agent),
+			findVersion: model => rollout.findVersion(model),
+		});
 	}
 
 	#listEndpointsOf(service: string): ControlledEndpoint[] {
--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -471,6 +471,40 @@
 		});
 	});
 
+	describe('a model that is to be unloaded', () => {
+		it('gets no new work, gives back what waits, and is let go when its last run has ended', async () => {
+			const {executor, find} = createModelExecutor({limit: 1});
+			openAll(executor, 'a', 'b');
+			await settle();
+			let isRetired: boolean | undefined;
+			const retired = executor.retire('trail', 10_000).then(isDone => {
+				isRetired = isDone;
+			});
+			openAll(executor, 'c');
+			expect(find('b', 'refused')).to.include({reason: 'not-loaded'});
+			expect(find('c', 'refused')).to.include({reason: 'not-loaded'});
+			await clock.tickAsync(1000);
+			expect(isRetired).to.equal(undefined);
+			engine.runs[0]!.feed.push(lastToken);
+			await clock.tickAsync(100);
+			await retired;
+			expect(isRetired).to.equal(true);
+			executor.restore('trail');
+			openAll(executor, 'd');
+			await settle();
+			expect(find('d', 'started')).not.to.equal(undefined);
+		});
+
+		it('is not let go while a run goes on', async () => {
+			const {executor} = createModelExecutor();
+			openAll(executor, 'a');
+			await settle();
+			const retired = executor.retire('trail', 1000);
+			await clock.tickAsync(1100);
+			expect(await retired).to.equal(false);
+		});
+	});
+
 	describe('leaving', () => {
 		it('refuses at once, gives back what waits, and cuts off nothing that runs', async () => {
 			const {executor, find} = createModelExecutor({limit: 1});
--- a/packages/systems/src/execution.ts
+++ b/packages/systems/src/execution.ts
@@ -27,6 +27,8 @@
 	readonly peer: string;
 	/** What was asked, without the work itself. */
 	readonly open: Omit<MessageOf<'open'>, 'work'>;
+	/** For model endpoints. */
+	readonly model?: string;
 	readonly buffer: AnswerBuffer;
 	/** On the monotonic clock, in milliseconds. */
 	readonly openedAt: number;
@@ -51,6 +53,11 @@
 	return `${peer} ${request} ${attempt}`;
 }
 
+/** The model that work is for; undefined for plain calls. */
+export function findModel(work: Work): string | undefined {
+	return work.kind === 'generate' ? work.request.model : undefined;
+}
+
 export function createExecution(peer: string, {work, ...open}: MessageOf<'open'>): Execution {
 	const now = performance.now();
 	return {
@@ -58,6 +65,7 @@
 		peer,
 		open,
 		work,
+		model: findModel(work),
 		buffer: new AnswerBuffer(),
 		openedAt: now,
 		deadlineAt: now + open.remainingMs,
--- a/packages/systems/src/executor.ts
+++ b/packages/systems/src/executor.ts
@@ -12,7 +12,7 @@
 import {AnswerArchive} from './answer-archive.js';
 import {formatRunId} from './endpoint-run.js';
 import {
-	createExecution, formatExecutionId, type AttemptName, type Execution, type StopReason,
+	createExecution, findModel, formatExecutionId, type AttemptName, type Execution, type StopReason,
 } from './execution.js';
 import {ExecutorLoad} from './executor-load.js';
 import type {ExecutorEvent, ExecutorSettings} from './executor-settings.js';
@@ -27,9 +27,15 @@
 /** When a request refused for a reason that passes should come back, in milliseconds. */
 const retryAfterMs = 1000;
 
+/** Such reasons. */
+const passing: ReadonlySet<Refusal> = new Set(['overloaded', 'leaving', 'not-loaded']);
+
 /** Reports lag by this much at the most, in milliseconds; a run that is older must be in them. */
 const reportLagMs = 2000;
 
+/** How often it is looked whether the last run of a retired model has ended, in milliseconds. */
+const retirePollMs = 50;
+
 /** Runs requests of any number of entries on one endpoint. */
 export class Executor {
 	readonly #settings: ExecutorSettings;
@@ -41,6 +47,7 @@
 	readonly #once = new OnceGuard();
 	readonly #runner: ExecutionRunner;
 	readonly #orphanTimers = new Map<string, NodeJS.Timeout>();
+	readonly #retired = new Set<string>();
 	#hasReport = false;
 	#isLeaving = false;
 
@@ -177,6 +184,38 @@
 		return inFlight.map(({open}) => open.fingerprint);
 	}
 
+	/**
+	 * Takes no new work for a model and gives back what waits for it; resolves to whether nothing of it runs any
+	 * more, at the latest after the given time. Entries learn of it by the status and by the refusals.
+	 */
+	async retire(model: string, timeoutMs: number): Promise<boolean> {
+		const giveUpAt = performance.now() + timeoutMs;
+		this.#retired.add(model);
+		for (const execution of this.#executions.filter(row => row.state === 'waiting' && row.model === model)) {
+			this.#leaveQueue(execution, 'not-loaded');
+		}
+
+		while (this.#isRunning(model) && performance.now() < giveUpAt) {
+			// Each look waits for the one before.
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise(resolve => {
+				setTimeout(resolve, retirePollMs);
+			});
+		}
+
+		return !this.#isRunning(model);
+	}
+
+	/** Takes work for a model again. */
+	restore(model: string): void {
+		this.#retired.delete(model);
+	}
+
+	/** Whether no work for a model is taken at present. */
+	isRetired(model: string): boolean {
+		return this.#retired.has(model);
+	}
+
 	/**
 	 * Takes no new work and gives back what has not started; resolves when all that runs has ended.
 	 * Answers may still have to be acknowledged: see `countUnacknowledged`.
@@ -219,10 +258,15 @@
 			[open.service !== this.#settings.service, 'unknown-service'],
 			[open.remainingMs <= 0, 'expired'],
 			[verdict === 'quarantined', 'quarantined'],
+			[this.#retired.has(findModel(open.work) ?? ''), 'not-loaded'],
 		];
 		return reasons.find(([holds]) => holds)?.[1];
 	}
 
+	#isRunning(model: string): boolean {
+		return [...this.#executions].some(row => row.model === model && (row.state === 'running' || row.state === 'draining'));
+	}
+
 	#refuse(peer: string, {request, attempt}: AttemptName, reason: Refusal, afterMs?: number): MessageOf<'refused'> {
 		const message: MessageOf<'refused'> = {
 			kind: 'refused', request, attempt, reason, retryAfterMs: afterMs,
@@ -269,7 +313,7 @@
 			return;
 		}
 
-		const afterMs = reason === 'overloaded' || reason === 'leaving' ? retryAfterMs : undefined;
+		const afterMs = passing.has(reason) ? retryAfterMs : undefined;
 		this.#end(execution, this.#refuse(execution.peer, execution.open, reason, afterMs));
 		execution.place.abort();
 	}
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -16,3 +16,4 @@
 export type {Step} from './steps-step.js';
 export * from './weight-rollout.js';
 export * from './suspicion-exchange.js';
+export * from './placement-runner.js';
--- a/packages/systems/src/weight-rollout.ts
+++ b/packages/systems/src/weight-rollout.ts
@@ -117,6 +117,16 @@
 		this.#plan();
 	}
 
+	/** Whether an endpoint carries out an order of a rollout at present. */
+	isOrdered(agent: string): boolean {
+		return [...this.#orders.values()].some(order => order.agent === agent);
+	}
+
+	/** The newest version of a model that the weight store has shown. */
+	findVersion(model: string): number | undefined {
+		return this.#rollouts.get(model)?.version;
+	}
+
 	/** How all rollouts stand; empty without the lease. */
 	describe(): RolloutProgress[] {
 		const now = performance.now();
