--- a/packages/agent/__tests__/agent.spec.ts
+++ b/packages/agent/__tests__/agent.spec.ts
@@ -60,6 +60,11 @@
 		}
 	}
 
+	/** Waits until a request is refused, or the link is down. */
+	async untilRefused(name: string): Promise<void> {
+		await this.until(() => !this.isUp || this.get('refused', ({request}) => request === name) !== undefined);
+	}
+
 	acknowledge({request: name, attempt, sequence}: MessageOf<'part'>): void {
 		this.send({
 			kind: 'acknowledge', request: name, attempt, next: sequence + 1,
@@ -160,8 +165,13 @@
 		const drained = agent.drain().then(() => {
 			isDrained = true;
 		});
-		entry.send(createOpen('late', 1));
-		await entry.until(() => entry.get('refused') !== undefined);
+		// Each goes there and back on the link, which must not end meanwhile.
+		for (const late of ['late-1', 'late-2', 'late-3', 'late-4', 'late-5']) {
+			entry.send(createOpen(late, 1));
+			// eslint-disable-next-line no-await-in-loop
+			await entry.untilRefused(late);
+		}
+
 		expect(isDrained).to.equal(false);
 		expect(entry.isUp).to.equal(true);
 		entry.acknowledge(entry.get('part', ({event}) => event.kind === 'finished')!);
--- a/packages/link/__tests__/link.spec.ts
+++ b/packages/link/__tests__/link.spec.ts
@@ -205,6 +205,21 @@
 		expect(mostWaiting).to.be.at.most(maxBufferedBytes);
 	});
 
+	it('ends in order: all that was sent arrives first', async () => {
+		const echo = await openEcho(agent);
+		const caller = openCaller(echo.address, entry);
+		await waitUntil(() => echo.links.length === 1 && caller.ups === 1);
+		const link = echo.links[0]!;
+		const sent = Array.from({length: 2000}, (_, index): Message => ({kind: 'digest', configurationVersion: index}));
+		for (const message of sent) {
+			link.send(message);
+		}
+
+		await link.end();
+		await waitUntil(() => caller.downs.length > 0);
+		expect(caller.received).to.deep.equal(sent);
+	});
+
 	describe('under a paused clock', () => {
 		let clock: Clock;
 
--- a/packages/systems/__tests__/executor-fixtures.ts
+++ b/packages/systems/__tests__/executor-fixtures.ts
@@ -12,6 +12,7 @@
 export class Feed<Event> implements AsyncIterable<Event> {
 	readonly #events: Event[] = [];
 	#error: Error | undefined;
+	#hasEnded = false;
 	#wake: (() => void) | undefined;
 
 	push(...events: Event[]): void {
@@ -19,6 +20,12 @@
 		this.#wake?.();
 	}
 
+	/** Ends the stream, whatever came before. */
+	end(): void {
+		this.#hasEnded = true;
+		this.#wake?.();
+	}
+
 	fail(error: Error): void {
 		this.#error = error;
 		this.#wake?.();
@@ -31,6 +38,8 @@
 				yield event;
 			} else if (this.#error) {
 				throw this.#error;
+			} else if (this.#hasEnded) {
+				return;
 			} else {
 				// Events come one after another.
 				// eslint-disable-next-line no-await-in-loop
--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -52,6 +52,16 @@
 		expect(find('c', 'started'), 'the free slot is used').not.to.equal(undefined);
 	});
 
+	it('calls an answer that ends without its terminal event failed', async () => {
+		const {executor, find} = createModelExecutor();
+		openAll(executor, 'a');
+		await settle();
+		engine.runs[0]!.feed.push(createToken('one'));
+		engine.runs[0]!.feed.end();
+		await settle();
+		expect(find('a', 'failed')).to.include({ran: 'yes', hasCrashed: false});
+	});
+
 	describe('slots', () => {
 		it('are held after a cancellation until the engine confirms the stop', async () => {
 			const {executor, find} = createModelExecutor({limit: 1});
