--- a/packages/decisions/src/headroom.ts
+++ b/packages/decisions/src/headroom.ts
@@ -15,7 +15,7 @@
  * Standard deviations over the mean that are kept free. Few requests find more in flight than that, and those wait
  * for one slot only.
  */
-const deviations = 1;
+const deviations = 0.7;
 
 /** Most of a limit that is kept free, whatever was used: rollouts keep at least half. */
 const maxPart = 0.5;
--- a/packages/decisions/src/length-prediction.ts
+++ b/packages/decisions/src/length-prediction.ts
@@ -23,7 +23,12 @@
 
 type Kind = {lengths: number[]; next: number; sum: number};
 
-type Prompt = {mean: number; count: number};
+type Prompt = {
+	mean: number;
+	count: number;
+	/** Tokens that the longest sample still running has made. */
+	soFar: number;
+};
 
 /** Learns lengths by kind of work (a profile and model, say) and by prompt. */
 export class LengthPrediction {
@@ -36,14 +41,26 @@
 		const key = `${kindName}/${prompt}`;
 		const {mean, count} = this.#prompts.get(key) ?? {mean: 0, count: 0};
 		const weight = Math.max(minWeight, 1 / (count + 1));
-		this.#prompts.delete(key);
-		this.#prompts.set(key, {mean: mean + (weight * (tokens - mean)), count: count + 1});
-		if (this.#prompts.size > maxPrompts) {
-			const [oldest] = this.#prompts.keys();
-			this.#prompts.delete(oldest!);
+		// Those that still run tell their progress again.
+		this.#setPrompt(key, {mean: mean + (weight * (tokens - mean)), count: count + 1, soFar: 0});
+	}
+
+	/** A sample has made so many tokens and still runs; its siblings will likely be long too. */
+	recordProgress(kindName: string, prompt: string, soFar: number): void {
+		const key = `${kindName}/${prompt}`;
+		const known = this.#prompts.get(key);
+		if (!known) {
+			this.#setPrompt(key, {mean: 0, count: 0, soFar});
+		} else if (soFar > known.soFar) {
+			known.soFar = soFar;
 		}
 	}
 
+	/** Whether a sample of this prompt has finished. */
+	knows(kindName: string, prompt: string): boolean {
+		return (this.#prompts.get(`${kindName}/${prompt}`)?.count ?? 0) > 0;
+	}
+
 	/** Expected tokens of a sample, at most `maxTokens`; half of that while nothing is known. */
 	predict(kindName: string, prompt: string, maxTokens: number): number {
 		const kind = this.#kinds.get(kindName);
@@ -51,7 +68,8 @@
 		const kindMean = kind ? kind.sum / kind.lengths.length : maxTokens / 2;
 		const count = known?.count ?? 0;
 		const mean = ((priorWeight * kindMean) + (count * (known?.mean ?? 0))) / (priorWeight + count);
-		return Math.min(maxTokens, mean);
+		const soFar = known?.soFar ?? 0;
+		return Math.min(maxTokens, soFar > mean ? (1 + tailFactor) * soFar : mean);
 	}
 
 	/** Expected tokens still to come of a sample that has made `soFar`: the mean excess of those known to be longer. */
@@ -67,6 +85,15 @@
 		return Math.min(maxTokens - soFar, excess);
 	}
 
+	#setPrompt(key: string, prompt: Prompt): void {
+		this.#prompts.delete(key);
+		this.#prompts.set(key, prompt);
+		if (this.#prompts.size > maxPrompts) {
+			const [oldest] = this.#prompts.keys();
+			this.#prompts.delete(oldest!);
+		}
+	}
+
 	#recordKind(name: string, tokens: number): void {
 		let kind = this.#kinds.get(name);
 		if (!kind) {
