--- a/packages/decisions/src/ejection.ts
+++ b/packages/decisions/src/ejection.ts
@@ -164,7 +164,8 @@
 	}
 
 	#isSlow(health: Health, slowness: number): boolean {
-		return slowness > maxRelativeSlowness * this.#findTypicalSlowness(health);
+		// The typical is 1 at the least, so most requests are judged without it.
+		return slowness > maxRelativeSlowness && slowness > maxRelativeSlowness * this.#findTypicalSlowness(health);
 	}
 
 	#mayEject(): boolean {
--- a/packages/decisions/src/step-order.ts
+++ b/packages/decisions/src/step-order.ts
@@ -44,3 +44,30 @@
 		|| a.group - b.group
 		|| a.index - b.index);
 }
+
+/** A prediction is a mean; a sample may well take this many times as long. */
+const predictionMargin = 1.5;
+
+/**
+ * Chooses the next sample for an endpoint: the longest that it likely finishes before the step would be whole,
+ * else the shortest. A slow endpoint that takes one of the longest makes the whole step wait for it.
+ *
+ * @param ordered - as `orderSamples` gives them
+ * @param speed - tokens a millisecond that a sample gets there
+ * @param timeLeftMs - predicted tokens left of the step over what all endpoints make in a millisecond
+ */
+export function chooseSample(ordered: readonly PendingSample[], speed: number, timeLeftMs: number): PendingSample | undefined {
+	const fitting = ordered.find(({predictedTokens}) => predictionMargin * predictedTokens / speed <= timeLeftMs);
+	if (fitting) {
+		return fitting;
+	}
+
+	let shortest = ordered[0];
+	for (const sample of ordered) {
+		if (sample.predictedTokens < shortest!.predictedTokens) {
+			shortest = sample;
+		}
+	}
+
+	return shortest;
+}
--- a/packages/load/src/model/real-policy.ts
+++ b/packages/load/src/model/real-policy.ts
@@ -54,6 +54,8 @@
 	readonly #rate: DrainRate;
 	readonly #waiting = new Map<string, Job>();
 	readonly #running = new Set<Job>();
+	/** Interactive calls that run. */
+	#interactive = 0;
 	readonly #retries: Array<{job: Job; at: number}> = [];
 
 	constructor(endpoints: readonly ModelEndpoint[], random: Random) {
@@ -114,7 +116,7 @@
 	}
 
 	#dispatch(now: number): void {
-		this.#headroom.observe([...this.#running].filter(({call}) => call.class === 'interactive').length, now);
+		this.#headroom.observe(this.#interactive, now);
 		for (let name = this.#queue.nextClass; name !== undefined; name = this.#queue.nextClass) {
 			const candidates = this.#listCandidates();
 			const limit = candidates.reduce((sum, candidate) => sum + (candidate.isEjected ? 0 : candidate.limit), 0);
@@ -139,6 +141,7 @@
 		this.#waiting.delete(call.id);
 		this.#admission.start(call.id);
 		this.#running.add(job);
+		this.#interactive += call.class === 'interactive' ? 1 : 0;
 		this.run.attempts.push(now);
 		job.attempts += 1;
 		job.site = site;
@@ -172,6 +175,7 @@
 	/** The job no longer holds a slot. */
 	#leave(job: Job, now: number): void {
 		this.#running.delete(job);
+		this.#interactive -= job.call.class === 'interactive' ? 1 : 0;
 		job.site!.load.recordEnded(now);
 	}
 
