--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -2,7 +2,7 @@
  * What an entry tells operators of itself and of the agents in its view.
  */
 import type {AcceptedConfiguration} from '@wasabiusher/shared';
-import type {EndpointRow} from '@wasabiusher/systems';
+import type {EndpointRow, QuarantineStatus} from '@wasabiusher/systems';
 
 /** A process and the version of the configuration in force there. */
 type ProcessStatus = {
@@ -29,30 +29,36 @@
 
 export type EntryStatus = {
 	/** The newest configuration known, without its content. */
-	configuration: Pick<AcceptedConfiguration, 'version' | 'acceptedAt' | 'author'>;
+	configuration: Pick<AcceptedConfiguration, 'version' | 'acceptedAt' | 'author'> & {
+		/** Undefined if this entry is not among the readers; without the store no change is accepted. */
+		isStoreReachable?: boolean;
+	};
 	/** The one that answers; the command line asks several and joins them. */
 	entries: Array<ProcessStatus & {openCalls: number}>;
 	agents: AgentStatus[];
 	/** Names of the processes that are behind. */
 	lagging: string[];
 	/** Requests that are not run at present, since they have crashed endpoints. */
-	quarantine: Array<{fingerprint: string; untilMs: number; crashes: string[]}>;
+	quarantine: QuarantineStatus[];
 	/** Weight rollouts under way or stuck, as control describes them. */
 	rollouts: unknown[];
 };
 
+type DescribedRow = Pick<EndpointRow, 'id' | 'dataCentre' | 'isUp' | 'draining' | 'status'>;
+
 export type StatusParts = {
 	name: string;
 	dataCentre: string;
 	isLeaving: boolean;
 	openCalls: number;
 	accepted: AcceptedConfiguration;
-	endpoints: Iterable<EndpointRow>;
+	isStoreReachable?: boolean;
+	endpoints: Iterable<DescribedRow>;
 	quarantine: EntryStatus['quarantine'];
 	rollouts: unknown[];
 };
 
-function describeAgent({id, dataCentre, isUp, draining, status}: EndpointRow, newest: number): AgentStatus {
+function describeAgent({id, dataCentre, isUp, draining, status}: DescribedRow, newest: number): AgentStatus {
 	const configurationVersion = status?.configurationVersion ?? 0;
 	return {
 		name: id,
@@ -74,13 +80,15 @@
 
 /** Builds the status; rows and names in order of name, so that two answers can be compared. */
 export function describeStatus(parts: StatusParts): EntryStatus {
-	const {name, dataCentre, isLeaving, openCalls, accepted, quarantine, rollouts} = parts;
+	const {name, dataCentre, isLeaving, openCalls, accepted, isStoreReachable, quarantine, rollouts} = parts;
 	const {version, acceptedAt, author} = accepted;
 	const agents = [...parts.endpoints]
 		.map(row => describeAgent(row, version))
 		.toSorted((a, b) => a.name.localeCompare(b.name));
 	return {
-		configuration: {version, acceptedAt, author},
+		configuration: {
+			version, acceptedAt, author, isStoreReachable,
+		},
 		entries: [{
 			name, dataCentre, configurationVersion: version, isLagging: false, isLeaving, openCalls,
 		}],
