--- a/packages/load/src/model/main.ts
+++ b/packages/load/src/model/main.ts
@@ -1,14 +1,34 @@
 /**
- * Prints the experiment: `tsx packages/load/src/model/main.ts [--json] [--seed N] [pattern…]`.
+ * Prints the experiment: what callers and trainers receive under each pattern of load, beside a baseline.
  */
 import process from 'node:process';
-import {parseArgs} from 'node:util';
-import {runExperiment} from './experiment.js';
+import {loadSettings, SettingsError, usageStatus} from '@wasabiusher/daemon';
+import {z} from 'zod';
+import {patterns, runExperiment} from './experiment.js';
 import {formatJson, formatTable} from './report.js';
+import {runRoutingSweep} from './routing-sweep.js';
 
-const {values, positionals} = parseArgs({
-	allowPositionals: true,
-	options: {json: {type: 'boolean', default: false}, seed: {type: 'string', default: '1'}},
+const program = 'wasabiusher-load model';
+
+const names = Object.keys(patterns);
+
+const settingsSchema = z.object({
+	patterns: z.string().default(names.join(',')).transform(text => text.split(','))
+		.pipe(z.array(z.enum(names))).describe('names of patterns, comma-separated; all by default'),
+	seed: z.coerce.number().int().default(1).describe('seed of all that is left to chance'),
+	sweep: z.stringbool().default(false).describe('print the sweep of the routing constants instead'),
+	json: z.stringbool().default(false).describe('print a line of JSON a figure'),
 });
-const figures = runExperiment(positionals.length > 0 ? positionals : undefined, Number(values.seed));
-process.stdout.write(`${values.json ? formatJson(figures) : formatTable(figures)}\n`);
+
+try {
+	const settings = loadSettings(program, '0.1.0', settingsSchema);
+	const figures = settings.sweep ? runRoutingSweep(settings.seed) : runExperiment(settings.patterns, settings.seed);
+	process.stdout.write(`${settings.json ? formatJson(figures) : formatTable(figures)}\n`);
+} catch (error) {
+	if (!(error instanceof SettingsError)) {
+		throw error;
+	}
+
+	process.stderr.write(`${program}: ${error.message}\n`);
+	process.exitCode = usageStatus;
+}
--- /dev/null
+++ b/packages/load/src/model/routing-sweep.ts
@@ -0,0 +1,145 @@
+/**
+ * The sweep of routing: 8 entries that don't hear of one another, 64 endpoints of 8 slots whose reports come 500 ms late,
+ * 85% load of calls of 100–300 ms. A quarter of the calls come in groups of eight with one long prompt.
+ */
+import {
+	chooseEndpoint, LaggingLoad, PrefixIndex, type Candidate,
+} from '@wasabiusher/decisions';
+import {Random} from '@wasabiusher/shared';
+import {createArrivals, drawEvenly} from './arrivals.js';
+import {tickMs, type Call} from './call.js';
+import type {Figure} from './figure.js';
+import {createPool, type ModelEndpoint} from './pool.js';
+import {findPercentile} from './run-calls.js';
+
+const entryCount = 8;
+const endpointCount = 64;
+const slots = 8;
+const meanMs = 200;
+const untilMs = 20_000;
+const load = 0.85;
+const reportEveryMs = 200;
+const reportLagMs = 500;
+
+/** Calls of one group, all with the same prompt. */
+const groupSize = 8;
+
+/** One call in so many begins a group. */
+const groupEvery = 4;
+
+/** What computing a group's prompt anew costs, in milliseconds of a slot. */
+const promptMs = 100;
+
+export type RoutingVariant = {choices: number; hasAffinity: boolean; isCorrected: boolean};
+
+type Entry = {loads: LaggingLoad[]; prefixes: PrefixIndex};
+
+type RoutingRun = {p99Ms: number; computed: number};
+
+/** Name of the prompt that a call shares with its group; undefined for those that are by themselves. */
+function findPrompt(index: number): string | undefined {
+	const group = Math.floor(index / groupSize);
+	return group % groupEvery === 0 ? `group-${group}` : undefined;
+}
+
+/** Runs one variant: p99 until answered, and the part of the grouped calls whose prompt was computed anew. */
+export function runRouting(variant: RoutingVariant, seed: number): RoutingRun {
+	const random = new Random(seed);
+	const endpoints = createPool({endpoints: endpointCount, slots}, random);
+	const entries = Array.from({length: entryCount}, (): Entry => ({loads: endpoints.map(() => new LaggingLoad()), prefixes: new PrefixIndex()}));
+	const arrivals = createArrivals([{
+		class: 'interactive', callers: ['caller'], rate: () => load * endpointCount * slots * 1000 / meanMs, drawWork: drawEvenly(meanMs), expectedMs: meanMs, deadlineMs: untilMs,
+	}], untilMs, random);
+	const cached = new Set<string>();
+	const times: number[] = [];
+	let computed = 0;
+	let grouped = 0;
+	let next = 0;
+	for (let now = 0; times.length < arrivals.length; now += tickMs) {
+		report(endpoints, entries, variant, now);
+		for (; next < arrivals.length && arrivals[next]!.at <= now; next++) {
+			const prompt = findPrompt(next);
+			// A group is drawn by one entry, that which its trainer is connected to.
+			const entry = entries[(prompt === undefined ? next : Math.floor(next / groupSize)) % entryCount]!;
+			const index = choose(entry, endpoints, {variant, prompt, random});
+			const isComputed = prompt !== undefined && !cached.has(`${index}/${prompt}`);
+			grouped += prompt === undefined ? 0 : 1;
+			computed += isComputed ? 1 : 0;
+			cached.add(`${index}/${prompt}`);
+			send(entry, endpoints[index]!, index, {call: arrivals[next]!, isComputed, times}, now);
+		}
+
+		for (const endpoint of endpoints) {
+			endpoint.tick(now);
+		}
+	}
+
+	return {p99Ms: findPercentile(times, 0.99), computed: computed / grouped};
+}
+
+function choose({loads, prefixes}: Entry, endpoints: readonly ModelEndpoint[], {variant, prompt, random}: {variant: RoutingVariant; prompt?: string; random: Random}): number {
+	const blocks = prompt === undefined ? [] : [prompt];
+	const candidates = endpoints.map(({id}, index): Candidate => ({
+		id,
+		load: loads[index]!.load,
+		limit: slots,
+		serviceMs: meanMs,
+		// The prompt is a part of the work of a call.
+		cached: variant.hasAffinity ? prefixes.match(id, blocks) * promptMs / (promptMs + meanMs) : 0,
+	}));
+	const {id} = chooseEndpoint(candidates, random, {choices: variant.choices})!;
+	prefixes.recordSent(id, blocks, 0);
+	return candidates.findIndex(candidate => candidate.id === id);
+}
+
+type Sent = {call: Call; isComputed: boolean; times: number[]};
+
+// eslint-disable-next-line max-params -- the loop's own state, in its order
+function send({loads}: Entry, endpoint: ModelEndpoint, index: number, {call, isComputed, times}: Sent, now: number): void {
+	loads[index]!.recordSent(now);
+	endpoint.start({...call, workMs: call.workMs + (isComputed ? promptMs : 0)}, now, (_, at) => {
+		loads[index]!.recordEnded(at);
+		times.push(at - call.at);
+	});
+}
+
+const pendingReports = new WeakMap<ModelEndpoint, Array<{load: number; measuredAt: number}>>();
+
+function report(endpoints: readonly ModelEndpoint[], entries: readonly Entry[], {isCorrected}: RoutingVariant, now: number): void {
+	if (now % reportEveryMs !== 0) {
+		return;
+	}
+
+	for (const [index, endpoint] of endpoints.entries()) {
+		const reports = pendingReports.get(endpoint) ?? [];
+		pendingReports.set(endpoint, reports);
+		reports.push({load: endpoint.load, measuredAt: now});
+		while (reports[0] && reports[0].measuredAt <= now - reportLagMs) {
+			const late = reports.shift()!;
+			for (const {loads} of entries) {
+				// Uncorrected, the entry takes the report for what is there now.
+				loads[index]!.receive(isCorrected ? late : {...late, measuredAt: now});
+			}
+		}
+	}
+}
+
+const choicesSwept = [1, 2, 3, 4, 8, 64] as const;
+
+/** Figures of the sweep; none has a bar, as they are the grounds of the constants in `routing.ts`. */
+export function runRoutingSweep(seed: number): Figure[] {
+	const pattern = 'routing by 8 entries to 64 endpoints';
+	const figures = choicesSwept.flatMap(choices => {
+		const {p99Ms, computed} = runRouting({choices, hasAffinity: true, isCorrected: true}, seed);
+		const blind = runRouting({choices, hasAffinity: false, isCorrected: false}, seed);
+		return [
+			{
+				pattern, measure: `${choices} compared: p99 ms (baseline: no affinity, reports as they come)`, real: p99Ms, baseline: blind.p99Ms,
+			},
+			{
+				pattern, measure: `${choices} compared: part of grouped prompts computed`, real: computed, baseline: blind.computed,
+			},
+		];
+	});
+	return figures;
+}
