Move a straggler while the step still runs, if it would outlast it

Cause: a long sample at a slow engine was copied only once all samples were started and slots idle; until then it lost seconds that the step then waited.

Change: planCopies is given how far the step has come, and copies before that what would outlast the step where it runs; it is asked before free slots go to new samples.

--- a/packages/decisions/src/stragglers.ts
+++ b/packages/decisions/src/stragglers.ts
@@ -29,7 +29,18 @@
 
 export type Copy = {sample: string; to: string};
 
-/** Part of a step that must be finished or running out before copies are worth their work. */
+/** How far a step has come. */
+export type StepProgress = {
+	/** Part of its samples that are finished or running. */
+	startedFraction: number;
+	/** Predicted tokens left over what all endpoints make in a millisecond: when the step could be whole. */
+	timeLeftMs: number;
+};
+
+/**
+ * Part of a step that must be finished or running before any copy is worth its work; before that only of a
+ * sample that would outlast the step where it runs.
+ */
 const lateFraction = 0.9;
 
 /** A copy must be expected to finish in less than this part of the time that the first still takes. */
@@ -39,20 +50,15 @@
 const recomputeMs = 0.1;
 
 /**
- * Chooses copies, longest remaining time first.
+ * Chooses copies, longest remaining time first; to be asked before new samples are given the free slots.
  *
- * @param startedFraction - part of the step's samples that are finished or running
  * @param canResume - whether a copy may go on from the text so far
  */
-export function planCopies(stragglers: readonly Straggler[], idle: readonly IdleEndpoint[], startedFraction: number, canResume: boolean): Copy[] {
-	if (startedFraction < lateFraction) {
-		return [];
-	}
-
+export function planCopies(stragglers: readonly Straggler[], idle: readonly IdleEndpoint[], progress: StepProgress, canResume: boolean): Copy[] {
 	const places = idle.map(endpoint => ({...endpoint}));
 	const copies: Copy[] = [];
 	const slowest = stragglers
-		.filter(({isDoubled}) => !isDoubled)
+		.filter(straggler => !straggler.isDoubled && isLate(straggler, progress))
 		.toSorted((a, b) => (b.remainingTokens / b.speed) - (a.remainingTokens / a.speed));
 	for (const straggler of slowest) {
 		const place = findFastest(places, straggler.endpoint);
@@ -65,6 +71,10 @@
 	return copies;
 }
 
+function isLate({remainingTokens, speed}: Straggler, {startedFraction, timeLeftMs}: StepProgress): boolean {
+	return startedFraction >= lateFraction || remainingTokens / speed > timeLeftMs;
+}
+
 function findFastest(places: readonly IdleEndpoint[], avoid: string): IdleEndpoint | undefined {
 	return places
 		.filter(({id, slots}) => slots > 0 && id !== avoid)
--- a/packages/load/src/model/step-patterns.ts
+++ b/packages/load/src/model/step-patterns.ts
@@ -109,8 +109,10 @@
 			speed: speeds[engine]!,
 			isDoubled: doubled.has(id),
 		}));
+		const runningTokens = stragglers.reduce((sum, {remainingTokens}) => sum + remainingTokens, 0);
+		const timeLeftMs = this.#timeLeftMs + (runningTokens / speeds.reduce((sum, speed) => sum + (speed * slotsPerEngine), 0));
 		const places = idle.map((slots, engine) => ({id: `${engine}`, slots, speed: speeds[engine]!}));
-		return planCopies(stragglers, places, startedFraction, true).map(({sample, to}) => ({attempt: running.get(sample)!, engine: Number(to)}));
+		return planCopies(stragglers, places, {startedFraction, timeLeftMs}, true).map(({sample, to}) => ({attempt: running.get(sample)!, engine: Number(to)}));
 	}
 
 	#reorder(left: Map<string, Sample>): void {
@@ -158,13 +160,14 @@
 	let attempts: Attempt[] = [];
 	let finished = 0;
 	while (finished < samples.length) {
-		start(attempts, left, policy);
 		const startedFraction = 1 - (left.size / samples.length);
 		for (const {attempt, engine} of policy.copy(attempts, listIdle(attempts), startedFraction)) {
 			run.copies += 1;
 			attempts.push({...attempt, engine, isCopy: true});
 		}
 
+		start(attempts, left, policy);
+
 		run.wholeMs += tickMs;
 		for (const attempt of attempts) {
 			attempt.made += speeds[attempt.engine]! * tickMs;
