--- a/packages/decisions/__tests__/step-order.spec.ts
+++ b/packages/decisions/__tests__/step-order.spec.ts
@@ -59,26 +59,24 @@
 		};
 	}
 
-	const late = {startedFraction: 0.95, timeLeftMs: 1000};
 	const idle = [{id: 'fast', slots: 1, speed: 1}, {id: 'slow', slots: 8, speed: 5}];
 
 	it('copies the slowest sample to an idle endpoint late in the step, never to its own', () => {
 		const stragglers = [createStraggler('short', {remainingTokens: 500}), createStraggler('long')];
-		expect(planCopies(stragglers, idle, late, true)).to.deep.equal([{sample: 'long', to: 'fast'}]);
-		expect(planCopies(stragglers, idle, {startedFraction: 0.5, timeLeftMs: 20_000}, true)).to.deep.equal([]);
+		expect(planCopies(stragglers, idle, 0.95, true)).to.deep.equal([{sample: 'long', to: 'fast'}]);
+		expect(planCopies(stragglers, idle, 0.5, true)).to.deep.equal([]);
 	});
 
 	it('copies earlier what would outlast the step where it runs', () => {
-		const early = {startedFraction: 0.5, timeLeftMs: 8000};
-		const stragglers = [createStraggler('short', {remainingTokens: 500}), createStraggler('long')];
-		expect(planCopies(stragglers, idle, early, true)).to.deep.equal([{sample: 'long', to: 'fast'}]);
+		const stragglers = [createStraggler('short', {remainingTokens: 500, stepLeftMs: 8000}), createStraggler('long', {stepLeftMs: 8000})];
+		expect(planCopies(stragglers, idle, 0.5, true)).to.deep.equal([{sample: 'long', to: 'fast'}]);
 	});
 
 	it('makes no copy that would not finish clearly earlier, and no third', () => {
 		const straggler = createStraggler('a', {speed: 0.6});
-		expect(planCopies([straggler], idle, late, false)).to.deep.equal([]);
-		expect(planCopies([straggler], idle, late, true)).to.have.lengthOf(1);
-		expect(planCopies([createStraggler('a', {isDoubled: true})], idle, late, true)).to.deep.equal([]);
+		expect(planCopies([straggler], idle, 0.95, false)).to.deep.equal([]);
+		expect(planCopies([straggler], idle, 0.95, true)).to.have.lengthOf(1);
+		expect(planCopies([createStraggler('a', {isDoubled: true})], idle, 0.95, true)).to.deep.equal([]);
 	});
 });
 
--- a/packages/decisions/src/stragglers.ts
+++ b/packages/decisions/src/stragglers.ts
@@ -17,6 +17,11 @@
 	/** Tokens a millisecond that it gets where it runs. */
 	speed: number;
 	isDoubled: boolean;
+	/**
+	 * When the rest of its step could be whole, in milliseconds from now: predicted tokens left over what all
+	 * endpoints make in a millisecond. Undefined if not known.
+	 */
+	stepLeftMs?: number;
 };
 
 /** An endpoint with idle slots. */
@@ -29,14 +34,6 @@
 
 export type Copy = {sample: string; to: string};
 
-/** How far a step has come. */
-export type StepProgress = {
-	/** Part of its samples that are finished or running. */
-	startedFraction: number;
-	/** Predicted tokens left over what all endpoints make in a millisecond: when the step could be whole. */
-	timeLeftMs: number;
-};
-
 /**
  * Part of a step that must be finished or running before any copy is worth its work; before that only of a
  * sample that would outlast the step where it runs.
@@ -52,13 +49,14 @@
 /**
  * Chooses copies, longest remaining time first; to be asked before new samples are given the free slots.
  *
+ * @param startedFraction - part of the step's samples that are finished or running
  * @param canResume - whether a copy may go on from the text so far
  */
-export function planCopies(stragglers: readonly Straggler[], idle: readonly IdleEndpoint[], progress: StepProgress, canResume: boolean): Copy[] {
+export function planCopies(stragglers: readonly Straggler[], idle: readonly IdleEndpoint[], startedFraction: number, canResume: boolean): Copy[] {
 	const places = idle.map(endpoint => ({...endpoint}));
 	const copies: Copy[] = [];
 	const slowest = stragglers
-		.filter(straggler => !straggler.isDoubled && isLate(straggler, progress))
+		.filter(straggler => !straggler.isDoubled && isLate(straggler, startedFraction))
 		.toSorted((a, b) => (b.remainingTokens / b.speed) - (a.remainingTokens / a.speed));
 	for (const straggler of slowest) {
 		const place = findFastest(places, straggler.endpoint);
@@ -71,8 +69,8 @@
 	return copies;
 }
 
-function isLate({remainingTokens, speed}: Straggler, {startedFraction, timeLeftMs}: StepProgress): boolean {
-	return startedFraction >= lateFraction || remainingTokens / speed > timeLeftMs;
+function isLate({remainingTokens, speed, stepLeftMs}: Straggler, startedFraction: number): boolean {
+	return startedFraction >= lateFraction || (stepLeftMs !== undefined && remainingTokens / speed > stepLeftMs);
 }
 
 function findFastest(places: readonly IdleEndpoint[], avoid: string): IdleEndpoint | undefined {
--- a/packages/load/src/model/step-patterns.ts
+++ b/packages/load/src/model/step-patterns.ts
@@ -101,18 +101,17 @@
 	copy(attempts: readonly Attempt[], idle: readonly number[], startedFraction: number) {
 		const running = new Map(attempts.map(attempt => [formatKey(attempt.sample), attempt]));
 		const doubled = new Set(attempts.filter(({isCopy}) => isCopy).map(({sample}) => formatKey(sample)));
-		const stragglers = [...running].map(([id, {sample, engine, made}]) => ({
-			id,
-			endpoint: `${engine}`,
-			remainingTokens: this.#prediction.predictRemaining('step', `${sample.group}`, made, maxTokens),
-			madeTokens: made,
-			speed: speeds[engine]!,
-			isDoubled: doubled.has(id),
-		}));
-		const runningTokens = stragglers.reduce((sum, {remainingTokens}) => sum + remainingTokens, 0);
-		const timeLeftMs = this.#timeLeftMs + (runningTokens / speeds.reduce((sum, speed) => sum + (speed * slotsPerEngine), 0));
+		const capacity = speeds.reduce((sum, speed) => sum + (speed * slotsPerEngine), 0);
+		const remaining = [...running].map(([id, {sample, made}]) => ({id, tokens: this.#prediction.predictRemaining('step', `${sample.group}`, made, maxTokens)}));
+		const stepLeftMs = this.#timeLeftMs + (remaining.reduce((sum, {tokens}) => sum + tokens, 0) / capacity);
+		const stragglers = remaining.map(({id, tokens}) => {
+			const {engine, made} = running.get(id)!;
+			return {
+				id, endpoint: `${engine}`, remainingTokens: tokens, madeTokens: made, speed: speeds[engine]!, isDoubled: doubled.has(id), stepLeftMs,
+			};
+		});
 		const places = idle.map((slots, engine) => ({id: `${engine}`, slots, speed: speeds[engine]!}));
-		return planCopies(stragglers, places, {startedFraction, timeLeftMs}, true).map(({sample, to}) => ({attempt: running.get(sample)!, engine: Number(to)}));
+		return planCopies(stragglers, places, startedFraction, true).map(({sample, to}) => ({attempt: running.get(sample)!, engine: Number(to)}));
 	}
 
 	#reorder(left: Map<string, Sample>): void {
