--- a/packages/systems/src/dispatcher-routing.ts
+++ b/packages/systems/src/dispatcher-routing.ts
@@ -87,9 +87,10 @@
 		const poolMs = pool.estimateMs(call.cost) ?? coldMsPerCost[call.work.kind] * call.cost;
 		// One that was taken out of use is better than none, as when no other holds the model.
 		const isAnyUsed = rows.some(({id}) => !pool.ejection.isEjected(id));
+		const now = performance.now();
 		const candidates = rows.map((row): Candidate => ({
 			id: row.id,
-			load: row.load.load,
+			load: row.load.estimate(now, poolMs),
 			limit: row.status!.limit,
 			dataCentre: row.dataCentre,
 			serviceMs: row.msPerCost === undefined ? poolMs : row.msPerCost * call.cost,
