Measure the path, messages, rows, record and decisions

Change: npm run bench, on the bundles as processes of their own, beside the same requests sent straight to the engine stand-in; slopes over three sizes or more for messages, heap and processor time; growth worse than n log n fails the figure.

--- /dev/null
+++ b/scripts/bench.ts
@@ -0,0 +1,58 @@
+/**
+ * `npm run bench`: measures the path, the messages, the rows and the decisions.
+ *
+ * Prints a table, or with `--json` one line of JSON a figure. Ends with status 1 if a figure grows faster than
+ * n log n. Builds the programs first, since the path is measured on the bundles.
+ */
+import process from 'node:process';
+import {z} from 'zod';
+import {loadSettings} from '@wasabiusher/daemon';
+import {measureDecisions} from './bench/decisions.js';
+import {formatFigure, type Figure} from './bench/figure.js';
+import {measureMemory} from './bench/memory.js';
+import {measureMessages} from './bench/messages.js';
+import {measurePath} from './bench/path.js';
+import {measureRecord} from './bench/record.js';
+
+const groups = ['path', 'memory', 'messages', 'record', 'decisions'] as const;
+
+type Group = (typeof groups)[number];
+
+const settings = loadSettings('bench', '0.1.0', z.object({
+	json: z.stringbool().default(false).describe('print one line of JSON a figure'),
+	only: z.enum(['all', ...groups]).default('all').describe('measure one group only'),
+	seconds: z.coerce.number().min(1).max(600).default(5).describe('length of each part of the path'),
+}));
+
+const measures: Readonly<Record<Group, () => Figure[] | Promise<Figure[]>>> = {
+	async path() {
+		await import('./build.js');
+		return measurePath(settings.seconds);
+	},
+	memory: measureMemory,
+	messages: measureMessages,
+	record: measureRecord,
+	decisions: measureDecisions,
+};
+
+function print(figure: Figure): void {
+	process.stdout.write(`${settings.json ? JSON.stringify(figure) : formatFigure(figure)}\n`);
+}
+
+for (const group of groups) {
+	if (settings.only !== 'all' && settings.only !== group) {
+		continue;
+	}
+
+	// One group after the other, so that none disturbs another.
+	// eslint-disable-next-line no-await-in-loop
+	const figures = await measures[group]();
+	for (const figure of figures) {
+		print(figure);
+		process.exitCode = figure.hasFailed ? 1 : process.exitCode;
+	}
+}
+
+// Requests of the memory measure are left open, with timers that would keep the process for minutes.
+// eslint-disable-next-line unicorn/no-process-exit
+process.exit();
--- /dev/null
+++ b/scripts/bench/decisions.ts
@@ -0,0 +1,73 @@
+/**
+ * Processor time of the decisions that are made for each request.
+ */
+import {
+	chooseEndpoint, FairQueue, findSubset, type Candidate,
+} from '@wasabiusher/decisions';
+import {Random} from '@wasabiusher/shared';
+import {createSlope, type Figure} from './figure.js';
+import {measureUs} from './measure.js';
+
+const seed = 1;
+
+/** An entry sees 64 endpoints by default; a small deployment has a few. */
+const candidateCounts = [8, 64, 512] as const;
+
+const queueLengths = [100, 1000, 10_000] as const;
+
+/** Endpoints of a data centre, up to one of 19 at the size designed for. */
+const endpointCounts = [53, 175, 526] as const;
+
+/** Entries for each endpoint at the size designed for: 1,700 before 10,000 servers. */
+const entryRatio = 0.17;
+
+function countEntries(endpoints: number): number {
+	return Math.round(endpoints * entryRatio);
+}
+
+function measureRouting(count: number): number {
+	const random = new Random(seed);
+	const candidates = Array.from({length: count}, (_, index): Candidate => ({
+		id: `agent-${index}`, load: random.integer(0, 64), limit: 64, dataCentre: 'innsbruck-a', serviceMs: 100 + index,
+	}));
+	return measureUs(() => chooseEndpoint(candidates, random, {dataCentre: 'innsbruck-a'}));
+}
+
+/** One job in and one out, at a line of so many waiting jobs of a hundred callers. */
+function measureQueue(length: number): number {
+	const queue = new FairQueue<number>();
+	const random = new Random(seed);
+	let next = 0;
+	const push = () => {
+		next += 1;
+		queue.push({
+			id: String(next), class: 'interactive', caller: `caller-${random.integer(0, 99)}`, priority: 5, share: 1, cost: random.integer(1, 256),
+		}, next);
+	};
+
+	for (let i = 0; i < length; i += 1) {
+		push();
+	}
+
+	return measureUs(() => {
+		push();
+		return queue.pop();
+	});
+}
+
+function measureSubset(endpoints: number): number {
+	const listNames = (prefix: string, count: number) => Array.from({length: count}, (_, index) => `${prefix}-${index}`);
+	const entries = listNames('entry', countEntries(endpoints));
+	const agents = listNames('agent', endpoints);
+	return measureUs(() => findSubset('entry-0', entries, agents));
+}
+
+export function measureDecisions(): Figure[] {
+	const measure = (sizes: readonly number[], run: (n: number) => number) => sizes.map(n => ({n, value: run(n)}));
+	return [
+		createSlope('routing decision CPU', 'us/candidate', measure(candidateCounts, measureRouting)),
+		createSlope('queue push and pop CPU', 'us/waiting job', measure(queueLengths, measureQueue)),
+		// Each pair of an entry and an endpoint is ranked, so it grows with the square of a data centre.
+		createSlope('subset CPU', 'us/pair', endpointCounts.map(count => ({n: count * countEntries(count), value: measureSubset(count)}))),
+	];
+}
--- /dev/null
+++ b/scripts/bench/path.ts
@@ -0,0 +1,149 @@
+/**
+ * The whole path, from a caller through one entry and one agent to an engine stand-in, each a process of its
+ * own, beside the same requests sent straight to the engine.
+ */
+import {request} from 'undici';
+import {createCompared, type Figure} from './figure.js';
+import {
+	findFreeAddress, pause, Processes, readCpuSeconds, readRssMb, waitFor,
+} from './processes.js';
+import {createConfiguration} from './messages.js';
+import {Traffic, type Shape, type Target} from './traffic.js';
+
+const wholeCall: Shape = {tokens: 1, stream: false};
+
+/** A stream long enough that its tokens count and not its start. */
+const longStream: Shape = {tokens: 1024, stream: true};
+
+/** Requests at once, enough to keep one core busy. */
+const concurrency = 64;
+
+/** Fraction of the greatest rate at which added latency is measured. */
+const halfLoad = 0.5;
+
+/** Slots of the stand-in; more than are open, so that it is never what limits. */
+const slots = 512;
+
+type Deployment = {direct: Target; through: Target; entryPid: number; agentPid: number};
+
+async function startDeployment(processes: Processes): Promise<Deployment> {
+	const address = {
+		platform: await findFreeAddress(), engine: await findFreeAddress(), agent: await findFreeAddress(), entry: await findFreeAddress(), operators: await findFreeAddress(),
+	};
+	const platform = `http://${address.platform}`;
+	await processes.startProgram('wasabiusher-standins', {role: 'platform', listen: address.platform, models: 'trail=3'});
+	await processes.startProgram('wasabiusher-standins', {
+		role: 'engine', listen: address.engine, models: 'trail=3', slots, 'token-ms': 0.25, 'tokens-per-event': 4,
+	});
+	const agentPid = await processes.startProgram('wasabiusher-agent', {
+		name: 'agent-1', listen: address.agent, 'data-centre': 'innsbruck-a', service: 'models', 'endpoint-kind': 'model', endpoint: `http://${address.engine}`, platform, limit: slots, 'max-waiting': 10_000,
+	});
+	const entryPid = await processes.startProgram('wasabiusher-entry', {
+		name: 'entry-1', listen: address.entry, 'operator-listen': address.operators, 'data-centre': 'innsbruck-a', platform,
+	});
+	await request(`http://${address.operators}/v1/configuration`, {
+		method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify({configuration: createConfiguration(1), author: 'bench'}),
+	});
+	return {
+		direct: {origin: `http://${address.engine}`, headers: {}},
+		through: {origin: `http://${address.entry}`, headers: {'wasabiusher-profile': 'profile-0', 'wasabiusher-caller': 'bench', 'wasabiusher-timeout-ms': '60000'}},
+		entryPid,
+		agentPid,
+	};
+}
+
+async function withTraffic<Result>(target: Target, shape: Shape, run: (traffic: Traffic) => Promise<Result>): Promise<Result> {
+	const traffic = new Traffic(target, shape);
+	try {
+		return await run(traffic);
+	} finally {
+		await traffic.close();
+	}
+}
+
+/** Requests in a second through the system and straight to the engine, and the entry's and agent's processor time for each. */
+async function measureThroughput(deployment: Deployment, seconds: number): Promise<{figures: Figure[]; perSecond: number}> {
+	const {direct, through, entryPid, agentPid} = deployment;
+	const saturate = async (target: Target) => withTraffic(target, wholeCall, async traffic => traffic.saturate(concurrency, seconds));
+	// Warms up both ways.
+	await withTraffic(through, wholeCall, async traffic => traffic.saturate(concurrency, 1));
+	const baseline = await saturate(direct);
+	const before = await Promise.all([entryPid, agentPid].map(async pid => readCpuSeconds(pid)));
+	const whole = await saturate(through);
+	const after = await Promise.all([entryPid, agentPid].map(async pid => readCpuSeconds(pid)));
+	const [entryUs, agentUs] = after.map((value, index) => (value - before[index]!) * 1e6 / whole.n);
+	return {
+		perSecond: whole.perSecond,
+		figures: [
+			createCompared('whole calls', '1/s', {value: whole.perSecond, baseline: baseline.perSecond, n: whole.n}),
+			{
+				name: 'entry CPU of a whole call', value: entryUs!, unit: 'us', n: whole.n,
+			},
+			{
+				name: 'agent CPU of a whole call', value: agentUs!, unit: 'us', n: whole.n,
+			},
+		],
+	};
+}
+
+async function measureStreams({direct, through, entryPid, agentPid}: Deployment, seconds: number): Promise<Figure[]> {
+	const saturate = async (target: Target) => withTraffic(target, longStream, async traffic => traffic.saturate(concurrency, seconds));
+	const baseline = await saturate(direct);
+	const before = await Promise.all([entryPid, agentPid].map(async pid => readCpuSeconds(pid)));
+	const streams = await saturate(through);
+	const after = await Promise.all([entryPid, agentPid].map(async pid => readCpuSeconds(pid)));
+	const tokens = streams.n * longStream.tokens;
+	const [entryUs, agentUs] = after.map((value, index) => (value - before[index]!) * 1e6 / tokens);
+	return [
+		createCompared('streamed tokens', '1/s', {value: streams.perSecond * longStream.tokens, baseline: baseline.perSecond * longStream.tokens, n: tokens}),
+		{
+			name: 'entry CPU of a streamed token', value: entryUs!, unit: 'us', n: tokens,
+		},
+		{
+			name: 'agent CPU of a streamed token', value: agentUs!, unit: 'us', n: tokens,
+		},
+	];
+}
+
+async function measureLatency({direct, through}: Deployment, perSecond: number, seconds: number): Promise<Figure[]> {
+	const rate = perSecond * halfLoad;
+	const pace = async (target: Target) => withTraffic(target, wholeCall, async traffic => traffic.pace(rate, seconds));
+	const baseline = await pace(direct);
+	const whole = await pace(through);
+	return [50, 99].map(percentile => {
+		const [value, base] = [whole, baseline].map(histogram => histogram.getValueAtPercentile(percentile) / 1000);
+		return {
+			name: `added latency p${percentile} at half load`, value: value! - base!, unit: 'ms', baseline: base!, ratio: value! / base!, n: whole.totalCount,
+		};
+	});
+}
+
+/** Resident memory of an agent without work beside a bare Node.js process. */
+async function measureIdle(processes: Processes, agentPid: number): Promise<Figure> {
+	const barePid = processes.start('--eval', 'setInterval(() => {}, 1000)');
+	await pause(1000);
+	const [value, baseline] = await Promise.all([agentPid, barePid].map(async pid => readRssMb(pid)));
+	return createCompared('RSS of an idle agent', 'MB', {value: value!, baseline: baseline!, n: 1});
+}
+
+/** @param seconds - length of each part */
+export async function measurePath(seconds: number): Promise<Figure[]> {
+	const processes = new Processes();
+	try {
+		const deployment = await startDeployment(processes);
+		const idle = await measureIdle(processes, deployment.agentPid);
+		await waitFor(async () => withTraffic(deployment.through, wholeCall, async traffic => {
+			await traffic.send();
+			return true;
+		}));
+		const {figures, perSecond} = await measureThroughput(deployment, seconds);
+		const streams = await measureStreams(deployment, seconds);
+		const latency = await measureLatency(deployment, perSecond, seconds);
+		const rss: Figure = {
+			name: 'RSS of an entry after load', value: await readRssMb(deployment.entryPid), unit: 'MB', n: 1,
+		};
+		return [...figures, ...streams, ...latency, idle, rss];
+	} finally {
+		await processes.stop();
+	}
+}
--- /dev/null
+++ b/scripts/bench/traffic.ts
@@ -0,0 +1,94 @@
+/**
+ * Traffic over HTTP, to an entry or straight to an engine: the same requests, so that the two compare.
+ */
+import {Agent, request} from 'undici';
+import {build, type Histogram} from 'hdr-histogram-js';
+
+export type Target = {origin: string; headers: Readonly<Record<string, string>>};
+
+export type Shape = {tokens: number; stream: boolean};
+
+/** Requests open at once at the most in paced traffic. */
+const maxOpen = 512;
+
+/** Greatest latency told apart, in microseconds. */
+const maxLatencyUs = 60_000_000;
+
+const maxTokens = 'max_tokens';
+
+/** Sends requests and counts their answers. */
+export class Traffic {
+	readonly #target: Target;
+	readonly #shape: Shape;
+	readonly #agent = new Agent({connections: maxOpen});
+	readonly #url: URL;
+
+	constructor(target: Target, shape: Shape) {
+		this.#target = target;
+		this.#shape = shape;
+		this.#url = new URL('/v1/completions', target.origin);
+	}
+
+	/** One request, read to its end. */
+	async send(): Promise<void> {
+		const {tokens, stream} = this.#shape;
+		const {statusCode, body} = await request(this.#url, {
+			dispatcher: this.#agent,
+			method: 'POST',
+			headers: {'content-type': 'application/json', ...this.#target.headers},
+			body: JSON.stringify({
+				model: 'trail', prompt: 'bench', [maxTokens]: tokens, stream,
+			}),
+		});
+		await body.dump({limit: Number.POSITIVE_INFINITY});
+		if (statusCode !== 200) {
+			throw new Error(`status ${statusCode}`);
+		}
+	}
+
+	/** As many requests as so many at once can make in a time; resolves to requests in a second. */
+	async saturate(concurrency: number, seconds: number): Promise<{perSecond: number; n: number}> {
+		const startedAt = performance.now();
+		const until = startedAt + (seconds * 1000);
+		let n = 0;
+		await Promise.all(Array.from({length: concurrency}, async () => {
+			while (performance.now() < until) {
+				// Each sender sends one after the other.
+				// eslint-disable-next-line no-await-in-loop
+				await this.send();
+				n += 1;
+			}
+		}));
+		return {n, perSecond: n * 1000 / (performance.now() - startedAt)};
+	}
+
+	/** Requests at a steady rate, whether or not those before are answered; latencies from when each was due. */
+	async pace(perSecond: number, seconds: number): Promise<Histogram> {
+		const histogram = build({highestTrackableValue: maxLatencyUs, numberOfSignificantValueDigits: 3});
+		const startedAt = performance.now();
+		const count = Math.floor(perSecond * seconds);
+		const sent: Array<Promise<void>> = [];
+		for (let i = 0; i < count; i += 1) {
+			const dueAt = startedAt + (i * 1000 / perSecond);
+			if (dueAt > performance.now()) {
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise<void>(resolve => {
+					setTimeout(resolve, dueAt - performance.now());
+				});
+			}
+
+			// From the sending, not from when it was due: a timer's grain is as long as the latency looked for.
+			const sentAt = performance.now();
+			sent.push(this.send().then(() => {
+				histogram.recordValue(Math.max(1, Math.round((performance.now() - sentAt) * 1000)));
+			}));
+		}
+
+		await Promise.all(sent);
+		return histogram;
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.close();
+	}
+}
