Leave no listener behind when a trainer reads slowly

Cause: npm start with larger steps warned of 11 close listeners on a response; each wait for a slow reader raced two events and left the loser's listeners. Change: a wait that takes its listeners away; the demo's step is long enough that weights change in mid-sample. Conclusion: a pull's memory no longer grows with what it delivers.

--- a/packages/embedded/src/scenario.ts
+++ b/packages/embedded/src/scenario.ts
@@ -10,10 +10,10 @@
 import {Trainer} from './trainer.js';
 
 /** Samples of each prompt, as trainers that compare answers within a group draw them. */
-const groupSize = 8;
+const groupSize = 16;
 
-/** Tokens of a sample; at the engines' pace some tenths of a second, so that weights change in mid-sample. */
-const sampleTokens = 60;
+/** Tokens of a sample; at the pace of the engines some seconds, so that weights change in mid-sample. */
+const sampleTokens = 500;
 
 const queryTokens = 40;
 
--- /dev/null
+++ b/packages/entry/__tests__/writable.spec.ts
@@ -0,0 +1,28 @@
+import {EventEmitter} from 'node:events';
+import {expect} from 'chai';
+import {waitUntilWritable} from '../src/writable.js';
+
+describe('waitUntilWritable', () => {
+	for (const event of ['drain', 'close']) {
+		it(`resolves on ${event} and leaves no listener`, async () => {
+			const response = new EventEmitter();
+			const waiting = waitUntilWritable(response);
+			response.emit(event);
+			await waiting;
+			const left = response.eventNames().map(name => response.listenerCount(name));
+			expect(left).to.deep.equal([]);
+		});
+	}
+
+	it('waits as long as neither comes', async () => {
+		const response = new EventEmitter();
+		let isResolved = false;
+		const waiting = waitUntilWritable(response).then(() => {
+			isResolved = true;
+		});
+		await Promise.resolve();
+		expect(isResolved).to.equal(false);
+		response.emit('drain');
+		await waiting;
+	});
+});
--- a/packages/entry/src/step-routes.ts
+++ b/packages/entry/src/step-routes.ts
@@ -1,7 +1,6 @@
 /**
  * The trainers' interface: steps, samples as server-sent events, and acknowledgements.
  */
-import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import {z} from 'zod';
 import {
@@ -16,6 +15,7 @@
 import {ProblemError} from './errors.js';
 import {isRelayed, keepAliveMs, relayExchange} from './step-relay.js';
 import {checkToken} from './tokens.js';
+import {waitUntilWritable} from './writable.js';
 
 /** Most samples of one step; ten times the size designed for. */
 const maxSamples = 20_480;
@@ -165,7 +165,7 @@
 			last = delivery.kind;
 			write(response, step, delivery);
 			if (response.writableNeedDrain) {
-				await Promise.race([once(response, 'drain'), once(response, 'close')]);
+				await waitUntilWritable(response);
 			}
 		}
 	} finally {
