--- a/packages/entry/__tests__/writable.spec.ts
+++ b/packages/entry/__tests__/writable.spec.ts
@@ -1,11 +1,11 @@
-import {EventEmitter} from 'node:events';
+import {Writable} from 'node:stream';
 import {expect} from 'chai';
 import {waitUntilWritable} from '../src/writable.js';
 
 describe('waitUntilWritable', () => {
 	for (const event of ['drain', 'close']) {
 		it(`resolves on ${event} and leaves no listener`, async () => {
-			const response = new EventEmitter();
+			const response = new Writable();
 			const waiting = waitUntilWritable(response);
 			response.emit(event);
 			await waiting;
@@ -15,7 +15,7 @@
 	}
 
 	it('waits as long as neither comes', async () => {
-		const response = new EventEmitter();
+		const response = new Writable();
 		let isResolved = false;
 		const waiting = waitUntilWritable(response).then(() => {
 			isResolved = true;
