Keep several cookies of an answer apart

Cause: headers travel by name, so several set-cookie headers were joined by commas, which stand within cookies too, and clients read one broken cookie. Change: they are joined by a line end, which can't stand in a header, and split again before the answer is written.

--- a/packages/entry/__tests__/forwarding.spec.ts
+++ b/packages/entry/__tests__/forwarding.spec.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {Pool} from 'undici';
+import {listEndToEndHeaders} from '@wasabiusher/platform';
 import {
 	startRoutes, waitUntil, type Reply, type Routes,
 } from './fixtures.js';
@@ -60,6 +61,17 @@
 			]);
 	});
 
+	it('keeps several cookies apart', async () => {
+		const cookies = ['a=1; Expires=Wed, 02 Dec 2026 21:00:00 GMT', 'b=2'];
+		await start(({part}) => {
+			part({kind: 'head', status: 200, headers: listEndToEndHeaders({'set-cookie': cookies, vary: ['a', 'b']})});
+			part({kind: 'finished'});
+		});
+		const response = await pool.request({method: 'GET', path: '/ledger/x', headers: {'wasabiusher-profile': 'ranger'}});
+		await response.body.dump();
+		expect(response.headers).to.deep.include({'set-cookie': cookies, vary: 'a, b'});
+	});
+
 	it('passes a body on as it comes', async () => {
 		const replies: Reply[] = [];
 		await start(reply => {
--- a/packages/entry/src/forwarding.ts
+++ b/packages/entry/src/forwarding.ts
@@ -4,7 +4,7 @@
 import {randomUUID} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
 import {readBytes, type Exchange} from '@wasabiusher/daemon';
-import {listEndToEndHeaders} from '@wasabiusher/platform';
+import {listEndToEndHeaders, splitCookies} from '@wasabiusher/platform';
 import {createProblem, hashText, type Configuration} from '@wasabiusher/shared';
 import type {CallListener, Run} from '@wasabiusher/systems';
 import {bindRun, sendProblem} from './answers.js';
@@ -58,7 +58,7 @@
 	return {
 		onEvent(event) {
 			if (event.kind === 'head') {
-				response.writeHead(event.status, event.headers);
+				response.writeHead(event.status, splitCookies(event.headers));
 				response.flushHeaders();
 			}
 
--- a/packages/platform/src/http-plain-service.ts
+++ b/packages/platform/src/http-plain-service.ts
@@ -22,6 +22,19 @@
 	return String(headers.connection ?? '').split(',').map(name => name.trim().toLowerCase());
 }
 
+/** Between several cookies of one answer: a comma may stand within one, a line end may not (RFC 6265, section 3). */
+const cookieSeparator = '\n';
+
+function joinValues(name: string, values: readonly string[]): string {
+	return values.join(name === 'set-cookie' ? cookieSeparator : ', ');
+}
+
+/** Takes headers that `listEndToEndHeaders` has joined apart again, where they can't be sent as one. */
+export function splitCookies(headers: Readonly<Record<string, string>>): Record<string, string | string[]> {
+	const cookies = headers['set-cookie'];
+	return cookies === undefined ? {...headers} : {...headers, 'set-cookie': cookies.split(cookieSeparator)};
+}
+
 /** Headers that travel with a request or an answer. */
 export function listEndToEndHeaders(headers: Headers): Record<string, string> {
 	const named = new Set(listNamedHeaders(headers));
@@ -29,7 +42,7 @@
 	for (const [name, value] of Object.entries(headers)) {
 		const lowerName = name.toLowerCase();
 		if (value !== undefined && !connectionHeaders.has(lowerName) && !named.has(lowerName)) {
-			kept[name] = Array.isArray(value) ? value.join(', ') : value;
+			kept[name] = Array.isArray(value) ? joinValues(lowerName, value) : value;
 		}
 	}
 
--- a/packages/systems/src/dispatcher-run.ts
+++ b/packages/systems/src/dispatcher-run.ts
@@ -71,10 +71,6 @@
 		return this.call.id;
 	}
 
-	get isEnded(): boolean {
-		return this.#isEnded;
-	}
-
 	/** Makes attempts until one is whole or none may follow; resolves when the run has ended. */
 	async drive(): Promise<void> {
 		this.#times.recordStart();
