--- a/packages/decisions/__tests__/step-order.spec.ts
+++ b/packages/decisions/__tests__/step-order.spec.ts
@@ -67,6 +67,11 @@
 		expect(planCopies(stragglers, idle, 0.5, true)).to.deep.equal([]);
 	});
 
+	it('copies earlier what would outlast the step where it runs', () => {
+		const stragglers = [createStraggler('short', {remainingTokens: 500, stepLeftMs: 8000}), createStraggler('long', {stepLeftMs: 8000})];
+		expect(planCopies(stragglers, idle, 0.5, true)).to.deep.equal([{sample: 'long', to: 'fast'}]);
+	});
+
 	it('makes no copy that would not finish clearly earlier, and no third', () => {
 		const straggler = createStraggler('a', {speed: 0.6});
 		expect(planCopies([straggler], idle, 0.95, false)).to.deep.equal([]);
--- a/packages/proof/src/entry-node.ts
+++ b/packages/proof/src/entry-node.ts
@@ -6,7 +6,7 @@
 import {ClaimLog, ConfigurationHistory} from '@wasabiusher/record';
 import type {Log, Random} from '@wasabiusher/shared';
 import {
-	ClaimedCalls, ConfigurationAdopter, Dispatcher, Invariants, StepRunner, type Call, type CallListener, type ConfigurationOutput, type Run,
+	ClaimedCalls, ConfigurationAdopter, createStepEndpoints, Dispatcher, Invariants, StepRunner, type Call, type CallListener, type ConfigurationOutput, type Run,
 } from '@wasabiusher/systems';
 import type {Hooks} from './hooks.js';
 import {createNodeObjects, createNodeTables, type Life} from './node-storage.js';
@@ -79,7 +79,7 @@
 			random,
 			log,
 			address: () => name,
-			listVersions: model => [...this.dispatcher.endpoints].flatMap(({status}) => status?.models.filter(held => held.model === model).map(({version}) => version) ?? []),
+			endpoints: createStepEndpoints(this.dispatcher.endpoints),
 		});
 		this.history = new ConfigurationHistory(tables);
 		this.adopter = new ConfigurationAdopter({
--- a/packages/proof/src/mutants.ts
+++ b/packages/proof/src/mutants.ts
@@ -1,7 +1,7 @@
 /**
  * Deliberate mistakes, as changes of the source's text; the runs of the proof must catch each.
  *
- * They are applied while the proof is bundled, never to the files (`scripts/mutants.ts`).
+ * They are applied while the proof is bundled, never to the files (`scripts/proof-mutants.ts`).
  */
 import type {Path} from './hooks.js';
 
