--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -1,8 +1,9 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import type {Verdict} from '@wasabiusher/decisions';
 import type {Message} from '@wasabiusher/link';
 import {PlatformError} from '@wasabiusher/platform';
-import {windowEvents, type Suspicion} from '../src/index.js';
+import {windowEvents} from '../src/index.js';
 import {
 	createExecutor, createOpen, createPosting, createToken, FakeEngine, FakeService, lastToken,
 } from './executor-fixtures.js';
@@ -51,6 +52,16 @@
 		expect(find('c', 'started'), 'the free slot is used').not.to.equal(undefined);
 	});
 
+	it('calls an answer that ends without its terminal event failed', async () => {
+		const {executor, find} = createModelExecutor();
+		openAll(executor, 'a');
+		await settle();
+		engine.runs[0]!.feed.push(createToken('one'));
+		engine.runs[0]!.feed.end();
+		await settle();
+		expect(find('a', 'failed')).to.include({ran: 'yes', hasCrashed: false});
+	});
+
 	describe('slots', () => {
 		it('are held after a cancellation until the engine confirms the stop', async () => {
 			const {executor, find} = createModelExecutor({limit: 1});
@@ -461,7 +472,7 @@
 		});
 
 		it('is recognised by its content whatever its entry knows, and refused once quarantined', async () => {
-			const verdicts: Record<string, Suspicion> = {'content of s': 'isolate', 'content of q': 'quarantined'};
+			const verdicts: Record<string, Verdict['kind']> = {'content of s': 'isolate', 'content of q': 'quarantined'};
 			const {executor, find} = createModelExecutor({judge: fingerprint => verdicts[fingerprint] ?? 'free'});
 			openAll(executor, 'a', 's', 'q');
 			await settle();
@@ -470,6 +481,40 @@
 		});
 	});
 
+	describe('a model that is to be unloaded', () => {
+		it('gets no new work, gives back what waits, and is let go when its last run has ended', async () => {
+			const {executor, find} = createModelExecutor({limit: 1});
+			openAll(executor, 'a', 'b');
+			await settle();
+			let isRetired: boolean | undefined;
+			const retired = executor.retire('trail', 10_000).then(isDone => {
+				isRetired = isDone;
+			});
+			openAll(executor, 'c');
+			expect(find('b', 'refused')).to.include({reason: 'not-loaded'});
+			expect(find('c', 'refused')).to.include({reason: 'not-loaded'});
+			await clock.tickAsync(1000);
+			expect(isRetired).to.equal(undefined);
+			engine.runs[0]!.feed.push(lastToken);
+			await clock.tickAsync(100);
+			await retired;
+			expect(isRetired).to.equal(true);
+			executor.restore('trail');
+			openAll(executor, 'd');
+			await settle();
+			expect(find('d', 'started')).not.to.equal(undefined);
+		});
+
+		it('is not let go while a run goes on', async () => {
+			const {executor} = createModelExecutor();
+			openAll(executor, 'a');
+			await settle();
+			const retired = executor.retire('trail', 1000);
+			await clock.tickAsync(1100);
+			expect(await retired).to.equal(false);
+		});
+	});
+
 	describe('leaving', () => {
 		it('refuses at once, gives back what waits, and cuts off nothing that runs', async () => {
 			const {executor, find} = createModelExecutor({limit: 1});
