Count trainers' time and freshness for the burn report

Cause: profiles may set the objectives trainerBusy and fresh, and nothing counted their events. Change: TrainerTime counts milliseconds of waiting pulls as bad and all other time of a trainer as good; each sample handed over counts as fresh, each that was finished and given up as stale as not. entry.ts hands the counter to the runner.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -67,11 +67,11 @@
 		this.#metrics = new EntryMetrics(this.#registry, () => this.#readState());
 		this.#dispatcher = this.#createDispatcher();
 		this.#claims = this.#createClaims();
+		this.#objectives = new ObjectiveMetrics(this.#registry, () => this.#configuration.accepted.configuration.profiles);
 		this.#steps = this.#createStepRunner();
 		this.#view = this.#createView();
 		this.#configuration = this.#createConfiguration();
 		this.#announcer = new Announcer(this.#platform.members, log, () => this.#createMember());
-		this.#objectives = new ObjectiveMetrics(this.#registry, () => this.#configuration.accepted.configuration.profiles);
 		this.#control = this.#createControl();
 		collectDefaultMetrics({register: this.#registry});
 		this.#addRoutes();
@@ -256,6 +256,7 @@
 			random: new Random(hashToNumber(`${name}/steps`)),
 			log: this.#log,
 			registry: this.#registry,
+			objectives: this.#objectives,
 			address: () => this.#addresses.callers,
 			endpoints: createStepEndpoints(dispatcher.endpoints),
 		});
--- a/packages/systems/__tests__/steps-fixtures.ts
+++ b/packages/systems/__tests__/steps-fixtures.ts
@@ -126,6 +126,8 @@
 	readonly tables = new FaultyTables(this.faults);
 	readonly objects = new FaultyObjects(this.faults);
 	readonly entries: FakeEntry[] = [];
+	/** Events counted for objectives: good ones, then bad ones. */
+	readonly objectives = {answeredInTime: [0, 0], trainerBusy: [0, 0], fresh: [0, 0]};
 
 	createEntry(name: string): FakeEntry {
 		const log = createSilentLog();
@@ -140,6 +142,11 @@
 			random: new Random(name.length),
 			log,
 			registry,
+			objectives: {
+				record: (_profile: string, objective: keyof typeof this.objectives, isGood: boolean, weight?: number) => {
+					this.objectives[objective][isGood ? 0 : 1]! += weight ?? 1;
+				},
+			},
 			address: () => name,
 			endpoints: {
 				listVersions: () => [this.endpoints.version],
--- a/packages/systems/__tests__/steps.spec.ts
+++ b/packages/systems/__tests__/steps.spec.ts
@@ -338,6 +338,23 @@
 		expect(metrics).to.contain('wasabiusher_sample_staleness_versions_count 12');
 	});
 
+	it('counts trainers\' time and what was finished in vain for the objectives', async () => {
+		const entry = world.createEntry('entry-0');
+		const step = await openHere(entry);
+		await clock.tickAsync(200);
+		world.endpoints.version = 3;
+		trainer.version = 3;
+		void trainer.pull(entry.runner, step);
+		await clock.tickAsync(100);
+		const next = await openHere(entry, createRequest({id: 'step-2'}));
+		await clock.tickAsync(2000);
+		void new FakeTrainer().pull(entry.runner, next);
+		await clock.tickAsync(1000);
+		expect(world.objectives.fresh).to.deep.equal([24, 12]);
+		// It waits for 100 ms, is busy with the first step for 2 s, and finds the second one ready.
+		expect(world.objectives.trainerBusy.map(ms => Math.round(ms))).to.deep.equal([2700, 100]);
+	});
+
 	it('finishes what is under way and hands the step on when its entry leaves', async () => {
 		const [first, second] = [world.createEntry('entry-0'), world.createEntry('entry-1')];
 		const step = await openHere(first);
--- a/packages/systems/src/steps-delivery.ts
+++ b/packages/systems/src/steps-delivery.ts
@@ -47,9 +47,11 @@
 			}
 
 			const waitingSince = performance.now();
+			metrics.trainers.note(step.request, true);
 			// Each round waits for what the last one has left.
 			// eslint-disable-next-line no-await-in-loop
 			await step.waitForChange(changes, stop);
+			metrics.trainers.note(step.request, false);
 			metrics.idle.observe((performance.now() - waitingSince) / 1000);
 		}
 	} finally {
@@ -65,7 +67,7 @@
 		if (!stop.aborted && mayHandOver(step, sample, place, options)) {
 			received.add(place);
 			step.noteHandedOver(place);
-			metrics.delivered.inc();
+			metrics.recordDelivered(step.request, describeFreshness(sample, step.terms).versionsBehind);
 			yield {kind: 'sample', sample, cursor: received.format()};
 		}
 	}
@@ -86,10 +88,6 @@
 	}
 
 	const mayBe = invariants.checkFresh(freshness) && invariants.checkVersionsNamed(sample) && invariants.checkDeliveredOnce(sample.id, received.has(place));
-	if (mayBe) {
-		metrics.staleness.observe(Math.max(0, freshness.versionsBehind));
-	}
-
 	if (mayBe && sample.score && 'missing' in sample.score) {
 		metrics.unscored.inc();
 	}
--- a/packages/systems/src/steps-maker.ts
+++ b/packages/systems/src/steps-maker.ts
@@ -122,7 +122,7 @@
 			return false;
 		}
 
-		this.#context.metrics.redrawn.inc({reason: 'stale'});
+		this.#context.metrics.recordRedrawn(this.#request, 'stale', slot.sample !== undefined);
 		this.release(slot);
 		slot.state = 'idle';
 		slot.isHandedOver = false;
@@ -185,7 +185,7 @@
 			return;
 		}
 
-		this.#context.metrics.redrawn.inc({reason: 'failed'});
+		this.#context.metrics.recordRedrawn(this.#request, 'failed');
 		this.#drawLater(slot, Math.max(redrawMs, problem?.retryAfterMs ?? 0));
 	}
 
--- a/packages/systems/src/steps-metrics.ts
+++ b/packages/systems/src/steps-metrics.ts
@@ -2,6 +2,9 @@
  * What is measured of steps: how long trainers wait, how stale their samples are, and what was made again.
  */
 import {Counter, Histogram, type Registry} from 'prom-client';
+import type {ObjectiveMetrics} from './objective-metrics.js';
+import type {StepRequest} from './steps-request.js';
+import {TrainerTime} from './trainer-time.js';
 
 /** Why a sample was drawn again. */
 export type RedrawReason = 'stale' | 'failed';
@@ -16,9 +19,16 @@
 	readonly redrawn: Counter<'reason'>;
 	/** Samples handed over without the score that their profile asks for. */
 	readonly unscored: Counter;
+	readonly trainers: TrainerTime;
+	readonly #objectives: Pick<ObjectiveMetrics, 'record'> | undefined;
 
-	/** @param registry - where they are published; none in tests that do not read them */
-	constructor(registry?: Registry) {
+	/**
+	 * @param registry - where they are published; none in tests that do not read them
+	 * @param objectives - where events of the burn report are counted
+	 */
+	constructor(registry?: Registry, objectives?: Pick<ObjectiveMetrics, 'record'>) {
+		this.#objectives = objectives;
+		this.trainers = new TrainerTime(objectives);
 		const registers = registry ? [registry] : [];
 		this.idle = new Histogram({
 			name: 'wasabiusher_trainer_idle_seconds',
@@ -38,4 +48,19 @@
 		});
 		this.unscored = new Counter({name: 'wasabiusher_samples_unscored_total', help: 'Samples handed over without the score asked for', registers});
 	}
+
+	/** A sample was handed over. */
+	recordDelivered({profileName}: StepRequest, versionsBehind: number): void {
+		this.delivered.inc();
+		this.staleness.observe(Math.max(0, versionsBehind));
+		this.#objectives?.record(profileName, 'fresh', true);
+	}
+
+	/** A sample is drawn again; work that was finished in vain counts against the objective. */
+	recordRedrawn({profileName}: StepRequest, reason: RedrawReason, wasFinished = false): void {
+		this.redrawn.inc({reason});
+		if (reason === 'stale' && wasFinished) {
+			this.#objectives?.record(profileName, 'fresh', false);
+		}
+	}
 }
--- a/packages/systems/src/steps.ts
+++ b/packages/systems/src/steps.ts
@@ -16,6 +16,7 @@
 } from '@wasabiusher/shared';
 import type {Dispatcher} from './dispatcher.js';
 import type {Invariants} from './invariants.js';
+import type {ObjectiveMetrics} from './objective-metrics.js';
 import {pause} from './pause.js';
 import {SampleSet} from './steps-cursor.js';
 import {StepDecisions} from './steps-decisions.js';
@@ -56,6 +57,8 @@
 	random: Random;
 	log: Log;
 	registry?: Registry;
+	/** Where events of the burn report are counted. */
+	objectives?: Pick<ObjectiveMetrics, 'record'>;
 	endpoints: StepEndpoints;
 	/** `ip:port` where other entries reach this one's trainers' routes. */
 	address(): string;
@@ -78,9 +81,11 @@
 
 	constructor(settings: StepRunnerSettings) {
 		this.#settings = settings;
-		const {dispatcher, invariants, random, registry, endpoints} = settings;
+		const {
+			dispatcher, invariants, random, registry, objectives, endpoints,
+		} = settings;
 		this.#context = {
-			dispatcher, invariants, random, endpoints, decisions: new StepDecisions(), scorer: new Scorer(dispatcher), clock: new VersionClock(), metrics: new StepMetrics(registry),
+			dispatcher, invariants, random, endpoints, decisions: new StepDecisions(), scorer: new Scorer(dispatcher), clock: new VersionClock(), metrics: new StepMetrics(registry, objectives),
 		};
 		this.#timer = setInterval(() => {
 			this.#tick();
@@ -288,6 +293,7 @@
 	}
 
 	#tick(): void {
+		this.#context.metrics.trainers.tick();
 		for (const [id, {step, recorder}] of this.#runs) {
 			step.tick();
 			void recorder.advance();
