--- a/packages/systems/__tests__/steps.spec.ts
+++ b/packages/systems/__tests__/steps.spec.ts
@@ -159,6 +159,33 @@
 		expect(trainer.isWhole).to.be.true;
 	});
 
+	it('does not wait for recorded samples that are slow to come', async () => {
+		const [first, second] = [world.createEntry('entry-0'), world.createEntry('entry-1')];
+		await openHere(first);
+		await clock.tickAsync(3000);
+		first.kill();
+		world.faults.delayMs = 400;
+		const locating = locateHere(second, {isOwnerGone: true});
+		await clock.tickAsync(850);
+		world.faults.delayMs = 5000;
+		await clock.tickAsync(1000);
+		void trainer.pull(second.runner, await locating);
+		await clock.tickAsync(500);
+		expect([trainer.isWhole, world.endpoints.generated]).to.deep.equal([true, 24]);
+	});
+
+	it('refuses more steps than it can hold', async () => {
+		const entry = world.createEntry('entry-0');
+		const request = createRequest({groups: [{prompt: 'a'}], groupSize: 1});
+		for (let i = 0; i < 256; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await openHere(entry, {...request, id: `step-${i}`});
+		}
+
+		const refused = await entry.runner.open({...request, id: 'one-too-many'});
+		expect(refused.kind === 'refused' && [refused.problem.kind, refused.problem.ran]).to.deep.equal(['overloaded', 'no']);
+	});
+
 	it('commits in few writes, through lost answers', async () => {
 		const entry = world.createEntry('entry-0');
 		world.faults.delayMs = 5;
@@ -311,6 +338,23 @@
 		expect(metrics).to.contain('wasabiusher_sample_staleness_versions_count 12');
 	});
 
+	it('counts trainers\' time and what was finished in vain for the objectives', async () => {
+		const entry = world.createEntry('entry-0');
+		const step = await openHere(entry);
+		await clock.tickAsync(200);
+		world.endpoints.version = 3;
+		trainer.version = 3;
+		void trainer.pull(entry.runner, step);
+		await clock.tickAsync(100);
+		const next = await openHere(entry, createRequest({id: 'step-2'}));
+		await clock.tickAsync(2000);
+		void new FakeTrainer().pull(entry.runner, next);
+		await clock.tickAsync(1000);
+		expect(world.objectives.fresh).to.deep.equal([24, 12]);
+		// It waits for 100 ms, is busy with the first step for 2 s, and finds the second one ready.
+		expect(world.objectives.trainerBusy.map(ms => Math.round(ms))).to.deep.equal([2700, 100]);
+	});
+
 	it('finishes what is under way and hands the step on when its entry leaves', async () => {
 		const [first, second] = [world.createEntry('entry-0'), world.createEntry('entry-1')];
 		const step = await openHere(first);
