--- a/packages/link/__tests__/link.spec.ts
+++ b/packages/link/__tests__/link.spec.ts
@@ -218,6 +218,7 @@
 		await link.end();
 		await waitUntil(() => caller.downs.length > 0);
 		expect(caller.received).to.deep.equal(sent);
+		expect(caller.downs, 'which is no failure').to.deep.equal([undefined]);
 	});
 
 	describe('under a paused clock', () => {
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -60,8 +60,9 @@
 		this.#timer = setInterval(() => {
 			this.#beat();
 		}, this.#limits.heartbeatMs);
-		socket.on('close', () => {
-			this.close(new LinkError('closed', `closed by ${peer}`));
+		socket.on('close', code => {
+			// A peer that goes away in order is no failure.
+			this.close(code === goingAway ? undefined : new LinkError('closed', `closed by ${peer}`));
 		});
 		socket.on('error', error => {
 			this.close(new LinkError('closed', error.message, error));
--- a/packages/systems/src/execution.ts
+++ b/packages/systems/src/execution.ts
@@ -77,6 +77,11 @@
 	};
 }
 
+/** Whether it holds a slot of the endpoint. */
+export function isAtEndpoint({state}: Execution): boolean {
+	return state === 'running' || state === 'draining';
+}
+
 /** Why it was stopped; undefined if nobody stopped it. */
 export function findStopReason({run}: Execution): StopReason | undefined {
 	return stopReasons.find(reason => run.signal.aborted && run.signal.reason === reason);
--- a/packages/systems/src/executor.ts
+++ b/packages/systems/src/executor.ts
@@ -12,18 +12,17 @@
 import {AnswerArchive} from './answer-archive.js';
 import {formatRunId} from './endpoint-run.js';
 import {
-	createExecution, findModel, formatExecutionId, type AttemptName, type Execution, type StopReason,
+	createExecution, findModel, formatExecutionId, isAtEndpoint, type AttemptName, type Execution, type StopReason,
 } from './execution.js';
 import {ExecutorLoad} from './executor-load.js';
 import type {ExecutorEvent, ExecutorSettings} from './executor-settings.js';
 import {ExecutionRunner} from './execution-runner.js';
 import {createExecutorQueue, type ExecutorQueue} from './executor-queue.js';
 import {OnceGuard} from './once-guard.js';
+import {Orphans} from './orphans.js';
+import {RetiredModels} from './retired-models.js';
 import {SuspectGate} from './suspect-gate.js';
 
-/** How long an attempt without a link to its entry goes on before it is stopped, in milliseconds; entries give up after 5 s. */
-const orphanMs = 10_000;
-
 /** When a request refused for a reason that passes should come back, in milliseconds. */
 const retryAfterMs = 1000;
 
@@ -33,9 +32,6 @@
 /** Reports lag by this much at the most, in milliseconds; a run that is older must be in them. */
 const reportLagMs = 2000;
 
-/** How often it is looked whether the last run of a retired model has ended, in milliseconds. */
-const retirePollMs = 50;
-
 /** Runs requests of any number of entries on one endpoint. */
 export class Executor {
 	readonly #settings: ExecutorSettings;
@@ -46,8 +42,8 @@
 	readonly #suspects: SuspectGate;
 	readonly #once = new OnceGuard();
 	readonly #runner: ExecutionRunner;
-	readonly #orphanTimers = new Map<string, NodeJS.Timeout>();
-	readonly #retired = new Set<string>();
+	readonly #orphans: Orphans;
+	readonly #retired: RetiredModels;
 	#hasReport = false;
 	#isLeaving = false;
 
@@ -65,6 +61,10 @@
 				this.#end(execution, outcome);
 			},
 		});
+		this.#orphans = new Orphans(peer => {
+			this.#stopOrphans(peer);
+		});
+		this.#retired = new RetiredModels(model => [...this.#executions].some(row => row.model === model && isAtEndpoint(row)));
 		this.#archive = new AnswerArchive(id => {
 			this.#executions.remove(id);
 		});
@@ -145,23 +145,18 @@
 
 	/** An entry's link came up: what it left running goes on. */
 	attach(peer: string): void {
-		clearTimeout(this.#orphanTimers.get(peer));
-		this.#orphanTimers.delete(peer);
+		this.#orphans.remove(peer);
 	}
 
 	/** An entry's link was lost: what it left is stopped unless the entry returns. */
 	detach(peer: string): void {
-		this.attach(peer);
-		this.#orphanTimers.set(peer, setTimeout(() => {
-			this.#orphanTimers.delete(peer);
-			this.#stopOrphans(peer);
-		}, orphanMs));
+		this.#orphans.add(peer);
 	}
 
 	/** Takes the endpoint's word of how many runs it holds. */
 	reportHeld(held: number): void {
 		const mustShow = performance.now() - reportLagMs;
-		const own = this.#executions.filter(({state, startedAt}) => (state === 'running' || state === 'draining') && startedAt <= mustShow).length;
+		const own = this.#executions.filter(row => isAtEndpoint(row) && row.startedAt <= mustShow).length;
 		this.#load.recordHeld(held, own, !this.#hasReport);
 		this.#hasReport = true;
 		// The least of all classes: whoever comes, starts or ends next raises it to that of its class.
@@ -174,7 +169,7 @@
 	 * @returns the fingerprints of what was in flight
 	 */
 	crash(): string[] {
-		const inFlight = this.#executions.filter(({state}) => state === 'running' || state === 'draining');
+		const inFlight = this.#executions.filter(row => isAtEndpoint(row));
 		this.#load.recordRestart();
 		for (const execution of inFlight) {
 			execution.gone.abort();
@@ -189,26 +184,17 @@
 	 * more, at the latest after the given time. Entries learn of it by the status and by the refusals.
 	 */
 	async retire(model: string, timeoutMs: number): Promise<boolean> {
-		const giveUpAt = performance.now() + timeoutMs;
 		this.#retired.add(model);
 		for (const execution of this.#executions.filter(row => row.state === 'waiting' && row.model === model)) {
 			this.#leaveQueue(execution, 'not-loaded');
 		}
 
-		while (this.#isRunning(model) && performance.now() < giveUpAt) {
-			// Each look waits for the one before.
-			// eslint-disable-next-line no-await-in-loop
-			await new Promise(resolve => {
-				setTimeout(resolve, retirePollMs);
-			});
-		}
-
-		return !this.#isRunning(model);
+		return this.#retired.waitForRuns(model, timeoutMs);
 	}
 
 	/** Takes work for a model again. */
 	restore(model: string): void {
-		this.#retired.delete(model);
+		this.#retired.remove(model);
 	}
 
 	/** Whether no work for a model is taken at present. */
@@ -231,15 +217,13 @@
 
 	/** Whole answers that their entries, as far as they have a link, have not acknowledged. */
 	countUnacknowledged(): number {
-		return this.#executions.filter(({peer, state, outcome, buffer}) => state === 'ended' && !outcome && !buffer.isEmpty && !this.#orphanTimers.has(peer)).length;
+		return this.#executions.filter(({peer, state, outcome, buffer}) => state === 'ended' && !outcome && !buffer.isEmpty && !this.#orphans.has(peer)).length;
 	}
 
 	/** Stops all timers; for a process that ends. */
 	close(): void {
 		this.#archive.clear();
-		for (const timer of this.#orphanTimers.values()) {
-			clearTimeout(timer);
-		}
+		this.#orphans.clear();
 	}
 
 	/** Whether no other attempt of a non-idempotent request may have run or may yet. */
@@ -258,15 +242,11 @@
 			[open.service !== this.#settings.service, 'unknown-service'],
 			[open.remainingMs <= 0, 'expired'],
 			[verdict === 'quarantined', 'quarantined'],
-			[this.#retired.has(findModel(open.work) ?? ''), 'not-loaded'],
+			[this.#retired.has(findModel(open.work)), 'not-loaded'],
 		];
 		return reasons.find(([holds]) => holds)?.[1];
 	}
 
-	#isRunning(model: string): boolean {
-		return [...this.#executions].some(row => row.model === model && (row.state === 'running' || row.state === 'draining'));
-	}
-
 	#refuse(peer: string, {request, attempt}: AttemptName, reason: Refusal, afterMs?: number): MessageOf<'refused'> {
 		const message: MessageOf<'refused'> = {
 			kind: 'refused', request, attempt, reason, retryAfterMs: afterMs,
