Let a leaving agent end though its engine confirms no stop

Cause: found by reading: draining waited for each stop to be confirmed, which an engine that no longer answers never does.

Change: 10 s after a run was told to stop, an executor that drains waits for it no longer; a test.

--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -539,6 +539,26 @@
 		});
 	});
 
+	it('does not wait for ever, when it leaves, for a stop that the engine does not confirm', async () => {
+		const {executor} = createModelExecutor();
+		engine.onCancel = async () => {
+			throw new PlatformError('unknown', 'no answer');
+		};
+
+		openAll(executor, 'a');
+		await settle();
+		executor.cancel(peer, {request: 'a', attempt: 1});
+		let isDrained = false;
+		const drained = executor.drain().then(() => {
+			isDrained = true;
+		});
+		await clock.tickAsync(9000);
+		expect(isDrained).to.equal(false);
+		await clock.tickAsync(3000);
+		await drained;
+		expect(isDrained).to.equal(true);
+	});
+
 	it('stops at the engine a run of which only its entry knows, since the agent was restarted', async () => {
 		const {executor} = createModelExecutor();
 		executor.cancel(peer, {request: 'old', attempt: 3});
--- a/packages/systems/src/execution-runner.ts
+++ b/packages/systems/src/execution-runner.ts
@@ -99,6 +99,7 @@
 		}
 
 		execution.state = 'draining';
+		execution.stoppedAt = performance.now();
 		if (reason === 'expired') {
 			execution.outcome = failure;
 			this.#settings.send(execution.peer, failure);
--- a/packages/systems/src/execution.ts
+++ b/packages/systems/src/execution.ts
@@ -43,6 +43,8 @@
 	work?: Work;
 	state: ExecutionState;
 	startedAt: number;
+	/** When it was told to stop; while `draining`. */
+	stoppedAt?: number;
 	deadlineTimer?: NodeJS.Timeout;
 	/** How it ended, unless by `finished`; kept for a resumed link. */
 	outcome?: Message;
--- a/packages/systems/src/executor.ts
+++ b/packages/systems/src/executor.ts
@@ -29,6 +29,9 @@
 /** Such reasons. */
 const passing: ReadonlySet<Refusal> = new Set(['overloaded', 'leaving', 'not-loaded']);
 
+/** Longest wait of an executor that drains for the confirmation of a stop, in milliseconds. */
+const unconfirmedMs = 10_000;
+
 /** Reports lag by this much at the most, in milliseconds; a run that is older must be in them. */
 const reportLagMs = 2000;
 
@@ -203,8 +206,8 @@
 	}
 
 	/**
-	 * Takes no new work and gives back what has not started; resolves when all that runs has ended.
-	 * Answers may still have to be acknowledged: see `countUnacknowledged`.
+	 * Takes no new work and gives back what has not started; resolves when all that runs has ended. Runs that were told
+	 * to stop are not waited for without end. Answers may still have to be acknowledged: see `countUnacknowledged`.
 	 */
 	async drain(): Promise<void> {
 		this.#isLeaving = true;
@@ -212,7 +215,11 @@
 			this.#leaveQueue(execution, 'leaving');
 		}
 
+		const giveUp = setInterval(() => {
+			this.#giveUpDraining();
+		}, unconfirmedMs / 10);
 		await Promise.all([this.#queue.onIdle(), this.#suspects.onIdle()]);
+		clearInterval(giveUp);
 	}
 
 	/** Whole answers that their entries, as far as they have a link, have not acknowledged. */
@@ -318,6 +325,14 @@
 		}
 	}
 
+	/** Nobody waits for a run that was told to stop, and an engine that does not answer must not keep an agent from ending. */
+	#giveUpDraining(): void {
+		const before = performance.now() - unconfirmedMs;
+		for (const {gone} of this.#executions.filter(({state, stoppedAt}) => state === 'draining' && stoppedAt! <= before)) {
+			gone.abort();
+		}
+	}
+
 	/** Ends an execution once; its answer stays until it is acknowledged or the archive lets go of it. */
 	#end(execution: Execution, outcome?: Message): void {
 		const wasWaiting = execution.state === 'waiting';
