Prove that a request lost with its link never ran

Cause: what was sent into a link that had gone silent was told `unknown` after the link was replaced: up to 4 s of posts that nobody may repeat.

Change: `resume` tells how long ago the attempt was opened; an agent that has run and remembered since then answers `not-received`, a refusal, so the entry sends it again. Smallest edit in dispatcher-attempt.ts: the time goes along.

--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -66,7 +66,7 @@
 export type EndpointStatus = z.infer<typeof endpointStatusSchema>;
 
 /** Why an agent refused; all of them mean that nothing ran. */
-export const refusalSchema = z.enum(['leaving', 'overloaded', 'expired', 'cancelled', 'unhealthy', 'quarantined', 'unknown-service', 'not-loaded']);
+export const refusalSchema = z.enum(['leaving', 'overloaded', 'expired', 'cancelled', 'unhealthy', 'quarantined', 'unknown-service', 'not-loaded', 'not-received']);
 
 export type Refusal = z.infer<typeof refusalSchema>;
 
@@ -128,7 +128,13 @@
 	}),
 	z.object({kind: z.literal('cancel'), ...attemptShape}),
 	/** Asks for the parts from `next` on, after a link was replaced. */
-	z.object({kind: z.literal('resume'), ...attemptShape, next: countSchema}),
+	z.object({
+		kind: z.literal('resume'),
+		...attemptShape,
+		next: countSchema,
+		/** Time since the attempt was opened, in milliseconds; by it an agent can prove that `open` never arrived. */
+		sentAgoMs: z.number().nonnegative().optional(),
+	}),
 	/** All parts before `next` have arrived; opens the window and trims the replay buffer. */
 	z.object({kind: z.literal('acknowledge'), ...attemptShape, next: countSchema}),
 	z.object({
--- a/packages/systems/src/answer-archive.ts
+++ b/packages/systems/src/answer-archive.ts
@@ -20,6 +20,8 @@
 	readonly #kept = new Map<string, Kept>();
 	readonly #onDrop: (id: string) => void;
 	#bytes = 0;
+	/** When an attempt was last let go early, or the archive began, on the monotonic clock. */
+	#wholeSince = performance.now();
 
 	/** @param onDrop - told which attempt is let go */
 	constructor(onDrop: (id: string) => void) {
@@ -55,6 +57,11 @@
 		this.#onDrop(id);
 	}
 
+	/** Whether all that came after a time is known still, or was acknowledged; the time is on the monotonic clock. */
+	knowsAllSince(time: number): boolean {
+		return time >= this.#wholeSince && performance.now() - time < keepMs;
+	}
+
 	clear(): void {
 		for (const {execution} of this.#kept.values()) {
 			this.drop(execution);
@@ -67,6 +74,7 @@
 				return;
 			}
 
+			this.#wholeSince = performance.now();
 			this.drop(execution);
 		}
 	}
--- a/packages/systems/src/dispatcher-attempt.ts
+++ b/packages/systems/src/dispatcher-attempt.ts
@@ -44,6 +44,8 @@
 	/** Next sequence number expected. */
 	#next = 0;
 	#acknowledged = 0;
+	/** When it was opened, on the monotonic clock. */
+	#sentAt = 0;
 	/** Where the last gap began, so that it is asked for once. */
 	#gapAt = -1;
 	#isPaused = false;
@@ -79,6 +81,7 @@
 
 	/** Sends the request; the attempt fails as not run when the link is down. */
 	start(open: MessageOf<'open'>): void {
+		this.#sentAt = performance.now();
 		if (!this.#settings.send(open)) {
 			this.#settle({
 				kind: 'failed', ran: 'no', reason: 'the link to the endpoint was down', hasCrashed: false,
@@ -190,7 +193,7 @@
 
 	#sendResume(): void {
 		this.#settings.send({
-			kind: 'resume', request: this.#settings.request, attempt: this.number, next: this.#next,
+			kind: 'resume', request: this.#settings.request, attempt: this.number, next: this.#next, sentAgoMs: performance.now() - this.#sentAt,
 		});
 	}
 
--- a/packages/systems/src/executor.ts
+++ b/packages/systems/src/executor.ts
@@ -29,6 +29,9 @@
 /** Such reasons. */
 const passing: ReadonlySet<Refusal> = new Set(['overloaded', 'leaving', 'not-loaded']);
 
+/** Longest time that a message is under way, in milliseconds: what it takes to notice that a link is silent, and a second. */
+const transitMs = 5000;
+
 /** Longest wait of an executor that drains for the confirmation of a stop, in milliseconds. */
 const unconfirmedMs = 10_000;
 
@@ -136,14 +139,22 @@
 	}
 
 	/** Sends again what a replaced link has lost. */
-	resume(peer: string, {request, attempt, next}: MessageOf<'resume'>): void {
-		const execution = this.#executions.get(formatExecutionId(peer, {request, attempt}));
-		if (!execution || !this.#replay(execution, next)) {
-			// Nothing is known of it here: it may have run and been forgotten.
-			this.#settings.send(peer, {
-				kind: 'failed', request, attempt, ran: 'unknown', reason: 'the answer is no longer held', hasCrashed: false,
-			});
+	resume(peer: string, resume: MessageOf<'resume'>): void {
+		const execution = this.#executions.get(formatExecutionId(peer, resume));
+		if (execution && this.#replay(execution, resume.next)) {
+			return;
+		}
+
+		if (!execution && this.#hasNeverCome(resume)) {
+			this.#refuse(peer, resume, 'not-received');
+			return;
 		}
+
+		// Nothing is known of it here: it may have run and been forgotten.
+		const {request, attempt} = resume;
+		this.#settings.send(peer, {
+			kind: 'failed', request, attempt, ran: 'unknown', reason: 'the answer is no longer held', hasCrashed: false,
+		});
 	}
 
 	/** An entry's link came up: what it left running goes on. */
@@ -233,6 +244,14 @@
 		this.#orphans.clear();
 	}
 
+	/**
+	 * Whether an unknown attempt is proven not to have come: this agent has run since before it was opened and has
+	 * forgotten nothing that young. It can't come later, as the link that it was sent on has been replaced.
+	 */
+	#hasNeverCome({next, sentAgoMs}: MessageOf<'resume'>): boolean {
+		return next === 0 && sentAgoMs !== undefined && this.#archive.knowsAllSince(performance.now() - sentAgoMs - transitMs);
+	}
+
 	/** Whether no other attempt of a non-idempotent request may have run or may yet. */
 	#isFirst(peer: string, open: AttemptName): boolean {
 		const isEarlier = (other: Execution) => other.peer === peer && other.open.request === open.request && other.state === 'waiting';
