--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -354,41 +354,6 @@
 			expect(told.at(-1)).to.include({kind: 'failed', ran: 'no'});
 		});
 
-		describe('when the request itself was lost', () => {
-			const lost = (sentAgoMs?: number, next = 0) => ({
-				kind: 'resume', request: 'lost', attempt: 1, next, sentAgoMs,
-			} as const);
-
-			it('gets proof that nothing ran', async () => {
-				const {executor, find} = createModelExecutor();
-				await clock.tickAsync(20_000);
-				executor.resume(peer, lost(4000));
-				expect(find('lost', 'refused')).to.include({reason: 'not-received'});
-			});
-
-			it('gets no proof from an agent that may have been started since', async () => {
-				const {executor, find} = createModelExecutor();
-				await clock.tickAsync(8000);
-				executor.resume(peer, lost(4000));
-				expect(find('lost', 'failed')).to.include({ran: 'unknown'});
-			});
-
-			it('gets no proof of what is so old that it may have been forgotten', async () => {
-				const {executor, find} = createModelExecutor();
-				await clock.tickAsync(100_000);
-				executor.resume(peer, lost(26_000));
-				expect(find('lost', 'failed')).to.include({ran: 'unknown'});
-			});
-
-			it('gets no proof once a part had come, or without the time', async () => {
-				const {executor, list} = createModelExecutor();
-				await clock.tickAsync(100_000);
-				executor.resume(peer, lost(4000, 1));
-				executor.resume(peer, lost());
-				expect(list('lost').map(({kind}) => kind)).to.deep.equal(['failed', 'failed']);
-			});
-		});
-
 		it('that does not come stops what runs for it and frees what waits', async () => {
 			const {executor} = createModelExecutor({limit: 1});
 			openAll(executor, 'a', 'b');
@@ -414,6 +379,41 @@
 		});
 	});
 
+	describe('a request that was lost with its link', () => {
+		const lost = (sentAgoMs?: number, next = 0) => ({
+			kind: 'resume', request: 'lost', attempt: 1, next, sentAgoMs,
+		} as const);
+
+		it('gets proof that nothing ran', async () => {
+			const {executor, find} = createModelExecutor();
+			await clock.tickAsync(20_000);
+			executor.resume(peer, lost(4000));
+			expect(find('lost', 'refused')).to.include({reason: 'not-received'});
+		});
+
+		it('gets no proof from an agent that may have been started since', async () => {
+			const {executor, find} = createModelExecutor();
+			await clock.tickAsync(8000);
+			executor.resume(peer, lost(4000));
+			expect(find('lost', 'failed')).to.include({ran: 'unknown'});
+		});
+
+		it('gets no proof of what is so old that it may have been forgotten', async () => {
+			const {executor, find} = createModelExecutor();
+			await clock.tickAsync(100_000);
+			executor.resume(peer, lost(26_000));
+			expect(find('lost', 'failed')).to.include({ran: 'unknown'});
+		});
+
+		it('gets no proof once a part had come, or without the time', async () => {
+			const {executor, list} = createModelExecutor();
+			await clock.tickAsync(100_000);
+			executor.resume(peer, lost(4000, 1));
+			executor.resume(peer, lost());
+			expect(list('lost').map(({kind}) => kind)).to.deep.equal(['failed', 'failed']);
+		});
+	});
+
 	it('reads no further than its window while its entry does not acknowledge', async () => {
 		const {executor, list} = createModelExecutor();
 		openAll(executor, 'a');
