--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,18 +3,19 @@
  */
 import {Registry, collectDefaultMetrics} from 'prom-client';
 import {addOperationRoutes, HttpServer, type Daemon} from '@wasabiusher/daemon';
-import type {Message} from '@wasabiusher/link';
+import type {Identity, Message} from '@wasabiusher/link';
 import {platformAdapters, type Member, type Platform} from '@wasabiusher/platform';
-import {ClaimLog, ConfigurationHistory} from '@wasabiusher/record';
+import {ConfigurationHistory} from '@wasabiusher/record';
 import {
 	hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
 } from '@wasabiusher/shared';
 import {
-	ClaimedCalls, Dispatcher, Invariants, ObjectiveMetrics, StepRunner, type CallRecord,
+	createStepEndpoints, Dispatcher, Invariants, ObjectiveMetrics, StepRunner, type CallRecord,
 } from '@wasabiusher/systems';
 import {Announcer} from './announcer.js';
 import {answerError} from './answers.js';
 import {addCallerRoutes, addUnknownRoute, type CallerRoutes} from './caller-routes.js';
+import {Claims} from './claims.js';
 import {ConfigurationLink, isConfigurationMessage} from './configuration-link.js';
 import {createControl, type Control} from './control.js';
 import {DrainNotice} from './drain-notice.js';
@@ -47,7 +48,7 @@
 	readonly #invariants: Invariants;
 	readonly #metrics: EntryMetrics;
 	readonly #dispatcher: Dispatcher;
-	readonly #claimed: ClaimedCalls;
+	readonly #claims: Claims;
 	readonly #steps: StepRunner;
 	readonly #view: View;
 	readonly #configuration: ConfigurationLink;
@@ -65,7 +66,7 @@
 		this.#invariants = new Invariants(log, this.#registry);
 		this.#metrics = new EntryMetrics(this.#registry, () => this.#readState());
 		this.#dispatcher = this.#createDispatcher();
-		this.#claimed = this.#createClaimed();
+		this.#claims = this.#createClaims();
 		this.#steps = this.#createStepRunner();
 		this.#view = this.#createView();
 		this.#configuration = this.#createConfiguration();
@@ -102,18 +103,24 @@
 		void this.#announcer.announce();
 		const released = this.#control.stop();
 		await this.#notice.give();
+		await this.#claims.endGathering();
 		const handedOver = this.#steps.drain(stepGraceMs);
 		await this.#closeCallers();
 		await handedOver;
 		await released;
-		await this.#claimed.drain();
-		this.#invariants.checkNothingCutOff(this.#dispatcher.openCalls + this.#claimed.openCalls);
+		await this.#claims.drain();
+		this.#invariants.checkNothingCutOff(this.#dispatcher.openCalls + this.#claims.openCalls);
 		this.#configuration.stop();
 		this.#announcer.stop();
 		await this.#operators.close();
 		this.#view.stop();
 	}
 
+	get #identity(): Identity {
+		const {name, linkKeys: [key = loopbackKey, ...otherKeys]} = this.#settings;
+		return {name, keys: [key, ...otherKeys]};
+	}
+
 	get #isReady(): boolean {
 		return !this.#isLeaving && this.#configuration.isReady;
 	}
@@ -156,22 +163,24 @@
 		});
 	}
 
-	#createClaimed(): ClaimedCalls {
-		const {name} = this.#settings;
+	#createClaims(): Claims {
 		const {tables, objects} = this.#platform;
-		return new ClaimedCalls({
+		return new Claims({
+			identity: this.#identity,
+			server: this.#callers.server,
+			tables,
+			objects,
 			dispatcher: this.#dispatcher,
-			claims: new ClaimLog({tables, objects, name}),
 			invariants: this.#invariants,
-			random: new Random(hashToNumber(`${name}/claims`)),
 			log: this.#log,
+			listEntries: () => this.#view.entries,
 		});
 	}
 
 	#createView(): View {
-		const {name, dataCentre, linkKeys: [key = loopbackKey, ...otherKeys]} = this.#settings;
+		const {name, dataCentre} = this.#settings;
 		return new View({
-			identity: {name, keys: [key, ...otherKeys]},
+			identity: this.#identity,
 			dataCentre,
 			membership: this.#platform.members,
 			random: new Random(hashToNumber(`${name}/links`)),
@@ -187,6 +196,9 @@
 				this.#configuration.onLinkDown(agent);
 				this.#metrics.recordLinkLoss();
 			},
+			onMembers: members => {
+				this.#claims.follow(members);
+			},
 		});
 	}
 
@@ -228,7 +240,7 @@
 	#createSubmit(): CallerRoutes['submit'] {
 		return (call, listener, key) => key === undefined || call.profile.idempotent
 			? this.#dispatcher.submit(call, listener)
-			: this.#claimed.submit(call, key, listener);
+			: this.#claims.submit(call, key, listener);
 	}
 
 	#createStepRunner(): StepRunner {
@@ -245,7 +257,7 @@
 			log: this.#log,
 			registry: this.#registry,
 			address: () => this.#addresses.callers,
-			listVersions: model => [...dispatcher.endpoints].flatMap(({status}) => status?.models.filter(held => held.model === model).map(({version}) => version) ?? []),
+			endpoints: createStepEndpoints(dispatcher.endpoints),
 		});
 	}
 
@@ -281,7 +293,7 @@
 	#readState() {
 		const {up, all} = this.#view.counts;
 		return {
-			openCalls: this.#dispatcher.openCalls + this.#claimed.openCalls,
+			openCalls: this.#dispatcher.openCalls + this.#claims.openCalls,
 			draining: this.#dispatcher.drainingAttempts,
 			linksUp: up,
 			links: all,
