--- a/packages/entry/__tests__/control.spec.ts
+++ b/packages/entry/__tests__/control.spec.ts
@@ -23,7 +23,9 @@
 }
 
 /** What a process waits for that is cut off from the store. */
-const never = Promise.race<never>([]);
+const never = new Promise<never>(() => {
+	// It never settles.
+});
 
 /** Two engines and a plain service; orders are carried out at once, and refused under a lower fence. */
 class FakeEndpoints {
