--- a/scripts/bench/messages.ts
+++ b/scripts/bench/messages.ts
@@ -2,9 +2,11 @@
  * Bytes and processor time of the messages between entries and agents, from encoding to the checked message.
  */
 import {decodeMessage, encodeMessage, type Message} from '@wasabiusher/link';
+import {memberSchema, type Member} from '@wasabiusher/platform';
 import {
 	configurationSchema, hashConfiguration, profileSchema, type Configuration,
 } from '@wasabiusher/shared';
+import {z} from 'zod';
 import {createSlope, type Figure, type Measurement} from './figure.js';
 import {measureUs} from './measure.js';
 
@@ -103,6 +105,23 @@
 	};
 }
 
+const memberCounts = [100, 1000, 10_000] as const;
+
+/** Bytes and processor time of reading the platform's membership list, by its hosts. */
+function measureMembership(): Figure[] {
+	const measured = memberCounts.map(n => {
+		const members = Array.from({length: n}, (_, index): Member => ({
+			id: `agent-${index}`, role: 'agent', address: '10.11.12.13:7101', dataCentre: 'hall-kufstein', region: 'tirol', service: 'models', state: 'live',
+		}));
+		const text = JSON.stringify(members);
+		return {n, bytes: text.length, us: measureUs(() => z.array(memberSchema).parse(JSON.parse(text)))};
+	});
+	return [
+		createSlope('membership bytes', 'B/host', measured.map(({n, bytes}) => ({n, value: bytes}))),
+		createSlope('membership CPU', 'us/host', measured.map(({n, us}) => ({n, value: us}))),
+	];
+}
+
 export function measureMessages(): Figure[] {
 	const heartbeat = measureMessage({kind: 'ping', sentAt: 123_456.789});
 	const figures: Figure[] = [
@@ -119,5 +138,5 @@
 		figures.push(createSlope(`${name} bytes`, `B/${per}`, pick('bytes')), createSlope(`${name} CPU`, `us/${per}`, pick('us')));
 	}
 
-	return figures;
+	return [...figures, ...measureMembership()];
 }
--- a/scripts/bench/path.ts
+++ b/scripts/bench/path.ts
@@ -2,12 +2,11 @@
  * The whole path, from a caller through one entry and one agent to an engine stand-in, each a process of its
  * own, beside the same requests sent straight to the engine.
  */
-import {request} from 'undici';
 import {createCompared, type Figure} from './figure.js';
+import {startDeployment, type Deployment} from './deployment.js';
 import {
-	findFreeAddress, pause, Processes, readCpuSeconds, readRssMb, waitFor,
+	pause, Processes, readCpuSeconds, readRssMb, waitFor,
 } from './processes.js';
-import {createConfiguration} from './messages.js';
 import {Traffic, type Shape, type Target} from './traffic.js';
 
 const wholeCall: Shape = {tokens: 1, stream: false};
@@ -21,37 +20,6 @@
 /** Fraction of the greatest rate at which added latency is measured. */
 const halfLoad = 0.5;
 
-/** Slots of the stand-in; more than are open, so that it is never what limits. */
-const slots = 512;
-
-type Deployment = {direct: Target; through: Target; entryPid: number; agentPid: number};
-
-async function startDeployment(processes: Processes): Promise<Deployment> {
-	const address = {
-		platform: await findFreeAddress(), engine: await findFreeAddress(), agent: await findFreeAddress(), entry: await findFreeAddress(), operators: await findFreeAddress(),
-	};
-	const platform = `http://${address.platform}`;
-	await processes.startProgram('wasabiusher-standins', {role: 'platform', listen: address.platform, models: 'trail=3'});
-	await processes.startProgram('wasabiusher-standins', {
-		role: 'engine', listen: address.engine, models: 'trail=3', slots, 'token-ms': 0.25, 'tokens-per-event': 4,
-	});
-	const agentPid = await processes.startProgram('wasabiusher-agent', {
-		name: 'agent-1', listen: address.agent, 'data-centre': 'innsbruck-a', service: 'models', 'endpoint-kind': 'model', endpoint: `http://${address.engine}`, platform, limit: slots, 'max-waiting': 10_000,
-	});
-	const entryPid = await processes.startProgram('wasabiusher-entry', {
-		name: 'entry-1', listen: address.entry, 'operator-listen': address.operators, 'data-centre': 'innsbruck-a', platform,
-	});
-	await request(`http://${address.operators}/v1/configuration`, {
-		method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify({configuration: createConfiguration(1), author: 'bench'}),
-	});
-	return {
-		direct: {origin: `http://${address.engine}`, headers: {}},
-		through: {origin: `http://${address.entry}`, headers: {'wasabiusher-profile': 'profile-0', 'wasabiusher-caller': 'bench', 'wasabiusher-timeout-ms': '60000'}},
-		entryPid,
-		agentPid,
-	};
-}
-
 async function withTraffic<Result>(target: Target, shape: Shape, run: (traffic: Traffic) => Promise<Result>): Promise<Result> {
 	const traffic = new Traffic(target, shape);
 	try {
@@ -107,7 +75,11 @@
 
 async function measureLatency({direct, through}: Deployment, perSecond: number, seconds: number): Promise<Figure[]> {
 	const rate = perSecond * halfLoad;
-	const pace = async (target: Target) => withTraffic(target, wholeCall, async traffic => traffic.pace(rate, seconds));
+	const pace = async (target: Target) => withTraffic(target, wholeCall, async traffic => {
+		// Opens the connections and warms the code up.
+		await traffic.pace(rate, 1);
+		return traffic.pace(rate, seconds);
+	});
 	const baseline = await pace(direct);
 	const whole = await pace(through);
 	return [50, 99].map(percentile => {
