--- a/packages/systems/src/executor.ts
+++ b/packages/systems/src/executor.ts
@@ -4,61 +4,38 @@
  * A slot is held from before the endpoint is called until its stream has ended or its
  * stop is confirmed, so work that is still draining stays accounted for.
  */
-import type {AdmissionDecision} from '@wasabiusher/decisions';
+import type {AdmissionDecision, Verdict} from '@wasabiusher/decisions';
 import type {
 	EndpointStatus, Message, MessageOf, Refusal,
 } from '@wasabiusher/link';
-import {PlatformError} from '@wasabiusher/platform';
-import {Table, type Log} from '@wasabiusher/shared';
+import {Table} from '@wasabiusher/shared';
 import {AnswerArchive} from './answer-archive.js';
-import {confirmStop, formatRunId, type Endpoint} from './endpoint-run.js';
+import {formatRunId} from './endpoint-run.js';
 import {
-	createExecution, describeFailure, findStopReason, formatExecutionId, judgeRan, type AttemptName, type Execution, type StopReason,
+	createExecution, findModel, formatExecutionId, type AttemptName, type Execution, type StopReason,
 } from './execution.js';
 import {ExecutorLoad} from './executor-load.js';
+import type {ExecutorEvent, ExecutorSettings} from './executor-settings.js';
+import {ExecutionRunner} from './execution-runner.js';
 import {createExecutorQueue, type ExecutorQueue} from './executor-queue.js';
 import {OnceGuard} from './once-guard.js';
-import {PartRate} from './part-gatherer.js';
-import {readRun} from './run-reader.js';
 import {SuspectGate} from './suspect-gate.js';
 
-/** How a request may run by what is known of its content. */
-export type Suspicion = 'free' | 'isolate' | 'quarantined';
-
-/** What an executor reports of each request, for metrics. */
-export type ExecutorEvent
-	= | {kind: 'refused'; reason: Refusal}
-		| {kind: 'started'; waitMs: number}
-		| {kind: 'ended'; outcome: 'finished' | 'stopped' | 'failed' | 'crashed'; runMs: number};
-
-export type ExecutorSettings = {
-	service: string;
-	endpoint: Endpoint;
-	/** Requests run at once at the most. */
-	limit: number;
-	/** Requests waiting at most. */
-	maxWaiting: number;
-	log: Log;
-	/** Sends to an entry by name; false if it has no link at present. */
-	send(peer: string, message: Message): boolean;
-	/** How a request with this content may run; all may, by default. */
-	judge?(fingerprint: string): Suspicion;
-	/** Asked when a stream broke off: whether the endpoint has crashed. It calls `crash` by itself. */
-	checkCrash?(): Promise<boolean>;
-	/** A request with this content was finished. */
-	onFinished?(fingerprint: string): void;
-	observe?(event: ExecutorEvent): void;
-};
-
 /** How long an attempt without a link to its entry goes on before it is stopped, in milliseconds; entries give up after 5 s. */
 const orphanMs = 10_000;
 
 /** When a request refused for a reason that passes should come back, in milliseconds. */
 const retryAfterMs = 1000;
 
+/** Such reasons. */
+const passing: ReadonlySet<Refusal> = new Set(['overloaded', 'leaving', 'not-loaded']);
+
 /** Reports lag by this much at the most, in milliseconds; a run that is older must be in them. */
 const reportLagMs = 2000;
 
+/** How often it is looked whether the last run of a retired model has ended, in milliseconds. */
+const retirePollMs = 50;
+
 /** Runs requests of any number of entries on one endpoint. */
 export class Executor {
 	readonly #settings: ExecutorSettings;
@@ -68,8 +45,9 @@
 	readonly #queue: ExecutorQueue;
 	readonly #suspects: SuspectGate;
 	readonly #once = new OnceGuard();
-	readonly #rate = new PartRate();
+	readonly #runner: ExecutionRunner;
 	readonly #orphanTimers = new Map<string, NodeJS.Timeout>();
+	readonly #retired = new Set<string>();
 	#hasReport = false;
 	#isLeaving = false;
 
@@ -79,6 +57,14 @@
 		this.#load = new ExecutorLoad({kind: endpoint.kind, limit, maxWaiting});
 		this.#queue = createExecutorQueue(limit, {limitFor: name => this.#load.limitFor(name)});
 		this.#suspects = new SuspectGate(this.#queue);
+		this.#runner = new ExecutionRunner({
+			...settings,
+			load: this.#load,
+			once: this.#once,
+			end: (execution, outcome) => {
+				this.#end(execution, outcome);
+			},
+		});
 		this.#archive = new AnswerArchive(id => {
 			this.#executions.remove(id);
 		});
@@ -113,14 +99,14 @@
 			return;
 		}
 
-		const suspicion = this.#settings.judge?.(open.fingerprint) ?? 'free';
-		const refusal = this.#findRefusal(open, suspicion);
+		const verdict = this.#settings.judge?.(open.fingerprint) ?? 'free';
+		const refusal = this.#findRefusal(open, verdict);
 		if (refusal) {
 			this.#refuse(peer, open, refusal);
 			return;
 		}
 
-		this.#admit(createExecution(peer, open), open.isSuspect || suspicion === 'isolate');
+		this.#admit(createExecution(peer, open), open.isSuspect || verdict === 'isolate');
 	}
 
 	/** The caller is gone: a waiting attempt loses its place at once, a running one is stopped at the endpoint. */
@@ -198,6 +184,38 @@
 		return inFlight.map(({open}) => open.fingerprint);
 	}
 
+	/**
+	 * Takes no new work for a model and gives back what waits for it; resolves to whether nothing of it runs any
+	 * more, at the latest after the given time. Entries learn of it by the status and by the refusals.
+	 */
+	async retire(model: string, timeoutMs: number): Promise<boolean> {
+		const giveUpAt = performance.now() + timeoutMs;
+		this.#retired.add(model);
+		for (const execution of this.#executions.filter(row => row.state === 'waiting' && row.model === model)) {
+			this.#leaveQueue(execution, 'not-loaded');
+		}
+
+		while (this.#isRunning(model) && performance.now() < giveUpAt) {
+			// Each look waits for the one before.
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise(resolve => {
+				setTimeout(resolve, retirePollMs);
+			});
+		}
+
+		return !this.#isRunning(model);
+	}
+
+	/** Takes work for a model again. */
+	restore(model: string): void {
+		this.#retired.delete(model);
+	}
+
+	/** Whether no work for a model is taken at present. */
+	isRetired(model: string): boolean {
+		return this.#retired.has(model);
+	}
+
 	/**
 	 * Takes no new work and gives back what has not started; resolves when all that runs has ended.
 	 * Answers may still have to be acknowledged: see `countUnacknowledged`.
@@ -225,7 +243,7 @@
 	}
 
 	/** Whether no other attempt of a non-idempotent request may have run or may yet. */
-	#isFirst(peer: string, open: MessageOf<'open'>): boolean {
+	#isFirst(peer: string, open: AttemptName): boolean {
 		const isEarlier = (other: Execution) => other.peer === peer && other.open.request === open.request && other.state === 'waiting';
 		for (const earlier of this.#executions.filter(row => isEarlier(row))) {
 			this.#leaveQueue(earlier, 'cancelled');
@@ -234,16 +252,21 @@
 		return !this.#once.hasOther(peer, open);
 	}
 
-	#findRefusal(open: MessageOf<'open'>, suspicion: Suspicion): Refusal | undefined {
+	#findRefusal(open: MessageOf<'open'>, verdict: Verdict['kind']): Refusal | undefined {
 		const reasons: Array<[boolean, Refusal]> = [
 			[this.#isLeaving, 'leaving'],
 			[open.service !== this.#settings.service, 'unknown-service'],
 			[open.remainingMs <= 0, 'expired'],
-			[suspicion === 'quarantined', 'quarantined'],
+			[verdict === 'quarantined', 'quarantined'],
+			[this.#retired.has(findModel(open.work) ?? ''), 'not-loaded'],
 		];
 		return reasons.find(([holds]) => holds)?.[1];
 	}
 
+	#isRunning(model: string): boolean {
+		return [...this.#executions].some(row => row.model === model && (row.state === 'running' || row.state === 'draining'));
+	}
+
 	#refuse(peer: string, {request, attempt}: AttemptName, reason: Refusal, afterMs?: number): MessageOf<'refused'> {
 		const message: MessageOf<'refused'> = {
 			kind: 'refused', request, attempt, reason, retryAfterMs: afterMs,
@@ -265,7 +288,7 @@
 		execution.deadlineTimer = setTimeout(() => {
 			this.#stop(execution, 'expired');
 		}, open.remainingMs);
-		const run = async () => this.#execute(execution);
+		const run = async () => this.#runner.run(execution, this.#queue.pending + this.#suspects.running);
 		if (isAlone) {
 			this.#suspects.add(run, place.signal);
 			return;
@@ -290,7 +313,7 @@
 			return;
 		}
 
-		const afterMs = reason === 'overloaded' || reason === 'leaving' ? retryAfterMs : undefined;
+		const afterMs = passing.has(reason) ? retryAfterMs : undefined;
 		this.#end(execution, this.#refuse(execution.peer, execution.open, reason, afterMs));
 		execution.place.abort();
 	}
@@ -315,83 +338,14 @@
 		}
 	}
 
-	async #execute(execution: Execution): Promise<void> {
-		const {peer, open} = execution;
-		const inFlight = this.#queue.pending + this.#suspects.running;
-		execution.state = 'running';
-		execution.startedAt = performance.now();
-		this.#load.start(execution);
-		if (!open.isIdempotent) {
-			this.#once.record(peer, open, execution.deadlineAt);
-		}
-
-		this.#settings.send(peer, {kind: 'started', request: open.request, attempt: open.attempt});
-		this.#settings.observe?.({kind: 'started', waitMs: execution.startedAt - execution.openedAt});
-		try {
-			const reading = await readRun(execution, {
-				endpoint: this.#settings.endpoint,
-				rate: this.#rate,
-				send: numbered => {
-					this.#sendPart(execution, numbered);
-				},
-			});
-			this.#load.recordRun(execution, {...reading, inFlight}, performance.now());
-			this.#settings.onFinished?.(open.fingerprint);
-			this.#end(execution);
-		} catch (error) {
-			await this.#fail(execution, error);
-		}
-	}
-
-	async #fail(execution: Execution, error: unknown): Promise<void> {
-		const isBroken = error instanceof PlatformError && (error.code === 'unknown' || error.code === 'unavailable');
-		if (isBroken && !findStopReason(execution) && await this.#settings.checkCrash?.()) {
-			this.#end(execution, describeFailure(execution, error, true));
-			return;
-		}
-
-		// The check may have taken a while: it may have been stopped since.
-		const reason = findStopReason(execution);
-		if (reason) {
-			await this.#finishStop(execution, reason);
-			return;
-		}
-
-		if (judgeRan(execution, error) === 'no') {
-			this.#once.clear(execution.peer, execution.open);
-		}
-
-		this.#end(execution, describeFailure(execution, error, false));
-	}
-
-	/** Holds the slot until the endpoint has stopped; the entry of an expired attempt is not kept waiting for that. */
-	async #finishStop(execution: Execution, reason: StopReason): Promise<void> {
-		const {open, buffer, gone, startedAt} = execution;
-		const {request, attempt} = open;
-		const failure = describeFailure(execution, new PlatformError('unknown', stopTexts[reason]), reason === 'crashed');
-		if (reason === 'crashed') {
-			this.#end(execution, failure);
-			return;
-		}
-
-		execution.state = 'draining';
-		if (reason === 'expired') {
-			execution.outcome = failure;
-			this.#settings.send(execution.peer, failure);
-		}
-
-		await confirmStop(this.#settings.endpoint, {
-			runId: formatRunId(open), hasAnswered: buffer.length > 0, ranMs: performance.now() - startedAt, typicalMs: this.#load.typicalMs, gone: gone.signal,
-		});
-		this.#end(execution, execution.outcome ?? {kind: 'stopped', request, attempt});
-	}
-
 	/** Ends an execution once; its answer stays until it is acknowledged or the archive lets go of it. */
 	#end(execution: Execution, outcome?: Message): void {
 		const wasWaiting = execution.state === 'waiting';
 		const isTold = wasWaiting || execution.outcome !== undefined;
 		execution.state = 'ended';
 		execution.outcome = outcome;
+		// Only the answer is kept; a body may be large.
+		execution.work = undefined;
 		clearTimeout(execution.deadlineTimer);
 		this.#load.release(execution, !wasWaiting);
 		this.#archive.keep(execution);
@@ -435,13 +389,6 @@
 	}
 }
 
-/** What entries are told of each reason. */
-const stopTexts: Readonly<Record<StopReason, string>> = {
-	cancelled: 'cancelled while running',
-	expired: 'the deadline passed while it ran',
-	crashed: 'the endpoint crashed while it ran',
-};
-
 function nameOutcome(outcome: Message | undefined): Extract<ExecutorEvent, {kind: 'ended'}>['outcome'] {
 	if (!outcome) {
 		return 'finished';
