Keep the proof from killing the wrong agent

Ruled out: the adopter; the agent without a configuration had no links at all. Conclusion: a fault of the harness, not of the system.

--- a/packages/proof/src/world.ts
+++ b/packages/proof/src/world.ts
@@ -110,6 +110,11 @@
 	/** Kills an agent; a new one beside the same endpoint comes up after a while. */
 	restartAgent(name: string, afterMs: number): void {
 		const index = this.agents.findIndex(agent => agent.name === name);
+		// One that is dead already is on its way back.
+		if (index === -1) {
+			return;
+		}
+
 		const [agent] = this.agents.splice(index, 1);
 		agent!.kill();
 		setTimeout(() => {
