--- a/packages/entry/src/step-routes.ts
+++ b/packages/entry/src/step-routes.ts
@@ -13,7 +13,7 @@
 } from '@wasabiusher/systems';
 import {sendEvent, startEvents} from './answers.js';
 import {findModelService} from './completions.js';
-import {ProblemError} from './errors.js';
+import {parseBody, ProblemError} from './errors.js';
 import {isRelayed, keepAliveMs, relayExchange} from './step-relay.js';
 import {checkToken} from './tokens.js';
 
@@ -55,16 +55,6 @@
 	serve(step: Step): void | Promise<void>;
 };
 
-function parse<Schema extends z.ZodType>(schema: Schema, value: unknown): z.infer<Schema> {
-	const parsed = schema.safeParse(value);
-	if (!parsed.success) {
-		const issue = parsed.error.issues[0]!;
-		throw new ProblemError(createProblem('bad-request', `field ${issue.path.join('.')}: ${issue.message}`, 'no'));
-	}
-
-	return parsed.data;
-}
-
 /** Adds the routes to a server. */
 export function addStepRoutes(server: HttpServer, routes: StepRoutes): void {
 	const on = (method: Method, path: string, handler: (exchange: Exchange, routes: StepRoutes) => Promise<void>) => {
@@ -103,7 +93,7 @@
 async function openStep(exchange: Exchange, {runner, configuration}: StepRoutes): Promise<void> {
 	const {request, response} = exchange;
 	const body = await readJson(request);
-	const {profile: profileName, ...step} = parse(stepSchema, body);
+	const {profile: profileName, ...step} = parseBody(stepSchema, body);
 	const profile = configuration().profiles[profileName];
 	if (!profile) {
 		throw new ProblemError(createProblem('bad-request', `field profile: there is no profile "${profileName}"`, 'no'));
@@ -136,7 +126,7 @@
 
 async function streamSamples(exchange: Exchange, {runner}: StepRoutes): Promise<void> {
 	const {query, parameters} = exchange;
-	const {after, version} = parse(pullSchema, Object.fromEntries(query));
+	const {after, version} = parseBody(pullSchema, Object.fromEntries(query));
 	await serveStep(exchange, {
 		locate: async options => runner.locate(parameters.id!, options),
 		async serve(step) {
@@ -201,7 +191,7 @@
 
 async function acknowledge(exchange: Exchange, {runner}: StepRoutes): Promise<void> {
 	const body = await readJson(exchange.request);
-	const {samples} = parse(acknowledgementSchema, body);
+	const {samples} = parseBody(acknowledgementSchema, body);
 	await serveStep(exchange, {
 		body,
 		locate: async options => runner.locate(exchange.parameters.id!, options),
