--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -379,6 +379,41 @@
 		});
 	});
 
+	describe('a request that was lost with its link', () => {
+		const lost = (sentAgoMs?: number, next = 0) => ({
+			kind: 'resume', request: 'lost', attempt: 1, next, sentAgoMs,
+		} as const);
+
+		it('gets proof that nothing ran', async () => {
+			const {executor, find} = createModelExecutor();
+			await clock.tickAsync(20_000);
+			executor.resume(peer, lost(4000));
+			expect(find('lost', 'refused')).to.include({reason: 'not-received'});
+		});
+
+		it('gets no proof from an agent that may have been started since', async () => {
+			const {executor, find} = createModelExecutor();
+			await clock.tickAsync(8000);
+			executor.resume(peer, lost(4000));
+			expect(find('lost', 'failed')).to.include({ran: 'unknown'});
+		});
+
+		it('gets no proof of what is so old that it may have been forgotten', async () => {
+			const {executor, find} = createModelExecutor();
+			await clock.tickAsync(100_000);
+			executor.resume(peer, lost(26_000));
+			expect(find('lost', 'failed')).to.include({ran: 'unknown'});
+		});
+
+		it('gets no proof once a part had come, or without the time', async () => {
+			const {executor, list} = createModelExecutor();
+			await clock.tickAsync(100_000);
+			executor.resume(peer, lost(4000, 1));
+			executor.resume(peer, lost());
+			expect(list('lost').map(({kind}) => kind)).to.deep.equal(['failed', 'failed']);
+		});
+	});
+
 	it('reads no further than its window while its entry does not acknowledge', async () => {
 		const {executor, list} = createModelExecutor();
 		openAll(executor, 'a');
@@ -539,6 +574,26 @@
 		});
 	});
 
+	it('does not wait for ever, when it leaves, for a stop that the engine does not confirm', async () => {
+		const {executor} = createModelExecutor();
+		engine.onCancel = async () => {
+			throw new PlatformError('unknown', 'no answer');
+		};
+
+		openAll(executor, 'a');
+		await settle();
+		executor.cancel(peer, {request: 'a', attempt: 1});
+		let isDrained = false;
+		const drained = executor.drain().then(() => {
+			isDrained = true;
+		});
+		await clock.tickAsync(9000);
+		expect(isDrained).to.equal(false);
+		await clock.tickAsync(3000);
+		await drained;
+		expect(isDrained).to.equal(true);
+	});
+
 	it('stops at the engine a run of which only its entry knows, since the agent was restarted', async () => {
 		const {executor} = createModelExecutor();
 		executor.cancel(peer, {request: 'old', attempt: 3});
--- a/packages/systems/src/execution.ts
+++ b/packages/systems/src/execution.ts
@@ -43,6 +43,8 @@
 	work?: Work;
 	state: ExecutionState;
 	startedAt: number;
+	/** When it was told to stop; while `draining`. */
+	stoppedAt?: number;
 	deadlineTimer?: NodeJS.Timeout;
 	/** How it ended, unless by `finished`; kept for a resumed link. */
 	outcome?: Message;
@@ -77,6 +79,11 @@
 	};
 }
 
+/** Whether it holds a slot of the endpoint. */
+export function isAtEndpoint({state}: Execution): boolean {
+	return state === 'running' || state === 'draining';
+}
+
 /** Why it was stopped; undefined if nobody stopped it. */
 export function findStopReason({run}: Execution): StopReason | undefined {
 	return stopReasons.find(reason => run.signal.aborted && run.signal.reason === reason);
--- /dev/null
+++ b/scripts/capacity.ts
@@ -0,0 +1,57 @@
+/**
+ * `npm run capacity -- --bench FILE`: works the tables of docs/CAPACITY.md out from the bench's JSON.
+ *
+ * Without a file it reads standard input: `npm run --silent bench -- --json | npm run --silent capacity`.
+ */
+import {readFile, writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {text as readStream} from 'node:stream/consumers';
+import {z} from 'zod';
+import {loadSettings} from '@wasabiusher/daemon';
+import {describeSize, type FigureSource} from './capacity/size.js';
+import {formatCapacity} from './capacity/tables.js';
+
+const settings = loadSettings('capacity', '0.1.0', z.object({
+	page: z.string().optional().describe('page whose tables are replaced; without it they are printed'),
+	bench: z.string().default('-').describe('file with the bench\'s JSON, a line a figure; - for standard input'),
+}));
+
+const figureSchema = z.object({
+	name: z.string(),
+	value: z.number(),
+	intercept: z.number().optional(),
+	sizes: z.array(z.object({n: z.number(), value: z.number()})).optional(),
+});
+
+/** Between these lines of the page stand the tables. */
+const marks = {begin: '<!-- tables: npm run capacity -->', end: '<!-- end of tables -->'} as const;
+
+const content = settings.bench === '-' ? await readStream(process.stdin) : await readFile(settings.bench, 'utf8');
+const figures = new Map(content.split('\n').filter(line => line.startsWith('{')).map(line => {
+	const figure = figureSchema.parse(JSON.parse(line));
+	return [figure.name, figure] as const;
+}));
+
+/** Throws when the bench lacks a figure, so that no table is made from a guess. */
+const source: FigureSource = name => {
+	const figure = figures.get(name);
+	if (!figure) {
+		throw new Error(`the bench has no figure "${name}"`);
+	}
+
+	return figure;
+};
+
+const tables = formatCapacity(describeSize(), source);
+if (settings.page === undefined) {
+	process.stdout.write(`${tables}\n`);
+} else {
+	const page = await readFile(settings.page, 'utf8');
+	const begin = page.indexOf(marks.begin);
+	const end = page.indexOf(marks.end);
+	if (begin === -1 || end < begin) {
+		throw new Error(`${settings.page} lacks the lines "${marks.begin}" and "${marks.end}"`);
+	}
+
+	await writeFile(settings.page, `${page.slice(0, begin)}${marks.begin}\n\n${tables}\n\n${page.slice(end)}`);
+}
