--- a/packages/systems/__tests__/dispatcher-attempt.spec.ts
+++ b/packages/systems/__tests__/dispatcher-attempt.spec.ts
@@ -1,3 +1,4 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import type {AnswerEvent, Message} from '@wasabiusher/link';
 import {Attempt} from '../src/dispatcher-attempt.js';
@@ -36,6 +37,16 @@
 }
 
 describe('Attempt', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
 	it('takes each part once, though a resume sends some again', () => {
 		const seen = createAttempt();
 		for (const sequence of [0, 1, 0, 1, 2]) {
@@ -47,13 +58,14 @@
 
 	it('takes nothing from beyond a gap, and asks for the gap once', () => {
 		const seen = createAttempt();
+		clock.tick(300);
 		for (const sequence of [0, 2, 3]) {
 			receive(seen, sequence);
 		}
 
 		expect(seen.events).to.deep.equal([createBody(0)]);
 		expect(seen.sent).to.deep.equal([{
-			kind: 'resume', request: 'r', attempt: 1, next: 1,
+			kind: 'resume', request: 'r', attempt: 1, next: 1, sentAgoMs: 300,
 		}]);
 	});
 
