Bound what all steps of an entry hold, and count no time of a trainer that went away

Cause: the bound on held text was for each step, so that 256 steps could hold gigabytes; a trainer that had gone counted as busy. Change: a bound for the process, beyond which only steps that hold little begin a group; TrainerTime forgets.

--- a/packages/systems/__tests__/steps-fixtures.ts
+++ b/packages/systems/__tests__/steps-fixtures.ts
@@ -19,6 +19,8 @@
 	/** Takes the place of the engine for a call; undefined leaves it to the engine. */
 	treat: ((call: Call) => Problem | 'hang' | undefined) | undefined;
 	generated = 0;
+	/** Characters of a sample. */
+	textLength = 2;
 	/** Ids of the samples that a scorer was asked about, by idempotency key. */
 	readonly scored = new Map<string, number>();
 	/** Scores whose answer is lost, by how often from now on. */
@@ -92,7 +94,7 @@
 			}
 
 			this.generated += 1;
-			onEvent({kind: 'parts', parts: [{text: 'b', tokens: 1, version: this.version}]}, 1);
+			onEvent({kind: 'parts', parts: [{text: 'b'.repeat(this.textLength - 1), tokens: 1, version: this.version}]}, 1);
 			onEvent({kind: 'finished', reason: 'stop'}, 1);
 		});
 	}
--- a/packages/systems/__tests__/steps.spec.ts
+++ b/packages/systems/__tests__/steps.spec.ts
@@ -174,6 +174,21 @@
 		expect([trainer.isWhole, world.endpoints.generated]).to.deep.equal([true, 24]);
 	});
 
+	it('begins no more groups for a trainer that acknowledges nothing, and goes on with others', async () => {
+		const entry = world.createEntry('entry-0');
+		world.endpoints.textLength = 2 ** 21;
+		world.faults.standing = 'down';
+		const request = createRequest({groups: Array.from({length: 600}, () => ({prompt: 'a'})), groupSize: 2});
+		const step = await openHere(entry, request);
+		await clock.tickAsync(1000);
+		// All that may be under way at once, and what the first eight made room for before they were too much to hold.
+		expect(step.describe().ready).to.equal(1024 + 8);
+		expect(await openHere(entry, createRequest({id: 'step-2', trainer: 'route'}))).to.have.property('outstanding', 12);
+		entry.runner.acknowledge(step, Array.from({length: 513}, (_, group) => [`step-1/${group}/0`, `step-1/${group}/1`]).flat());
+		await clock.tickAsync(1000);
+		expect(step.describe()).to.include({ready: 174, acknowledged: 1026});
+	});
+
 	it('refuses more steps than it can hold', async () => {
 		const entry = world.createEntry('entry-0');
 		const request = createRequest({groups: [{prompt: 'a'}], groupSize: 1});
@@ -355,6 +370,17 @@
 		expect(world.objectives.trainerBusy.map(ms => Math.round(ms))).to.deep.equal([2700, 100]);
 	});
 
+	it('counts no time of a trainer that went away', async () => {
+		const entry = world.createEntry('entry-0');
+		world.endpoints.treat = () => 'hang';
+		const gone = new AbortController();
+		void trainer.pull(entry.runner, await openHere(entry), gone.signal);
+		await clock.tickAsync(300);
+		gone.abort();
+		await clock.tickAsync(5000);
+		expect(world.objectives.trainerBusy.map(ms => Math.round(ms))).to.deep.equal([0, 300]);
+	});
+
 	it('finishes what is under way and hands the step on when its entry leaves', async () => {
 		const [first, second] = [world.createEntry('entry-0'), world.createEntry('entry-1')];
 		const step = await openHere(first);
--- a/packages/systems/src/steps-delivery.ts
+++ b/packages/systems/src/steps-delivery.ts
@@ -51,8 +51,12 @@
 			// Each round waits for what the last one has left.
 			// eslint-disable-next-line no-await-in-loop
 			await step.waitForChange(changes, stop);
-			metrics.trainers.note(step.request, false);
 			metrics.idle.observe((performance.now() - waitingSince) / 1000);
+			if (signal.aborted) {
+				metrics.trainers.forget(step.request);
+			} else {
+				metrics.trainers.note(step.request, false);
+			}
 		}
 	} finally {
 		step.endPull(pull);
--- a/packages/systems/src/steps-maker.ts
+++ b/packages/systems/src/steps-maker.ts
@@ -35,6 +35,8 @@
 	random: Random;
 	decisions: StepDecisions;
 	endpoints: StepEndpoints;
+	/** Text held by all steps of the process, in characters. */
+	held: {length: number};
 };
 
 /** Who is told of what was made. */
@@ -101,14 +103,14 @@
 		this.release(slot);
 		slot.sample = sample;
 		slot.state = 'ready';
-		this.#heldLength += sample.text.length;
+		this.#addHeld(sample.text.length);
 	}
 
 	/** Stops attempts at a place and lets go of its sample. */
 	release(slot: Slot): void {
 		this.#outstanding -= slot.drawings.size;
 		cancelDrawings(slot);
-		this.#heldLength -= slot.sample?.text.length ?? 0;
+		this.#addHeld(-(slot.sample?.text.length ?? 0));
 		slot.sample = undefined;
 	}
 
@@ -130,6 +132,11 @@
 		return true;
 	}
 
+	#addHeld(length: number): void {
+		this.#heldLength += length;
+		this.#context.held.length += length;
+	}
+
 	async #finish(slot: Slot, number: number, draft: Draft): Promise<void> {
 		const {invariants, scorer, clock, decisions} = this.#context;
 		const sample = this.#createSample(slot, number, draft);
--- a/packages/systems/src/steps-step.ts
+++ b/packages/systems/src/steps-step.ts
@@ -18,6 +18,12 @@
 /** Text held for a trainer that does not acknowledge, in characters; no new group is begun beyond it. */
 const maxHeldLength = 16_777_216;
 
+/** Text held by all steps of a process, in characters; beyond it only steps that hold little begin a group. */
+const maxHeldByAll = 50_331_648;
+
+/** What a step may hold whatever others hold, in characters: a trainer that does not acknowledge must not stop the others. */
+const minHeldLength = 1_048_576;
+
 /** How a step stands. */
 export type StepStatus = {
 	id: string;
@@ -301,7 +307,9 @@
 	#hasRoom(place: number): boolean {
 		const {groupSize} = this.request;
 		const first = place - (place % groupSize);
-		return this.#maker.heldLength < maxHeldLength || this.#slots.slice(first, first + groupSize).some(({state}) => state !== 'idle');
+		const {heldLength} = this.#maker;
+		const mayBegin = heldLength < minHeldLength || (heldLength < maxHeldLength && this.#context.held.length < maxHeldByAll);
+		return mayBegin || this.#slots.slice(first, first + groupSize).some(({state}) => state !== 'idle');
 	}
 
 	#wake(): void {
--- a/packages/systems/src/steps.ts
+++ b/packages/systems/src/steps.ts
@@ -85,7 +85,15 @@
 			dispatcher, invariants, random, registry, objectives, endpoints,
 		} = settings;
 		this.#context = {
-			dispatcher, invariants, random, endpoints, decisions: new StepDecisions(), scorer: new Scorer(dispatcher), clock: new VersionClock(), metrics: new StepMetrics(registry, objectives),
+			dispatcher,
+			invariants,
+			random,
+			endpoints,
+			held: {length: 0},
+			decisions: new StepDecisions(),
+			scorer: new Scorer(dispatcher),
+			clock: new VersionClock(),
+			metrics: new StepMetrics(registry, objectives),
 		};
 		this.#timer = setInterval(() => {
 			this.#tick();
--- a/packages/systems/src/trainer-time.ts
+++ b/packages/systems/src/trainer-time.ts
@@ -33,6 +33,16 @@
 		});
 	}
 
+	/** A trainer went away while it waited: what it does now is not known. */
+	forget({trainer, profileName}: StepRequest): void {
+		const key = `${trainer}/${profileName}`;
+		const spell = this.#spells.get(key);
+		if (spell) {
+			this.#count(spell, performance.now());
+			this.#spells.delete(key);
+		}
+	}
+
 	/** Counts what has passed of the spells under way, so that a long wait is seen while it lasts. */
 	tick(): void {
 		const now = performance.now();
