--- a/packages/systems/src/dispatcher-routing.ts
+++ b/packages/systems/src/dispatcher-routing.ts
@@ -85,9 +85,9 @@
 		const {random, dataCentre} = this.#settings;
 		const blocks = this.#findBlocks(call);
 		const poolMs = pool.estimateMs(call.cost) ?? coldMsPerCost[call.work.kind] * call.cost;
+		const now = performance.now();
 		// One that was taken out of use is better than none, as when no other holds the model.
 		const isAnyUsed = rows.some(({id}) => !pool.ejection.isEjected(id));
-		const now = performance.now();
 		const candidates = rows.map((row): Candidate => ({
 			id: row.id,
 			load: row.load.estimate(now, poolMs),
