Refuse to start without keys where others reach, and reach endpoints by the table of adapters

Cause: since keys were read at each handshake, an agent without keys on an open address started and refused every link instead of naming the setting; it named HTTP clients itself, though platform has a table of adapters; waiting for a state stood twice.

--- a/packages/agent/__tests__/agent.spec.ts
+++ b/packages/agent/__tests__/agent.spec.ts
@@ -236,6 +236,17 @@
 		expect(metrics).to.contain('wasabiusher_agent_fence 5');
 	});
 
+	it('does not start on an address that others reach while it has no keys', async () => {
+		const open = new Agent(agentSettingsSchema.parse({
+			name: 'agent-2', listen: '0.0.0.0:0', dataCentre: 'muroran', service: 'models', endpointKind: 'model', endpoint: 'http://127.0.0.1:9', platform: 'http://127.0.0.1:9',
+		}), createSilentLog());
+		let error: unknown;
+		await open.start().catch((error_: unknown) => {
+			error = error_;
+		});
+		expect(error).to.be.instanceOf(RangeError).with.property('message').that.contains('--link-keys');
+	});
+
 	it('announces itself, and its leaving', async () => {
 		const member = {
 			id: 'agent-1', role: 'agent', address: agent.address, dataCentre: 'muroran', region: 'local', service: 'models',
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -7,13 +7,13 @@
 	LinkServer, type EndpointStatus, type Link, type Message, type MessageOf,
 } from '@wasabiusher/link';
 import {
-	HttpEngine, HttpMembershipList, HttpPlainService, HttpTableService, type MembershipList,
+	engineAdapters, plainServiceAdapters, platformAdapters, type MembershipList,
 } from '@wasabiusher/platform';
 import {
 	describeError, hashToNumber, Random, type Log,
 } from '@wasabiusher/shared';
 import {
-	ConfigurationAdopter, Executor, Invariants, type ConfigurationMessage, type ConfigurationOutput, type Endpoint,
+	ConfigurationAdopter, Executor, Invariants, pollUntil, type ConfigurationMessage, type ConfigurationOutput, type Endpoint,
 } from '@wasabiusher/systems';
 import {EndpointWatch} from './endpoint-watch.js';
 import {FenceFloor} from './fence-floor.js';
@@ -39,12 +39,10 @@
 /** Longest wait for the acknowledgement of whole answers by an agent that leaves, in milliseconds: what a lost link takes to be replaced. */
 const acknowledgeMs = 6000;
 
-/** How often that is looked at, in milliseconds. */
-const acknowledgePollMs = 20;
-
-const endpoints: Readonly<Record<AgentSettings['endpointKind'], (origin: string) => Endpoint>> = {
-	model: origin => ({kind: 'model', engine: new HttpEngine(origin)}),
-	plain: origin => ({kind: 'plain', service: new HttpPlainService(origin)}),
+/** How an endpoint of each kind is reached. */
+const endpoints: Readonly<Record<AgentSettings['endpointKind'], (settings: AgentSettings) => Endpoint>> = {
+	model: ({endpoint, endpointAdapter}) => ({kind: 'model', engine: engineAdapters[endpointAdapter](endpoint)}),
+	plain: ({endpoint, endpointAdapter}) => ({kind: 'plain', service: plainServiceAdapters[endpointAdapter](endpoint)}),
 };
 
 /** Handlers of the messages that an agent takes, by kind. */
@@ -74,12 +72,13 @@
 	#isLeaving = false;
 
 	constructor(settings: AgentSettings, log: Log) {
-		const {name, service, limit, maxWaiting, platform} = settings;
-		const endpoint = endpoints[settings.endpointKind](settings.endpoint);
+		const {name, service, limit, maxWaiting} = settings;
+		const endpoint = endpoints[settings.endpointKind](settings);
+		const {members, tables} = platformAdapters[settings.platformAdapter](settings.platform);
 		this.#settings = settings;
 		this.#log = log;
-		this.#membership = new HttpMembershipList(platform);
-		this.#floor = new FenceFloor(new HttpTableService(platform), `${service}/${name}`);
+		this.#membership = members;
+		this.#floor = new FenceFloor(tables, `${service}/${name}`);
 		this.#metrics = new AgentMetrics(this.#registry, () => this.#readState());
 		this.#poison = new PoisonRelay(name, (message, except) => {
 			this.#hub.broadcast(message, except);
@@ -117,9 +116,14 @@
 	}
 
 	async start(): Promise<void> {
-		const {name} = this.#settings;
+		const {name, linkKeys} = this.#settings;
+		const keys = resolveKeys(this.#settings);
+		if (linkKeys.length === 0) {
+			this.#log.warn('no_link_keys', {detail: 'listening on loopback only'});
+		}
+
 		this.#linkServer = new LinkServer(this.#http.server, {
-			identity: {name, keys: () => resolveKeys(this.#settings)},
+			identity: {name, keys},
 			onLink: link => this.#hub.accept(link),
 			onReject: error => {
 				this.#metrics.recordLinkError(error.code);
@@ -150,7 +154,7 @@
 		this.#tellStatus(true);
 		const announced = this.#announce();
 		await drained;
-		await this.#waitForAcknowledgements();
+		await pollUntil(() => this.#executor.countUnacknowledged() === 0, acknowledgeMs);
 		await announced;
 		for (const timer of this.#timers) {
 			clearInterval(timer);
@@ -306,17 +310,6 @@
 		}
 	}
 
-	async #waitForAcknowledgements(): Promise<void> {
-		const giveUpAt = performance.now() + acknowledgeMs;
-		while (this.#executor.countUnacknowledged() > 0 && performance.now() < giveUpAt) {
-			// Each look waits for the one before.
-			// eslint-disable-next-line no-await-in-loop
-			await new Promise(resolve => {
-				setTimeout(resolve, acknowledgePollMs);
-			});
-		}
-	}
-
 	#tellStatus(isUrgent = false): void {
 		const status = this.#describe();
 		if (this.#pace.shouldTell(status, performance.now()) || isUrgent) {
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -3,10 +3,18 @@
  */
 import {z} from 'zod';
 import {isLoopback} from '@wasabiusher/daemon';
+import {engineAdapters, plainServiceAdapters, platformAdapters} from '@wasabiusher/platform';
 
 /** `a,b` as a list of one or two keys. */
 const keysSchema = z.string().transform(text => text.split(',').map(key => key.trim()).filter(Boolean));
 
+/** Names of a table of adapters. */
+function listNames<Name extends string>(adapters: Readonly<Record<Name, unknown>>): Name[] {
+	// The keys of a table whose type names all of them.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	return Object.keys(adapters) as Name[];
+}
+
 export const agentSettingsSchema = z.object({
 	name: z.string().min(1).describe('name of this process, unique among all'),
 	listen: z.string().default('127.0.0.1:0').describe('ip:port for links and operations'),
@@ -15,7 +23,9 @@
 	service: z.string().min(1).describe('name of the service that the endpoint belongs to'),
 	endpointKind: z.enum(['model', 'plain']).describe('model for an engine, plain for any other service'),
 	endpoint: z.url().describe('origin of the endpoint, such as http://127.0.0.1:8000'),
+	endpointAdapter: z.enum(listNames({...engineAdapters, ...plainServiceAdapters})).default('http').describe('wire format of the endpoint'),
 	platform: z.url().describe('origin of the platform services'),
+	platformAdapter: z.enum(listNames(platformAdapters)).default('http').describe('wire format of the platform services'),
 	linkKeys: keysSchema.default([]).describe('keys of the links, comma-separated; the first proves, all verify'),
 	limit: z.coerce.number().int().min(1).default(8).describe('requests run at once at the most'),
 	maxWaiting: z.coerce.number().int().min(0).default(256).describe('requests waiting at the most'),
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -11,6 +11,7 @@
 export * from './invariants.js';
 export * from './objective-metrics.js';
 export * from './placement-runner.js';
+export * from './poll-until.js';
 export type {Delivery} from './steps-delivery.js';
 export * from './steps-endpoints.js';
 export type {FindOptions, Placement} from './steps-placement.js';
--- a/packages/systems/src/retired-models.ts
+++ b/packages/systems/src/retired-models.ts
@@ -1,9 +1,7 @@
 /**
  * Models that an endpoint is about to unload: no new work is taken for them, and what runs is let end.
  */
-
-/** How often it is looked whether the last run of a model has ended, in milliseconds. */
-const pollMs = 50;
+import {pollUntil} from './poll-until.js';
 
 /** Models of one endpoint for which no work is taken at present. */
 export class RetiredModels {
@@ -29,15 +27,6 @@
 
 	/** Resolves to whether nothing runs for the model any more, at the latest after the given time. */
 	async waitForRuns(model: string, timeoutMs: number): Promise<boolean> {
-		const giveUpAt = performance.now() + timeoutMs;
-		while (this.#isRunning(model) && performance.now() < giveUpAt) {
-			// Each look waits for the one before.
-			// eslint-disable-next-line no-await-in-loop
-			await new Promise(resolve => {
-				setTimeout(resolve, pollMs);
-			});
-		}
-
-		return !this.#isRunning(model);
+		return pollUntil(() => !this.#isRunning(model), timeoutMs);
 	}
 }
