Take an address that can't be dialled for a link that is down

Cause: found by reading: a malformed address in the membership list made dialling throw where nobody caught it, which ends the process; a link closed between its handshake and its start kept its heartbeat for 4 s.

Change: dialling never rejects; a link starts only on an open socket. The first has a test that failed before.

--- a/packages/link/__tests__/link.spec.ts
+++ b/packages/link/__tests__/link.spec.ts
@@ -205,6 +205,22 @@
 		expect(mostWaiting).to.be.at.most(maxBufferedBytes);
 	});
 
+	it('takes an address that can not be dialled for a link that is down, and stays calm when closed', async () => {
+		const caller = openCaller('no address at all', entry);
+		await waitUntil(() => caller.downs.length === 1);
+		expect(caller.downs[0]?.code).to.equal('protocol');
+		expect(caller.client.isUp).to.equal(false);
+	});
+
+	it('does not come up once it was closed during its handshake', async () => {
+		const echo = await openEcho(agent);
+		const caller = openCaller(echo.address, entry);
+		caller.client.close();
+		await waitUntil(() => caller.downs.length > 0);
+		expect(caller.ups).to.equal(0);
+		expect(caller.client.isUp).to.equal(false);
+	});
+
 	it('ends in order: all that was sent arrives first', async () => {
 		const echo = await openEcho(agent);
 		const caller = openCaller(echo.address, entry);
--- a/packages/link/src/client.ts
+++ b/packages/link/src/client.ts
@@ -60,16 +60,19 @@
 		this.#socket?.terminate();
 	}
 
+	/** Never rejects: an address that can't be dialled is a link that is down. */
 	async #dial(): Promise<void> {
 		const {address, identity} = this.#options;
-		const socket = new WebSocket(`ws://${address}${linkPath}`, {maxPayload: maxFrameBytes, perMessageDeflate: false});
-		const inbox = new Inbox(socket);
-		this.#socket = socket;
 		try {
+			const socket = new WebSocket(`ws://${address}${linkPath}`, {maxPayload: maxFrameBytes, perMessageDeflate: false});
+			this.#socket = socket;
+			const inbox = new Inbox(socket);
 			const peer = await offerHandshake(socket, inbox, identity, this.#limits.handshakeMs);
-			this.#open(socket, inbox, peer);
+			if (!this.#isClosed) {
+				this.#open(socket, inbox, peer);
+			}
 		} catch (error) {
-			socket.terminate();
+			this.#socket?.terminate();
 			this.#fail(error instanceof LinkError ? error : new LinkError('protocol', String(error), error));
 		}
 	}
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -71,6 +71,12 @@
 
 	/** Begins to deliver messages; called when the owner is ready for them. */
 	start(): void {
+		// It may have closed between its handshake and now, when nobody listened.
+		if (this.#socket.readyState !== this.#socket.OPEN) {
+			this.close(new LinkError('closed', `closed by ${this.peer}`));
+			return;
+		}
+
 		this.#inbox.connect(data => {
 			this.#receive(data);
 		});
