Lend the slots again when interactive requests stay away

Cause: Headroom forgot only when it was told of a request.

Change: what is reserved is worked out for the time of asking; `limitFor` takes `now` (executor-load.ts passes it).

--- a/packages/decisions/__tests__/concurrency-limit.spec.ts
+++ b/packages/decisions/__tests__/concurrency-limit.spec.ts
@@ -19,6 +19,15 @@
 		expect(limit.limit).to.be.within(16, 40);
 	});
 
+	it('lends the slots again when interactive requests stay away', () => {
+		const limit = new ConcurrencyLimit({min: 1, max: 8, initial: 8});
+		limit.observeInteractive(4, 0);
+		limit.observeInteractive(0, 60_000);
+		expect(limit.limitFor('rollout', 60_000)).to.equal(4);
+		// Nothing has been observed since.
+		expect(limit.limitFor('rollout', 120_000)).to.equal(7);
+	});
+
 	it('forgets a floor from before the endpoint slowed down', () => {
 		const limit = new ConcurrencyLimit({min: 1, max: 200, initial: 16});
 		drive(limit, 16, 0, 2000);
@@ -82,15 +91,15 @@
 
 	it('keeps slots for interactive requests, by what they used lately', () => {
 		const limit = new ConcurrencyLimit({min: 1, max: 8, initial: 8});
-		expect([limit.limitFor('interactive'), limit.limitFor('rollout'), limit.limitFor('background')]).to.deep.equal([8, 7, 6]);
+		expect([limit.limitFor('interactive', 0), limit.limitFor('rollout', 0), limit.limitFor('background', 0)]).to.deep.equal([8, 7, 6]);
 		for (let now = 0; now <= 30_000; now += 100) {
 			limit.observeInteractive(now % 200 === 0 ? 4 : 0, now);
 		}
 
 		// Some four at once lately, of which four are in flight at the end.
-		expect(limit.limitFor('rollout')).to.equal(7);
+		expect(limit.limitFor('rollout', 30_000)).to.equal(7);
 		limit.observeInteractive(0, 30_100);
-		expect(limit.limitFor('rollout')).to.be.within(4, 5);
+		expect(limit.limitFor('rollout', 30_100)).to.be.within(4, 5);
 	});
 });
 
--- a/packages/decisions/src/concurrency-limit.ts
+++ b/packages/decisions/src/concurrency-limit.ts
@@ -76,8 +76,8 @@
 	}
 
 	/** Requests that may be in flight when one of this class starts, as `Headroom` leaves them; always at least one. */
-	limitFor(name: PriorityClass): number {
-		return this.#headroom.limitFor(name, this.limit);
+	limitFor(name: PriorityClass, now: number): number {
+		return this.#headroom.limitFor(name, this.limit, now);
 	}
 
 	/** Notes how many interactive requests are in flight there from `now` on. */
--- a/packages/decisions/src/headroom.ts
+++ b/packages/decisions/src/headroom.ts
@@ -25,6 +25,9 @@
 const idleReserve = 1;
 const minLimitForReserve = 8;
 
+/** Requests in the mean that are as good as none: the mean never quite comes to nothing. */
+const negligible = 0.05;
+
 /** Slots that each class leaves free, in parts of what is reserved; background work leaves more than rollouts. */
 const classReserve: Readonly<Record<PriorityClass, number>> = {interactive: 0, rollout: 1, background: 1.5};
 
@@ -37,23 +40,33 @@
 
 	/** Notes how many interactive requests are in flight from `now` on. */
 	observe(inFlight: number, now: number): void {
-		const weight = this.#observedAt === undefined ? 1 : 1 - Math.exp(-(now - this.#observedAt) / memoryMs);
-		const difference = this.#current - this.#mean;
-		this.#mean += weight * difference;
-		this.#variance = (1 - weight) * (this.#variance + (weight * (difference ** 2)));
+		const {mean, variance} = this.#project(now);
+		this.#mean = mean;
+		this.#variance = variance;
 		this.#observedAt = now;
 		this.#current = inFlight;
 	}
 
 	/** Slots to be left free now, besides those that interactive requests already use. */
-	reserve(limit: number): number {
-		const expected = Math.ceil(this.#mean + (deviations * Math.sqrt(this.#variance)));
+	reserve(limit: number, now: number): number {
+		const {mean, variance} = this.#project(now);
+		const expected = Math.ceil(mean + (deviations * Math.sqrt(variance)) - negligible);
 		const wanted = Math.max(expected - this.#current, limit >= minLimitForReserve ? idleReserve : 0);
 		return Math.min(wanted, Math.floor(maxPart * limit));
 	}
 
 	/** Requests that may be in flight in all when one of this class starts; always at least one. */
-	limitFor(name: PriorityClass, limit: number): number {
-		return Math.max(1, limit - Math.ceil(classReserve[name] * this.reserve(limit)));
+	limitFor(name: PriorityClass, limit: number, now: number): number {
+		return Math.max(1, limit - Math.ceil(classReserve[name] * this.reserve(limit, now)));
+	}
+
+	/** Mean and variance as they are now, with what has been in flight since the last observation. */
+	#project(now: number): {mean: number; variance: number} {
+		const weight = this.#observedAt === undefined ? 1 : 1 - Math.exp(-(now - this.#observedAt) / memoryMs);
+		const difference = this.#current - this.#mean;
+		return {
+			mean: this.#mean + (weight * difference),
+			variance: (1 - weight) * (this.#variance + (weight * (difference ** 2))),
+		};
 	}
 }
--- a/packages/load/src/model/real-policy.ts
+++ b/packages/load/src/model/real-policy.ts
@@ -124,7 +124,7 @@
 			const candidates = this.#listCandidates(now);
 			const limit = candidates.reduce((sum, candidate) => sum + (candidate.isEjected ? 0 : candidate.limit), 0);
 			const inFlight = candidates.reduce((sum, candidate) => sum + (candidate.isEjected ? 0 : candidate.load), 0);
-			const chosen = inFlight < this.#headroom.limitFor(name, limit) ? chooseEndpoint(candidates, this.#random) : undefined;
+			const chosen = inFlight < this.#headroom.limitFor(name, limit, now) ? chooseEndpoint(candidates, this.#random) : undefined;
 			if (!chosen) {
 				break;
 			}
--- a/packages/systems/src/executor-load.ts
+++ b/packages/systems/src/executor-load.ts
@@ -68,7 +68,7 @@
 
 	/** Runs that may be there when one of a class starts, so that a more urgent one finds a slot. */
 	limitFor(name: PriorityClass): number {
-		return Math.max(1, this.#limit.limitFor(name) - this.#inherited);
+		return Math.max(1, this.#limit.limitFor(name, performance.now()) - this.#inherited);
 	}
 
 	/** Interactive runs at the endpoint. */
