Start the load tool's bundle again, and each bundle once after its build

Cause: a dynamic import in the bundle made its modules lazy, and since some await at their top level they ran in another order than the sources: the bundle of wasabiusher-load ended with 'not iterable' before it read a setting. Nothing had run the bundles.

--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -4,6 +4,7 @@
 import process from 'node:process';
 import {loadSettings, SettingsError, usageStatus} from '@wasabiusher/daemon';
 import {checkOrigins} from './loopback.js';
+import {runModel} from './model/main.js';
 import {createReport, formatReport, isTrue} from './report.js';
 import {runLoad} from './run.js';
 import {loadSettingsSchema} from './settings.js';
@@ -11,11 +12,11 @@
 const program = 'wasabiusher-load';
 
 /** The other programs of this one, by the first argument. */
-const subprograms: Readonly<Record<string, () => Promise<unknown>>> = {
+const subprograms: Readonly<Record<string, () => Promise<void>>> = {
 	async model() {
 		// The model reads what follows its name.
 		process.argv.splice(2, 1);
-		return import('./model/main.js');
+		runModel();
 	},
 };
 
--- a/packages/load/src/model/main.ts
+++ b/packages/load/src/model/main.ts
@@ -2,7 +2,7 @@
  * Prints the experiment: what callers and trainers receive under each pattern of load, beside a baseline.
  */
 import process from 'node:process';
-import {loadSettings, SettingsError, usageStatus} from '@wasabiusher/daemon';
+import {loadSettings} from '@wasabiusher/daemon';
 import {z} from 'zod';
 import {patterns, runExperiment} from './experiment.js';
 import {formatJson, formatTable} from './report.js';
@@ -20,15 +20,9 @@
 	json: z.stringbool().default(false).describe('print a line of JSON a figure'),
 });
 
-try {
+/** Runs the experiments that the arguments after `model` name; throws `SettingsError`. */
+export function runModel(): void {
 	const settings = loadSettings(program, '0.1.0', settingsSchema);
 	const figures = settings.sweep ? runRoutingSweep(settings.seed) : runExperiment(settings.patterns, settings.seed);
 	process.stdout.write(`${settings.json ? formatJson(figures) : formatTable(figures)}\n`);
-} catch (error) {
-	if (!(error instanceof SettingsError)) {
-		throw error;
-	}
-
-	process.stderr.write(`${program}: ${error.message}\n`);
-	process.exitCode = usageStatus;
 }
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,6 +1,11 @@
 /**
  * Bundles each program into `dist/`: one file a program, to be run by Node.js alone.
+ *
+ * Each bundle is started once with `--version`: a program that runs from its sources may fail as a bundle,
+ * as one did whose modules were loaded in another order.
  */
+import {execFileSync} from 'node:child_process';
+import process from 'node:process';
 import {build} from 'esbuild';
 
 /** Programs by the name of their bundle. */
@@ -24,3 +29,10 @@
 	banner: {js: '#!/usr/bin/env node\nimport {createRequire} from \'node:module\'; const require = createRequire(import.meta.url);'},
 	external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
 })));
+
+for (const name of Object.keys(programs)) {
+	const printed = execFileSync(process.execPath, [`dist/${name}.mjs`, '--version'], {encoding: 'utf8'});
+	if (!printed.startsWith(`${name}/`)) {
+		throw new Error(`dist/${name}.mjs --version printed "${printed.trim()}"`);
+	}
+}
