Keep the bundles' own require apart from the libraries'

Cause: unminified bundles, as a profile needs them, did not start: a library imports createRequire as the banner does.

Change: the banner uses a name of its own. Checked: build minified and not.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -25,8 +25,8 @@
 	format: 'esm',
 	target: 'node20',
 	minify: true,
-	// Bundled CommonJS libraries ask for `require`.
-	banner: {js: '#!/usr/bin/env node\nimport {createRequire} from \'node:module\'; const require = createRequire(import.meta.url);'},
+	// Bundled CommonJS libraries ask for `require`; some import `createRequire` themselves.
+	banner: {js: '#!/usr/bin/env node\nimport {createRequire as createBundleRequire} from \'node:module\'; const require = createBundleRequire(import.meta.url);'},
 	external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
 })));
 
