--- a/packages/platform/__tests__/http.spec.ts
+++ b/packages/platform/__tests__/http.spec.ts
@@ -213,6 +213,10 @@
 		});
 		expect(await run()).to.deep.equal(['part', 'finished']);
 		await isRead;
+		// The connection is free again once the client's own handler of that end has returned.
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
 		expect(await run()).to.deep.equal(['part', 'finished']);
 		expect(countOpened()).to.equal(1);
 	});
