Run a second attempt at a slow sample elsewhere, and earlier where it holds up its step

Change: an attempt tells where it runs and its copy avoids that; what would outlast the rest of the step is copied early; the progress of running samples teaches their siblings' length.

--- a/packages/systems/__tests__/dispatcher-attempt.spec.ts
+++ b/packages/systems/__tests__/dispatcher-attempt.spec.ts
@@ -65,7 +65,7 @@
 
 		expect(seen.events).to.deep.equal([createBody(0)]);
 		expect(seen.sent).to.deep.equal([{
-			kind: 'resume', request: 'r', attempt: 1, next: 1,
+			kind: 'resume', request: 'r', attempt: 1, next: 1, sentAgoMs: 300,
 		}]);
 	});
 
--- a/packages/systems/__tests__/dispatcher.spec.ts
+++ b/packages/systems/__tests__/dispatcher.spec.ts
@@ -32,6 +32,16 @@
 		expect(fixture.list('cancel')).to.deep.equal([]);
 	});
 
+	it('sends a call nowhere where another attempt at the same work runs', async () => {
+		const fixture = createFixture(['a1', 'a2']);
+		for (const id of ['c1', 'c2', 'c3']) {
+			submit(fixture, {...createCall(id), avoid: ['a1']});
+		}
+
+		await clock.tickAsync(0);
+		expect(fixture.list('open').map(({agent}) => agent)).to.deep.equal(['a2', 'a2', 'a2']);
+	});
+
 	describe('tells whether a failed call may have run', () => {
 		it('no, when no endpoint could take it', async () => {
 			const fixture = createFixture([]);
--- a/packages/systems/src/call.ts
+++ b/packages/systems/src/call.ts
@@ -20,6 +20,8 @@
 	/** Estimated work in tokens, or 1 for a plain call. */
 	cost: number;
 	fingerprint: string;
+	/** Endpoints that it must not be sent to: another attempt at the same work runs there. */
+	avoid?: readonly string[];
 	/** Start of the prompt, by which requests that share cached text are recognised. */
 	prefix?: string;
 };
@@ -34,6 +36,8 @@
 
 /** A call on its way. */
 export type Run = {
+	/** Where its attempts are open. */
+	readonly endpoints?: readonly string[];
 	/** The caller is gone: stops the work. Its listener hears nothing more. */
 	cancel(): void;
 	/** The caller reads too slowly: the endpoint's agent is told of no more room until `resume`. None if it can't be held back. */
--- a/packages/systems/src/dispatcher-run.ts
+++ b/packages/systems/src/dispatcher-run.ts
@@ -32,7 +32,7 @@
 	readonly #owner: AttemptOwner;
 	readonly #open = new Set<Attempt>();
 	/** Endpoints that have failed or refused this call. */
-	readonly #tried = new Set<string>();
+	readonly #tried: Set<string>;
 	#isEnded = false;
 	#isPaused = false;
 	#isHedged = false;
@@ -52,6 +52,7 @@
 
 	constructor(call: Call, listener: CallListener, context: RunContext) {
 		this.call = call;
+		this.#tried = new Set(call.avoid);
 		this.#listener = listener;
 		this.#context = context;
 		this.#owner = {
--- a/packages/systems/src/steps-decisions.ts
+++ b/packages/systems/src/steps-decisions.ts
@@ -4,7 +4,7 @@
  * Lengths are learned over all steps of the process, since prompts come back; versions by trainer and model.
  */
 import {
-	judgeDispatch, LengthPrediction, observeVersion, orderSamples, planCopies, type IdleEndpoint, type VersionForecast,
+	judgeDispatch, LengthPrediction, observeVersion, orderSamples, planCopies, type IdleEndpoint, type Straggler, type VersionForecast,
 } from '@wasabiusher/decisions';
 import {hashText} from '@wasabiusher/shared';
 import {toPlace, type StepRequest} from './steps-request.js';
@@ -83,17 +83,29 @@
 		const kind = formatKind(request);
 		const now = performance.now();
 		const drawing = facts.filter(({state}) => state === 'drawing');
-		const stragglers = drawing.map(({place, group, tokens, attempts, startedAt}) => ({
+		const running = drawing.map(slot => this.#describeRunning(request, slot, now));
+		const capacity = running.reduce((sum, {speed}) => sum + speed, 0);
+		const waitingTokens = facts
+			.filter(({state}) => state === 'idle')
+			.reduce((sum, {group}) => sum + this.#lengths.predict(kind, this.#promptOf(request, group), request.maxTokens), 0);
+		const leftTokens = running.reduce((sum, {remainingTokens}) => sum + remainingTokens, waitingTokens);
+		const stragglers = running.map(straggler => ({...straggler, stepLeftMs: leftTokens / capacity}));
+		const startedFraction = facts.filter(({state}) => state !== 'idle').length / facts.length;
+		return planCopies(stragglers, idle, startedFraction, false).map(({sample}) => Number(sample));
+	}
+
+	#describeRunning(request: StepRequest, {place, group, tokens, attempts, startedAt, endpoint}: SlotFacts, now: number): Straggler {
+		const kind = formatKind(request);
+		const prompt = this.#promptOf(request, group);
+		this.#lengths.recordProgress(kind, prompt, tokens);
+		return {
 			id: String(place),
-			// The dispatcher does not say where an attempt runs, and sends a copy where it is expected to be done first.
-			endpoint: '',
-			remainingTokens: this.#lengths.predictRemaining(kind, this.#promptOf(request, group), tokens, request.maxTokens),
+			endpoint,
+			remainingTokens: this.#lengths.predictRemaining(kind, prompt, tokens, request.maxTokens),
 			madeTokens: tokens,
 			speed: Math.max(tokens, 1) / Math.max(1, now - startedAt),
 			isDoubled: attempts > 1,
-		}));
-		const startedFraction = facts.filter(({state}) => state !== 'idle').length / facts.length;
-		return planCopies(stragglers, idle, startedFraction, false).map(({sample}) => Number(sample));
+		};
 	}
 
 	#promptOf(request: StepRequest, group: number): string {
--- a/packages/systems/src/steps-drawing.ts
+++ b/packages/systems/src/steps-drawing.ts
@@ -15,6 +15,8 @@
 /** An attempt on its way. */
 export type Drawing = {
 	readonly draft: Draft;
+	/** Where it runs; empty while it waits. */
+	readonly endpoints: readonly string[];
 	/** Stops the work; its listener hears nothing more. */
 	cancel(): void;
 };
@@ -25,8 +27,17 @@
 	onFailed(problem?: Problem): void;
 };
 
+/** Which attempt to make. */
+export type DrawingOrder = {
+	request: StepRequest;
+	place: number;
+	attempt: string;
+	/** Endpoints where other attempts at the place run. */
+	avoid: readonly string[];
+};
+
 /** Dispatches one attempt at the sample of a place. */
-export function drawSample(dispatcher: Pick<Dispatcher, 'submit'>, {request, place, attempt}: {request: StepRequest; place: number; attempt: string}, listener: DrawingListener): Drawing {
+export function drawSample(dispatcher: Pick<Dispatcher, 'submit'>, {request, place, attempt, avoid}: DrawingOrder, listener: DrawingListener): Drawing {
 	let draft = createDraft();
 	let isOver = false;
 	let isCancelled = false;
@@ -67,11 +78,16 @@
 			});
 		},
 	};
-	const run = dispatcher.submit(createCall(request, place, attempt), callListener);
+	const run = dispatcher.submit(createCall({
+		request, place, attempt, avoid,
+	}), callListener);
 	return {
 		get draft() {
 			return draft;
 		},
+		get endpoints() {
+			return run.endpoints ?? [];
+		},
 		cancel() {
 			isCancelled = true;
 			if (!isOver) {
@@ -89,7 +105,7 @@
 	return {text: text + part.text, tokens: tokens + part.tokens, versions: appendSpan(versions, part.version, part.tokens)};
 }
 
-function createCall(request: StepRequest, place: number, attempt: string): Call {
+function createCall({request, place, attempt, avoid}: DrawingOrder): Call {
 	const {
 		groups, groupSize, model, maxTokens, profile, profileName, service, trainer,
 	} = request;
@@ -107,5 +123,6 @@
 		cost: maxTokens,
 		fingerprint: hashText(prompt),
 		prefix: prompt,
+		avoid,
 	};
 }
--- a/packages/systems/src/steps-maker.ts
+++ b/packages/systems/src/steps-maker.ts
@@ -88,7 +88,12 @@
 
 		this.#outstanding += 1;
 		const {dispatcher} = this.#context;
-		slot.drawings.set(number, drawSample(dispatcher, {request: this.#request, place: slot.place, attempt: `${this.#incarnation}-${number}`}, {
+		// A second attempt beside a slow one would be as slow where that one runs.
+		const avoid = [...slot.drawings.values()].flatMap(({endpoints}) => endpoints);
+		const order = {
+			request: this.#request, place: slot.place, attempt: `${this.#incarnation}-${number}`, avoid,
+		};
+		slot.drawings.set(number, drawSample(dispatcher, order, {
 			onFinished: draft => {
 				void this.#finish(slot, number, draft);
 			},
--- a/packages/systems/src/steps-slots.ts
+++ b/packages/systems/src/steps-slots.ts
@@ -39,6 +39,8 @@
 	attempts: number;
 	/** Tokens that the furthest attempt has made. */
 	tokens: number;
+	/** Where the first attempt runs; empty if it waits. */
+	endpoint: string;
 };
 
 export function createSlots(total: number, groupSize: number): Slot[] {
@@ -49,7 +51,14 @@
 
 export function describeSlot({place, group, state, draws, startedAt, drawings}: Slot): SlotFacts {
 	return {
-		place, group, state, draws, startedAt, attempts: drawings.size, tokens: Math.max(0, ...[...drawings.values()].map(({draft}) => draft.tokens)),
+		place,
+		group,
+		state,
+		draws,
+		startedAt,
+		attempts: drawings.size,
+		tokens: Math.max(0, ...[...drawings.values()].map(({draft}) => draft.tokens)),
+		endpoint: [...drawings.values()].flatMap(({endpoints}) => endpoints)[0] ?? '',
 	};
 }
 
