--- a/packages/systems/src/dispatcher-attempt.ts
+++ b/packages/systems/src/dispatcher-attempt.ts
@@ -192,8 +192,10 @@
 	}
 
 	#sendResume(): void {
+		// By its age the agent can prove that the request never came, if nothing of the answer has.
+		const age = this.#next === 0 ? {sentAgoMs: performance.now() - this.#sentAt} : {};
 		this.#settings.send({
-			kind: 'resume', request: this.#settings.request, attempt: this.number, next: this.#next, sentAgoMs: performance.now() - this.#sentAt,
+			kind: 'resume', request: this.#settings.request, attempt: this.number, next: this.#next, ...age,
 		});
 	}
 
