Bring control within its bytes at the size designed for

Cause: worked out from measured messages, an entry spent 1,956 KB/s on control, 70 times its budget, and an agent 46.4 KB/s: the whole membership list each second as the table had it, load reports five times a second over 208 links, and a pong for each ping. Change: views reach three other data centres, those of the region first; a load report is paced by the agent's links, while health, leaving and models are told at once; beats are not answered, since both ends beat; the tables take these bounds from the code. Ruled out: the list itself: its reading was bounded already, only the table was not. Measured: npm run capacity: entry 27.6 KB/s, agent 3.29 KB/s, reads of the store 907 to 85.5 a second, links of an entry 208 to 88. Conclusion: bytes and reads fit; orders beyond a view and the agent's memory do not.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -312,7 +312,7 @@
 
 	#tellStatus(isUrgent = false): void {
 		const status = this.#describe();
-		if (this.#pace.shouldTell(status, performance.now()) || isUrgent) {
+		if (this.#pace.shouldTell(status, this.#hub.size, performance.now()) || isUrgent) {
 			this.#hub.broadcast({kind: 'status', status});
 		}
 	}
--- a/packages/entry/__tests__/view.spec.ts
+++ b/packages/entry/__tests__/view.spec.ts
@@ -61,6 +61,7 @@
 		view: new View({
 			identity: {name: 'entry-1', keys: ['k']},
 			dataCentre: 'muroran',
+			region: 'hokkaido',
 			membership: {
 				async list() {
 					fixture.readings += 1;
@@ -223,8 +224,8 @@
 		const members = listMembers(20, 200);
 		const counts = new Map<string, number>();
 		for (let i = 0; i < 20; i += 1) {
-			const chosen = new ViewSubset({name: `e${i}`, dataCentre: 'muroran'}).choose(members.toReversed());
-			expect([...chosen]).to.have.members([...new ViewSubset({name: `e${i}`, dataCentre: 'muroran'}).choose(members)]);
+			const chosen = new ViewSubset({name: `e${i}`, dataCentre: 'muroran', region: 'hokkaido'}).choose(members.toReversed());
+			expect([...chosen]).to.have.members([...new ViewSubset({name: `e${i}`, dataCentre: 'muroran', region: 'hokkaido'}).choose(members)]);
 			expect(chosen.size).to.be.within(60, 64);
 			for (const agent of chosen) {
 				counts.set(agent, (counts.get(agent) ?? 0) + 1);
@@ -242,9 +243,19 @@
 			createMember('ledger-1', {service: 'ledger'}),
 			...Array.from({length: 30}, (_, i) => createMember(`far${i}`, {dataCentre: 'ishikari'})),
 		];
-		const chosen = [...new ViewSubset({name: 'e0', dataCentre: 'muroran'}).choose(members)];
+		const chosen = [...new ViewSubset({name: 'e0', dataCentre: 'muroran', region: 'hokkaido'}).choose(members)];
 		expect(chosen).to.include('ledger-1');
 		expect(chosen.filter(id => id.startsWith('far'))).to.have.lengthOf(8);
 		expect(chosen).to.have.lengthOf(64 + 1 + 8);
 	});
+
+	it('spills to a few data centres, those of its own region first, however many there are', () => {
+		const members = Array.from({length: 18}, (_, place) => Array.from({length: 20}, (__, i) => createMember(`dc${place}-${i}`, {
+			dataCentre: `dc${place}`, region: place === 11 ? 'hokkaido' : `region-${place % 6}`,
+		}))).flat();
+		const chosen = [...new ViewSubset({name: 'e0', dataCentre: 'muroran', region: 'hokkaido'}).choose(members)];
+		const dataCentres = new Set(chosen.map(id => id.split('-')[0]));
+		expect(chosen).to.have.lengthOf(3 * 8);
+		expect([...dataCentres]).to.have.lengthOf(3).and.include('dc11');
+	});
 });
--- a/packages/entry/src/control.ts
+++ b/packages/entry/src/control.ts
@@ -24,7 +24,7 @@
  * Entries of a data centre that try for a lease; all of them would read its row every 2 s, which for 1,700 entries
  * are 850 reads a second a service. Three, as one may die and one lag.
  */
-const candidates = 3;
+export const candidates = 3;
 
 /** How often each service is looked at, in milliseconds; answers to orders are followed at once. */
 const tickMs = 250;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -179,10 +179,11 @@
 	}
 
 	#createView(): View {
-		const {name, dataCentre} = this.#settings;
+		const {name, dataCentre, region} = this.#settings;
 		return new View({
 			identity: this.#identity,
 			dataCentre,
+			region,
 			membership: this.#platform.members,
 			random: new Random(hashToNumber(`${name}/links`)),
 			log: this.#log,
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -20,7 +20,7 @@
  * at the most, of the 28 KB/s that a host may spend on control. With today's few tens of hosts it is read
  * each second, with 11,700 every 3 minutes; that an agent leaves is learnt from itself, at once.
  */
-const msPerMember = 15;
+export const msPerMember = 15;
 
 /** Part of the time by which readings are spread, so that entries started together do not read together. */
 const membershipJitter = 0.2;
@@ -40,6 +40,7 @@
 export type ViewSettings = {
 	identity: Identity;
 	dataCentre: string;
+	region: string;
 	membership: MembershipList;
 	random: Random;
 	log: Log;
@@ -82,7 +83,7 @@
 
 	constructor(settings: ViewSettings) {
 		this.#settings = settings;
-		this.#subset = new ViewSubset({name: settings.identity.name, dataCentre: settings.dataCentre});
+		this.#subset = new ViewSubset({name: settings.identity.name, dataCentre: settings.dataCentre, region: settings.region});
 	}
 
 	/** Names of the live entries of this data centre, as last listed. */
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -169,9 +169,8 @@
 			return;
 		}
 
-		if (message.kind === 'ping') {
-			this.send({kind: 'pong', sentAt: message.sentAt});
-		} else if (message.kind !== 'pong') {
+		// Both ends beat, so a beat needs no answer: that it was heard is all it is for.
+		if (message.kind !== 'ping') {
 			this.#listener.onMessage(message);
 		}
 	}
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -109,7 +109,6 @@
 	}),
 	// Liveness.
 	z.object({kind: z.literal('ping'), sentAt: z.number()}),
-	z.object({kind: z.literal('pong'), sentAt: z.number()}),
 	// Entry to agent.
 	z.object({
 		kind: z.literal('open'),
--- a/scripts/capacity/size.ts
+++ b/scripts/capacity/size.ts
@@ -1,7 +1,11 @@
 /**
  * The size designed for, and what follows from it and from the intervals in the code.
  */
+import {fullPaceLinks, msPerLink} from '@wasabiusher/agent';
 import {defaultDegree} from '@wasabiusher/decisions';
+import {
+	controlCandidates, farDataCentres, farDegree, msPerMember,
+} from '@wasabiusher/entry';
 import {defaultLinkLimits} from '@wasabiusher/link';
 
 /** A figure of the bench by its name. */
@@ -23,14 +27,6 @@
 
 /** Intervals and bounds that the code has; named where they stand there. */
 const intervals = {
-	/** `reportMs` of the agent: a changing endpoint is told of this often. */
-	reportsPerSecond: 5,
-	/** `quietMs` of the agent: an unchanging one. */
-	quietReportsPerSecond: 1,
-	/** `farDegree` of the entry's view. */
-	farDegree: 8,
-	/** `membershipMs` of the entry's view. */
-	membershipReadsPerSecond: 1,
 	/** `readersPerDataCentre` of the configuration's adopter. */
 	readersPerDataCentre: 3,
 	/** `configurationMs` and `digestTicks`. */
@@ -38,6 +34,8 @@
 	/** Gatherers of claims, and the least time between their transactions. */
 	gatherersPerDataCentre: 2,
 	gathersPerSecond: 5,
+	/** Entries of a data centre that try for a rollout lease. */
+	controlCandidates,
 	/** Rounds of a lease: three in a term of six seconds. */
 	leaseRoundsPerSecond: 0.5,
 } as const;
@@ -67,6 +65,8 @@
 	openRequestsOfEntry: number;
 	changesPerSecond: number;
 	heartbeatsPerSecond: number;
+	reportsPerSecond: number;
+	membershipReadsPerSecond: number;
 	entriesOfDataCentre: number;
 	endpointsOfDataCentre: number;
 };
@@ -77,7 +77,8 @@
 	const {
 		entries, endpoints, dataCentres, requestsPerSecond, tokensPerSecond, changesPerDay,
 	} = given;
-	const linksOfEntry = defaultDegree + ((dataCentres - 1) * intervals.farDegree);
+	const linksOfEntry = defaultDegree + (Math.min(farDataCentres, dataCentres - 1) * farDegree);
+	const linksOfAgent = linksOfEntry * entries / endpoints;
 	const tokensOfRequest = tokensPerSecond / requestsPerSecond;
 	const requestsOfEntry = requestsPerSecond / entries;
 	return {
@@ -86,7 +87,7 @@
 		...assumed,
 		hosts: entries + endpoints,
 		linksOfEntry,
-		linksOfAgent: linksOfEntry * entries / endpoints,
+		linksOfAgent,
 		requestsOfEntry,
 		tokensOfEntry: tokensPerSecond / entries,
 		requestsOfAgent: requestsPerSecond / endpoints,
@@ -95,6 +96,8 @@
 		// Little's law.
 		openRequestsOfEntry: requestsOfEntry * tokensOfRequest / assumed.tokensPerSecondOfStream,
 		changesPerSecond: changesPerDay / secondsOfDay,
+		reportsPerSecond: 1000 / ((linksOfAgent - fullPaceLinks) * msPerLink),
+		membershipReadsPerSecond: 1000 / ((entries + endpoints) * msPerMember),
 		heartbeatsPerSecond: 1000 / defaultLinkLimits.heartbeatMs,
 		entriesOfDataCentre: entries / dataCentres,
 		endpointsOfDataCentre: endpoints / dataCentres,
--- a/scripts/capacity/tables.ts
+++ b/scripts/capacity/tables.ts
@@ -39,10 +39,10 @@
 	const delta = {bytes: evaluate(figure('configuration delta bytes'), 1), us: evaluate(figure('configuration delta CPU'), 1)};
 	return [
 		{
-			what: 'pings and pongs, both ways', perSecond: links * size.heartbeatsPerSecond * 4, ...heartbeat, mechanism: 'heartbeat on each link',
+			what: 'heartbeats, both ways', perSecond: links * size.heartbeatsPerSecond * 2, ...heartbeat, mechanism: 'heartbeat on each link',
 		},
 		{
-			what: 'load reports', perSecond: links * size.reportsPerSecond, ...report, mechanism: 'status at each change, five a second at most',
+			what: 'load reports', perSecond: links * size.reportsPerSecond, ...report, mechanism: 'status, paced by the agent\'s links; a turn of health at once',
 		},
 		{
 			what: 'configuration digests', perSecond: links * 2 * (size.digestsPerSecond + size.changesPerSecond), ...heartbeat, mechanism: 'digests on the links; a digest is counted as a heartbeat',
@@ -141,7 +141,7 @@
 	const rows: Array<[what: string, writes: number, reads: number, mechanism: string]> = [
 		['configuration', size.changesPerSecond, size.dataCentres * size.readersPerDataCentre, 'compare-and-set on the head; readers by rank'],
 		['renewals of leases', leases * size.leaseRoundsPerSecond, 0, 'one lease a model service and a step'],
-		['entries that wait for a rollout lease', 0, size.entries * size.modelServices * size.leaseRoundsPerSecond, 'each entry looks at each rollout lease'],
+		['entries that wait for a rollout lease', 0, size.dataCentres * size.controlCandidates * size.modelServices * size.leaseRoundsPerSecond, 'a few entries of each data centre, by rank'],
 		['claims and their outcomes, at most', size.dataCentres * size.gatherersPerDataCentre * size.gathersPerSecond, 0, 'gathered in each data centre, up to 200 rows a transaction'],
 		['samples', size.trainers * size.batchesPerSecond, 0, 'group commit by the step\'s owner'],
 	];
