--- a/packages/embedded/src/trainer.ts
+++ b/packages/embedded/src/trainer.ts
@@ -11,6 +11,9 @@
 /** Wait before a lost stream is opened again, in milliseconds. */
 const reconnectMs = 100;
 
+/** Work of the trainer on one sample, in milliseconds; what it does while it waits for none. */
+const workMs = 20;
+
 export type StepOrder = {
 	id: string;
 	profile: string;
@@ -39,9 +42,10 @@
 	staleness: Map<number, number>;
 	/** Time without a sample to work on while the step was not whole, in milliseconds. */
 	idleMs: number;
+	/** When the trainer will have worked through what it has, on the monotonic clock. */
+	busyUntil: number;
 	/** Of the last sample received. */
 	cursor: string;
-	lastReceivedAt: number;
 };
 
 /** Draws steps one at a time. */
@@ -56,7 +60,7 @@
 	/** Draws a step until it is whole or the signal is aborted. */
 	async draw(order: StepOrder, signal?: AbortSignal): Promise<Received> {
 		const received: Received = {
-			samples: new Map(), doubled: 0, staleness: new Map(), idleMs: 0, cursor: '', lastReceivedAt: performance.now(),
+			samples: new Map(), doubled: 0, staleness: new Map(), idleMs: 0, cursor: '', busyUntil: performance.now(),
 		};
 		const total = order.groups.length * order.groupSize;
 		await this.#open(order);
@@ -127,13 +131,14 @@
 	}
 
 	#receive(received: Received, sample: Sample, statedVersion: number): void {
-		received.idleMs += performance.now() - received.lastReceivedAt;
-		received.lastReceivedAt = performance.now();
 		if (received.samples.has(sample.id)) {
 			received.doubled += 1;
 			return;
 		}
 
+		const now = performance.now();
+		received.idleMs += Math.max(0, now - received.busyUntil);
+		received.busyUntil = Math.max(now, received.busyUntil) + workMs;
 		received.samples.set(sample.id, sample);
 		const behind = statedVersion - Math.min(...sample.versions.map(({version}) => version));
 		received.staleness.set(behind, (received.staleness.get(behind) ?? 0) + 1);
