Do not blame a crash on a request that never reached the endpoint

Cause: in a trial with one poison request a neighbour that waited alone behind it found the endpoint down, was reported as crashed for the second time, and was quarantined. Ruled out: the agents' own record, which named the poison request only; a storm of suspicions: 45 and 55 messages, then none. Change: an attempt that is proven not to have run has not crashed its endpoint. Conclusion: innocents that wait are not quarantined.

--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -479,6 +479,15 @@
 		});
 	});
 
+	it('does not blame a crash on what proves not to have reached the endpoint', async () => {
+		const {executor, find} = createModelExecutor({checkCrash: async () => true});
+		openAll(executor, 'a');
+		await settle();
+		engine.runs[0]!.feed.fail(new PlatformError('unavailable', 'connection refused'));
+		await settle();
+		expect(find('a', 'failed')).to.include({ran: 'no', hasCrashed: false});
+	});
+
 	describe('a suspect', () => {
 		it('runs alone: after what runs, with nothing beside it', async () => {
 			const {executor, find} = createModelExecutor();
--- a/packages/systems/src/execution.ts
+++ b/packages/systems/src/execution.ts
@@ -105,7 +105,10 @@
 /** What the entry is told of a run that failed by itself. */
 export function describeFailure(execution: Execution, error: unknown, hasCrashed: boolean): MessageOf<'failed'> {
 	const {request, attempt} = execution.open;
+	const ran = judgeRan(execution, error);
+	// What found the endpoint down already has not brought it down.
+	const isToBlame = hasCrashed && ran !== 'no';
 	return {
-		kind: 'failed', request, attempt, ran: judgeRan(execution, error), reason: describeError(error), hasCrashed,
+		kind: 'failed', request, attempt, ran, reason: describeError(error), hasCrashed: isToBlame,
 	};
 }
