--- a/packages/embedded/__tests__/whole-path.spec.ts
+++ b/packages/embedded/__tests__/whole-path.spec.ts
@@ -42,7 +42,7 @@
 	beforeEach(async () => {
 		deployment = new Deployment({
 			dataCentres: ['innsbruck-a'], entries: 1, engines: 2, plains: 1, modelService: 'models', plainService: 'ledger', slots: 8, tokenMs: 2, models: {trail: 3},
-		}, createSilentLog());
+		}, createSilentLog);
 		await deployment.start();
 		const {addresses} = deployment.entries[0]!;
 		callers = `http://${addresses.callers}`;
--- a/packages/embedded/src/deployment.ts
+++ b/packages/embedded/src/deployment.ts
@@ -30,12 +30,13 @@
 	readonly agents: Agent[] = [];
 	readonly entries: Entry[] = [];
 	readonly #size: DeploymentSize;
-	readonly #log: Log;
+	readonly #createLog: (name: string) => Log;
 	#platformOrigin = '';
 
-	constructor(size: DeploymentSize, log: Log) {
+	/** @param createLog - gives each process a log of its name */
+	constructor(size: DeploymentSize, createLog: (name: string) => Log) {
 		this.#size = size;
-		this.#log = log;
+		this.#createLog = createLog;
 	}
 
 	async start(): Promise<void> {
@@ -81,13 +82,14 @@
 	}
 
 	async #startAgent(settings: Record<string, string | number>): Promise<void> {
-		const agent = new Agent(agentSettingsSchema.parse({...settings, platform: this.#platformOrigin}), this.#log);
+		const agent = new Agent(agentSettingsSchema.parse({...settings, platform: this.#platformOrigin}), this.#createLog(String(settings.name)));
 		this.agents.push(agent);
 		await agent.start();
 	}
 
 	async #startEntry(index: number): Promise<void> {
-		const entry = new Entry(entrySettingsSchema.parse({name: `entry-${index}`, dataCentre: this.#placeOf(index), platform: this.#platformOrigin}), this.#log);
+		const name = `entry-${index}`;
+		const entry = new Entry(entrySettingsSchema.parse({name, dataCentre: this.#placeOf(index), platform: this.#platformOrigin}), this.#createLog(name));
 		this.entries.push(entry);
 		await entry.start();
 	}
--- a/packages/embedded/src/main.ts
+++ b/packages/embedded/src/main.ts
@@ -28,7 +28,6 @@
 const readyMs = 10_000;
 
 const settings = loadSettings('wasabiusher-demo', '0.1.0', settingsSchema);
-const log = new Log('demo', settings.logLevel);
 
 function say(line: string): void {
 	if (!settings.json) {
@@ -77,7 +76,7 @@
 async function startSite(site: Site): Promise<{site: Site; deployment: Deployment; configuration: Configuration}> {
 	const {size} = site;
 	say(`${site.title}: ${size.dataCentres.join(', ')}; ${size.entries} entries, ${size.engines} engines, ${size.plains} plain endpoints`);
-	const deployment = new Deployment(size, log);
+	const deployment = new Deployment(size, name => new Log(name, settings.logLevel));
 	await deployment.start();
 	const configuration = await loadExample(site);
 	await apply(deployment, configuration);
