Read the rest of a stream whose end comes late instead of cutting it

Cause: undici's dump counts the bytes read before it was called. A stream longer than 1,024 bytes whose end arrives in a later turn than its terminal event was aborted, so its connection was not used again.

Ruled out: load of the machine alone; a new test that holds the end back times out each time before the change (1 of 1) and passes after it.

--- a/packages/platform/__tests__/http.spec.ts
+++ b/packages/platform/__tests__/http.spec.ts
@@ -1,6 +1,6 @@
 import {subscribe, unsubscribe} from 'node:diagnostics_channel';
 import {once} from 'node:events';
-import {createServer as createHttpServer} from 'node:http';
+import {createServer as createHttpServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {createServer, type Server, type Socket} from 'node:net';
 import {expect} from 'chai';
 import {z} from 'zod';
@@ -58,14 +58,16 @@
 	}
 
 	/** A server that ends its answers a moment after their text. */
-	async function serveStream(text: string): Promise<{server: Server; countOpened(): number}> {
+	async function serveStream(text: string, finish = (end: () => void) => {
+		setTimeout(end, 1);
+	}): Promise<{server: Server; countOpened(): number}> {
 		let opened = 0;
 		const server = createHttpServer((request, response) => {
 			request.resume();
 			response.write(text);
-			setTimeout(() => {
+			finish(() => {
 				response.end();
-			}, 1);
+			});
 		});
 		server.on('connection', (socket: Socket) => {
 			opened += 1;
@@ -222,6 +224,41 @@
 		expect(countOpened()).to.equal(1);
 	});
 
+	it('does not cut a long stream whose end comes after its terminal event was read', async () => {
+		const chunk = JSON.stringify({choices: [{text: 'a', finish_reason: 'stop'}], version: 1, tokens: 1});
+		let isCut = false;
+		let end: (() => void) | undefined;
+		const {server} = await serveStream(`: ${'x'.repeat(200_000)}\n\ndata: ${chunk}\n\ndata: [DONE]\n\n`, finish => {
+			end = finish;
+		});
+		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+			response.once('close', () => {
+				isCut = !response.writableFinished;
+			});
+		});
+		const isRead = new Promise<void>(resolve => {
+			const onEnd = () => {
+				unsubscribe('undici:request:trailers', onEnd);
+				resolve();
+			};
+
+			subscribe('undici:request:trailers', onEnd);
+		});
+		for await (const event of new HttpEngine(formatOrigin(server)).generate({model: 'm', maxTokens: 1}, {requestId: 'r', priority: 0, signal: new AbortController().signal})) {
+			if (event.kind === 'finished') {
+				break;
+			}
+		}
+
+		// Turns in which a cut would have been made.
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
+		end!();
+		await isRead;
+		expect(isCut).to.equal(false);
+	});
+
 	describe('forwarding', () => {
 		async function forward(origin: string, path: string, method = 'GET'): Promise<PlainEvent[]> {
 			const events: PlainEvent[] = [];
--- a/packages/platform/src/http-engine.ts
+++ b/packages/platform/src/http-engine.ts
@@ -44,6 +44,24 @@
 	};
 }
 
+/**
+ * Reads what is left of a stream and drops it.
+ *
+ * Undici's own `dump` counts the bytes that were read before as well, so it cuts each stream
+ * longer than its limit whose end comes later than its terminal event.
+ */
+function discardRest(body: Dispatcher.ResponseData['body']): void {
+	let rest = 0;
+	// A stream that breaks after its terminal event was whole; its connection is not used again.
+	body.on('error', () => undefined);
+	body.on('data', (chunk: Uint8Array) => {
+		rest += chunk.length;
+		if (rest > restBytes) {
+			body.destroy();
+		}
+	});
+}
+
 /** Speaks an engine's HTTP interface at an origin. */
 export class HttpEngine implements Engine {
 	readonly #origin: string;
@@ -105,7 +123,7 @@
 	/** A whole stream is read to its end, so that its connection can be used again; any other is cut. */
 	#release(body: Dispatcher.ResponseData['body'], isWhole: boolean): void {
 		if (isWhole) {
-			void body.dump({limit: restBytes}).catch(() => undefined);
+			discardRest(body);
 		} else {
 			body.destroy();
 		}
