Name the clients of platform and endpoints backends, and make room for the users' platform

The folder platform/ at the root is for the translation to the users' platform; what packages/platform held (interfaces and our own HTTP formats) is packages/backends.

--- a/packages/agent/__tests__/endpoint-watch.spec.ts
+++ b/packages/agent/__tests__/endpoint-watch.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import type {EngineReport} from '@wasabiusher/platform';
+import type {EngineReport} from '@wasabiusher/backends';
 import {EndpointWatch} from '../src/endpoint-watch.js';
 import {OrderedEngine} from './fixtures.js';
 
--- a/packages/agent/__tests__/fixtures.ts
+++ b/packages/agent/__tests__/fixtures.ts
@@ -3,7 +3,7 @@
  */
 import {
 	PlatformError, type Engine, type EngineOrder, type EngineReport,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 
 /** An engine of which only orders and reports matter; it ignores fences unless told otherwise. */
 export class OrderedEngine implements Pick<Engine, 'order' | 'report'> {
--- a/packages/agent/__tests__/order-desk.spec.ts
+++ b/packages/agent/__tests__/order-desk.spec.ts
@@ -1,6 +1,6 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {PlatformError} from '@wasabiusher/platform';
+import {PlatformError} from '@wasabiusher/backends';
 import {createSilentLog} from '@wasabiusher/shared';
 import {MemoryTableService} from '@wasabiusher/standins';
 import {FenceFloor} from '../src/fence-floor.js';
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -8,7 +8,7 @@
 } from '@wasabiusher/link';
 import {
 	engineAdapters, plainServiceAdapters, platformAdapters, type MembershipList,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 import {
 	describeError, hashToNumber, Random, type Log,
 } from '@wasabiusher/shared';
--- a/packages/agent/src/endpoint-watch.ts
+++ b/packages/agent/src/endpoint-watch.ts
@@ -1,7 +1,7 @@
 /**
  * Watches the endpoint: its health, what it reports, and whether it has crashed.
  */
-import type {EngineReport} from '@wasabiusher/platform';
+import type {EngineReport} from '@wasabiusher/backends';
 import type {Endpoint} from '@wasabiusher/systems';
 
 /** What is known of the endpoint from its last report. */
--- a/packages/agent/src/fence-floor.ts
+++ b/packages/agent/src/fence-floor.ts
@@ -4,7 +4,7 @@
  * Written before the first order of each fence, which is once for each change of the lease, and read once
  * after a start. Without it, a holder whose lease has lapsed could give orders to an agent that was restarted.
  */
-import {PlatformError, type TableService} from '@wasabiusher/platform';
+import {PlatformError, type TableService} from '@wasabiusher/backends';
 import {z} from 'zod';
 import {AgentError} from './errors.js';
 
--- a/packages/agent/src/order-desk.ts
+++ b/packages/agent/src/order-desk.ts
@@ -9,7 +9,7 @@
 import type {MessageOf} from '@wasabiusher/link';
 import {
 	PlatformError, type Engine, type EngineOrder, type EngineReport,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 import {describeError, type Log} from '@wasabiusher/shared';
 import {AgentError} from './errors.js';
 import type {FenceFloor} from './fence-floor.js';
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -3,7 +3,7 @@
  */
 import {z} from 'zod';
 import {isLoopback} from '@wasabiusher/daemon';
-import {engineAdapters, plainServiceAdapters, platformAdapters} from '@wasabiusher/platform';
+import {engineAdapters, plainServiceAdapters, platformAdapters} from '@wasabiusher/backends';
 
 /** `a,b` as a list of one or two keys. */
 const keysSchema = z.string().transform(text => text.split(',').map(key => key.trim()).filter(Boolean));
--- a/packages/cli/src/burn-report.ts
+++ b/packages/cli/src/burn-report.ts
@@ -6,7 +6,7 @@
 import {
 	addWindowCounts, burnWindowNames, burnWindows, judgeBurn, mapBurnWindows, type BurnAlert, type BurnCounts, type BurnWindow, type WindowCounts,
 } from '@wasabiusher/decisions';
-import {toPlatformError} from '@wasabiusher/platform';
+import {toPlatformError} from '@wasabiusher/backends';
 import {describeError} from '@wasabiusher/shared';
 
 /** Names of the metrics that entries keep for each profile's objectives. */
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -6,7 +6,7 @@
  */
 import {request, type Dispatcher} from 'undici';
 import {z} from 'zod';
-import {PlatformError, toPlatformError} from '@wasabiusher/platform';
+import {PlatformError, toPlatformError} from '@wasabiusher/backends';
 import {acceptedConfigurationSchema, type AcceptedConfiguration, type Configuration} from '@wasabiusher/shared';
 import {CliError} from './errors.js';
 import {statusSchema, type EntryStatus} from './status.js';
--- a/packages/entry/__tests__/claims.spec.ts
+++ b/packages/entry/__tests__/claims.spec.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {HttpServer} from '@wasabiusher/daemon';
 import type {Identity} from '@wasabiusher/link';
-import type {Member} from '@wasabiusher/platform';
+import type {Member} from '@wasabiusher/backends';
 import {createSilentLog, orderByRank, profileSchema} from '@wasabiusher/shared';
 import {Invariants, type Call, type CallListener} from '@wasabiusher/systems';
 import {Faults, FaultyObjects, FaultyTables} from '../../record/__tests__/faulty-storage.js';
--- a/packages/entry/__tests__/fake-agent.ts
+++ b/packages/entry/__tests__/fake-agent.ts
@@ -3,7 +3,7 @@
 	LinkServer, type Link, type Message, type MessageOf,
 } from '@wasabiusher/link';
 import {listen} from '@wasabiusher/daemon';
-import type {Member} from '@wasabiusher/platform';
+import type {Member} from '@wasabiusher/backends';
 import {createStatus, type Reply} from './fixtures.js';
 
 /** An agent on a real link, that answers as the test says. */
--- a/packages/entry/__tests__/forwarding.spec.ts
+++ b/packages/entry/__tests__/forwarding.spec.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {Pool} from 'undici';
-import {listEndToEndHeaders} from '@wasabiusher/platform';
+import {listEndToEndHeaders} from '@wasabiusher/backends';
 import {
 	startRoutes, waitUntil, type Reply, type Routes,
 } from './fixtures.js';
--- a/packages/entry/__tests__/view.spec.ts
+++ b/packages/entry/__tests__/view.spec.ts
@@ -1,7 +1,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import type {LinkClientOptions, Message} from '@wasabiusher/link';
-import type {Member} from '@wasabiusher/platform';
+import type {Member} from '@wasabiusher/backends';
 import {createSilentLog, Random} from '@wasabiusher/shared';
 import {Dispatcher} from '@wasabiusher/systems';
 import {View, type AgentLink} from '../src/view.js';
--- a/packages/entry/src/announcer.ts
+++ b/packages/entry/src/announcer.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps this process's row in the membership list.
  */
-import type {Member, MembershipList} from '@wasabiusher/platform';
+import type {Member, MembershipList} from '@wasabiusher/backends';
 import {describeError, type Log} from '@wasabiusher/shared';
 
 /** How often the row is written again, in milliseconds; the list forgets who is silent for longer. */
--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -3,7 +3,7 @@
  */
 import type {Server} from 'node:http';
 import type {Identity} from '@wasabiusher/link';
-import type {Member, ObjectStore, TableService} from '@wasabiusher/platform';
+import type {Member, ObjectStore, TableService} from '@wasabiusher/backends';
 import {ClaimLog} from '@wasabiusher/record';
 import {hashToNumber, Random, type Log} from '@wasabiusher/shared';
 import {
--- a/packages/entry/src/control.ts
+++ b/packages/entry/src/control.ts
@@ -13,7 +13,7 @@
  * ```
  */
 import type {EndpointStatus, Message} from '@wasabiusher/link';
-import type {TableService, WeightStore} from '@wasabiusher/platform';
+import type {TableService, WeightStore} from '@wasabiusher/backends';
 import {LeaseHolder, TakeOverPace} from '@wasabiusher/record';
 import {orderByRank, type Log, type Random} from '@wasabiusher/shared';
 import {
--- a/packages/entry/src/entry-peers.ts
+++ b/packages/entry/src/entry-peers.ts
@@ -7,7 +7,7 @@
 import {
 	LinkClient, LinkError, LinkServer, type Identity, type Link, type Message, type MessageOf,
 } from '@wasabiusher/link';
-import type {Member} from '@wasabiusher/platform';
+import type {Member} from '@wasabiusher/backends';
 import type {Log, Random} from '@wasabiusher/shared';
 
 /** Messages between entries; all others are dropped. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,7 +4,7 @@
 import {Registry, collectDefaultMetrics} from 'prom-client';
 import {addOperationRoutes, HttpServer, type Daemon} from '@wasabiusher/daemon';
 import type {Identity, Message} from '@wasabiusher/link';
-import {platformAdapters, type Member, type Platform} from '@wasabiusher/platform';
+import {platformAdapters, type Member, type Platform} from '@wasabiusher/backends';
 import {ConfigurationHistory} from '@wasabiusher/record';
 import {
 	hashToNumber, Random, type AcceptedConfiguration, type Configuration, type Log,
--- a/packages/entry/src/forwarding.ts
+++ b/packages/entry/src/forwarding.ts
@@ -4,7 +4,7 @@
 import {randomUUID} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
 import {readBytes, type Exchange} from '@wasabiusher/daemon';
-import {listEndToEndHeaders, splitCookies} from '@wasabiusher/platform';
+import {listEndToEndHeaders, splitCookies} from '@wasabiusher/backends';
 import {createProblem, hashText, type Configuration} from '@wasabiusher/shared';
 import type {CallListener, Run} from '@wasabiusher/systems';
 import {bindRun, sendProblem} from './answers.js';
--- a/packages/entry/src/view-subset.ts
+++ b/packages/entry/src/view-subset.ts
@@ -3,7 +3,7 @@
  * own data centre, and a few elsewhere to spill to.
  */
 import {defaultDegree, findSubset} from '@wasabiusher/decisions';
-import type {Member} from '@wasabiusher/platform';
+import type {Member} from '@wasabiusher/backends';
 import {orderByRank} from '@wasabiusher/shared';
 
 /**
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -7,7 +7,7 @@
 import {
 	LinkClient, LinkError, type Identity, type LinkClientOptions, type Message,
 } from '@wasabiusher/link';
-import type {Member, MembershipList} from '@wasabiusher/platform';
+import type {Member, MembershipList} from '@wasabiusher/backends';
 import {describeError, type Log, type Random} from '@wasabiusher/shared';
 import type {Dispatcher} from '@wasabiusher/systems';
 import {ViewSubset} from './view-subset.js';
--- a/packages/proof/src/entry-node.ts
+++ b/packages/proof/src/entry-node.ts
@@ -2,7 +2,7 @@
  * An entry of the proof: the real systems of an entry, with the wire in place of sockets.
  */
 import type {Message} from '@wasabiusher/link';
-import type {ConditionalWrite, ObjectStore, TableService} from '@wasabiusher/platform';
+import type {ConditionalWrite, ObjectStore, TableService} from '@wasabiusher/backends';
 import {ClaimLog, ConfigurationHistory} from '@wasabiusher/record';
 import type {Log, Random} from '@wasabiusher/shared';
 import {
--- a/packages/proof/src/fake-engine.ts
+++ b/packages/proof/src/fake-engine.ts
@@ -3,7 +3,7 @@
  */
 import {
 	PlatformError, type CacheEvent, type Engine, type EngineOrder, type EngineReport, type GenerationEvent, type GenerationOptions,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 import type {GenerationRequest} from '@wasabiusher/shared';
 import type {Hooks} from './hooks.js';
 
--- a/packages/proof/src/fake-ledger.ts
+++ b/packages/proof/src/fake-ledger.ts
@@ -3,7 +3,7 @@
  */
 import {
 	PlatformError, type PlainEvent, type PlainRequest, type PlainService,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 import type {Hooks} from './hooks.js';
 
 /** Time a posting takes, in milliseconds. */
--- a/packages/proof/src/node-storage.ts
+++ b/packages/proof/src/node-storage.ts
@@ -3,7 +3,7 @@
  */
 import type {
 	ConditionalWrite, ObjectStore, ScanOptions, StoredRow, TableService,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 
 /** What a process that is gone waits for; it never settles. */
 const never = Promise.race<never>([]);
--- a/packages/record/__tests__/faulty-storage.ts
+++ b/packages/record/__tests__/faulty-storage.ts
@@ -1,6 +1,6 @@
 import {
 	PlatformError, type ConditionalWrite, type ObjectStore, type ScanOptions, type StoredRow, type TableService,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 
 /** What becomes of a call: done; not done; done with the answer lost; not done with the answer lost. */
 export type Fault = 'none' | 'down' | 'lost-after' | 'lost-before';
--- a/packages/record/src/claim-log.ts
+++ b/packages/record/src/claim-log.ts
@@ -6,7 +6,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {createHash, randomUUID} from 'node:crypto';
-import type {ObjectStore, StoredRow, TableService} from '@wasabiusher/platform';
+import type {ObjectStore, StoredRow, TableService} from '@wasabiusher/backends';
 import {z} from 'zod';
 import {RecordError} from './errors.js';
 import {GroupCommit, type Committer} from './group-commit.js';
--- a/packages/record/src/configuration-history.ts
+++ b/packages/record/src/configuration-history.ts
@@ -6,7 +6,7 @@
  * a lost answer is settled even after further changes.
  */
 import {randomUUID} from 'node:crypto';
-import type {TableService} from '@wasabiusher/platform';
+import type {TableService} from '@wasabiusher/backends';
 import {
 	acceptedConfigurationSchema, emptyConfiguration, type AcceptedConfiguration, type Configuration,
 } from '@wasabiusher/shared';
--- a/packages/record/src/group-commit.ts
+++ b/packages/record/src/group-commit.ts
@@ -5,7 +5,7 @@
  * batches grow with the load and the number of transactions does not. A condition that fails in one row
  * fails the transaction; the rows are then read, those that lost are told, and the others are sent again.
  */
-import type {StoredRow, TableService} from '@wasabiusher/platform';
+import type {StoredRow, TableService} from '@wasabiusher/backends';
 import {RecordError} from './errors.js';
 import {writeSettled, type GuardedWrite} from './settled-write.js';
 
--- a/packages/record/src/lease-holder.ts
+++ b/packages/record/src/lease-holder.ts
@@ -10,7 +10,7 @@
  * What the caller must do: check `holds()` right before each effect, and send `fence` with it.
  */
 import {randomUUID} from 'node:crypto';
-import type {StoredRow, TableService} from '@wasabiusher/platform';
+import type {StoredRow, TableService} from '@wasabiusher/backends';
 import {describeError, type Log, type Random} from '@wasabiusher/shared';
 import {RecordError} from './errors.js';
 import {
--- a/packages/record/src/lease.ts
+++ b/packages/record/src/lease.ts
@@ -1,7 +1,7 @@
 /**
  * The row of a lease in the table service.
  */
-import {PlatformError, type TableService} from '@wasabiusher/platform';
+import {PlatformError, type TableService} from '@wasabiusher/backends';
 import {z} from 'zod';
 import {RecordError} from './errors.js';
 
--- a/packages/record/src/sample-log.ts
+++ b/packages/record/src/sample-log.ts
@@ -8,7 +8,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
-import type {ObjectStore, StoredRow, TableService} from '@wasabiusher/platform';
+import type {ObjectStore, StoredRow, TableService} from '@wasabiusher/backends';
 import {sampleSchema, type Sample} from '@wasabiusher/shared';
 import {z} from 'zod';
 import {RecordError} from './errors.js';
--- a/packages/record/src/settled-write.ts
+++ b/packages/record/src/settled-write.ts
@@ -6,7 +6,7 @@
  * when it is unchanged is the same conditional write sent again, which is safe because of
  * all its copies, one still on its way included, at most one can meet the condition.
  */
-import {PlatformError, type ConditionalWrite, type TableService} from '@wasabiusher/platform';
+import {PlatformError, type ConditionalWrite, type TableService} from '@wasabiusher/backends';
 import {z} from 'zod';
 import {RecordError} from './errors.js';
 
--- a/packages/standins/__tests__/engine.spec.ts
+++ b/packages/standins/__tests__/engine.spec.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {
 	HttpEngine, PlatformError, type GenerationEvent,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 import type {GenerationRequest} from '@wasabiusher/shared';
 import {
 	blockCharacters, EngineServer, listPrefixes, poisonMarker, type EngineSettings,
--- a/packages/standins/__tests__/memory-storage.spec.ts
+++ b/packages/standins/__tests__/memory-storage.spec.ts
@@ -1,6 +1,6 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {PlatformError} from '@wasabiusher/platform';
+import {PlatformError} from '@wasabiusher/backends';
 import {MemoryObjectStore, MemoryTableService} from '../src/index.js';
 
 async function catchCode(work: Promise<unknown>): Promise<string> {
--- a/packages/standins/__tests__/platform-adapters.spec.ts
+++ b/packages/standins/__tests__/platform-adapters.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {platformAdapters, PlatformError, type Platform} from '@wasabiusher/platform';
+import {platformAdapters, PlatformError, type Platform} from '@wasabiusher/backends';
 import {PlatformServer} from '../src/index.js';
 
 async function catchCode(work: Promise<unknown>): Promise<string> {
--- a/packages/standins/__tests__/platform-server.spec.ts
+++ b/packages/standins/__tests__/platform-server.spec.ts
@@ -1,6 +1,6 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import type {Member} from '@wasabiusher/platform';
+import type {Member} from '@wasabiusher/backends';
 import {MemoryMembershipList, MemoryWeightStore} from '../src/index.js';
 
 function createMember(state: Member['state']): Member {
--- a/packages/standins/src/engine-models.ts
+++ b/packages/standins/src/engine-models.ts
@@ -1,7 +1,7 @@
 /**
  * The models that a stand-in engine holds, and the orders that change them.
  */
-import {PlatformError} from '@wasabiusher/platform';
+import {PlatformError} from '@wasabiusher/backends';
 import type {EngineSwitches, Order} from './engine-settings.js';
 import type {WeightSource} from './memory-weight-store.js';
 import {wait} from './wait.js';
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -7,7 +7,7 @@
 import {
 	HttpServer, readBytes, readJson, sendJson, type ErrorHandler, type Exchange,
 } from '@wasabiusher/daemon';
-import {PlatformError, type EngineReport} from '@wasabiusher/platform';
+import {PlatformError, type EngineReport} from '@wasabiusher/backends';
 import {Random} from '@wasabiusher/shared';
 import {
 	Batch, findEnd, type BatchEvent, type Sink,
--- a/packages/standins/src/http-weight-source.ts
+++ b/packages/standins/src/http-weight-source.ts
@@ -1,7 +1,7 @@
 /**
  * The weight store of a platform stand-in in another process.
  */
-import {callEmpty} from '@wasabiusher/platform';
+import {callEmpty} from '@wasabiusher/backends';
 import type {WeightSource} from './memory-weight-store.js';
 
 /** Longest transfer, in milliseconds; a rate-limited store takes its time. */
--- a/packages/standins/src/memory-membership.ts
+++ b/packages/standins/src/memory-membership.ts
@@ -1,7 +1,7 @@
 /**
  * A membership list that lags: what was announced shows later, and the dead stay listed for a while.
  */
-import type {Member, MembershipList} from '@wasabiusher/platform';
+import type {Member, MembershipList} from '@wasabiusher/backends';
 
 export type MembershipLag = {
 	/** Time before an announcement shows, in milliseconds. */
--- a/packages/standins/src/memory-storage.ts
+++ b/packages/standins/src/memory-storage.ts
@@ -5,7 +5,7 @@
  */
 import {
 	PlatformError, type ConditionalWrite, type ObjectStore, type ScanOptions, type StoredRow, type TableService,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 import {StorageGate, type StorageSwitches} from './storage-gate.js';
 
 /** A transactional table service. A transaction counts as one write, whatever its rows. */
--- a/packages/standins/src/memory-weight-store.ts
+++ b/packages/standins/src/memory-weight-store.ts
@@ -2,7 +2,7 @@
  * A weight store with one rate for all of its readers: many who load at once wait for each other.
  */
 
-import {PlatformError, type WeightStore} from '@wasabiusher/platform';
+import {PlatformError, type WeightStore} from '@wasabiusher/backends';
 import {wait} from './wait.js';
 
 export type WeightStoreSettings = {
--- a/packages/standins/src/platform-server.ts
+++ b/packages/standins/src/platform-server.ts
@@ -7,7 +7,7 @@
 import {
 	HttpServer, readBytes, readJson, sendJson, type ErrorHandler, type Exchange,
 } from '@wasabiusher/daemon';
-import {memberSchema, PlatformError, type PlatformErrorCode} from '@wasabiusher/platform';
+import {memberSchema, PlatformError, type PlatformErrorCode} from '@wasabiusher/backends';
 import {MemoryMembershipList, type MembershipLag} from './memory-membership.js';
 import {MemoryObjectStore, MemoryTableService} from './memory-storage.js';
 import {MemoryWeightStore, type WeightStoreSettings} from './memory-weight-store.js';
--- a/packages/standins/src/prefix-cache.ts
+++ b/packages/standins/src/prefix-cache.ts
@@ -1,7 +1,7 @@
 /**
  * An engine's cache of prompt prefixes: bounded memory, and events that come late and with gaps.
  */
-import type {CacheEvent} from '@wasabiusher/platform';
+import type {CacheEvent} from '@wasabiusher/backends';
 import {hashText, type Random} from '@wasabiusher/shared';
 
 /** Characters of one cached block; engines cache blocks of 16 or so tokens of about four characters. */
--- a/packages/standins/src/storage-gate.ts
+++ b/packages/standins/src/storage-gate.ts
@@ -2,7 +2,7 @@
  * The documented failures of the platform's storage, as switches that any call passes through.
  */
 
-import {PlatformError} from '@wasabiusher/platform';
+import {PlatformError} from '@wasabiusher/backends';
 import {RateLimiter} from './rate-limiter.js';
 import {wait} from './wait.js';
 
--- a/packages/systems/__tests__/executor-fixtures.ts
+++ b/packages/systems/__tests__/executor-fixtures.ts
@@ -4,7 +4,7 @@
 import type {Message, MessageOf} from '@wasabiusher/link';
 import {
 	PlatformError, type CacheEvent, type Engine, type EngineOrder, type EngineReport, type GenerationEvent, type GenerationOptions, type PlainEvent, type PlainService,
-} from '@wasabiusher/platform';
+} from '@wasabiusher/backends';
 import {createSilentLog, type GenerationRequest} from '@wasabiusher/shared';
 import {Executor, type ExecutorSettings} from '../src/index.js';
 
--- a/packages/systems/__tests__/executor-random.spec.ts
+++ b/packages/systems/__tests__/executor-random.spec.ts
@@ -4,7 +4,7 @@
 	array, assert, asyncProperty, boolean, constantFrom, integer, nat, oneof, record,
 } from 'fast-check';
 import type {Message} from '@wasabiusher/link';
-import {PlatformError} from '@wasabiusher/platform';
+import {PlatformError} from '@wasabiusher/backends';
 import {
 	createExecutor, createOpen, createToken, FakeEngine, lastToken, type FakeRun,
 } from './executor-fixtures.js';
--- a/packages/systems/__tests__/executor.spec.ts
+++ b/packages/systems/__tests__/executor.spec.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import type {Verdict} from '@wasabiusher/decisions';
 import type {Message} from '@wasabiusher/link';
-import {PlatformError} from '@wasabiusher/platform';
+import {PlatformError} from '@wasabiusher/backends';
 import {windowEvents} from '../src/index.js';
 import {
 	createExecutor, createOpen, createPosting, createToken, FakeEngine, FakeService, lastToken,
--- a/packages/systems/__tests__/weight-rollout.spec.ts
+++ b/packages/systems/__tests__/weight-rollout.spec.ts
@@ -1,7 +1,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import type {Message, MessageOf} from '@wasabiusher/link';
-import {PlatformError, type WeightStore} from '@wasabiusher/platform';
+import {PlatformError, type WeightStore} from '@wasabiusher/backends';
 import {createSilentLog} from '@wasabiusher/shared';
 import {WeightRollout, type ControlledEndpoint, type OrderLease} from '../src/index.js';
 
--- a/packages/systems/src/commit-gateway.ts
+++ b/packages/systems/src/commit-gateway.ts
@@ -12,7 +12,7 @@
  * to keep a link to.
  */
 import type {Message, MessageOf} from '@wasabiusher/link';
-import type {StoredRow, TableService} from '@wasabiusher/platform';
+import type {StoredRow, TableService} from '@wasabiusher/backends';
 import {
 	claimTable, GroupCommit, RecordError, type Committer, type GroupResult, type GroupWrite,
 } from '@wasabiusher/record';
--- a/packages/systems/src/endpoint-run.ts
+++ b/packages/systems/src/endpoint-run.ts
@@ -2,7 +2,7 @@
  * One run at an endpoint: its stream of events, and the proof that it has stopped.
  */
 import type {AnswerEvent, MessageOf, Work} from '@wasabiusher/link';
-import {PlatformError, type Engine, type PlainService} from '@wasabiusher/platform';
+import {PlatformError, type Engine, type PlainService} from '@wasabiusher/backends';
 import {maxChunkBytes} from './answer-buffer.js';
 
 /** The endpoint that an agent stands beside. */
--- a/packages/systems/src/execution-runner.ts
+++ b/packages/systems/src/execution-runner.ts
@@ -1,7 +1,7 @@
 /**
  * Runs executions that have left the queue, each until its slot is free again.
  */
-import {PlatformError} from '@wasabiusher/platform';
+import {PlatformError} from '@wasabiusher/backends';
 import type {Message} from '@wasabiusher/link';
 import {confirmStop, formatRunId} from './endpoint-run.js';
 import {
--- a/packages/systems/src/execution.ts
+++ b/packages/systems/src/execution.ts
@@ -2,7 +2,7 @@
  * One attempt at an agent, from its `open` message until its answer has been acknowledged.
  */
 import type {Message, MessageOf, Work} from '@wasabiusher/link';
-import {PlatformError} from '@wasabiusher/platform';
+import {PlatformError} from '@wasabiusher/backends';
 import {describeError, type Ran} from '@wasabiusher/shared';
 import {AnswerBuffer} from './answer-buffer.js';
 
--- a/packages/systems/src/run-reader.ts
+++ b/packages/systems/src/run-reader.ts
@@ -2,7 +2,7 @@
  * Reads one run's stream into its replay buffer, at the pace of the entry that acknowledges.
  */
 import type {AnswerEvent} from '@wasabiusher/link';
-import {PlatformError} from '@wasabiusher/platform';
+import {PlatformError} from '@wasabiusher/backends';
 import {streamRun, type Endpoint} from './endpoint-run.js';
 import type {Execution} from './execution.js';
 import type {RunObservation} from './executor-load.js';
--- a/packages/systems/src/steps.ts
+++ b/packages/systems/src/steps.ts
@@ -6,7 +6,7 @@
  * at once, and owns the step when the lease has lapsed. Without the store a step is run by whichever entry the
  * trainer gives it to; the trainer's cursor keeps each sample from being handed over twice.
  */
-import type {ObjectStore, TableService} from '@wasabiusher/platform';
+import type {ObjectStore, TableService} from '@wasabiusher/backends';
 import type {Registry} from 'prom-client';
 import {
 	LeaseHolder, readLeaseOwner, SampleLog, TakeOverPace, type RecordedStep,
--- a/packages/systems/src/weight-rollout.ts
+++ b/packages/systems/src/weight-rollout.ts
@@ -7,7 +7,7 @@
  */
 import {planWave, type Replica, type WavePlan} from '@wasabiusher/decisions';
 import type {EndpointStatus, Message, MessageOf} from '@wasabiusher/link';
-import type {WeightStore} from '@wasabiusher/platform';
+import type {WeightStore} from '@wasabiusher/backends';
 import {describeError, type Log} from '@wasabiusher/shared';
 import {
 	createProgress, failProgress, followReport, isStuck, type Progress,
--- a/scripts/bench/messages.ts
+++ b/scripts/bench/messages.ts
@@ -2,7 +2,7 @@
  * Bytes and processor time of the messages between entries and agents, from encoding to the checked message.
  */
 import {decodeMessage, encodeMessage, type Message} from '@wasabiusher/link';
-import {memberSchema, type Member} from '@wasabiusher/platform';
+import {memberSchema, type Member} from '@wasabiusher/backends';
 import {
 	configurationSchema, hashConfiguration, profileSchema, type Configuration,
 } from '@wasabiusher/shared';
--- a/scripts/bench/record.ts
+++ b/scripts/bench/record.ts
@@ -4,7 +4,7 @@
 import {ClaimLog, LeaseHolder, SampleLog} from '@wasabiusher/record';
 import {createSilentLog, Random, type Sample} from '@wasabiusher/shared';
 import {MemoryObjectStore, MemoryTableService} from '@wasabiusher/standins';
-import type {ConditionalWrite} from '@wasabiusher/platform';
+import type {ConditionalWrite} from '@wasabiusher/backends';
 import {createSlope, type Figure, type Measurement} from './figure.js';
 import {measureAsyncUs} from './measure.js';
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -10,7 +10,7 @@
 	['decisions'],
 	['record'],
 	['link'],
-	['platform'],
+	['backends'],
 	['daemon'],
 	['shared'],
 ];
@@ -68,8 +68,8 @@
 	},
 	{
 		files: [
-			'packages/platform/src/http-engine.ts',
-			'packages/platform/src/generation-stream.ts',
+			'packages/backends/src/http-engine.ts',
+			'packages/backends/src/generation-stream.ts',
 			'packages/standins/src/engine*.ts',
 			'packages/entry/src/completions*.ts',
 			'packages/embedded/src/scenario.ts',
