--- /dev/null
+++ b/packages/batches/src/batch-owner.ts
@@ -0,0 +1,448 @@
+/**
+ * Runs one batch that this process owns: makes its samples, has them scored, and commits results at positions.
+ *
+ * A result is shown to the trainer only once the store has it. When this process no longer owns the batch, or the batch
+ * has ended, everything stops and nothing more can be written.
+ */
+import {Buffer} from 'node:buffer';
+import {setMaxListeners} from 'node:events';
+import PQueue from 'p-queue';
+import {planBatchOrder} from '@wasabiusher/decisions';
+import {
+	DirectCall, SampleRun, type CallSettings, type SampleOutcome, type SampleText,
+} from '@wasabiusher/direct';
+import {
+	describeError, findRoute, type Deployment, type Log, type Route,
+} from '@wasabiusher/shared';
+import type {
+	PartialText, Sample, SampleResult, StoredBatch, Submission,
+} from './batch.js';
+import {maxWriteBytes, type BatchStore, type PartialTexts} from './batch-store.js';
+import {BatchError} from './errors.js';
+import type {PositionedResult} from './result-rows.js';
+
+/** Least pause between transactions of one batch, in milliseconds: results that come together go together. */
+const commitPauseMs = 10;
+
+/** Pause after a commit that could not be made, in milliseconds. */
+const commitRetryMs = 100;
+
+/** Most results of one transaction: with the batch's row, conditions and writes stay under 100 entries. */
+const maxCommitResults = 20;
+
+/** Pause between attempts at a score, in milliseconds. */
+const scoreRetryMs = 50;
+
+/** Longest time for one attempt at a score, in milliseconds, where its route allows more. */
+const maxScoreMs = 3000;
+
+/** Samples begun at once when no endpoint is registered, so that the first one is not waited for. */
+const leastConcurrency = 8;
+
+/** Time between writes of unfinished texts, in milliseconds; so much work is lost with an owner. */
+const checkpointMs = 1500;
+
+/** Events that a text must have grown by to be written again; fewer are made anew in about half a second. */
+const checkpointEvents = 12;
+
+export type BatchOwnerSettings = CallSettings & {
+	store: BatchStore;
+	/** The configuration in force. */
+	findDeployment(): Deployment | undefined;
+	/** Milliseconds on the store's steady clock. */
+	readStoreMs(): number;
+	/** Called when the batch is found to have ended or to have another owner. */
+	onReplaced(): void;
+};
+
+/** What is known of a batch when its ownership begins. */
+export type OwnedBatch = {
+	stored: StoredBatch;
+	submission: Submission;
+	results: PositionedResult[];
+	partials: Map<string, PartialText>;
+};
+
+/** The owner of one batch. */
+export class BatchOwner {
+	readonly #settings: BatchOwnerSettings;
+	readonly #stored: StoredBatch;
+	readonly #submission: Submission;
+	/** Results that the store has, by position. */
+	readonly #results: SampleResult[] = [];
+	readonly #listed = new Set<string>();
+	#waiting: SampleResult[] = [];
+	readonly #partials: Map<string, PartialText>;
+	readonly #runs = new Map<string, SampleRun>();
+	readonly #checkpointed = new Map<string, number>();
+	readonly #stop = createStop();
+	readonly #commits = new PQueue({concurrency: 1});
+	readonly #watchers = new Set<() => void>();
+	#checkpointTimer: NodeJS.Timeout | undefined;
+
+	constructor(settings: BatchOwnerSettings, {stored, submission, results, partials}: OwnedBatch) {
+		this.#settings = settings;
+		this.#stored = stored;
+		this.#submission = submission;
+		this.#partials = partials;
+		for (const {result} of results) {
+			this.#list(result);
+		}
+	}
+
+	get id(): string {
+		return this.#stored.record.id;
+	}
+
+	get stored(): StoredBatch {
+		return this.#stored;
+	}
+
+	/** Results that the store has, in the order of their positions. */
+	get results(): readonly SampleResult[] {
+		return this.#results;
+	}
+
+	get submission(): Submission {
+		return this.#submission;
+	}
+
+	/** Texts that are not whole yet. */
+	get partials(): PartialTexts {
+		return new Map([...this.#runs].filter(([, {text}]) => text.events.length > 0).map(([id, {text}]) => [id, toPartial(text)]));
+	}
+
+	/** Begins all samples that have no result. */
+	start(): void {
+		const {samples, wantedGroups} = this.#submission;
+		const open = new Map(samples.filter(({id}) => !this.#listed.has(id)).map(sample => [sample.id, sample]));
+		const order = planBatchOrder([...open.values()].map(sample => ({
+			id: sample.id, group: sample.group ?? sample.id, expectedTokens: sample.expectedTokens ?? 0, isCarried: false,
+		})), wantedGroups);
+		const queue = new PQueue({concurrency: this.#countSlots()});
+		for (const id of order) {
+			void queue.add(async () => this.#make(open.get(id)!));
+		}
+
+		this.#checkpointTimer = setInterval(() => {
+			void this.#checkpoint();
+		}, checkpointMs);
+		this.#settings.log.info('batch_begun', {
+			batch: this.id, term: this.#stored.record.term, total: samples.length, listed: this.#results.length, partials: this.#partials.size,
+		});
+	}
+
+	/** Stops all runs; nothing is written after that. */
+	stop(): void {
+		this.#stop.abort();
+		clearInterval(this.#checkpointTimer);
+		this.#notify();
+	}
+
+	/** Resolves when results come after a position, when the batch stops here, or after a time. */
+	async waitBeyond(position: number, waitMs: number): Promise<void> {
+		if (this.#results.length > position || this.#stop.signal.aborted || waitMs <= 0) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const finish = () => {
+				clearTimeout(timer);
+				this.#watchers.delete(finish);
+				resolve();
+			};
+
+			const timer = setTimeout(finish, waitMs);
+			this.#watchers.add(finish);
+		});
+	}
+
+	/** Has a whole text scored, then lists it. */
+	async finish(sample: Sample, text: SampleText): Promise<void> {
+		const score = sample.score ? await this.#score(sample) : undefined;
+		if (this.#stop.signal.aborted) {
+			return;
+		}
+
+		if (sample.score && score === undefined) {
+			this.abandon(sample, 'scoring failed');
+			return;
+		}
+
+		this.#add({
+			id: sample.id, state: 'made', text: text.events.join('\n'), versions: [...text.versions].toSorted((a, b) => a - b), score,
+		});
+	}
+
+	/** Lists a sample as given up. */
+	abandon(sample: Sample, reason: string): void {
+		if (this.#stop.signal.aborted) {
+			return;
+		}
+
+		this.#settings.log.warn('sample_abandoned', {batch: this.id, sample: sample.id, reason});
+		this.#add({
+			id: sample.id, state: 'abandoned', text: '', versions: [],
+		});
+	}
+
+	#countSlots(): number {
+		const route = this.#findRoute();
+		const services = new Set(route?.targets.map(({service}) => service));
+		const slots = this.#settings.directory.list().filter(({service}) => services.has(service)).reduce((sum, endpoint) => sum + endpoint.slots, 0);
+		return Math.max(leastConcurrency, slots);
+	}
+
+	#findRoute(): Route | undefined {
+		const deployment = this.#settings.findDeployment();
+		const {host, path} = this.#submission;
+		return deployment && findRoute(deployment, host, path);
+	}
+
+	/** When samples may be given up, on the monotonic clock. */
+	#findDeadline(): number {
+		const ttlMs = this.#findRoute()?.sampleTtlMs ?? 0;
+		const ageMs = this.#settings.readStoreMs() - this.#stored.record.acceptedMs;
+		return performance.now() + ttlMs - ageMs;
+	}
+
+	async #make(sample: Sample): Promise<void> {
+		if (this.#stop.signal.aborted) {
+			return;
+		}
+
+		try {
+			const outcome = await this.#runSample(sample);
+			await outcomes[outcome.kind](this, sample, outcome);
+		} catch (error) {
+			this.#settings.log.error('sample_failed', {batch: this.id, sample: sample.id, reason: describeError(error)});
+		} finally {
+			this.#runs.delete(sample.id);
+		}
+	}
+
+	async #runSample(sample: Sample): Promise<SampleOutcome> {
+		const {directory, client, log, random} = this.#settings;
+		const {host, model, leastVersion} = this.#submission;
+		const partial = this.#partials.get(sample.id);
+		const isUsable = partial?.versions.every(version => version >= leastVersion);
+		const run = new SampleRun({
+			directory, client, log, findRoute: () => this.#findRoute(), chance: () => random.next(),
+		}, {
+			id: sample.id,
+			model,
+			leastVersion,
+			isSingleVersion: this.#findRoute()?.isSingleVersion ?? false,
+			group: sample.group,
+			deadlineAt: this.#findDeadline(),
+			request: {
+				method: 'POST', path: sample.path, host, headers: sample.headers, body: Buffer.from(sample.body, 'base64'),
+			},
+		}, this.#stop.signal, isUsable ? {events: [...partial!.events], versions: new Set(partial!.versions)} : undefined);
+		this.#runs.set(sample.id, run);
+		return run.run();
+	}
+
+	/** Calls the scorer until it answers; undefined once it has failed as often as its route allows, or the batch has stopped. */
+	async #score({id: sample, score}: Sample): Promise<string | undefined> {
+		const {id, host, path, body} = score!;
+		const {log} = this.#settings;
+		let failures = 0;
+		while (!this.#stop.signal.aborted) {
+			const deployment = this.#settings.findDeployment();
+			const route = deployment && findRoute(deployment, host, path);
+			if (route) {
+				const call = new DirectCall(this.#settings, {...route, kind: 'idempotent', maxAttempts: 1}, {
+					method: 'POST', path, host, headers: {}, body: Buffer.from(body, 'base64'), attemptId: id,
+					deadlineAt: performance.now() + Math.min(maxScoreMs, route.timeoutMs),
+				}, this.#stop.signal);
+				// Attempts follow one another, so that each is counted.
+				// eslint-disable-next-line no-await-in-loop
+				const outcome = await call.run();
+				if (outcome.kind === 'answered' && outcome.answer.status < 300 && outcome.answer.stamp !== undefined) {
+					return outcome.answer.stamp;
+				}
+
+				if (outcome.kind === 'answered' && outcome.answer.status === 500) {
+					failures += 1;
+					log.info('score_failed', {sample, failures, limit: route.maxAttempts});
+					if (failures >= route.maxAttempts) {
+						return undefined;
+					}
+				}
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await pause(scoreRetryMs);
+		}
+
+		return undefined;
+	}
+
+	#add(result: SampleResult): void {
+		this.#waiting.push(result);
+		void this.#commits.add(async () => this.#commit());
+	}
+
+	async #commit(): Promise<void> {
+		while (this.#waiting.length > 0 && !this.#stop.signal.aborted) {
+			// One transaction after the other, so that positions follow one another.
+			// eslint-disable-next-line no-await-in-loop
+			await pause(commitPauseMs);
+			// eslint-disable-next-line no-await-in-loop
+			await this.#commitOnce();
+		}
+	}
+
+	async #commitOnce(): Promise<void> {
+		const {store, log} = this.#settings;
+		const first = this.#results.length;
+		const batch = this.#takeCommit().map((result, i) => ({position: first + i, result}));
+		try {
+			const isWritten = await store.commitResults(this.id, this.#stored.version, batch);
+			if (this.#stop.signal.aborted) {
+				return;
+			}
+
+			if (!isWritten) {
+				await this.#reconcile();
+				return;
+			}
+
+			for (const {result} of batch) {
+				this.#list(result);
+			}
+
+			this.#settle();
+		} catch (error) {
+			log.warn('commit_failed', {
+				batch: this.id, first, results: batch.length, reason: describeError(error),
+			});
+			await pause(commitRetryMs);
+			if (error instanceof BatchError && error.code === 'unknown') {
+				await this.#reconcileQuietly();
+			}
+		}
+	}
+
+	/** The oldest results that fit into one transaction. */
+	#takeCommit(): SampleResult[] {
+		const taken: SampleResult[] = [];
+		let bytes = 0;
+		for (const result of this.#waiting) {
+			bytes += result.text.length;
+			if (taken.length > 0 && (taken.length >= maxCommitResults || bytes > maxWriteBytes)) {
+				break;
+			}
+
+			taken.push(result);
+		}
+
+		return taken;
+	}
+
+	async #reconcileQuietly(): Promise<void> {
+		try {
+			await this.#reconcile();
+		} catch (error) {
+			this.#settings.log.info('reconcile_failed', {batch: this.id, reason: describeError(error)});
+		}
+	}
+
+	/** Finds out why a commit was refused, or whether one whose answer was lost was made after all. */
+	async #reconcile(): Promise<void> {
+		const {store, onReplaced} = this.#settings;
+		const found = await store.find(this.id);
+		if (found?.version !== this.#stored.version) {
+			this.stop();
+			onReplaced();
+			return;
+		}
+
+		// Rows beyond what is known here are this owner's own: nobody else may write.
+		const more = await store.readResults(this.id, this.#results.length);
+		for (const {result} of more) {
+			this.#list(result);
+		}
+
+		this.#settle();
+	}
+
+	#list(result: SampleResult): void {
+		this.#results.push(result);
+		this.#listed.add(result.id);
+	}
+
+	/** Forgets what is listed by now, and tells those who wait. */
+	#settle(): void {
+		this.#waiting = this.#waiting.filter(({id}) => !this.#listed.has(id));
+		if (this.#results.length === this.#submission.samples.length) {
+			clearInterval(this.#checkpointTimer);
+			this.#settings.log.info('batch_whole', {batch: this.id, total: this.#results.length});
+		}
+
+		this.#notify();
+	}
+
+	#notify(): void {
+		for (const watcher of this.#watchers) {
+			watcher();
+		}
+	}
+
+	/** Keeps texts that have grown, so that a next owner goes on from there. */
+	async #checkpoint(): Promise<void> {
+		const grown = new Map([...this.partials].filter(([id, {events}]) => events.length >= (this.#checkpointed.get(id) ?? 0) + checkpointEvents));
+		if (grown.size === 0 || this.#stop.signal.aborted) {
+			return;
+		}
+
+		try {
+			await this.#settings.store.keepPartials(this.id, this.#stored.version, grown);
+			for (const [id, {events}] of grown) {
+				this.#checkpointed.set(id, events.length);
+			}
+		} catch (error) {
+			this.#settings.log.info('checkpoint_failed', {batch: this.id, texts: grown.size, reason: describeError(error)});
+		}
+	}
+}
+
+/** Each sample of a batch listens for its end. */
+function createStop(): AbortController {
+	const controller = new AbortController();
+	setMaxListeners(0, controller.signal);
+	return controller;
+}
+
+type OutcomeHandler = (owner: BatchOwner, sample: Sample, outcome: SampleOutcome) => Promise<void>;
+
+const outcomes: Readonly<Record<SampleOutcome['kind'], OutcomeHandler>> = {
+	async made(owner, sample, outcome) {
+		if (outcome.kind === 'made') {
+			await owner.finish(sample, outcome.text);
+		}
+	},
+	async impossible(owner, sample) {
+		owner.abandon(sample, 'an endpoint said that it can never be done');
+	},
+	async failed(owner, sample) {
+		owner.abandon(sample, 'endpoints have failed it as often as the route allows');
+	},
+	async expired(owner, sample) {
+		owner.abandon(sample, 'its time is up');
+	},
+	async stopped() {
+		// The batch has ended or has another owner; there is nothing to list.
+	},
+};
+
+function toPartial({events, versions}: SampleText): PartialText {
+	return {events: [...events], versions: [...versions]};
+}
+
+async function pause(ms: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/batches/src/batch-store.ts
@@ -0,0 +1,247 @@
+/**
+ * Batches in the store.
+ *
+ * The row of a batch names its owner; each write about the batch is made on the condition that this row is unchanged. So
+ * a former owner that was paused, cut off or slow can write nothing, whatever it believes.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	PlatformError, type BlobStore, type RowAddress, type RowCondition, type RowStore, type StoredValue,
+} from '@wasabiusher/backends';
+import {describeError, hashToNumber} from '@wasabiusher/shared';
+import {
+	batchRecordSchema, partialTextSchema, submissionSchema, type BatchRecord, type PartialText, type StoredBatch, type Submission,
+} from './batch.js';
+import {BatchError} from './errors.js';
+import {
+	decodeResults, encodeResult, formatEndKey, formatFirstKey, resultTable, type PositionedResult,
+} from './result-rows.js';
+
+export const batchTable = 'batches';
+const textTable = 'batch-texts';
+
+/** Parts among which batches are divided; each carries some hundred transactions a second. */
+const partCount = 4;
+
+export const batchParts: readonly string[] = Array.from({length: partCount}, (_, i) => `b${i}`);
+
+/** The part in which all rows of a batch lie, so that they can change together. */
+export function findPart(batch: string): string {
+	return batchParts[hashToNumber(batch) % partCount]!;
+}
+
+/** Rows read in one call, and written in one transaction, with room for conditions. */
+const pageRows = 500;
+const maxWriteRows = 40;
+
+/** Bytes written in one transaction: the store takes 1 MB of encoded text, and base64 adds a third. */
+export const maxWriteBytes = 600_000;
+
+/** Longest text that is kept of an unfinished sample, in bytes; a row holds 65,536. */
+const maxPartialBytes = 60_000;
+
+/** Texts of unfinished samples by the sample's id. */
+export type PartialTexts = ReadonlyMap<string, PartialText>;
+
+/** Reads and writes batches. Throws `BatchError`. */
+export class BatchStore {
+	readonly #rows: RowStore;
+	readonly #blobs: BlobStore;
+
+	constructor(rows: RowStore, blobs: BlobStore) {
+		this.#rows = rows;
+		this.#blobs = blobs;
+	}
+
+	/** Keeps the content of a submission; nothing is accepted by that. */
+	async putSubmission(object: string, submission: Submission): Promise<void> {
+		await guard(this.#blobs.put(object, Buffer.from(JSON.stringify(submission))));
+	}
+
+	async readSubmission(object: string): Promise<Submission> {
+		const content = await guard(this.#blobs.get(object));
+		return submissionSchema.parse(JSON.parse(Buffer.from(content).toString()));
+	}
+
+	/** Reads the row of a batch; undefined if there is none. */
+	async find(batch: string): Promise<StoredBatch | undefined> {
+		const {rows: [row]} = await guard(this.#rows.read({
+			table: batchTable, part: findPart(batch), from: batch, to: `${batch}\u0000`, limit: 1,
+		}));
+		return row && {record: decodeRecord(row), version: row.version};
+	}
+
+	/**
+	 * Writes the row of a batch on the condition that it has the given version; 0 for none.
+	 *
+	 * @returns the new version; undefined if the condition did not hold
+	 */
+	async write(record: BatchRecord, version: number, partials: PartialTexts = new Map()): Promise<number | undefined> {
+		const address = locate(record.id);
+		try {
+			const receipt = await this.#rows.commit({
+				conditions: [{...address, version}],
+				puts: [{...address, value: encode(record)}, ...encodePartials(record.id, partials)],
+				deletes: [],
+			});
+			return receipt.version;
+		} catch (error) {
+			if (error instanceof PlatformError && error.code === 'conflict') {
+				return undefined;
+			}
+
+			throw toBatchError(error);
+		}
+	}
+
+	/**
+	 * Writes results at positions that are free, on the condition that the batch's row is unchanged.
+	 *
+	 * @returns whether they were written; false if a condition did not hold
+	 */
+	async commitResults(batch: string, version: number, results: readonly PositionedResult[]): Promise<boolean> {
+		const part = findPart(batch);
+		const puts = results.flatMap(result => encodeResult(batch, part, result));
+		const free: RowCondition[] = puts.map(({table, key}) => ({
+			table, part, key, version: 0,
+		}));
+		try {
+			await this.#rows.commit({conditions: [{...locate(batch), version}, ...free], puts, deletes: []});
+			return true;
+		} catch (error) {
+			if (error instanceof PlatformError && error.code === 'conflict') {
+				return false;
+			}
+
+			throw toBatchError(error);
+		}
+	}
+
+	/** Reads results from a position on; as many as the store gives in one answer. */
+	async readResults(batch: string, after: number): Promise<PositionedResult[]> {
+		const {rows} = await guard(this.#rows.read({
+			table: resultTable, part: findPart(batch), from: formatFirstKey(batch, after), to: formatEndKey(batch), limit: pageRows,
+		}));
+		return decodeResults(rows);
+	}
+
+	/** Reads all results. */
+	async readAllResults(batch: string): Promise<PositionedResult[]> {
+		const results: PositionedResult[] = [];
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop
+			const page = await this.readResults(batch, results.length);
+			if (page.length === 0) {
+				return results;
+			}
+
+			results.push(...page);
+		}
+	}
+
+	/** Reads what an owner has left of unfinished texts. */
+	async readPartials(batch: string): Promise<Map<string, PartialText>> {
+		const {rows} = await guard(this.#rows.read({
+			table: textTable, part: findPart(batch), from: `${batch}/`, to: formatEndKey(batch), limit: pageRows,
+		}));
+		return new Map(rows.map(({key, value}) => [
+			key.slice(batch.length + 1),
+			partialTextSchema.parse(JSON.parse(Buffer.from(value).toString())),
+		]));
+	}
+
+	/** Keeps unfinished texts, on the condition that the batch's row is unchanged; false if it was not. */
+	async keepPartials(batch: string, version: number, partials: PartialTexts): Promise<boolean> {
+		try {
+			await this.#rows.commit({conditions: [{...locate(batch), version}], puts: encodePartials(batch, partials), deletes: []});
+			return true;
+		} catch (error) {
+			if (error instanceof PlatformError && error.code === 'conflict') {
+				return false;
+			}
+
+			throw toBatchError(error);
+		}
+	}
+
+	/** Removes all of a batch. */
+	async remove({record, version}: StoredBatch): Promise<void> {
+		for (const table of [resultTable, textTable]) {
+			// eslint-disable-next-line no-await-in-loop
+			await this.#removeRows(table, record.id);
+		}
+
+		await guard(this.#blobs.drop(record.object));
+		await guard(this.#rows.commit({conditions: [{...locate(record.id), version}], puts: [], deletes: [locate(record.id)]}));
+	}
+
+	async #removeRows(table: string, batch: string): Promise<void> {
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop
+			const {rows} = await guard(this.#rows.read({
+				table, part: findPart(batch), from: `${batch}/`, to: formatEndKey(batch), limit: maxWriteRows,
+			}));
+			if (rows.length === 0) {
+				return;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await guard(this.#rows.commit({conditions: [], puts: [], deletes: rows.map(({part, key}) => ({table, part, key}))}));
+		}
+	}
+}
+
+/** Reads the row of a batch. */
+export function decodeRecord({key, value}: Pick<StoredValue, 'key' | 'value'>): BatchRecord {
+	try {
+		return batchRecordSchema.parse(JSON.parse(Buffer.from(value).toString()));
+	} catch (error) {
+		throw new BatchError('missing', `row ${key} is not a batch`, error);
+	}
+}
+
+function encode(value: unknown): Uint8Array {
+	return Buffer.from(JSON.stringify(value));
+}
+
+function locate(batch: string): RowAddress {
+	return {table: batchTable, part: findPart(batch), key: batch};
+}
+
+/** Rows of unfinished texts; those that fit into one transaction, so that keeping them is one write. */
+function encodePartials(batch: string, partials: PartialTexts): Array<RowAddress & {value: Uint8Array}> {
+	const rows: Array<RowAddress & {value: Uint8Array}> = [];
+	let bytes = 0;
+	for (const [sample, partial] of partials) {
+		const value = encode(partial);
+		if (value.length <= maxPartialBytes && bytes + value.length <= maxWriteBytes && rows.length < maxWriteRows) {
+			bytes += value.length;
+			rows.push({
+				table: textTable, part: findPart(batch), key: `${batch}/${sample}`, value,
+			});
+		}
+	}
+
+	return rows;
+}
+
+async function guard<Result>(work: Promise<Result>): Promise<Result> {
+	try {
+		return await work;
+	} catch (error) {
+		throw toBatchError(error);
+	}
+}
+
+function toBatchError(error: unknown): BatchError {
+	if (error instanceof BatchError) {
+		return error;
+	}
+
+	const code = error instanceof PlatformError ? storeCodes[error.code] ?? 'unavailable' : 'unknown';
+	return new BatchError(code, describeError(error), error);
+}
+
+const storeCodes: Partial<Record<PlatformError['code'], BatchError['code']>> = {
+	unknown: 'unknown', missing: 'missing', conflict: 'replaced',
+};
--- /dev/null
+++ b/packages/batches/src/batch.ts
@@ -0,0 +1,85 @@
+/**
+ * A batch: the samples of one training step, handed in at once and made later.
+ */
+import {z} from 'zod';
+
+/** A call that scores a sample's text once it is whole. */
+export const scoreCallSchema = z.object({
+	/** Names the call; it may be repeated. */
+	id: z.string(),
+	host: z.string(),
+	path: z.string(),
+	/** In base64. */
+	body: z.string(),
+});
+
+export const sampleSchema = z.object({
+	id: z.string(),
+	path: z.string(),
+	/** Names in lower case. */
+	headers: z.record(z.string(), z.string()),
+	/** In base64. */
+	body: z.string(),
+	/** Samples of a group share their prompt; a group counts only when it is whole. */
+	group: z.string().optional(),
+	/** What the trainer expects of the length, in tokens; often far off. */
+	expectedTokens: z.number().optional(),
+	score: scoreCallSchema.optional(),
+});
+
+export const submissionSchema = z.object({
+	/** Host name and path by which the batch was handed in; they select its route. */
+	host: z.string(),
+	path: z.string(),
+	step: z.number().optional(),
+	model: z.string().optional(),
+	/** Oldest version of the weights that may make a sample. */
+	leastVersion: z.number(),
+	/** Whole groups that the trainer waits for. */
+	wantedGroups: z.number(),
+	samples: z.array(sampleSchema),
+});
+
+/** The row of a batch in the store; whoever changes it expects the version that it has read. */
+export const batchRecordSchema = z.object({
+	id: z.string(),
+	/** Incarnation of the process that runs it; empty when nobody does. */
+	owner: z.string(),
+	/** Name of the owner's host, for people. */
+	ownerHost: z.string(),
+	/** Counts up with each change of owner. */
+	term: z.int().nonnegative(),
+	isEnded: z.boolean(),
+	/** Name of the object that holds the submission. */
+	object: z.string(),
+	total: z.int().nonnegative(),
+	/** On the store's steady clock, in milliseconds. */
+	acceptedMs: z.number(),
+});
+
+export const sampleResultSchema = z.object({
+	id: z.string(),
+	state: z.enum(['made', 'abandoned']),
+	/** Data of all events, divided by line feeds. */
+	text: z.string(),
+	/** Every version that made an event of the text, ascending. */
+	versions: z.array(z.int()),
+	/** The scorer's mark on its answer. */
+	score: z.string().optional(),
+});
+
+/** What is kept of a text that is not whole yet. */
+export const partialTextSchema = z.object({events: z.array(z.string()), versions: z.array(z.int())});
+
+export type ScoreCall = z.infer<typeof scoreCallSchema>;
+export type Sample = z.infer<typeof sampleSchema>;
+export type Submission = z.infer<typeof submissionSchema>;
+export type BatchRecord = z.infer<typeof batchRecordSchema>;
+export type SampleResult = z.infer<typeof sampleResultSchema>;
+export type PartialText = z.infer<typeof partialTextSchema>;
+
+/** A record with the version of its row. */
+export type StoredBatch = {record: BatchRecord; version: number};
+
+/** Results from a position on. */
+export type ResultPage = {total: number; results: SampleResult[]};
--- /dev/null
+++ b/packages/batches/src/batches.ts
@@ -0,0 +1,411 @@
+/**
+ * All batches as one process sees them: accepts, owns, takes over, ends and reads them.
+ *
+ * Any process answers for any batch: from memory if it owns it, otherwise from the store. A process that can't ask the
+ * store says so; it never says that a batch does not exist unless the store has said it.
+ */
+import {Buffer} from 'node:buffer';
+import {LRUCache} from 'lru-cache';
+import type {RowChange} from '@wasabiusher/backends';
+import {describeError} from '@wasabiusher/shared';
+import {
+	type BatchRecord, type ResultPage, type SampleResult, type StoredBatch, type Submission,
+} from './batch.js';
+import {BatchOwner, type BatchOwnerSettings} from './batch-owner.js';
+import {decodeRecord, type BatchStore} from './batch-store.js';
+import {BatchError} from './errors.js';
+import type {HostRegistry} from './host-registry.js';
+
+/** Time between looks for batches without a living owner, in milliseconds. */
+const lookMs = 150;
+
+/** Longest random delay before a take-over, in milliseconds, so that not all processes try for the same batch. */
+const takeOverSpreadMs = 150;
+
+/** Pause between reads of the store for a trainer that waits, in milliseconds. */
+const pollMs = 200;
+
+/** Time within which an answer that was lost is settled, in milliseconds. */
+const settleMs = 2500;
+const settlePauseMs = 100;
+
+/** Submissions of other owners that are kept to serve their bodies. */
+const keptSubmissions = 8;
+
+/** Most text in one answer, in characters; the answer as a whole stays under 1 MB. */
+const maxPageText = 700_000;
+
+export type BatchesSettings = Omit<BatchOwnerSettings, 'onReplaced'> & {
+	store: BatchStore;
+	hosts: HostRegistry;
+	host: string;
+};
+
+type KnownBatch = StoredBatch & {seenAt: number; isTaking: boolean};
+
+/** The batches. */
+export class Batches {
+	readonly #settings: BatchesSettings;
+	readonly #known = new Map<string, KnownBatch>();
+	readonly #owners = new Map<string, BatchOwner>();
+	readonly #submissions = new LRUCache<string, Submission>({max: keptSubmissions});
+	#timer: NodeJS.Timeout | undefined;
+	#isLeaving = false;
+
+	constructor(settings: BatchesSettings) {
+		this.#settings = settings;
+	}
+
+	/** Batches that this process runs. */
+	get ownedCount(): number {
+		return [...this.#owners.values()].filter(({results, submission}) => results.length < submission.samples.length).length;
+	}
+
+	/** Begins to look for batches without a living owner. */
+	start(): void {
+		this.#timer = setInterval(() => {
+			this.#look();
+		}, lookMs);
+	}
+
+	/**
+	 * Accepts a batch once the store has it.
+	 *
+	 * @throws {BatchError} `unavailable` if it was not accepted and won't be, `unknown` if that could not be settled
+	 */
+	async submit(id: string, submission: Submission): Promise<void> {
+		if (this.#known.has(id)) {
+			return;
+		}
+
+		const {hosts, host, readStoreMs} = this.#settings;
+		const object = `batch-${id}`;
+		await this.#putSubmission(object, submission);
+		const record: BatchRecord = {
+			id, owner: this.#isLeaving ? '' : hosts.incarnation, ownerHost: host, term: 1, isEnded: false, object,
+			total: submission.samples.length, acceptedMs: readStoreMs(),
+		};
+		this.#submissions.set(object, submission);
+		const stored = await this.#writeSettled(record);
+		if (stored) {
+			this.#learn(stored, true);
+			await hosts.beat();
+		}
+	}
+
+	/** Takes over a change of the table of batches. */
+	apply(change: RowChange): void {
+		if (change.value === undefined) {
+			this.#known.delete(change.key);
+			this.#drop(change.key);
+			return;
+		}
+
+		this.#learn({record: decodeRecord({key: change.key, value: change.value}), version: change.version});
+	}
+
+	/**
+	 * Reads results from a position on, waiting up to `waitMs` for one.
+	 *
+	 * @throws {BatchError} `missing` if there is no such batch, `unavailable` if that can't be told
+	 */
+	async read(id: string, after: number, waitMs: number): Promise<ResultPage> {
+		const owner = this.#owners.get(id);
+		if (owner) {
+			await owner.waitBeyond(after, waitMs);
+			if (this.#owners.get(id) === owner) {
+				return {total: owner.stored.record.total, results: cutPage(owner.results.slice(after))};
+			}
+		}
+
+		return this.#readStored(id, after, waitMs);
+	}
+
+	/** Reads the body of a sample; throws `BatchError` as `read` does. */
+	async readBody(id: string, sample: string): Promise<Uint8Array> {
+		const submission = this.#owners.get(id)?.submission ?? await this.#findSubmission(id);
+		const found = submission.samples.find(other => other.id === sample);
+		if (!found) {
+			throw new BatchError('missing', `batch ${id} has no sample ${sample}`);
+		}
+
+		return Buffer.from(found.body, 'base64');
+	}
+
+	/** Ends a batch; nothing of it runs any more. Throws `BatchError` as `read` does, or `unknown`. */
+	async end(id: string): Promise<void> {
+		const {store, log} = this.#settings;
+		const until = performance.now() + settleMs;
+		for (;;) {
+			// Each try depends on what the one before has found.
+			// eslint-disable-next-line no-await-in-loop
+			const found = await this.#find(id, true);
+			if (found.record.isEnded) {
+				return;
+			}
+
+			const record = {...found.record, isEnded: true};
+			// eslint-disable-next-line no-await-in-loop
+			const version = await this.#tryWrite(store, record, found.version, until);
+			if (version !== undefined) {
+				log.info('batch_ended', {batch: id});
+				this.#learn({record, version});
+				return;
+			}
+		}
+	}
+
+	/** Hands all batches over: stops their runs, keeps their unfinished texts and leaves them without an owner. */
+	async handOver(): Promise<void> {
+		this.#isLeaving = true;
+		clearInterval(this.#timer);
+		const {hosts} = this.#settings;
+		await Promise.all([...this.#owners.values()].map(async owner => this.#handOver(owner)));
+		await hosts.leave();
+	}
+
+	stop(): void {
+		clearInterval(this.#timer);
+		for (const id of this.#owners.keys()) {
+			this.#drop(id);
+		}
+	}
+
+	async #handOver(owner: BatchOwner): Promise<void> {
+		const {store, log} = this.#settings;
+		const {record, version} = owner.stored;
+		const {partials} = owner;
+		this.#drop(record.id);
+		if (owner.results.length === record.total) {
+			return;
+		}
+
+		try {
+			const written = await store.write({...record, owner: '', ownerHost: ''}, version, partials);
+			log.info('batch_handed_over', {batch: record.id, texts: partials.size, isWritten: written !== undefined});
+		} catch (error) {
+			// Others take it over once this process is seen to have left.
+			log.warn('hand_over_failed', {batch: record.id, reason: describeError(error)});
+		}
+	}
+
+	/** Keeps the content; the store may have it already from an earlier attempt, which does no harm. */
+	async #putSubmission(object: string, submission: Submission): Promise<void> {
+		try {
+			await this.#settings.store.putSubmission(object, submission);
+		} catch (error) {
+			// Without its row the batch is not accepted, whatever became of the object.
+			throw new BatchError('unavailable', `the submission can not be kept: ${describeError(error)}`, error);
+		}
+	}
+
+	/** Writes a new batch's row; undefined if another process has accepted it. */
+	async #writeSettled(record: BatchRecord): Promise<StoredBatch | undefined> {
+		const {store} = this.#settings;
+		let isDoubtful = false;
+		const until = performance.now() + settleMs;
+		for (;;) {
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				const version = await store.write(record, 0);
+				return version === undefined ? undefined : {record, version};
+			} catch (error) {
+				isDoubtful ||= error instanceof BatchError && error.code === 'unknown';
+				if (!isDoubtful) {
+					throw error;
+				}
+
+				if (performance.now() > until) {
+					throw new BatchError('unknown', `it is not known whether batch ${record.id} was accepted`, error);
+				}
+
+				// eslint-disable-next-line no-await-in-loop
+				await pause(settlePauseMs);
+			}
+		}
+	}
+
+	/** Writes a row on a condition; undefined if the row must be read again. */
+	async #tryWrite(store: BatchStore, record: BatchRecord, version: number, until: number): Promise<number | undefined> {
+		try {
+			return await store.write(record, version);
+		} catch (error) {
+			if (performance.now() > until) {
+				throw error;
+			}
+
+			await pause(settlePauseMs);
+			return undefined;
+		}
+	}
+
+	async #find(id: string, isFresh = false): Promise<StoredBatch> {
+		const known = isFresh ? undefined : this.#known.get(id);
+		if (known) {
+			return known;
+		}
+
+		const found = await this.#settings.store.find(id);
+		if (!found) {
+			throw new BatchError('missing', `the store has no batch ${id}`);
+		}
+
+		this.#learn(found);
+		return found;
+	}
+
+	async #readStored(id: string, after: number, waitMs: number): Promise<ResultPage> {
+		const until = performance.now() + waitMs;
+		const {record: {total}} = await this.#find(id);
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop
+			const found = await this.#settings.store.readResults(id, after);
+			const isOver = performance.now() >= until || after >= total || this.#known.get(id)?.record.isEnded;
+			if (found.length > 0 || isOver) {
+				return {total, results: cutPage(found.map(({result}) => result))};
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await pause(pollMs);
+		}
+	}
+
+	async #findSubmission(id: string): Promise<Submission> {
+		const {record} = await this.#find(id);
+		return this.#readSubmission(record.object);
+	}
+
+	async #readSubmission(object: string): Promise<Submission> {
+		const kept = this.#submissions.get(object) ?? await this.#settings.store.readSubmission(object);
+		this.#submissions.set(object, kept);
+		return kept;
+	}
+
+	/**
+	 * Takes note of a batch's row; an older one than known is ignored.
+	 *
+	 * @param isNew - whether this process has just written the first row, so that there can be no results yet
+	 */
+	#learn({record, version}: StoredBatch, isNew = false): void {
+		const known = this.#known.get(record.id);
+		if (known && known.version >= version) {
+			return;
+		}
+
+		const hasSameOwner = known?.record.owner === record.owner;
+		this.#known.set(record.id, {
+			record, version, seenAt: hasSameOwner ? known.seenAt : performance.now(), isTaking: known?.isTaking ?? false,
+		});
+		const owner = this.#owners.get(record.id);
+		if (owner && owner.stored.version !== version) {
+			this.#drop(record.id);
+		}
+
+		const isOurs = record.owner === this.#settings.hosts.incarnation && !record.isEnded;
+		if (isOurs && !this.#owners.has(record.id) && !this.#isLeaving) {
+			void this.#own({record, version}, isNew);
+		}
+	}
+
+	#drop(id: string): void {
+		this.#owners.get(id)?.stop();
+		this.#owners.delete(id);
+	}
+
+	/** Begins to run a batch that the store says is this process's. */
+	async #own(stored: StoredBatch, isNew: boolean): Promise<void> {
+		const {store, log, hosts} = this.#settings;
+		const {id} = stored.record;
+		try {
+			const [submission, results, partials] = await Promise.all([
+				this.#readSubmission(stored.record.object),
+				isNew ? [] : store.readAllResults(id),
+				isNew ? new Map<string, never>() : store.readPartials(id),
+			]);
+			if (this.#known.get(id)?.version !== stored.version || this.#owners.has(id) || this.#isLeaving) {
+				return;
+			}
+
+			const owner = new BatchOwner({
+				...this.#settings,
+				onReplaced: () => {
+					this.#drop(id);
+				},
+			}, {
+				stored, submission, results, partials,
+			});
+			this.#owners.set(id, owner);
+			owner.start();
+			await hosts.beat();
+		} catch (error) {
+			log.warn('batch_not_begun', {batch: id, reason: describeError(error)});
+			await pause(settlePauseMs);
+			if (this.#known.get(id)?.version === stored.version && !this.#isLeaving) {
+				await this.#own(stored, false);
+			}
+		}
+	}
+
+	/** Takes over what nobody looks after. */
+	#look(): void {
+		const {hosts} = this.#settings;
+		for (const known of this.#known.values()) {
+			const {record, seenAt, isTaking} = known;
+			if (!record.isEnded && !isTaking && record.owner !== hosts.incarnation && hosts.isGone(record.owner, seenAt)) {
+				known.isTaking = true;
+				void this.#takeOver(record.id);
+			}
+		}
+	}
+
+	async #takeOver(id: string): Promise<void> {
+		const {store, hosts, host, log, random} = this.#settings;
+		await pause(random.next() * takeOverSpreadMs);
+		const known = this.#known.get(id);
+		try {
+			if (!known || known.record.isEnded || !hosts.isGone(known.record.owner, known.seenAt)) {
+				return;
+			}
+
+			const record: BatchRecord = {
+				...known.record, owner: hosts.incarnation, ownerHost: host, term: known.record.term + 1,
+			};
+			const version = await store.write(record, known.version);
+			if (version === undefined) {
+				// Another process was first, or the batch has ended; the feed tells, or this read.
+				const found = await store.find(id);
+				if (found) {
+					this.#learn(found);
+				}
+
+				return;
+			}
+
+			log.info('batch_taken_over', {batch: id, from: known.record.ownerHost, term: record.term});
+			this.#learn({record, version});
+		} catch (error) {
+			log.warn('take_over_failed', {batch: id, reason: describeError(error)});
+		} finally {
+			const current = this.#known.get(id);
+			if (current) {
+				current.isTaking = false;
+			}
+		}
+	}
+}
+
+/** As many of the first results as fit into one answer; one at least. */
+function cutPage(results: readonly SampleResult[]): SampleResult[] {
+	let length = 0;
+	const end = results.findIndex(({text}, i) => {
+		length += text.length;
+		return i > 0 && length > maxPageText;
+	});
+	return end === -1 ? [...results] : results.slice(0, end);
+}
+
+async function pause(ms: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/batches/src/host-registry.ts
@@ -0,0 +1,161 @@
+/**
+ * Which processes are alive, by rows that they write while they own work.
+ *
+ * Nobody compares clocks between hosts. A process is taken for gone when its host has started anew or has said that it
+ * leaves, or when it has been silent for a time during which this process heard the store. An outage of the store
+ * begins the count anew, since then nobody can be heard.
+ */
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import type {RowChange, RowStore} from '@wasabiusher/backends';
+import {describeError, type Log} from '@wasabiusher/shared';
+import {z} from 'zod';
+
+export const hostTable = 'hosts';
+
+/** Time between heartbeats of a process that owns work, in milliseconds. */
+const heartbeatMs = 700;
+
+/** Silence after which an owner's work is taken over, in milliseconds: three heartbeats and the delay of a slow store. */
+const silenceMs = 2500;
+
+/** Gap in hearing the store after which all counts begin anew, in milliseconds: the longest regular wait at the store. */
+const contactGapMs = 1800;
+
+const hostSchema = z.object({
+	incarnation: z.string(),
+	beat: z.int(),
+	isLeaving: z.boolean(),
+});
+
+type HostRow = z.infer<typeof hostSchema>;
+
+export type HostRegistrySettings = {
+	rows: RowStore;
+	host: string;
+	log: Log;
+	/** Whether this process owns work, so that its silence would mean something. */
+	ownsWork(): boolean;
+};
+
+/** Heartbeats of this process, and what is heard of others. */
+export class HostRegistry {
+	/** Differs for each start of the process. */
+	readonly incarnation = randomUUID();
+	readonly #settings: HostRegistrySettings;
+	readonly #hosts = new Map<string, HostRow & {heardAt: number}>();
+	readonly #gone = new Set<string>();
+	#contactAt = Number.NEGATIVE_INFINITY;
+	#countFrom = Number.NEGATIVE_INFINITY;
+	#beat = 0;
+	#isLeaving = false;
+	#isWriting = false;
+	#hasAnnounced = false;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(settings: HostRegistrySettings) {
+		this.#settings = settings;
+	}
+
+	/** Announces this process, and goes on with heartbeats while it owns work. */
+	start(): void {
+		this.#timer = setInterval(() => {
+			void this.beat();
+		}, heartbeatMs);
+		void this.beat();
+	}
+
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	/** Says that this process leaves; its work may be taken over at once. */
+	async leave(): Promise<void> {
+		this.#isLeaving = true;
+		await this.#write();
+	}
+
+	/** Writes a heartbeat if it is due; never rejects. */
+	async beat(): Promise<void> {
+		if ((this.#hasAnnounced && !this.#settings.ownsWork()) || this.#isWriting || this.#isLeaving) {
+			return;
+		}
+
+		await this.#write();
+	}
+
+	/** Takes over a change of the table of hosts. */
+	apply({key, value}: RowChange): void {
+		const known = this.#hosts.get(key);
+		if (value === undefined) {
+			this.#hosts.delete(key);
+			return;
+		}
+
+		const row = hostSchema.parse(JSON.parse(Buffer.from(value).toString()));
+		if (row.isLeaving) {
+			this.#gone.add(row.incarnation);
+		}
+
+		// A heartbeat of an earlier start that the store performed late says nothing of the present one.
+		if (this.#gone.has(row.incarnation)) {
+			return;
+		}
+
+		if (known && known.incarnation !== row.incarnation) {
+			this.#gone.add(known.incarnation);
+		}
+
+		this.#hosts.set(key, {...row, heardAt: performance.now()});
+	}
+
+	/** Notes that the store was heard. */
+	noteContact(): void {
+		const now = performance.now();
+		if (now - this.#contactAt > contactGapMs) {
+			this.#countFrom = now;
+		}
+
+		this.#contactAt = now;
+	}
+
+	/**
+	 * Whether a process no longer looks after what it owns.
+	 *
+	 * @param ownedSince - when this process first saw that it owns it, on the monotonic clock
+	 */
+	isGone(incarnation: string, ownedSince: number): boolean {
+		if (incarnation === '' || this.#gone.has(incarnation)) {
+			return true;
+		}
+
+		const now = performance.now();
+		if (now - this.#contactAt > contactGapMs) {
+			return false;
+		}
+
+		const heardAt = [...this.#hosts.values()].find(host => host.incarnation === incarnation)?.heardAt ?? Number.NEGATIVE_INFINITY;
+		return now - Math.max(heardAt, ownedSince, this.#countFrom) > silenceMs;
+	}
+
+	async #write(): Promise<void> {
+		const {rows, host, log} = this.#settings;
+		this.#isWriting = true;
+		this.#beat += 1;
+		const row: HostRow = {incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving};
+		try {
+			await rows.commit({
+				conditions: [],
+				puts: [{
+					table: hostTable, part: '', key: host, value: Buffer.from(JSON.stringify(row)),
+				}],
+				deletes: [],
+			});
+			this.#hasAnnounced = true;
+		} catch (error) {
+			log.warn('heartbeat_failed', {beat: this.#beat, reason: describeError(error)});
+		} finally {
+			this.#isWriting = false;
+		}
+	}
+}
--- /dev/null
+++ b/packages/batches/src/index.ts
@@ -0,0 +1,6 @@
+/** Batches: the samples of one training step, handed in at once, made later and read by position. */
+export * from './batch.js';
+export {batchParts, batchTable, BatchStore} from './batch-store.js';
+export * from './batches.js';
+export * from './errors.js';
+export {HostRegistry, hostTable} from './host-registry.js';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
 /** What all programs share: settings, operational routes, listening and graceful shutdown. */
+export * from './bounded-output.js';
 export * from './http-server.js';
 export * from './listen.js';
 export * from './operations.js';
--- /dev/null
+++ b/packages/direct/src/call.ts
@@ -0,0 +1,315 @@
+/**
+ * A caller's request on the direct way: attempts, retries, second attempts and the proof of "not run".
+ */
+import {
+	PlatformError, type ServingAnswer, type ServingClient, type ServingRequest, type ServingStream,
+} from '@wasabiusher/backends';
+import {
+	describeError, type Log, type Random, type RegisteredEndpoint, type Route,
+} from '@wasabiusher/shared';
+import type {EndpointDirectory} from './endpoint-directory.js';
+
+/** A request as a caller has sent it. */
+export type CallerRequest = Omit<ServingRequest, 'remainingMs'> & {
+	/** When the caller stops waiting, on the monotonic clock. */
+	deadlineAt: number;
+};
+
+/**
+ * - `answered`: the endpoint's own answer, success or not
+ * - `not-run`: nothing has run nor will
+ * - `unknown`: it may have run
+ * - `timeout`: the time is up; `hasSent` tells whether an endpoint may have run it
+ * - `stopped`: the caller has left
+ */
+export type CallOutcome
+	= | {kind: 'answered'; answer: ServingAnswer; endpoint: string}
+		| {kind: 'not-run'; reason: string; retryAfterMs: number}
+		| {kind: 'unknown'; reason: string}
+		| {kind: 'timeout'; hasSent: boolean}
+		| {kind: 'stopped'};
+
+/** The beginning of a streamed answer, or why there is none. */
+export type StreamOutcome = {kind: 'opened'; stream: ServingStream; endpoint: string; release(): void} | Exclude<CallOutcome, {kind: 'answered'}>;
+
+export type CallSettings = {
+	directory: EndpointDirectory;
+	client: ServingClient;
+	random: Random;
+	log: Log;
+};
+
+/** Part of the objective after which a second attempt is started elsewhere; a retry can still meet the objective then. */
+const hedgeRatio = 0.5;
+
+/**
+ * Time after which a caller should ask again when no endpoint can be asked, in milliseconds: endpoints that refused for
+ * lack of room are asked again after some of their service times.
+ */
+const retryAfterMs = 100;
+
+type AttemptOutcome
+	= | {kind: 'answered'; answer: ServingAnswer; endpoint: string}
+		| {kind: 'not-run'; endpoint: string; reason: string}
+		| {kind: 'unknown'; endpoint: string; reason: string};
+
+/** Chooses the service of a request among a route's targets, by their weights. */
+export function chooseService({targets}: Route, chance: number): string {
+	const total = targets.reduce((sum, {weight}) => sum + weight, 0);
+	let left = chance * total;
+	for (const {service, weight} of targets) {
+		left -= weight;
+		if (left < 0) {
+			return service;
+		}
+	}
+
+	return targets.at(-1)!.service;
+}
+
+/** Runs one request of a caller; `run` is called once. */
+export class DirectCall {
+	readonly #settings: CallSettings;
+	readonly #route: Route;
+	readonly #request: CallerRequest;
+	readonly #signal: AbortSignal;
+	readonly #service: string;
+	/** Endpoints that may have begun to run it. */
+	readonly #mayHaveRun = new Set<string>();
+	/** Endpoints that are not asked again. */
+	readonly #excluded = new Set<string>();
+	/** The endpoint's own failure, to be handed on if nothing better comes. */
+	#failure: {answer: ServingAnswer; endpoint: string} | undefined;
+	#lastReason = 'no endpoint is registered';
+
+	/** @param signal - aborts when the caller has left */
+	constructor(settings: CallSettings, route: Route, request: CallerRequest, signal: AbortSignal) {
+		this.#settings = settings;
+		this.#route = route;
+		this.#request = request;
+		this.#signal = signal;
+		this.#service = chooseService(route, settings.random.next());
+	}
+
+	/** Calls until an answer has come, the time is up or nothing more may be tried. */
+	async run(): Promise<CallOutcome> {
+		const deadline = new AbortController();
+		const timer = setTimeout(() => {
+			deadline.abort();
+		}, Math.max(0, this.#request.deadlineAt - performance.now()));
+		const signal = AbortSignal.any([this.#signal, deadline.signal]);
+		try {
+			return await this.#runAttempts(signal);
+		} finally {
+			clearTimeout(timer);
+			// Attempts that were not needed end with the call.
+			deadline.abort();
+		}
+	}
+
+	/** Opens a streamed answer; only attempts that are proven not run are repeated. */
+	async open(): Promise<StreamOutcome> {
+		while (!this.#signal.aborted) {
+			const endpoint = this.#take();
+			if (!endpoint) {
+				return {kind: 'not-run', reason: this.#lastReason, retryAfterMs};
+			}
+
+			// An attempt depends on what became of the one before.
+			// eslint-disable-next-line no-await-in-loop
+			const outcome = await this.#openAt(endpoint);
+			if (outcome) {
+				return outcome;
+			}
+		}
+
+		return {kind: 'stopped'};
+	}
+
+	async #openAt(endpoint: RegisteredEndpoint): Promise<StreamOutcome | undefined> {
+		const {client, directory} = this.#settings;
+		const release = () => {
+			directory.release(endpoint.id);
+		};
+
+		try {
+			const stream = await client.open(endpoint, this.#toServing(), this.#signal);
+			directory.recordHead(endpoint.id, stream);
+			if (!stream.isNotRun) {
+				return {
+					kind: 'opened', stream, endpoint: endpoint.id, release,
+				};
+			}
+
+			this.#lastReason = `${endpoint.id} refused with status ${stream.status}`;
+			release();
+		} catch (error) {
+			release();
+			this.#noteError(endpoint.id, error, this.#signal);
+			if (this.#signal.aborted) {
+				return {kind: 'stopped'};
+			}
+
+			if (!isProvenNotRun(error)) {
+				return {kind: 'unknown', reason: describeError(error)};
+			}
+		}
+
+		this.#excluded.add(endpoint.id);
+		return undefined;
+	}
+
+	get #isRepeatable(): boolean {
+		return this.#route.kind === 'idempotent';
+	}
+
+	async #runAttempts(signal: AbortSignal): Promise<CallOutcome> {
+		const pending = new Set<Promise<AttemptOutcome>>();
+		let hedgeAt = Number.POSITIVE_INFINITY;
+		for (;;) {
+			if (this.#signal.aborted) {
+				return {kind: 'stopped'};
+			}
+
+			if (signal.aborted) {
+				return this.#failure ? {kind: 'answered', ...this.#failure} : {kind: 'timeout', hasSent: this.#mayHaveRun.size > 0};
+			}
+
+			const shouldStart = pending.size === 0 || performance.now() >= hedgeAt;
+			const endpoint = shouldStart && this.#mayStart(pending.size) ? this.#take() : undefined;
+			if (endpoint) {
+				const attempt = this.#attempt(endpoint, signal);
+				pending.add(attempt);
+				void attempt.finally(() => {
+					pending.delete(attempt);
+				});
+				hedgeAt = this.#isRepeatable ? performance.now() + (this.#route.objectiveMs * hedgeRatio) : Number.POSITIVE_INFINITY;
+			} else if (shouldStart) {
+				hedgeAt = Number.POSITIVE_INFINITY;
+			}
+
+			if (pending.size === 0) {
+				return this.#conclude();
+			}
+
+			// What is done next depends on this outcome.
+			// eslint-disable-next-line no-await-in-loop
+			const outcome = await waitFor(pending, hedgeAt);
+			const final = outcome && this.#judge(outcome);
+			if (final) {
+				return final;
+			}
+		}
+	}
+
+	/** Whether another endpoint may be asked now. */
+	#mayStart(openAttempts: number): boolean {
+		if (!this.#isRepeatable && (this.#mayHaveRun.size > 0 || openAttempts > 0)) {
+			return false;
+		}
+
+		return this.#mayHaveRun.size < this.#route.maxAttempts;
+	}
+
+	/** What to tell the caller when nothing is under way and nothing more may be tried. */
+	#conclude(): CallOutcome {
+		if (this.#failure) {
+			return {kind: 'answered', ...this.#failure};
+		}
+
+		return this.#mayHaveRun.size > 0
+			? {kind: 'unknown', reason: this.#lastReason}
+			: {kind: 'not-run', reason: this.#lastReason, retryAfterMs};
+	}
+
+	/** Learns from an attempt; returns what to tell the caller if it is final. */
+	#judge(outcome: AttemptOutcome): CallOutcome | undefined {
+		if (outcome.kind === 'answered') {
+			if (outcome.answer.status < 500 || !this.#isRepeatable) {
+				return outcome;
+			}
+
+			this.#failure = outcome;
+			return undefined;
+		}
+
+		this.#lastReason = outcome.reason;
+		return undefined;
+	}
+
+	#take(): RegisteredEndpoint | undefined {
+		return this.#settings.directory.take({service: this.#service, excluded: this.#excluded});
+	}
+
+	async #attempt(endpoint: RegisteredEndpoint, signal: AbortSignal): Promise<AttemptOutcome> {
+		const {client, directory} = this.#settings;
+		const {id} = endpoint;
+		const startedAt = performance.now();
+		this.#excluded.add(id);
+		this.#mayHaveRun.add(id);
+		try {
+			const answer = await client.call(endpoint, this.#toServing(), signal);
+			directory.recordHead(id, answer);
+			if (answer.isNotRun) {
+				this.#mayHaveRun.delete(id);
+				if (answer.status === 421) {
+					directory.recordMisdirected(id);
+				}
+
+				return {kind: 'not-run', endpoint: id, reason: `${id} refused with status ${answer.status}`};
+			}
+
+			directory.recordPace(id, performance.now() - startedAt);
+			return {kind: 'answered', answer, endpoint: id};
+		} catch (error) {
+			return this.#noteError(id, error, signal);
+		} finally {
+			directory.release(id);
+		}
+	}
+
+	#noteError(id: string, error: unknown, signal: AbortSignal): AttemptOutcome {
+		const {directory, log} = this.#settings;
+		const reason = `${id}: ${describeError(error)}`;
+		this.#lastReason = reason;
+		if (signal.aborted) {
+			// Cut by the caller, by the deadline or by a better answer; it says nothing of the endpoint.
+			return {kind: 'unknown', endpoint: id, reason};
+		}
+
+		log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
+		directory.recordFailure(id);
+		if (isProvenNotRun(error)) {
+			this.#mayHaveRun.delete(id);
+			return {kind: 'not-run', endpoint: id, reason};
+		}
+
+		return {kind: 'unknown', endpoint: id, reason};
+	}
+
+	#toServing(): ServingRequest {
+		const {deadlineAt, ...request} = this.#request;
+		return {...request, remainingMs: Math.max(1, Math.round(deadlineAt - performance.now()))};
+	}
+}
+
+function isProvenNotRun(error: unknown): boolean {
+	return error instanceof PlatformError && (error.code === 'unavailable' || error.code === 'refused');
+}
+
+/** The first outcome; undefined when it is time to look again before one has come. */
+async function waitFor(pending: ReadonlySet<Promise<AttemptOutcome>>, lookAt: number): Promise<AttemptOutcome | undefined> {
+	let timer: NodeJS.Timeout | undefined;
+	const look = new Promise<undefined>(resolve => {
+		if (Number.isFinite(lookAt)) {
+			timer = setTimeout(() => {
+				resolve(undefined);
+			}, Math.max(0, lookAt - performance.now()));
+		}
+	});
+	try {
+		return await Promise.race([...pending, look]);
+	} finally {
+		clearTimeout(timer);
+	}
+}
--- /dev/null
+++ b/packages/direct/src/sample-run.ts
@@ -0,0 +1,286 @@
+/**
+ * Makes the text of one sample: gathers events with the version of each, and goes on elsewhere when a run breaks.
+ *
+ * Load pattern: endpoints that crash, leave, load weights or break answers off in the middle of long texts. Begun
+ * anew each time, a text of seven seconds would miss its step; resumed after its last whole event it loses only a round trip.
+ */
+import {
+	PlatformError, type RunEvent, type ServingClient, type ServingRequest, type ServingRun,
+} from '@wasabiusher/backends';
+import {
+	describeError, type Log, type RegisteredEndpoint, type Route,
+} from '@wasabiusher/shared';
+import {chooseService} from './call.js';
+import type {EndpointDirectory, EndpointNeed} from './endpoint-directory.js';
+
+/** What a sample asks of the endpoints. */
+export type SampleRequest = {
+	/** Names the sample; each of its runs carries it. */
+	id: string;
+	model: string | undefined;
+	/** Oldest version of the weights that may make its text. */
+	leastVersion: number;
+	isSingleVersion: boolean;
+	/** Names the prompt that samples of a group share. */
+	group: string | undefined;
+	request: Omit<ServingRequest, 'remainingMs' | 'resumeAfter' | 'expectVersion' | 'attemptId'>;
+	/** When the sample may be given up, on the monotonic clock. */
+	deadlineAt: number;
+};
+
+/** Text made so far, with the versions that made it. */
+export type SampleText = {
+	/** Data of each event, in order; the event ids count from 1. */
+	events: string[];
+	versions: Set<number>;
+};
+
+/**
+ * - `made`: the text is whole
+ * - `impossible`: an endpoint said that it can never be done
+ * - `failed`: endpoints have failed it as often as the route allows
+ * - `expired`: its time is up
+ * - `stopped`: its batch has ended or has another owner
+ */
+export type SampleOutcome = {kind: 'made'; text: SampleText} | {kind: 'impossible' | 'failed' | 'expired' | 'stopped'};
+
+export type SampleRunSettings = {
+	directory: EndpointDirectory;
+	client: ServingClient;
+	log: Log;
+	/** The route in force for the sample's batch; undefined once it was removed. */
+	findRoute(): Route | undefined;
+	/** A number in [0, 1). */
+	chance(): number;
+};
+
+/** Most requests of one process at an endpoint, as a multiple of its slots: what is beyond waits here, where it can still be sent elsewhere. */
+const openLimit = 1;
+
+/** Longest wait until endpoints are looked at again though none has changed, in milliseconds. */
+const lookMs = 100;
+
+/** Pause after an endpoint refused or broke, in milliseconds, so that a failing one is not asked in a tight loop. */
+const pauseMs = 20;
+
+/** Status of a sample that can never be done. */
+const impossibleStatus = 422;
+
+/** Longest silence of a run before it is given up and resumed elsewhere, in milliseconds; loading weights takes about a second. */
+export const silenceMs = 4000;
+
+type RunStep = 'again' | SampleOutcome;
+
+/** Runs one sample; `run` is called once. */
+export class SampleRun {
+	readonly #settings: SampleRunSettings;
+	readonly #sample: SampleRequest;
+	readonly #signal: AbortSignal;
+	readonly #text: SampleText;
+	#failures = 0;
+	/** The endpoint that broke last; another is preferred. */
+	#avoided: string | undefined;
+
+	/**
+	 * @param signal - aborts when the sample is no longer wanted here
+	 * @param text - what an earlier owner has kept of its text
+	 */
+	constructor(settings: SampleRunSettings, sample: SampleRequest, signal: AbortSignal, text?: SampleText) {
+		this.#settings = settings;
+		this.#sample = sample;
+		this.#signal = signal;
+		this.#text = text ?? {events: [], versions: new Set()};
+	}
+
+	/** What has been made so far; changes while `run` goes on. */
+	get text(): SampleText {
+		return this.#text;
+	}
+
+	/** Runs until the text is whole or can't be. Never rejects. */
+	async run(): Promise<SampleOutcome> {
+		while (!this.#signal.aborted) {
+			if (performance.now() >= this.#sample.deadlineAt) {
+				return {kind: 'expired'};
+			}
+
+			const route = this.#settings.findRoute();
+			if (!route) {
+				return {kind: 'failed'};
+			}
+
+			const endpoint = this.#take(route);
+			// Each run goes on where the one before has broken.
+			// eslint-disable-next-line no-await-in-loop
+			const step = endpoint ? await this.#runAt(endpoint, route) : await this.#waitForEndpoint();
+			if (step !== 'again') {
+				return step;
+			}
+		}
+
+		return {kind: 'stopped'};
+	}
+
+	#take(route: Route): RegisteredEndpoint | undefined {
+		const {directory, chance} = this.#settings;
+		const {model, leastVersion, isSingleVersion, group} = this.#sample;
+		const [begun] = this.#text.versions;
+		const need: EndpointNeed = {
+			service: chooseService(route, chance()),
+			least: model === undefined ? undefined : {model, version: leastVersion},
+			exact: isSingleVersion && begun !== undefined && model !== undefined ? {model, version: begun} : undefined,
+			warmKey: group,
+			openLimit,
+		};
+		const elsewhere = this.#avoided === undefined ? undefined : directory.take({...need, excluded: new Set([this.#avoided])});
+		if (elsewhere) {
+			return elsewhere;
+		}
+
+		const endpoint = directory.take(need);
+		if (!endpoint && need.exact && !directory.list(need.service).some(({id}) => directory.findVersion(id, need.exact!.model) === need.exact!.version)) {
+			// No endpoint has the version any more that the text was begun with.
+			this.#beginAnew();
+		}
+
+		return endpoint;
+	}
+
+	#beginAnew(): void {
+		this.#text.events.length = 0;
+		this.#text.versions.clear();
+	}
+
+	async #waitForEndpoint(): Promise<RunStep> {
+		await new Promise<void>(resolve => {
+			const finish = () => {
+				clearTimeout(timer);
+				unsubscribe();
+				this.#signal.removeEventListener('abort', finish);
+				resolve();
+			};
+
+			const timer = setTimeout(finish, lookMs);
+			const unsubscribe = this.#settings.directory.onChange(finish);
+			this.#signal.addEventListener('abort', finish);
+		});
+		return 'again';
+	}
+
+	async #runAt(endpoint: RegisteredEndpoint, route: Route): Promise<RunStep> {
+		const {directory, client, log} = this.#settings;
+		const {id} = endpoint;
+		const stop = new AbortController();
+		const signal = AbortSignal.any([this.#signal, stop.signal]);
+		const before = this.#text.events.length;
+		try {
+			const run = await client.run(endpoint, this.#toServing(), signal);
+			directory.recordHead(id, run);
+			return await this.#readRun(id, run, route);
+		} catch (error) {
+			if (this.#signal.aborted) {
+				return {kind: 'stopped'};
+			}
+
+			log.info('run_broken', {
+				sample: this.#sample.id, endpoint: id, from: before, events: this.#text.events.length, reason: describeError(error),
+			});
+			directory.recordFailure(id);
+			this.#avoided = id;
+			await this.#pause();
+			return 'again';
+		} finally {
+			// Ends a run that is not read to its end.
+			stop.abort();
+			directory.release(id);
+		}
+	}
+
+	async #readRun(id: string, run: ServingRun, route: Route): Promise<RunStep> {
+		const {directory, log} = this.#settings;
+		const {model} = this.#sample;
+		if (run.isNotRun) {
+			return this.#noteRefusal(id, run);
+		}
+
+		if (run.status === impossibleStatus) {
+			return {kind: 'impossible'};
+		}
+
+		if (run.status !== 200) {
+			this.#failures += 1;
+			this.#avoided = id;
+			log.info('run_failed', {
+				sample: this.#sample.id, endpoint: id, status: run.status, failures: this.#failures, limit: route.maxAttempts,
+			});
+			return this.#failures >= route.maxAttempts ? {kind: 'failed'} : 'again';
+		}
+
+		if (model !== undefined && run.weightVersion !== undefined) {
+			directory.recordVersion(id, model, run.weightVersion);
+		}
+
+		await this.#readEvents(id, run);
+		return {kind: 'made', text: this.#text};
+	}
+
+	async #noteRefusal(id: string, run: ServingRun): Promise<RunStep> {
+		const {directory} = this.#settings;
+		this.#avoided = id;
+		if (run.status === 421 && run.weightVersion === undefined) {
+			directory.recordMisdirected(id);
+		}
+
+		directory.pause(id, pauseMs * 2);
+		await this.#pause();
+		return 'again';
+	}
+
+	async #readEvents(id: string, run: ServingRun): Promise<void> {
+		const {directory} = this.#settings;
+		let lastAt = performance.now();
+		for await (const event of run.events) {
+			this.#takeEvent(event);
+			const now = performance.now();
+			directory.recordPace(id, now - lastAt);
+			lastAt = now;
+		}
+	}
+
+	#takeEvent({id, data, version}: RunEvent): void {
+		const {leastVersion, isSingleVersion} = this.#sample;
+		const {events, versions} = this.#text;
+		if (id !== events.length + 1) {
+			throw new PlatformError('invalid', `expected event ${events.length + 1}, got ${id}`);
+		}
+
+		if (version < leastVersion) {
+			throw new PlatformError('invalid', `made by version ${version}, older than ${leastVersion}`);
+		}
+
+		if (isSingleVersion && versions.size > 0 && !versions.has(version)) {
+			this.#beginAnew();
+			throw new PlatformError('invalid', `version ${version} began within a text that must have one version`);
+		}
+
+		events.push(data);
+		versions.add(version);
+	}
+
+	#toServing(): ServingRequest {
+		const {id, request, deadlineAt} = this.#sample;
+		const {events} = this.#text;
+		return {
+			...request,
+			attemptId: id,
+			remainingMs: Math.max(1, Math.round(deadlineAt - performance.now())),
+			...(events.length > 0 ? {resumeAfter: events.length} : {}),
+		};
+	}
+
+	async #pause(): Promise<void> {
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, pauseMs);
+		});
+	}
+}
--- /dev/null
+++ b/packages/direct/src/weight-orders.ts
@@ -0,0 +1,222 @@
+/**
+ * Brings endpoints to the published versions of their models, by orders given directly to them.
+ *
+ * Load pattern: a new version every few seconds while steps are being made. Only a part of a service loads at a time, so that
+ * the rest goes on; an order names how many orders the endpoint must have accepted before, so that one that is carried out
+ * late, after a newer one, does nothing. No order is given without the lease, and none whose version an endpoint holds.
+ */
+import type {
+	LoadMode, OrderOutcome, ServingClient, ServingReport,
+} from '@wasabiusher/backends';
+import {
+	describeError, groupBy, type Log, type RegisteredEndpoint,
+} from '@wasabiusher/shared';
+import type {EndpointDirectory} from './endpoint-directory.js';
+
+/** The right to give orders; a `LeaseHolder` has this shape. */
+export type OrderRight = {readonly fence: number; holds(): boolean};
+
+export type WeightOrdersSettings = {
+	directory: EndpointDirectory;
+	client: ServingClient;
+	right: OrderRight;
+	/** Name of this process, told with each order. */
+	holder: string;
+	log: Log;
+	/** How runs under way are treated at a service. */
+	chooseMode(service: string): LoadMode;
+};
+
+/** Part of a service's endpoints that load at once: a store of weights slows down beyond it, and the others must carry the load. */
+const loadingFraction = 0.3;
+
+/** Time between looks at an endpoint that carries out an order, in milliseconds; a load takes about a second and a report is priced as a probe. */
+const reportMs = 150;
+
+/** Time after which an endpoint that carries out an order is no longer waited for, in milliseconds: several times a slow load. */
+const orderMs = 15_000;
+
+/** Pause before an endpoint that did not take an order is asked again, in milliseconds. */
+const retryMs = 300;
+
+/** Time for which other work is kept from an endpoint that was told to load, in milliseconds; its reports prolong it. */
+const holdBackMs = 250;
+
+type Transition = {model: string; version: number; startedAt: number; nextLookAt: number};
+
+/** Gives orders for weights. */
+export class WeightOrders {
+	readonly #settings: WeightOrdersSettings;
+	readonly #published = new Map<string, number>();
+	readonly #loading = new Map<string, Transition>();
+	readonly #notBefore = new Map<string, number>();
+	readonly #busy = new Set<string>();
+
+	constructor(settings: WeightOrdersSettings) {
+		this.#settings = settings;
+	}
+
+	/** Learns of a published version; an older one than known is ignored. */
+	publish(model: string, version: number): void {
+		if (version > (this.#published.get(model) ?? 0)) {
+			this.#published.set(model, version);
+		}
+	}
+
+	/** The newest published version of a model. */
+	findPublished(model: string): number | undefined {
+		return this.#published.get(model);
+	}
+
+	/** Gives what orders are due and looks after those under way; to be called some times a second. */
+	tick(): void {
+		const {right, directory} = this.#settings;
+		if (!right.holds()) {
+			this.#loading.clear();
+			return;
+		}
+
+		const services = groupBy(directory.list(), ({service}) => service);
+		for (const endpoints of services.values()) {
+			this.#look(endpoints);
+			this.#order(endpoints);
+		}
+	}
+
+	/** Looks after orders under way. */
+	#look(endpoints: readonly RegisteredEndpoint[]): void {
+		const now = performance.now();
+		for (const endpoint of endpoints) {
+			const transition = this.#loading.get(endpoint.id);
+			if (transition && this.#holds(endpoint, transition)) {
+				this.#finish(endpoint, transition);
+			} else if (transition && now - transition.startedAt > orderMs) {
+				this.#loading.delete(endpoint.id);
+			} else if (transition && now >= transition.nextLookAt) {
+				transition.nextLookAt = now + reportMs;
+				void this.#readReport(endpoint, transition);
+			}
+		}
+	}
+
+	#holds({id}: RegisteredEndpoint, {model, version}: Transition): boolean {
+		return (this.#settings.directory.findVersion(id, model) ?? 0) >= version;
+	}
+
+	#finish({id}: RegisteredEndpoint, {model, version, startedAt}: Transition): void {
+		this.#loading.delete(id);
+		this.#settings.log.info('weights_loaded', {
+			endpoint: id, model, version, elapsedMs: Math.round(performance.now() - startedAt),
+		});
+	}
+
+	async #readReport(endpoint: RegisteredEndpoint, transition: Transition): Promise<void> {
+		const report = await this.#askReport(endpoint);
+		if (!report) {
+			return;
+		}
+
+		if (report.isBusy) {
+			this.#settings.directory.pause(endpoint.id, holdBackMs);
+		} else if (this.#loading.get(endpoint.id) === transition && !this.#holds(endpoint, transition)) {
+			// Neither under way nor done: the order was not taken, or was for another version.
+			this.#loading.delete(endpoint.id);
+			this.#notBefore.set(endpoint.id, performance.now() + retryMs);
+		}
+	}
+
+	async #askReport(endpoint: RegisteredEndpoint): Promise<ServingReport | undefined> {
+		const {client, directory, log} = this.#settings;
+		try {
+			const report = await client.report(endpoint);
+			for (const {model, version} of report.models) {
+				directory.recordVersion(endpoint.id, model, version);
+			}
+
+			return report;
+		} catch (error) {
+			log.info('report_failed', {endpoint: endpoint.id, reason: describeError(error)});
+			return undefined;
+		}
+	}
+
+	#order(endpoints: readonly RegisteredEndpoint[]): void {
+		const most = Math.max(1, Math.round(endpoints.length * loadingFraction));
+		let free = most - endpoints.filter(({id}) => this.#loading.has(id) || this.#busy.has(id)).length;
+		const now = performance.now();
+		const due = endpoints
+			.filter(({id, isDraining}) => !isDraining && !this.#loading.has(id) && !this.#busy.has(id) && (this.#notBefore.get(id) ?? 0) <= now)
+			.flatMap(endpoint => {
+				const wanted = this.#findWanted(endpoint);
+				return wanted ? [{endpoint, wanted}] : [];
+			})
+			// The oldest weights first: they hold up the most; then the least busy.
+			.toSorted((a, b) => a.wanted.from - b.wanted.from || this.#settings.directory.countOpen(a.endpoint.id) - this.#settings.directory.countOpen(b.endpoint.id));
+		for (const {endpoint, wanted} of due) {
+			if (free <= 0) {
+				return;
+			}
+
+			free -= 1;
+			this.#busy.add(endpoint.id);
+			void this.#give(endpoint, wanted.model, wanted.version).finally(() => {
+				this.#busy.delete(endpoint.id);
+			});
+		}
+	}
+
+	#findWanted({id, models}: RegisteredEndpoint): {model: string; version: number; from: number} | undefined {
+		for (const {model} of models) {
+			const version = this.#published.get(model) ?? 0;
+			const from = this.#settings.directory.findVersion(id, model) ?? 0;
+			if (version > from) {
+				return {model, version, from};
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Reads how many orders the endpoint has accepted, then gives the order on that condition. */
+	async #give(endpoint: RegisteredEndpoint, model: string, version: number): Promise<void> {
+		const {right, client, holder, directory, log, chooseMode} = this.#settings;
+		const report = await this.#askReport(endpoint);
+		const holdsIt = (directory.findVersion(endpoint.id, model) ?? 0) >= version;
+		if (!report || report.isBusy || holdsIt) {
+			this.#notBefore.set(endpoint.id, performance.now() + retryMs);
+			return;
+		}
+
+		// The lease may have lapsed while the report was on its way.
+		if (!right.holds()) {
+			return;
+		}
+
+		const startedAt = performance.now();
+		this.#loading.set(endpoint.id, {
+			model, version, startedAt, nextLookAt: startedAt + reportMs,
+		});
+		directory.pause(endpoint.id, holdBackMs);
+		try {
+			const outcome = await client.order(endpoint, {
+				model, version, mode: chooseMode(endpoint.service), expectedOrders: report.orderCount, holder, fence: right.fence,
+			});
+			log.info('weights_ordered', {
+				endpoint: endpoint.id, model, version, outcome, fence: right.fence, expected: report.orderCount,
+			});
+			this.#noteOutcome(endpoint, outcome);
+		} catch (error) {
+			// It may be carried out late; the report tells, and a repeat on the same condition does no harm.
+			log.warn('order_unanswered', {
+				endpoint: endpoint.id, model, version, reason: describeError(error),
+			});
+		}
+	}
+
+	#noteOutcome({id}: RegisteredEndpoint, outcome: OrderOutcome): void {
+		if (outcome !== 'accepted') {
+			this.#loading.delete(id);
+			this.#notBefore.set(id, performance.now() + (outcome === 'fenced' ? orderMs : retryMs));
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/catalog.ts
@@ -0,0 +1,119 @@
+/**
+ * What operators, endpoints and trainers have written in the store, as this process knows it.
+ *
+ * A configuration or a version never goes back within one life of the process, whatever order the news arrives in.
+ */
+import type {RowChange} from '@wasabiusher/backends';
+import type {EndpointDirectory, WeightOrders} from '@wasabiusher/direct';
+import {
+	describeError, type Deployment, type Log, type PublishedVersion, type RegisteredEndpoint,
+} from '@wasabiusher/shared';
+
+/** A row of the operators' table. */
+export type OperatorRow
+	= | {kind: 'deployment'; deployment: Deployment}
+		| {kind: 'version'; published: PublishedVersion}
+		| {kind: 'other'};
+
+/** Where the rows lie and how they are read; each decoder throws on what it does not expect. */
+export type CatalogFormat = {
+	operatorTable: string;
+	endpointTable: string;
+	decodeOperatorRow(key: string, value: Uint8Array): OperatorRow;
+	decodeEndpoint(key: string, value: Uint8Array): RegisteredEndpoint;
+};
+
+export type CatalogSettings = {
+	format: CatalogFormat;
+	directory: EndpointDirectory;
+	orders: WeightOrders;
+	log: Log;
+	onDeployment?(deployment: Deployment): void;
+};
+
+/** The present configuration, endpoints and versions. */
+export class Catalog {
+	readonly #settings: CatalogSettings;
+	#deployment: Deployment | undefined;
+
+	constructor(settings: CatalogSettings) {
+		this.#settings = settings;
+	}
+
+	get deployment(): Deployment | undefined {
+		return this.#deployment;
+	}
+
+	/** Takes over a row of the operators' table. */
+	applyOperatorRow({key, value}: RowChange): void {
+		if (value === undefined) {
+			return;
+		}
+
+		try {
+			const row = this.#settings.format.decodeOperatorRow(key, value);
+			operatorHandlers[row.kind](this, row);
+		} catch (error) {
+			this.#settings.log.error('operator_row_invalid', {row: key, reason: describeError(error)});
+		}
+	}
+
+	/** Takes over a registration, or its removal. */
+	applyEndpoint({key, value}: RowChange): void {
+		const {format, directory, log} = this.#settings;
+		if (value === undefined) {
+			log.info('endpoint_removed', {endpoint: key});
+			directory.remove(key);
+			return;
+		}
+
+		try {
+			const endpoint = format.decodeEndpoint(key, value);
+			const known = directory.get(key);
+			if (known?.isDraining !== endpoint.isDraining) {
+				log.info('endpoint_registered', {
+					endpoint: key, service: endpoint.service, address: endpoint.address, draining: endpoint.isDraining,
+				});
+			}
+
+			directory.put(endpoint);
+		} catch (error) {
+			log.error('endpoint_row_invalid', {endpoint: key, reason: describeError(error)});
+		}
+	}
+
+	adopt(deployment: Deployment): void {
+		const {log, onDeployment} = this.#settings;
+		if (deployment.version <= (this.#deployment?.version ?? Number.NEGATIVE_INFINITY)) {
+			return;
+		}
+
+		this.#deployment = deployment;
+		log.info('configuration_adopted', {version: deployment.version, routes: deployment.routes.length});
+		onDeployment?.(deployment);
+	}
+
+	publish({model, version}: PublishedVersion): void {
+		const {orders, log} = this.#settings;
+		if (version > (orders.findPublished(model) ?? 0)) {
+			log.info('version_published', {model, version});
+			orders.publish(model, version);
+		}
+	}
+}
+
+const operatorHandlers: Readonly<Record<OperatorRow['kind'], (catalog: Catalog, row: OperatorRow) => void>> = {
+	deployment(catalog, row) {
+		if (row.kind === 'deployment') {
+			catalog.adopt(row.deployment);
+		}
+	},
+	version(catalog, row) {
+		if (row.kind === 'version') {
+			catalog.publish(row.published);
+		}
+	},
+	other() {
+		// Rows of other matters may lie in the table.
+	},
+};
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,196 @@
+/**
+ * One entry host without agents: learns what is in force, routes calls, runs batches and gives orders for weights.
+ */
+import {
+	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable,
+} from '@wasabiusher/batches';
+import type {
+	BlobStore, LoadMode, RowStore, ServingClient,
+} from '@wasabiusher/backends';
+import {
+	DirectCall, EndpointDirectory, WeightOrders, type CallerRequest, type CallOutcome, type StreamOutcome,
+} from '@wasabiusher/direct';
+import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
+import {
+	describeError, findRoute, type Deployment, type Log, type Random, type Route,
+} from '@wasabiusher/shared';
+import {Catalog, type CatalogFormat} from './catalog.js';
+import {StoreClock} from './store-clock.js';
+
+/** How often orders for weights are looked after, in milliseconds. */
+const ordersMs = 50;
+
+/**
+ * Age of what is known of the configuration from which a path that is not in it may be one that was added since, in
+ * milliseconds: a configuration must be in force within 2 s.
+ */
+const staleMs = 2500;
+
+export type GatewaySettings = {
+	/** Name of the host. */
+	host: string;
+	rows: RowStore;
+	blobs: BlobStore;
+	client: ServingClient;
+	format: CatalogFormat;
+	random: Random;
+	log: Log;
+	/** Term of the lease under which orders are given, in milliseconds. */
+	leaseMs: number;
+	onDeployment?(deployment: Deployment): void;
+};
+
+/** What to do with a request: its route, or why there is none. */
+export type RouteChoice = {kind: 'route'; route: Route} | {kind: 'unknown-route'} | {kind: 'unsure'};
+
+/** The host's part of the system. */
+export class Gateway {
+	readonly batches: Batches;
+	readonly #settings: GatewaySettings;
+	readonly #directory: EndpointDirectory;
+	readonly #catalog: Catalog;
+	readonly #hosts: HostRegistry;
+	readonly #lease: LeaseHolder;
+	readonly #orders: WeightOrders;
+	readonly #followers: TableFollower[];
+	readonly #operatorFollower: TableFollower;
+	readonly #clock: StoreClock;
+	#timer: NodeJS.Timeout | undefined;
+	#isDraining = false;
+
+	constructor(settings: GatewaySettings) {
+		this.#settings = settings;
+		const {host, client, format, random, log, leaseMs} = settings;
+		this.#clock = new StoreClock(settings.rows);
+		const rows = this.#clock;
+		this.#directory = new EndpointDirectory(random);
+		this.#lease = new LeaseHolder({
+			tables: new PartTables(rows), shard: 'weights', holder: host, random, log, termMs: leaseMs,
+		});
+		this.#orders = new WeightOrders({
+			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
+		});
+		this.#catalog = new Catalog({
+			format, directory: this.#directory, orders: this.#orders, log, onDeployment: settings.onDeployment,
+		});
+		this.#hosts = new HostRegistry({
+			rows, host, log, ownsWork: () => this.batches.ownedCount > 0,
+		});
+		this.batches = new Batches({
+			directory: this.#directory, client, random, log, host, hosts: this.#hosts,
+			store: new BatchStore(rows, settings.blobs),
+			findDeployment: () => this.#catalog.deployment,
+			readStoreMs: () => this.#clock.storeMs,
+		});
+		this.#operatorFollower = new TableFollower({
+			store: rows, table: format.operatorTable, parts: [''], log, apply: change => {
+				this.#catalog.applyOperatorRow(change);
+			},
+		});
+		this.#followers = [
+			this.#operatorFollower,
+			new TableFollower({
+				store: rows, table: format.endpointTable, parts: [''], log, apply: change => {
+					this.#catalog.applyEndpoint(change);
+				},
+			}),
+			new TableFollower({
+				store: rows, table: batchTable, parts: batchParts, log, apply: change => {
+					this.batches.apply(change);
+				},
+			}),
+			new TableFollower({
+				store: rows, table: hostTable, parts: [''], log,
+				apply: change => {
+					this.#hosts.apply(change);
+				},
+				onContact: () => {
+					this.#hosts.noteContact();
+				},
+			}),
+		];
+	}
+
+	/** Whether new work should come here. */
+	get isReady(): boolean {
+		return !this.#isDraining && this.#catalog.deployment !== undefined && this.#followers.every(({isSynced}) => isSynced);
+	}
+
+	get deployment(): Deployment | undefined {
+		return this.#catalog.deployment;
+	}
+
+	start(): void {
+		for (const follower of this.#followers) {
+			void follower.run();
+		}
+
+		this.#hosts.start();
+		this.batches.start();
+		this.#lease.start();
+		this.#timer = setInterval(() => {
+			this.#orders.tick();
+		}, ordersMs);
+	}
+
+	/** Finds the route of a request. */
+	chooseRoute(host: string, path: string): RouteChoice {
+		const {deployment} = this.#catalog;
+		const route = deployment && findRoute(deployment, host, path);
+		if (route) {
+			return {kind: 'route', route};
+		}
+
+		// Only who has heard the store lately can know that there is no such route.
+		return deployment && this.#operatorFollower.ageMs < staleMs ? {kind: 'unknown-route'} : {kind: 'unsure'};
+	}
+
+	/** Answers a caller's request. */
+	async call(route: Route, request: CallerRequest, signal: AbortSignal): Promise<CallOutcome> {
+		return this.#createCall(route, request, signal).run();
+	}
+
+	/** Begins a streamed answer. */
+	async openStream(route: Route, request: CallerRequest, signal: AbortSignal): Promise<StreamOutcome> {
+		return this.#createCall(route, request, signal).open();
+	}
+
+	/** Takes no new work and hands over what lasts; calls under way go on. Never rejects. */
+	async drain(): Promise<void> {
+		const {log} = this.#settings;
+		this.#isDraining = true;
+		clearInterval(this.#timer);
+		// Not released: the next holder waits for the term, so that orders of two holders never lie closer than that.
+		this.#lease.stop();
+		try {
+			await this.batches.handOver();
+		} catch (error) {
+			log.warn('hand_over_failed', {reason: describeError(error)});
+		}
+	}
+
+	/** Ends all that goes on in the background. */
+	stop(): void {
+		clearInterval(this.#timer);
+		this.#lease.stop();
+		this.#hosts.stop();
+		this.batches.stop();
+		for (const follower of this.#followers) {
+			follower.stop();
+		}
+	}
+
+	#createCall(route: Route, request: CallerRequest, signal: AbortSignal): DirectCall {
+		const {client, random, log} = this.#settings;
+		return new DirectCall({
+			directory: this.#directory, client, random, log,
+		}, route, request, signal);
+	}
+
+	/** Texts that must have one version are finished before the weights change; others go on under the new ones. */
+	#chooseMode(service: string): LoadMode {
+		const routes = this.#catalog.deployment?.routes ?? [];
+		const hasSingle = routes.some(({isSingleVersion, targets}) => isSingleVersion && targets.some(target => target.service === service));
+		return hasSingle ? 'finish-first' : 'continue';
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,3 @@
+/** An entry host that calls endpoints directly. */
+export * from './catalog.js';
+export * from './gateway.js';
--- a/packages/record/src/configuration-history.ts
+++ b/packages/record/src/configuration-history.ts
@@ -94,7 +94,7 @@
 		const head: GuardedWrite = {
 			table, key: headKey, expect: accepted.version - 1, value,
 		};
-		return writeSettled(this.#tables, {writes: [change, head], attempt});
+		return (await writeSettled(this.#tables, {writes: [change, head], attempt})) !== undefined;
 	}
 }
 
--- a/packages/record/src/group-commit.ts
+++ b/packages/record/src/group-commit.ts
@@ -106,8 +106,8 @@
 	async #commit(batch: readonly Waiting[]): Promise<void> {
 		const [first, ...rest] = batch.map(({write}) => write);
 		try {
-			const isWritten = await writeSettled(this.#tables, {writes: [first!, ...rest], attempt: first!.value.attempt});
-			if (!isWritten) {
+			const version = await writeSettled(this.#tables, {writes: [first!, ...rest], attempt: first!.value.attempt});
+			if (version === undefined) {
 				await Promise.all(batch.map(async waiting => this.#sortOut(waiting, batch.length === 1)));
 				return;
 			}
--- a/packages/record/src/index.ts
+++ b/packages/record/src/index.ts
@@ -8,3 +8,5 @@
 export * from './sample-log.js';
 export * from './settled-write.js';
 export * from './take-over-pace.js';
+export * from './part-tables.js';
+export * from './table-follower.js';
--- a/packages/record/src/lease-holder.ts
+++ b/packages/record/src/lease-holder.ts
@@ -251,19 +251,19 @@
 			holder, incarnation: holder === '' ? '' : this.#incarnation, address, fence, termMs: this.#termMs, expiresAt: Date.now() + this.#termMs, attempt,
 		};
 		this.#isDoubtful = true;
-		const isWritten = await writeSettled(tables, {
+		const version = await writeSettled(tables, {
 			writes: [{
 				table: leaseTable, key: shard, expect, value: lease,
 			}],
 			attempt,
 		});
-		this.#isDoubtful = !isWritten;
-		if (isWritten) {
-			this.#row = {key: shard, value: lease, version: expect + 1};
+		this.#isDoubtful = version === undefined;
+		if (version !== undefined) {
+			this.#row = {key: shard, value: lease, version};
 			this.#lease = lease;
 		}
 
-		return isWritten;
+		return version !== undefined;
 	}
 
 	#reportChange(): void {
--- a/packages/record/src/sample-log.ts
+++ b/packages/record/src/sample-log.ts
@@ -158,8 +158,8 @@
 		};
 		const batch = createBatch?.(attempt);
 		// The batch row is never changed again, so it is the better witness.
-		const isWritten = await writeSettled(this.#tables, {writes: batch ? [batch, headWrite] : [headWrite], attempt});
-		if (!isWritten) {
+		const version = await writeSettled(this.#tables, {writes: batch ? [batch, headWrite] : [headWrite], attempt});
+		if (version === undefined) {
 			throw new RecordError('conflict', `step ${this.#step} has another owner`);
 		}
 
--- a/packages/record/src/settled-write.ts
+++ b/packages/record/src/settled-write.ts
@@ -24,59 +24,62 @@
 
 const witnessSchema = z.object({attempt: z.string()});
 
-type Witness = 'ours' | 'unchanged' | 'other';
+/** Version at which the witness was found if it is ours, otherwise how the row differs. */
+type Witness = number | 'unchanged' | 'other';
 
 /**
  * Writes, and settles an unknown answer.
  *
- * @returns whether it was written; false when a condition did not hold
+ * @returns the new version of the witness; undefined when a condition did not hold
  * @throws {RecordError} `unavailable` if nothing was written, `unknown` if that could not be settled
  */
-export async function writeSettled(tables: TableService, {writes, attempt}: SettledWrite): Promise<boolean> {
+export async function writeSettled(tables: TableService, {writes, attempt}: SettledWrite): Promise<number | undefined> {
 	let isDoubtful = false;
 	for (let sends = 0; sends < maxSends; sends += 1) {
 		// Each send depends on what the last one has left.
 		// eslint-disable-next-line no-await-in-loop
 		const outcome = await send(tables, writes);
-		if (outcome === 'written') {
-			return true;
+		if (typeof outcome === 'number') {
+			return outcome;
 		}
 
 		// A refusal is certain only while no earlier copy may have been applied.
 		if (!isDoubtful && outcome !== 'unknown') {
-			return settleRefusal(outcome);
+			settleRefusal(outcome);
+			return undefined;
 		}
 
 		isDoubtful = true;
 		// eslint-disable-next-line no-await-in-loop
 		const witness = await readWitness(tables, writes[0], attempt);
 		if (witness !== 'unchanged') {
-			return witness === 'ours';
+			return typeof witness === 'number' ? witness : undefined;
 		}
 	}
 
 	throw new RecordError('unknown', `after ${maxSends} sends it is not known whether ${writes[0].table}/${writes[0].key} was written`);
 }
 
-type SendOutcome = 'written' | 'conflict' | 'unavailable' | 'unknown';
+/** The witness's new version, or why there is none. */
+type SendOutcome = number | 'conflict' | 'unavailable' | 'unknown';
 
 async function send(tables: TableService, writes: readonly GuardedWrite[]): Promise<SendOutcome> {
 	try {
-		await tables.transact(writes);
-		return 'written';
+		const [version] = await tables.transact(writes);
+		return version!;
 	} catch (error) {
 		const code = error instanceof PlatformError ? error.code : 'unknown';
 		return sendOutcomes[code] ?? 'unknown';
 	}
 }
 
-const sendOutcomes: Partial<Record<PlatformError['code'], SendOutcome>> = {
+const sendOutcomes: Partial<Record<PlatformError['code'], 'conflict' | 'unavailable'>> = {
 	conflict: 'conflict', unavailable: 'unavailable', limited: 'unavailable',
 };
 
-function settleRefusal(outcome: SendOutcome): false {
+function settleRefusal(outcome: 'conflict' | 'unavailable'): void {
 	if (outcome === 'conflict') {
-		return false;
+		return;
 	}
 
 	throw new RecordError('unavailable', 'the store can not be written at present; nothing was changed');
@@ -86,7 +89,7 @@
 	try {
 		const row = await tables.read(table, key);
 		if (witnessSchema.safeParse(row?.value).data?.attempt === attempt) {
-			return 'ours';
+			return row!.version;
 		}
 
 		return (row?.version ?? 0) === expect ? 'unchanged' : 'other';
--- /dev/null
+++ b/packages/record/src/table-follower.ts
@@ -0,0 +1,191 @@
+/**
+ * Follows one table of the store: reads it whole once, then its changes.
+ *
+ * Load pattern: a store that is down, slow, forgets its history, or whose connections go silent, in the middle of
+ * a change that must be in force within two seconds. Each wait at the store is short, so that a silent connection is
+ * noticed within the wait and the store client's time; a lost history is answered by reading the table again, and
+ * rows that are missing then count as removed.
+ */
+import {PlatformError, type RowChange, type RowStore} from '@wasabiusher/backends';
+import {describeError, type Log} from '@wasabiusher/shared';
+
+/**
+ * Longest wait of one call for changes, in milliseconds. A configuration must be in force 2 s after its
+ * confirmation, so a silent connection must show well before that; shorter waits cost more calls.
+ */
+const waitMs = 1000;
+
+/** First and longest pause after a failed call, in milliseconds: soon after an outage ends, without a flood during it. */
+const firstPauseMs = 50;
+const longestPauseMs = 250;
+
+/** Rows asked for in one call; the store gives 500 at most. */
+const pageRows = 500;
+
+/** Key that comes after all keys with the prefix of an empty text. */
+const noKey = '';
+
+export type FollowerSettings = {
+	store: RowStore;
+	table: string;
+	/** The part that is read at first; its changes and those of all other parts are followed. */
+	parts: readonly string[];
+	log: Log;
+	/** Called for each row that is there, changed or gone, in the order of the changes. */
+	apply(change: RowChange): void;
+	/** Called after each round in which the store has answered. */
+	onContact?(): void;
+};
+
+/** Keeps a view of one table. */
+export class TableFollower {
+	readonly #settings: FollowerSettings;
+	readonly #known = new Map<string, RowChange>();
+	#version = -1;
+	#contactAt = Number.NEGATIVE_INFINITY;
+	#isStopped = false;
+	#pauseMs = firstPauseMs;
+	#isDown = false;
+	#wake: (() => void) | undefined;
+
+	constructor(settings: FollowerSettings) {
+		this.#settings = settings;
+	}
+
+	/** Whether the table was read whole since the start. */
+	get isSynced(): boolean {
+		return this.#version >= 0;
+	}
+
+	/** Milliseconds since the store last answered; infinite before it first did. */
+	get ageMs(): number {
+		return performance.now() - this.#contactAt;
+	}
+
+	/** Follows until `stop`; never rejects. */
+	async run(): Promise<void> {
+		while (!this.#isStopped) {
+			// Each round begins where the last one has ended.
+			// eslint-disable-next-line no-await-in-loop
+			await this.#runRound();
+		}
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+		this.#wake?.();
+	}
+
+	async #runRound(): Promise<void> {
+		const {table, log, onContact} = this.#settings;
+		try {
+			await (this.isSynced ? this.#follow() : this.#readWhole());
+			this.#contactAt = performance.now();
+			this.#pauseMs = firstPauseMs;
+			if (this.#isDown) {
+				this.#isDown = false;
+				log.info('store_regained', {table, version: this.#version});
+			}
+
+			onContact?.();
+		} catch (error) {
+			if (error instanceof PlatformError && error.code === 'missing') {
+				log.warn('history_lost', {table, version: this.#version});
+				this.#version = -1;
+				return;
+			}
+
+			if (!this.#isDown) {
+				this.#isDown = true;
+				log.warn('store_lost', {table, version: this.#version, reason: describeError(error)});
+			}
+
+			await this.#pause();
+		}
+	}
+
+	async #pause(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#wake = resolve;
+			setTimeout(resolve, this.#pauseMs);
+		});
+		this.#pauseMs = Math.min(longestPauseMs, this.#pauseMs * 2);
+	}
+
+	async #follow(): Promise<void> {
+		const {store, table} = this.#settings;
+		const page = await store.follow(table, this.#version, waitMs);
+		for (const change of page.changes) {
+			this.#take(change);
+		}
+
+		this.#version = Math.max(this.#version, page.version);
+	}
+
+	/** The feed begins at the first page's version, so changes made during the reading are seen again. */
+	async #readWhole(): Promise<void> {
+		const {parts} = this.#settings;
+		const seen = new Set<string>();
+		let version = Number.POSITIVE_INFINITY;
+		for (const part of parts) {
+			// eslint-disable-next-line no-await-in-loop
+			version = Math.min(version, await this.#readPart(part, seen));
+		}
+
+		for (const [id, {table, part, key}] of this.#known) {
+			if (!seen.has(id)) {
+				this.#take({
+					table, part, key, value: undefined, version,
+				});
+			}
+		}
+
+		this.#version = version;
+	}
+
+	async #readPart(part: string, seen: Set<string>): Promise<number> {
+		const {store, table} = this.#settings;
+		let from = noKey;
+		let first: number | undefined;
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop
+			const page = await store.read({
+				table, part, from, limit: pageRows,
+			});
+			first ??= page.version;
+			for (const row of page.rows) {
+				seen.add(nameRow(row));
+				this.#take(row);
+			}
+
+			const last = page.rows.at(-1);
+			if (!page.hasMore || !last) {
+				return first;
+			}
+
+			// The smallest key that comes after the last one.
+			from = `${last.key}\u0000`;
+		}
+	}
+
+	#take(change: RowChange): void {
+		const id = nameRow(change);
+		const known = this.#known.get(id);
+		if (known && known.version >= change.version && change.value !== undefined) {
+			return;
+		}
+
+		if (change.value === undefined) {
+			this.#known.delete(id);
+		} else {
+			// Only what is needed to tell changes apart; the receiver keeps what it decodes.
+			this.#known.set(id, {...change, value: undefined});
+		}
+
+		this.#settings.apply(change);
+	}
+}
+
+function nameRow({part, key}: {part: string; key: string}): string {
+	return `${part}/${key}`;
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,8 +1,10 @@
 /** What every package shares: schemas of the domain, tables, errors, hashing, random numbers and logs. */
 export * from './configuration.js';
 export * from './configuration-delta.js';
+export * from './deployment.js';
 export * from './errors.js';
 export * from './generation.js';
+export * from './grouping.js';
 export * from './hashing.js';
 export * from './log.js';
 export * from './problem.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -4,9 +4,10 @@
  */
 const layers = [
 	['embedded', 'proof'],
-	['entry', 'agent', 'cli', 'load'],
+	['entry', 'agent', 'cli', 'load', 'gateway'],
 	['standins'],
-	['systems'],
+	['systems', 'batches'],
+	['direct'],
 	['decisions'],
 	['record'],
 	['link'],
@@ -46,7 +47,7 @@
 
 export default [
 	{
-		ignores: ['dist/**', 'coverage/**'],
+		ignores: ['dist/**', 'target/**', 'journal/**', 'coverage/**'],
 	},
 	...layers.flatMap((names, layer) => names.map(name => createDirection(layer, name))),
 	{
@@ -60,7 +61,7 @@
 		},
 	},
 	{
-		files: ['packages/daemon/src/run.ts', 'packages/daemon/src/settings.ts'],
+		files: ['packages/daemon/src/run.ts', 'packages/daemon/src/settings.ts', 'platform/src/main.ts'],
 		rules: {
 			// These two end command-line programs, which is what the rule allows.
 			'unicorn/no-process-exit': 'off',
