Let endpoints that load be, place models, and refuse at once while the store is silent

Adds in-memory stand-ins of a store with parts and of direct endpoints, and 14 tests of batches over them (owner killed, cut off, leaving; answers lost and late).

--- /dev/null
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -0,0 +1,247 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {BatchError, type SampleResult} from '../src/index.js';
+import {
+	createSubmission, createWorld, type Process, type World,
+} from './fixtures.js';
+
+async function catchCode(work: Promise<unknown>): Promise<string> {
+	try {
+		await work;
+	} catch (error) {
+		return error instanceof BatchError ? error.code : `not a BatchError: ${String(error)}`;
+	}
+
+	return 'none';
+}
+
+describe('Batches', () => {
+	let clock: Clock;
+	let world: World;
+	let processes: Process[];
+
+	function createProcesses(...hosts: string[]): Process[] {
+		const created = hosts.map(host => world.createProcess(host));
+		processes.push(...created);
+		return created;
+	}
+
+	async function settle<Result>(work: Promise<Result>, ms = 5000): Promise<Result> {
+		// The clock is moved on until the work is done.
+		const until = Date.now() + ms;
+		const state = {isDone: false};
+		const watched = work.finally(() => {
+			state.isDone = true;
+		});
+		watched.catch(() => undefined);
+		while (!state.isDone && Date.now() < until) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(10);
+		}
+
+		return watched;
+	}
+
+	async function readAll(process: Process, id: string): Promise<SampleResult[]> {
+		const {results} = await settle(process.batches.read(id, 0, 0));
+		return results;
+	}
+
+	beforeEach(() => {
+		clock = install();
+		world = createWorld();
+		processes = [];
+	});
+
+	afterEach(() => {
+		for (const process of processes) {
+			process.kill();
+		}
+
+		clock.uninstall();
+	});
+
+	it('makes all samples and shows each at one position, at every process', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		await settle(a!.batches.submit('1', createSubmission(6)));
+		await clock.tickAsync(2000);
+		const results = await readAll(a!, '1');
+		expect(results.map(({id}) => id).toSorted()).to.deep.equal(['s0', 's1', 's2', 's3', 's4', 's5']);
+		expect(results[0]!.text.split('\n')).to.have.length(5);
+		expect(results.every(({state, versions}) => state === 'made' && versions.join(',') === '1')).to.equal(true);
+		expect(await readAll(b!, '1')).to.deep.equal(results);
+	});
+
+	it('accepts a batch once, whoever it is handed to again', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		await settle(a!.batches.submit('1', createSubmission(2)));
+		await settle(b!.batches.submit('1', createSubmission(2)));
+		await clock.tickAsync(2000);
+		expect([...world.serving.endpoints.values()].flatMap(({runs}) => runs)).to.have.length(2);
+	});
+
+	it('accepts a batch whose first answer of the store was lost, and runs it once', async () => {
+		const [a] = createProcesses('a');
+		await clock.tickAsync(100);
+		a!.store.switches.answersToLose = 1;
+		expect(await catchCode(settle(a!.batches.submit('1', createSubmission(2))))).to.equal('none');
+		await clock.tickAsync(2000);
+		expect(await readAll(a!, '1')).to.have.length(2);
+	});
+
+	it('says that a batch was not accepted while the store is down, and runs nothing of it', async () => {
+		const [a] = createProcesses('a');
+		await clock.tickAsync(100);
+		a!.store.switches.isDown = true;
+		expect(await catchCode(settle(a!.batches.submit('1', createSubmission(2))))).to.equal('unavailable');
+		a!.store.switches.isDown = false;
+		await clock.tickAsync(5000);
+		expect([...world.serving.endpoints.values()].flatMap(({runs}) => runs)).to.have.length(0);
+	});
+
+	it('never says that a batch is missing while it can not ask the store', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		b!.store.switches.isDown = true;
+		await settle(a!.batches.submit('1', createSubmission(2)));
+		expect(await catchCode(settle(b!.batches.read('1', 0, 0)))).to.equal('unavailable');
+		expect(await catchCode(settle(b!.batches.read('nothing', 0, 0)))).to.equal('unavailable');
+		expect(await catchCode(settle(a!.batches.read('nothing', 0, 0)))).to.equal('missing');
+	});
+
+	it('goes on at another process when the owner dies, with every position as it was read', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		world.serving.endpoints.get('e0')!.switches.eventMs = 300;
+		await settle(a!.batches.submit('1', createSubmission(8)));
+		await clock.tickAsync(1000);
+		const before = await readAll(a!, '1');
+		expect(before.length).to.be.within(1, 7);
+		a!.kill();
+		await clock.tickAsync(10_000);
+		const after = await readAll(b!, '1');
+		expect(after.slice(0, before.length)).to.deep.equal(before);
+		expect(new Set(after.map(({id}) => id)).size).to.equal(8);
+		expect(after).to.have.length(8);
+	});
+
+	it('takes a batch over at once when its owner leaves, and goes on after the events that it had', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 100;
+			switches.events = 20;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(2)));
+		await clock.tickAsync(1000);
+		await settle(a!.batches.handOver());
+		await clock.tickAsync(1600);
+		const results = await readAll(b!, '1');
+		expect(results).to.have.length(2);
+		expect(results[0]!.text.split('\n')).to.have.length(20);
+		const resumed = [...world.serving.endpoints.values()].flatMap(({runs}) => runs).filter(({resumeAfter}) => resumeAfter !== undefined);
+		expect(resumed).to.have.length(2);
+	});
+
+	it('writes nothing more after another process has taken the batch over while it was cut off', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 700;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(4)));
+		await clock.tickAsync(1000);
+		a!.store.switches.isDown = true;
+		await clock.tickAsync(4000);
+		a!.store.switches.isDown = false;
+		await clock.tickAsync(8000);
+		const results = await readAll(b!, '1');
+		expect(results.map(({id}) => id).toSorted()).to.deep.equal(['s0', 's1', 's2', 's3']);
+		expect(await readAll(a!, '1')).to.deep.equal(results);
+	});
+
+	it('keeps positions when a commit is performed late, after its answer was given up', async () => {
+		const [a] = createProcesses('a');
+		world.serving.endpoints.get('e0')!.switches.eventMs = 50;
+		await settle(a!.batches.submit('1', createSubmission(8)));
+		a!.store.switches.writesToDelay = 2;
+		a!.store.switches.lateMs = 400;
+		const seen: SampleResult[] = [];
+		for (let i = 0; i < 30; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(100);
+			// eslint-disable-next-line no-await-in-loop
+			const results = await readAll(a!, '1');
+			expect(results.slice(0, seen.length)).to.deep.equal(seen);
+			seen.splice(0, seen.length, ...results);
+		}
+
+		expect(new Set(seen.map(({id}) => id)).size).to.equal(8);
+		expect(seen).to.have.length(8);
+	});
+
+	it('runs nothing more of a batch that was ended at another process', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 400;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(30)));
+		await clock.tickAsync(500);
+		await settle(b!.batches.end('1'));
+		await clock.tickAsync(100);
+		const before = [...world.serving.endpoints.values()].flatMap(({runs}) => runs).length;
+		await clock.tickAsync(10_000);
+		expect([...world.serving.endpoints.values()].flatMap(({runs}) => runs)).to.have.length(before);
+		expect(await catchCode(settle(a!.batches.end('1')))).to.equal('none');
+	});
+
+	it('shows nothing that the store does not have yet', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		await settle(a!.batches.submit('1', createSubmission(2)));
+		a!.store.switches.isDown = true;
+		await clock.tickAsync(1500);
+		expect(await readAll(a!, '1')).to.have.length(0);
+		expect(await readAll(b!, '1')).to.have.length(0);
+		a!.store.switches.isDown = false;
+		await clock.tickAsync(2000);
+		expect(await readAll(b!, '1')).to.have.length(2);
+	});
+
+	it('gives a sample up after as many failures as its route allows, not before', async () => {
+		const [a] = createProcesses('a');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.status = 500;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(1)));
+		await clock.tickAsync(3000);
+		const results = await readAll(a!, '1');
+		expect(results.map(({state}) => state)).to.deep.equal(['abandoned']);
+		expect([...world.serving.endpoints.values()].flatMap(({runs}) => runs)).to.have.length(3);
+	});
+
+	it('lists a sample only with its score, asked once its text was whole', async () => {
+		const [a] = createProcesses('a');
+		const scorer = world.serving.endpoints.get('scorer')!;
+		scorer.switches.answersToLose = 1;
+		const submission = createSubmission(1);
+		submission.samples[0]!.score = {
+			id: 'k', host: 'h', path: '/scores/k', body: 'AAAA',
+		};
+		await settle(a!.batches.submit('1', submission));
+		await clock.tickAsync(3000);
+		const [result] = await readAll(a!, '1');
+		expect(result!.score).to.equal('sc/k');
+		expect(scorer.runs).to.have.length(2);
+	});
+
+	it('gives the body of a sample at any process', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		await settle(a!.batches.submit('1', createSubmission(1)));
+		for (const process of [a!, b!]) {
+			// eslint-disable-next-line no-await-in-loop
+			expect([...await settle(process.batches.readBody('1', 's0'))]).to.deep.equal([0, 0, 0]);
+		}
+
+		expect(await catchCode(settle(b!.batches.readBody('1', 'nothing')))).to.equal('missing');
+	});
+});
--- /dev/null
+++ b/packages/batches/__tests__/fixtures.ts
@@ -0,0 +1,125 @@
+/** A deployment of several processes over one store and a few endpoints, under a paused clock. */
+import {EndpointDirectory} from '@wasabiusher/direct';
+import {MemoryRowStore, MemoryServing} from '@wasabiusher/standins';
+import {
+	createSilentLog, Random, type Deployment, type Route,
+} from '@wasabiusher/shared';
+import {TableFollower} from '@wasabiusher/record';
+import {
+	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, type Submission,
+} from '../src/index.js';
+
+export function createRoute(changes: Partial<Route> = {}): Route {
+	return {
+		name: 'steps', host: 'h', pathPrefix: '/steps/', kind: 'batch', isResumable: true, timeoutMs: 10_000, objectiveMs: 400, priority: 0,
+		targets: [{service: 's', weight: 1}], maxAttempts: 3, sampleTtlMs: 40_000, isSingleVersion: false, ...changes,
+	};
+}
+
+export function createDeployment(routes: Route[] = [createRoute(), createRoute({
+	name: 'scores', pathPrefix: '/scores/', kind: 'idempotent', timeoutMs: 1000, targets: [{service: 'scorer', weight: 1}],
+})]): Deployment {
+	return {
+		version: 1, routes, services: [], limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+	};
+}
+
+export function createSubmission(samples: number, changes: Partial<Submission> = {}): Submission {
+	return {
+		host: 'h', path: '/steps/x', model: 'm', leastVersion: 1, wantedGroups: samples,
+		samples: Array.from({length: samples}, (_, i) => ({
+			id: `s${i}`, path: '/steps/s', headers: {}, body: 'AAAA', group: `g${i}`,
+		})),
+		...changes,
+	};
+}
+
+/** One process. */
+export type Process = {
+	store: MemoryRowStore;
+	batches: Batches;
+	hosts: HostRegistry;
+	/** Ends it as a kill would. */
+	kill(): void;
+};
+
+export type World = {
+	root: MemoryRowStore;
+	serving: MemoryServing;
+	deployment: {current: Deployment};
+	createProcess(host: string): Process;
+};
+
+export function createWorld(endpoints = 2): World {
+	const root = new MemoryRowStore();
+	const serving = new MemoryServing();
+	const deployment = {current: createDeployment()};
+	for (let i = 0; i < endpoints; i += 1) {
+		serving.add(`e${i}`, `i${i}`);
+	}
+
+	serving.add('scorer', 'sc');
+	const createProcess = (host: string): Process => {
+		const store = root.createView();
+		const log = createSilentLog();
+		const random = new Random(host.codePointAt(0) ?? 0);
+		const directory = new EndpointDirectory(random);
+		for (let i = 0; i < endpoints; i += 1) {
+			directory.put({
+				id: `i${i}`, service: 's', address: `e${i}`, dataCentre: 'd', slots: 4, isDraining: false, models: [{model: 'm', version: 1}], orderCount: 0, coldMs: 0,
+			});
+		}
+
+		directory.put({
+			id: 'sc', service: 'scorer', address: 'scorer', dataCentre: 'd', slots: 8, isDraining: false, models: [], orderCount: 0, coldMs: 0,
+		});
+		const hosts = new HostRegistry({
+			rows: store, host, log, ownsWork: () => batches.ownedCount > 0,
+		});
+		const batches: Batches = new Batches({
+			store: new BatchStore(store, store), hosts, host, directory, client: serving, random, log,
+			findDeployment: () => deployment.current, readStoreMs: () => performance.now(),
+		});
+		const followers = [
+			new TableFollower({
+				store, table: batchTable, parts: batchParts, log, apply(change) {
+					batches.apply(change);
+				},
+			}),
+			new TableFollower({
+				store, table: hostTable, parts: [''], log,
+				apply(change) {
+					hosts.apply(change);
+				},
+				onContact() {
+					hosts.noteContact();
+				},
+			}),
+		];
+		for (const follower of followers) {
+			void follower.run();
+		}
+
+		hosts.start();
+		batches.start();
+		return {
+			store,
+			batches,
+			hosts,
+			kill() {
+				store.switches.isDown = true;
+				hosts.stop();
+				batches.stop();
+				for (const follower of followers) {
+					follower.stop();
+				}
+			},
+		};
+	};
+
+	return {
+		root, serving, deployment, createProcess,
+	};
+}
--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/batch-owner.ts
@@ -170,7 +170,7 @@
 		}
 
 		this.#add({
-			id: sample.id, state: 'made', text: text.events.join('\n'), versions: [...text.versions].toSorted((a, b) => a - b), score,
+			id: sample.id, state: 'made', text: text.events.join('\n'), versions: [...text.versions].toSorted((a, b) => a - b), ...(score === undefined ? {} : {score}),
 		});
 	}
 
--- a/packages/daemon/src/bounded-output.ts
+++ b/packages/daemon/src/bounded-output.ts
@@ -6,21 +6,18 @@
  */
 import sonicBoom from 'sonic-boom';
 
-/** The library is CommonJS: its names are fields of what it exports. */
-const {SonicBoom} = sonicBoom;
-
 /** Most bytes that wait to be written; some thousand lines. */
 const maxWaitingBytes = 1_048_576;
 
 /** Lines for standard output. */
 export class BoundedOutput {
-	readonly #destination: InstanceType<typeof SonicBoom>;
+	readonly #destination: InstanceType<typeof sonicBoom.SonicBoom>;
 	#dropped = 0;
 	#told = 0;
 
 	/** @param fd - file descriptor; 1 is standard output */
 	constructor(fd = 1) {
-		this.#destination = new SonicBoom({fd, sync: false, maxLength: maxWaitingBytes});
+		this.#destination = new sonicBoom.SonicBoom({fd, sync: false, maxLength: maxWaitingBytes});
 		this.#destination.on('drop', () => {
 			this.#dropped += 1;
 		});
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
 export * from './hedging.js';
 export * from './lagging-load.js';
 export * from './length-prediction.js';
+export * from './model-placement.js';
 export * from './placement.js';
 export * from './poison.js';
 export * from './prefix-index.js';
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -16,8 +16,12 @@
 const firstPauseMs = 200;
 const longestPauseMs = 2000;
 
-/** Time for which an endpoint that refused for lack of room is left alone, in milliseconds: some requests' service time. */
+/**
+ * First and longest time for which an endpoint that refused is left alone, in milliseconds: some requests' service time, and
+ * a part of the second that loading weights takes. Without the doubling half of all attempts met an endpoint that was loading.
+ */
 const fullPauseMs = 50;
+const longestFullPauseMs = 400;
 
 /** Weight of a new measurement in an endpoint's pace: four of them are two thirds of it. */
 const paceSmoothing = 0.25;
@@ -34,6 +38,8 @@
 	openAtLoad: number;
 	pausedUntil: number;
 	failures: number;
+	/** Refusals one after the other. */
+	refusals: number;
 	paceMs: number | undefined;
 	/** Newest version seen of each model; a running endpoint never goes back. */
 	versions: Map<string, number>;
@@ -162,8 +168,12 @@
 			standing.openAtLoad = standing.open;
 		}
 
-		if (isNotRun && status !== 421) {
-			standing.pausedUntil = performance.now() + fullPauseMs;
+		if (!isNotRun) {
+			standing.refusals = 0;
+		} else if (status !== 421 && standing.pausedUntil <= performance.now()) {
+			// Of refusals at the same time one counts.
+			standing.pausedUntil = performance.now() + Math.min(longestFullPauseMs, fullPauseMs * (2 ** standing.refusals));
+			standing.refusals += 1;
 		}
 	}
 
@@ -229,7 +239,7 @@
 
 function createStanding(endpoint: RegisteredEndpoint): Standing {
 	return {
-		endpoint, vanishedAt: undefined, open: 0, load: undefined, loadAt: 0, openAtLoad: 0, pausedUntil: 0, failures: 0, paceMs: undefined,
+		endpoint, vanishedAt: undefined, open: 0, load: undefined, loadAt: 0, openAtLoad: 0, pausedUntil: 0, failures: 0, refusals: 0, paceMs: undefined,
 		versions: new Map(), warmKeys: new Set(),
 	};
 }
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -224,15 +224,13 @@
 		return {kind: 'made', text: this.#text};
 	}
 
-	async #noteRefusal(id: string, run: ServingRun): Promise<RunStep> {
+	#noteRefusal(id: string, run: ServingRun): RunStep {
 		const {directory} = this.#settings;
 		this.#avoided = id;
 		if (run.status === 421 && run.weightVersion === undefined) {
 			directory.recordMisdirected(id);
 		}
 
-		directory.pause(id, pauseMs * 2);
-		await this.#pause();
 		return 'again';
 	}
 
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -5,6 +5,7 @@
  * the rest goes on; an order names how many orders the endpoint must have accepted before, so that one that is carried out
  * late, after a newer one, does nothing. No order is given without the lease, and none whose version an endpoint holds.
  */
+import {placeModels} from '@wasabiusher/decisions';
 import type {
 	LoadMode, OrderOutcome, ServingClient, ServingReport,
 } from '@wasabiusher/backends';
@@ -79,10 +80,18 @@
 		const services = groupBy(directory.list(), ({service}) => service);
 		for (const endpoints of services.values()) {
 			this.#look(endpoints);
-			this.#order(endpoints);
+			this.#order(endpoints, this.#place(endpoints));
 		}
 	}
 
+	/** Which models each endpoint follows; those that leave follow none. */
+	#place(endpoints: readonly RegisteredEndpoint[]): Map<string, readonly string[]> {
+		const {directory} = this.#settings;
+		return placeModels(endpoints.filter(({isDraining}) => !isDraining).map(({id, models}) => ({
+			id, versions: new Map(models.map(({model}) => [model, directory.findVersion(id, model) ?? 0])),
+		})));
+	}
+
 	/** Looks after orders under way. */
 	#look(endpoints: readonly RegisteredEndpoint[]): void {
 		const now = performance.now();
@@ -140,14 +149,14 @@
 		}
 	}
 
-	#order(endpoints: readonly RegisteredEndpoint[]): void {
+	#order(endpoints: readonly RegisteredEndpoint[], placed: ReadonlyMap<string, readonly string[]>): void {
 		const most = Math.max(1, Math.round(endpoints.length * loadingFraction));
 		let free = most - endpoints.filter(({id}) => this.#loading.has(id) || this.#busy.has(id)).length;
 		const now = performance.now();
 		const due = endpoints
 			.filter(({id, isDraining}) => !isDraining && !this.#loading.has(id) && !this.#busy.has(id) && (this.#notBefore.get(id) ?? 0) <= now)
 			.flatMap(endpoint => {
-				const wanted = this.#findWanted(endpoint);
+				const wanted = this.#findWanted(endpoint, placed.get(endpoint.id) ?? []);
 				return wanted ? [{endpoint, wanted}] : [];
 			})
 			// The oldest weights first: they hold up the most; then the least busy.
@@ -165,8 +174,8 @@
 		}
 	}
 
-	#findWanted({id, models}: RegisteredEndpoint): {model: string; version: number; from: number} | undefined {
-		for (const {model} of models) {
+	#findWanted({id}: RegisteredEndpoint, models: readonly string[]): {model: string; version: number; from: number} | undefined {
+		for (const model of models) {
 			const version = this.#published.get(model) ?? 0;
 			const from = this.#settings.directory.findVersion(id, model) ?? 0;
 			if (version > from) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,7 @@
 	describeError, findRoute, type Deployment, type Log, type Random, type Route,
 } from '@wasabiusher/shared';
 import {Catalog, type CatalogFormat} from './catalog.js';
-import {StoreClock} from './store-clock.js';
+import {StoreGate} from './store-gate.js';
 
 /** How often orders for weights are looked after, in milliseconds. */
 const ordersMs = 50;
@@ -26,6 +26,12 @@
  */
 const staleMs = 2500;
 
+/**
+ * Time without an answer of the store after which new work had better go to a host that hears it, in milliseconds: a
+ * regular wait and one lost answer.
+ */
+const cutOffMs = 3000;
+
 export type GatewaySettings = {
 	/** Name of the host. */
 	host: string;
@@ -54,15 +60,15 @@
 	readonly #orders: WeightOrders;
 	readonly #followers: TableFollower[];
 	readonly #operatorFollower: TableFollower;
-	readonly #clock: StoreClock;
+	readonly #gate: StoreGate;
 	#timer: NodeJS.Timeout | undefined;
 	#isDraining = false;
 
 	constructor(settings: GatewaySettings) {
 		this.#settings = settings;
 		const {host, client, format, random, log, leaseMs} = settings;
-		this.#clock = new StoreClock(settings.rows);
-		const rows = this.#clock;
+		this.#gate = new StoreGate(settings.rows);
+		const rows = this.#gate;
 		this.#directory = new EndpointDirectory(random);
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, random, log, termMs: leaseMs,
@@ -78,29 +84,29 @@
 		});
 		this.batches = new Batches({
 			directory: this.#directory, client, random, log, host, hosts: this.#hosts,
-			store: new BatchStore(rows, settings.blobs),
+			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			findDeployment: () => this.#catalog.deployment,
-			readStoreMs: () => this.#clock.storeMs,
+			readStoreMs: () => this.#gate.storeMs,
 		});
 		this.#operatorFollower = new TableFollower({
-			store: rows, table: format.operatorTable, parts: [''], log, apply: change => {
+			store: this.#gate.probing, table: format.operatorTable, parts: [''], log, apply: change => {
 				this.#catalog.applyOperatorRow(change);
 			},
 		});
 		this.#followers = [
 			this.#operatorFollower,
 			new TableFollower({
-				store: rows, table: format.endpointTable, parts: [''], log, apply: change => {
+				store: this.#gate.probing, table: format.endpointTable, parts: [''], log, apply: change => {
 					this.#catalog.applyEndpoint(change);
 				},
 			}),
 			new TableFollower({
-				store: rows, table: batchTable, parts: batchParts, log, apply: change => {
+				store: this.#gate.probing, table: batchTable, parts: batchParts, log, apply: change => {
 					this.batches.apply(change);
 				},
 			}),
 			new TableFollower({
-				store: rows, table: hostTable, parts: [''], log,
+				store: this.#gate.probing, table: hostTable, parts: [''], log,
 				apply: change => {
 					this.#hosts.apply(change);
 				},
@@ -113,7 +119,8 @@
 
 	/** Whether new work should come here. */
 	get isReady(): boolean {
-		return !this.#isDraining && this.#catalog.deployment !== undefined && this.#followers.every(({isSynced}) => isSynced);
+		const knowsAll = this.#catalog.deployment !== undefined && this.#followers.every(({isSynced}) => isSynced);
+		return knowsAll && !this.#isDraining && this.#operatorFollower.ageMs < cutOffMs;
 	}
 
 	get deployment(): Deployment | undefined {
--- /dev/null
+++ b/packages/gateway/src/store-gate.ts
@@ -0,0 +1,103 @@
+/**
+ * The way to the store: keeps its clock, and refuses at once while it is known not to answer.
+ *
+ * Load pattern: a host that is cut off from the store while callers still reach it. Each call would wait for its whole
+ * time, so readers that could have asked another host at once were held for 1.2 s each. The followers of the
+ * tables go on asking; the first answer opens the gate.
+ */
+import {
+	PlatformError, type BlobStore, type ChangePage, type CommitReceipt, type RowPage, type RowRange, type RowStore, type RowTransaction,
+} from '@wasabiusher/backends';
+
+/** A call that fails after this time, in milliseconds, shows that the store is silent rather than refusing. */
+const silentMs = 1000;
+
+/** Errors that say nothing of whether the store answers: it did. */
+const answeredCodes: ReadonlySet<string> = new Set(['conflict', 'missing', 'limited', 'refused', 'invalid']);
+
+/** Passes calls to the store and notes the time that it tells. */
+export class StoreGate implements RowStore {
+	readonly #store: RowStore;
+	/** The store's clock less this process's monotonic one, in milliseconds. */
+	#offsetMs = 0;
+	#isSilent = false;
+
+	constructor(store: RowStore) {
+		this.#store = store;
+	}
+
+	/** The store's clock now, as last told and counted on from there. */
+	get storeMs(): number {
+		return performance.now() + this.#offsetMs;
+	}
+
+	/** Whether the store has left a call without an answer and has given none since. */
+	get isSilent(): boolean {
+		return this.#isSilent;
+	}
+
+	/** The store for those who ask on while it is silent, so that its first answer is noticed. */
+	get probing(): RowStore {
+		return {
+			commit: async transaction => this.commit(transaction),
+			read: async range => this.#pass(async () => this.#store.read(range)),
+			follow: async (table, after, waitMs) => this.follow(table, after, waitMs),
+		};
+	}
+
+	/** Objects, refused at once as well while the store is silent. */
+	guard(blobs: BlobStore): BlobStore {
+		const check = () => {
+			this.#check();
+		};
+
+		return {
+			async put(name, content) {
+				check();
+				return blobs.put(name, content);
+			},
+			async get(name) {
+				check();
+				return blobs.get(name);
+			},
+			async drop(name) {
+				check();
+				return blobs.drop(name);
+			},
+		};
+	}
+
+	async commit(transaction: RowTransaction): Promise<CommitReceipt> {
+		this.#check();
+		return this.#pass(async () => this.#store.commit(transaction));
+	}
+
+	async read(range: RowRange): Promise<RowPage> {
+		this.#check();
+		return this.#pass(async () => this.#store.read(range));
+	}
+
+	async follow(table: string, after: number, waitMs: number): Promise<ChangePage> {
+		return this.#pass(async () => this.#store.follow(table, after, waitMs));
+	}
+
+	#check(): void {
+		if (this.#isSilent) {
+			throw new PlatformError('unavailable', 'the store does not answer at present; nothing was sent');
+		}
+	}
+
+	async #pass<Answer extends {storeMs: number}>(call: () => Promise<Answer>): Promise<Answer> {
+		const startedAt = performance.now();
+		try {
+			const answer = await call();
+			this.#offsetMs = answer.storeMs - performance.now();
+			this.#isSilent = false;
+			return answer;
+		} catch (error) {
+			const hasAnswered = error instanceof PlatformError && answeredCodes.has(error.code);
+			this.#isSilent = !hasAnswered && (this.#isSilent || performance.now() - startedAt >= silentMs);
+			throw error;
+		}
+	}
+}
--- a/packages/record/src/table-follower.ts
+++ b/packages/record/src/table-follower.ts
@@ -57,6 +57,11 @@
 		return this.#version >= 0;
 	}
 
+	/** Whether the last call to the store has failed. */
+	get isDown(): boolean {
+		return this.#isDown;
+	}
+
 	/** Milliseconds since the store last answered; infinite before it first did. */
 	get ageMs(): number {
 		return performance.now() - this.#contactAt;
@@ -114,7 +119,8 @@
 
 	async #follow(): Promise<void> {
 		const {store, table} = this.#settings;
-		const page = await store.follow(table, this.#version, waitMs);
+		// After a failure the answer itself is what matters, not a change.
+		const page = await store.follow(table, this.#version, this.#isDown ? 0 : waitMs);
 		for (const change of page.changes) {
 			this.#take(change);
 		}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -6,6 +6,8 @@
 } from './engine-settings.js';
 export * from './ledger.js';
 export * from './memory-membership.js';
+export * from './memory-row-store.js';
+export * from './memory-serving.js';
 export * from './memory-storage.js';
 export * from './memory-weight-store.js';
 export * from './platform-server.js';
