Go on with unfinished texts in the next batch, and leave slow endpoints in mid-text

Cause of the steps' length: a trainer ends a step with nine tenths of its groups and hands the longest ones in again, where they must be waited for; they were made anew. Now what was made is kept under the group's name, runs of an ended batch go on until the next one comes (1.5 s at most), and the next owner resumes them. Runs leave endpoints that turn slow; batches change owner 1.7 s after the last heartbeat (2.5 before), and texts are kept every 0.7 s (1.5 before). Ruled out: lack of slots (40% taken).

--- a/packages/batches/__tests__/batches.spec.ts
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -110,17 +110,20 @@
 
 	it('goes on at another process when the owner dies, with every position as it was read', async () => {
 		const [a, b] = createProcesses('a', 'b');
-		world.serving.endpoints.get('e0')!.switches.eventMs = 300;
-		await settle(a!.batches.submit('1', createSubmission(8)));
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 150;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(12)));
 		await clock.tickAsync(1000);
 		const before = await readAll(a!, '1');
-		expect(before.length).to.be.within(1, 7);
+		expect(before.length).to.be.within(1, 11);
 		a!.kill();
 		await clock.tickAsync(10_000);
 		const after = await readAll(b!, '1');
 		expect(after.slice(0, before.length)).to.deep.equal(before);
-		expect(new Set(after.map(({id}) => id)).size).to.equal(8);
-		expect(after).to.have.length(8);
+		expect(new Set(after.map(({id}) => id)).size).to.equal(12);
+		expect(after).to.have.length(12);
 	});
 
 	it('takes a batch over at once when its owner leaves, and goes on after the events that it had', async () => {
@@ -194,6 +197,48 @@
 		expect(await catchCode(settle(a!.batches.end('1')))).to.equal('none');
 	});
 
+	it('goes on in the next batch with texts of groups that were not whole, at another process', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 100;
+			switches.events = 50;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(2, {step: 1})));
+		await clock.tickAsync(1500);
+		await settle(b!.batches.end('1'));
+		await clock.tickAsync(1000);
+		await settle(b!.batches.submit('2', createSubmission(4, {step: 2})));
+		await clock.tickAsync(3000);
+		const results = await readAll(b!, '2');
+		expect(results.map(({id}) => id).toSorted()).to.deep.equal(['s0', 's1']);
+		expect(results[0]!.text.split('\n')).to.have.length(50);
+		const resumed = [...world.serving.endpoints.values()].flatMap(({runs}) => runs).flatMap(({resumeAfter}) => resumeAfter ?? []);
+		expect(Math.min(...resumed)).to.be.greaterThan(20);
+	});
+
+	it('does not use a kept text that was made by weights too old for the next batch', async () => {
+		const [a] = createProcesses('a');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 100;
+			switches.events = 50;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(1, {step: 1})));
+		await clock.tickAsync(1500);
+		await settle(a!.batches.end('1'));
+		for (const endpoint of world.serving.endpoints.values()) {
+			endpoint.version = 2;
+			a!.directory.recordVersion(endpoint.id, 'm', 2);
+		}
+
+		await settle(a!.batches.submit('2', createSubmission(2, {step: 2, leastVersion: 2, path: '/steps/y'})));
+		await clock.tickAsync(8000);
+		const results = await readAll(a!, '2');
+		expect(results.map(({versions}) => versions.join(','))).to.deep.equal(['2', '2']);
+		expect(results[0]!.text.split('\n')).to.have.length(50);
+	});
+
 	it('shows nothing that the store does not have yet', async () => {
 		const [a, b] = createProcesses('a', 'b');
 		await settle(a!.batches.submit('1', createSubmission(2)));
--- a/packages/batches/__tests__/fixtures.ts
+++ b/packages/batches/__tests__/fixtures.ts
@@ -6,7 +6,7 @@
 } from '@wasabiusher/shared';
 import {TableFollower} from '@wasabiusher/record';
 import {
-	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, type Submission,
+	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts, type Submission,
 } from '../src/index.js';
 
 export function createRoute(changes: Partial<Route> = {}): Route {
@@ -41,6 +41,7 @@
 	store: MemoryRowStore;
 	batches: Batches;
 	hosts: HostRegistry;
+	directory: EndpointDirectory;
 	/** Ends it as a kill would. */
 	kill(): void;
 };
@@ -79,7 +80,7 @@
 			rows: store, host, log, ownsWork: () => batches.ownedCount > 0,
 		});
 		const batches: Batches = new Batches({
-			store: new BatchStore(store, store), hosts, host, directory, client: serving, random, log,
+			store: new BatchStore(store, store), keptTexts: new KeptTexts(store), hosts, host, directory, client: serving, random, log,
 			findDeployment: () => deployment.current, readStoreMs: () => performance.now(),
 		});
 		const followers = [
@@ -108,6 +109,7 @@
 			store,
 			batches,
 			hosts,
+			directory,
 			kill() {
 				store.switches.isDown = true;
 				hosts.stop();
--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/batch-owner.ts
@@ -15,10 +15,11 @@
 	describeError, findRoute, type Deployment, type Log, type Route,
 } from '@wasabiusher/shared';
 import type {
-	PartialText, Sample, SampleResult, StoredBatch, Submission,
+	KeptText, PartialText, Sample, SampleResult, StoredBatch, Submission,
 } from './batch.js';
 import {maxWriteBytes, type BatchStore, type PartialTexts} from './batch-store.js';
 import {BatchError} from './errors.js';
+import type {GroupedText} from './kept-texts.js';
 import type {PositionedResult} from './result-rows.js';
 
 /** Least pause between transactions of one batch, in milliseconds: results that come together go together. */
@@ -40,10 +41,10 @@
 const leastConcurrency = 8;
 
 /** Time between writes of unfinished texts, in milliseconds; so much work is lost with an owner. */
-const checkpointMs = 1500;
+const checkpointMs = 700;
 
-/** Events that a text must have grown by to be written again; fewer are made anew in about half a second. */
-const checkpointEvents = 12;
+/** Events that a text must have grown by to be written again; fewer are made anew in a quarter of a second. */
+const checkpointEvents = 6;
 
 export type BatchOwnerSettings = CallSettings & {
 	store: BatchStore;
@@ -61,6 +62,8 @@
 	submission: Submission;
 	results: PositionedResult[];
 	partials: Map<string, PartialText>;
+	/** What earlier batches have left of its samples; a group that is found here was carried over. */
+	kept: Map<string, KeptText>;
 };
 
 /** The owner of one batch. */
@@ -73,18 +76,23 @@
 	readonly #listed = new Set<string>();
 	#waiting: SampleResult[] = [];
 	readonly #partials: Map<string, PartialText>;
+	readonly #kept: Map<string, KeptText>;
 	readonly #runs = new Map<string, SampleRun>();
+	/** Whole texts that wait for their score or for the store. */
+	readonly #whole = new Map<string, SampleText>();
+	#isRetired = false;
 	readonly #checkpointed = new Map<string, number>();
 	readonly #stop = createStop();
 	readonly #commits = new PQueue({concurrency: 1});
 	readonly #watchers = new Set<() => void>();
 	#checkpointTimer: NodeJS.Timeout | undefined;
 
-	constructor(settings: BatchOwnerSettings, {stored, submission, results, partials}: OwnedBatch) {
+	constructor(settings: BatchOwnerSettings, {stored, submission, results, partials, kept}: OwnedBatch) {
 		this.#settings = settings;
 		this.#stored = stored;
 		this.#submission = submission;
 		this.#partials = partials;
+		this.#kept = kept;
 		for (const {result} of results) {
 			this.#list(result);
 		}
@@ -117,7 +125,7 @@
 		const {samples, wantedGroups} = this.#submission;
 		const open = new Map(samples.filter(({id}) => !this.#listed.has(id)).map(sample => [sample.id, sample]));
 		const order = planBatchOrder([...open.values()].map(sample => ({
-			id: sample.id, group: sample.group ?? sample.id, expectedTokens: sample.expectedTokens ?? 0, isCarried: false,
+			id: sample.id, group: sample.group ?? sample.id, expectedTokens: sample.expectedTokens ?? 0, isCarried: this.#kept.has(sample.id),
 		})), wantedGroups);
 		const queue = new PQueue({concurrency: this.#countSlots()});
 		for (const id of order) {
@@ -128,7 +136,7 @@
 			void this.#checkpoint();
 		}, checkpointMs);
 		this.#settings.log.info('batch_begun', {
-			batch: this.id, term: this.#stored.record.term, total: samples.length, listed: this.#results.length, partials: this.#partials.size,
+			batch: this.id, term: this.#stored.record.term, total: samples.length, listed: this.#results.length, partials: this.#partials.size, kept: this.#kept.size,
 		});
 	}
 
@@ -159,6 +167,7 @@
 
 	/** Has a whole text scored, then lists it. */
 	async finish(sample: Sample, text: SampleText): Promise<void> {
+		this.#whole.set(sample.id, text);
 		const score = sample.score ? await this.#score(sample) : undefined;
 		if (this.#stop.signal.aborted) {
 			return;
@@ -186,6 +195,46 @@
 		});
 	}
 
+	/** Begins nothing more; runs under way go on until `stop`, since their texts may be wanted in the next batch. */
+	retire(): void {
+		this.#isRetired = true;
+		clearInterval(this.#checkpointTimer);
+	}
+
+	/** What was made of the groups that are not whole. */
+	listUnfinished(): GroupedText[] {
+		const open = new Set(this.#submission.samples.filter(({id}) => !this.#listed.has(id)).map(({group}) => group));
+		const results = new Map(this.#results.map(result => [result.id, result]));
+		return this.#submission.samples.flatMap(({id, group}) => {
+			const text = group !== undefined && open.has(group) ? this.#findText(id, results.get(id)) : undefined;
+			return text ? [{group: group!, sample: id, text}] : [];
+		});
+	}
+
+	#findText(id: string, result: SampleResult | undefined): KeptText | undefined {
+		if (result) {
+			// A sample that was given up is begun anew.
+			return result.state === 'made' ? {events: result.text.split('\n'), versions: result.versions, isWhole: true} : undefined;
+		}
+
+		const whole = this.#whole.get(id);
+		if (whole) {
+			return {...toPartial(whole), isWhole: true};
+		}
+
+		const run = this.#runs.get(id);
+		return run ? {...toPartial(run.text), isWhole: false} : this.#kept.get(id) ?? {events: [], versions: [], isWhole: false};
+	}
+
+	/** What is there of a sample's text, if its versions fit this batch. */
+	#findUsable({id}: Sample): KeptText | undefined {
+		const {leastVersion} = this.#submission;
+		const isSingle = this.#findRoute()?.isSingleVersion;
+		const partial = this.#partials.get(id);
+		const candidates = [this.#kept.get(id), partial && {...partial, isWhole: false}];
+		return candidates.find(text => text && text.events.length > 0 && text.versions.every(version => version >= leastVersion) && !(isSingle && text.versions.length > 1));
+	}
+
 	#countSlots(): number {
 		const route = this.#findRoute();
 		const services = new Set(route?.targets.map(({service}) => service));
@@ -207,12 +256,17 @@
 	}
 
 	async #make(sample: Sample): Promise<void> {
-		if (this.#stop.signal.aborted) {
+		if (this.#stop.signal.aborted || this.#isRetired) {
 			return;
 		}
 
 		try {
 			const outcome = await this.#runSample(sample);
+			if (this.#isRetired) {
+				this.#noteRetired(sample, outcome);
+				return;
+			}
+
 			await outcomes[outcome.kind](this, sample, outcome);
 		} catch (error) {
 			this.#settings.log.error('sample_failed', {batch: this.id, sample: sample.id, reason: describeError(error)});
@@ -221,13 +275,23 @@
 		}
 	}
 
+	/** A text that became whole after the batch's end is kept for the next one. */
+	#noteRetired({id}: Sample, outcome: SampleOutcome): void {
+		if (outcome.kind === 'made') {
+			this.#whole.set(id, outcome.text);
+		}
+	}
+
 	async #runSample(sample: Sample): Promise<SampleOutcome> {
 		const {directory, client, log, random} = this.#settings;
 		const {host, model, leastVersion} = this.#submission;
-		const partial = this.#partials.get(sample.id);
-		const isUsable = partial?.versions.every(version => version >= leastVersion);
+		const kept = this.#findUsable(sample);
+		if (kept?.isWhole) {
+			return {kind: 'made', text: toText(kept)};
+		}
+
 		const run = new SampleRun({
-			directory, client, log, findRoute: () => this.#findRoute(), chance: () => random.next(),
+			directory, client, log, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(),
 		}, {
 			id: sample.id,
 			model,
@@ -238,7 +302,7 @@
 			request: {
 				method: 'POST', path: sample.path, host, headers: sample.headers, body: Buffer.from(sample.body, 'base64'),
 			},
-		}, this.#stop.signal, isUsable ? {events: [...partial!.events], versions: new Set(partial!.versions)} : undefined);
+		}, this.#stop.signal, kept && toText(kept));
 		this.#runs.set(sample.id, run);
 		return run.run();
 	}
@@ -437,6 +501,10 @@
 	},
 };
 
+function toText({events, versions}: PartialText): SampleText {
+	return {events: [...events], versions: new Set(versions)};
+}
+
 function toPartial({events, versions}: SampleText): PartialText {
 	return {events: [...events], versions: [...versions]};
 }
--- a/packages/batches/src/batch-store.ts
+++ b/packages/batches/src/batch-store.ts
@@ -8,11 +8,12 @@
 import {
 	PlatformError, type BlobStore, type RowAddress, type RowCondition, type RowStore, type StoredValue,
 } from '@wasabiusher/backends';
-import {describeError, hashToNumber} from '@wasabiusher/shared';
+import {describeError} from '@wasabiusher/shared';
 import {
 	batchRecordSchema, partialTextSchema, submissionSchema, type BatchRecord, type PartialText, type StoredBatch, type Submission,
 } from './batch.js';
 import {BatchError} from './errors.js';
+import {findPart} from './parts.js';
 import {
 	decodeResults, encodeResult, formatEndKey, formatFirstKey, resultTable, type PositionedResult,
 } from './result-rows.js';
@@ -20,16 +21,6 @@
 export const batchTable = 'batches';
 const textTable = 'batch-texts';
 
-/** Parts among which batches are divided; each carries some hundred transactions a second. */
-const partCount = 4;
-
-export const batchParts: readonly string[] = Array.from({length: partCount}, (_, i) => `b${i}`);
-
-/** The part in which all rows of a batch lie, so that they can change together. */
-export function findPart(batch: string): string {
-	return batchParts[hashToNumber(batch) % partCount]!;
-}
-
 /** Rows read in one call, and written in one transaction, with room for conditions. */
 const pageRows = 500;
 const maxWriteRows = 40;
--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -47,6 +47,8 @@
 	owner: z.string(),
 	/** Name of the owner's host, for people. */
 	ownerHost: z.string(),
+	/** What batches of one trainer have in common; a new one shows that the trainer has gone on. */
+	series: z.string(),
 	/** Counts up with each change of owner. */
 	term: z.int().nonnegative(),
 	isEnded: z.boolean(),
@@ -71,12 +73,19 @@
 /** What is kept of a text that is not whole yet. */
 export const partialTextSchema = z.object({events: z.array(z.string()), versions: z.array(z.int())});
 
+/** What was made of a sample whose batch ended before its group was whole. */
+export const keptTextSchema = partialTextSchema.extend({
+	/** Whether the text is whole. */
+	isWhole: z.boolean(),
+});
+
 export type ScoreCall = z.infer<typeof scoreCallSchema>;
 export type Sample = z.infer<typeof sampleSchema>;
 export type Submission = z.infer<typeof submissionSchema>;
 export type BatchRecord = z.infer<typeof batchRecordSchema>;
 export type SampleResult = z.infer<typeof sampleResultSchema>;
 export type PartialText = z.infer<typeof partialTextSchema>;
+export type KeptText = z.infer<typeof keptTextSchema>;
 
 /** A record with the version of its row. */
 export type StoredBatch = {record: BatchRecord; version: number};
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -9,12 +9,13 @@
 import type {RowChange} from '@wasabiusher/backends';
 import {describeError} from '@wasabiusher/shared';
 import {
-	type BatchRecord, type ResultPage, type SampleResult, type StoredBatch, type Submission,
+	type BatchRecord, type KeptText, type ResultPage, type SampleResult, type StoredBatch, type Submission,
 } from './batch.js';
 import {BatchOwner, type BatchOwnerSettings} from './batch-owner.js';
 import {decodeRecord, type BatchStore} from './batch-store.js';
 import {BatchError} from './errors.js';
 import type {HostRegistry} from './host-registry.js';
+import type {KeptTexts} from './kept-texts.js';
 
 /** Time between looks for batches without a living owner, in milliseconds. */
 const lookMs = 150;
@@ -29,6 +30,18 @@
 const settleMs = 2500;
 const settlePauseMs = 100;
 
+/**
+ * Time for which runs of an ended batch go on, in milliseconds: a trainer takes about a second to hand in its next batch, which
+ * needs their texts. They must have ended when the end has been in force for three seconds.
+ */
+const retiredMs = 1500;
+
+/** Time for another process to keep its texts after it has seen a new batch, in milliseconds: some calls to the store. */
+const keepMs = 50;
+
+/** Part of the wanted groups that may have been carried over from an earlier batch; they come first. */
+const carriedPart = 0.5;
+
 /** Submissions of other owners that are kept to serve their bodies. */
 const keptSubmissions = 8;
 
@@ -37,6 +50,7 @@
 
 export type BatchesSettings = Omit<BatchOwnerSettings, 'onReplaced'> & {
 	store: BatchStore;
+	keptTexts: KeptTexts;
 	hosts: HostRegistry;
 	host: string;
 };
@@ -48,6 +62,8 @@
 	readonly #settings: BatchesSettings;
 	readonly #known = new Map<string, KnownBatch>();
 	readonly #owners = new Map<string, BatchOwner>();
+	/** Owners of batches that have ended, whose runs go on for a moment. */
+	readonly #retired = new Map<string, {owner: BatchOwner; timer: NodeJS.Timeout}>();
 	readonly #submissions = new LRUCache<string, Submission>({max: keptSubmissions});
 	#timer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
@@ -82,7 +98,7 @@
 		const object = `batch-${id}`;
 		await this.#putSubmission(object, submission);
 		const record: BatchRecord = {
-			id, owner: this.#isLeaving ? '' : hosts.incarnation, ownerHost: host, term: 1, isEnded: false, object,
+			id, owner: this.#isLeaving ? '' : hosts.incarnation, ownerHost: host, series: findSeries(submission), term: 1, isEnded: false, object,
 			total: submission.samples.length, acceptedMs: readStoreMs(),
 		};
 		this.#submissions.set(object, submission);
@@ -160,12 +176,21 @@
 		this.#isLeaving = true;
 		clearInterval(this.#timer);
 		const {hosts} = this.#settings;
-		await Promise.all([...this.#owners.values()].map(async owner => this.#handOver(owner)));
+		await Promise.all([
+			...[...this.#owners.values()].map(async owner => this.#handOver(owner)),
+			...[...this.#retired.keys()].map(async id => this.#flush(id)),
+		]);
 		await hosts.leave();
 	}
 
 	stop(): void {
 		clearInterval(this.#timer);
+		for (const {owner, timer} of this.#retired.values()) {
+			clearTimeout(timer);
+			owner.stop();
+		}
+
+		this.#retired.clear();
 		for (const id of this.#owners.keys()) {
 			this.#drop(id);
 		}
@@ -296,9 +321,13 @@
 		this.#known.set(record.id, {
 			record, version, seenAt: hasSameOwner ? known.seenAt : performance.now(), isTaking: known?.isTaking ?? false,
 		});
+		if (!known && !record.isEnded) {
+			this.#flushSeries(record.series);
+		}
+
 		const owner = this.#owners.get(record.id);
 		if (owner && owner.stored.version !== version) {
-			this.#drop(record.id);
+			this.#leave(owner, record.isEnded && hasSameOwner);
 		}
 
 		const isOurs = record.owner === this.#settings.hosts.incarnation && !record.isEnded;
@@ -307,6 +336,76 @@
 		}
 	}
 
+	/** Leaves a batch: for good, or with its runs going on for a moment if it has merely ended. */
+	#leave(owner: BatchOwner, hasEnded: boolean): void {
+		const {id} = owner;
+		const unfinished = hasEnded ? owner.listUnfinished() : [];
+		if (unfinished.length === 0) {
+			this.#drop(id);
+			return;
+		}
+
+		this.#owners.delete(id);
+		owner.retire();
+		const timer = setTimeout(() => {
+			void this.#flush(id);
+		}, retiredMs);
+		this.#retired.set(id, {owner, timer});
+		void this.#keep(owner);
+	}
+
+	#flushSeries(series: string): void {
+		for (const [id, {owner}] of this.#retired) {
+			if (owner.stored.record.series === series) {
+				void this.#flush(id);
+			}
+		}
+	}
+
+	/** Stops the runs of an ended batch and keeps their texts. */
+	async #flush(id: string): Promise<void> {
+		const retired = this.#retired.get(id);
+		if (!retired) {
+			return;
+		}
+
+		this.#retired.delete(id);
+		clearTimeout(retired.timer);
+		const kept = this.#keep(retired.owner);
+		retired.owner.stop();
+		await kept;
+	}
+
+	async #keep(owner: BatchOwner): Promise<void> {
+		const {keptTexts, log} = this.#settings;
+		const texts = owner.listUnfinished();
+		try {
+			await keptTexts.keep(texts);
+			log.info('texts_kept', {batch: owner.id, texts: texts.length, events: texts.reduce((sum, {text}) => sum + text.events.length, 0)});
+		} catch (error) {
+			// The texts are made anew then.
+			log.warn('texts_not_kept', {batch: owner.id, texts: texts.length, reason: describeError(error)});
+		}
+	}
+
+	/** What earlier batches have left of a new one's samples. */
+	async #findKept({samples, wantedGroups, step}: Submission): Promise<Map<string, KeptText>> {
+		const {keptTexts, log} = this.#settings;
+		const groups = [...new Set(samples.flatMap(({group}) => group ?? []))].slice(0, Math.ceil(wantedGroups * carriedPart));
+		if (step === 0 || groups.length === 0) {
+			return new Map();
+		}
+
+		await pause(keepMs);
+		try {
+			const found = await Promise.all(groups.map(async group => keptTexts.findGroup(group)));
+			return new Map(found.flatMap(texts => [...texts]));
+		} catch (error) {
+			log.warn('texts_not_found', {reason: describeError(error)});
+			return new Map();
+		}
+	}
+
 	#drop(id: string): void {
 		this.#owners.get(id)?.stop();
 		this.#owners.delete(id);
@@ -317,8 +416,9 @@
 		const {store, log, hosts} = this.#settings;
 		const {id} = stored.record;
 		try {
-			const [submission, results, partials] = await Promise.all([
-				this.#readSubmission(stored.record.object),
+			const submission = await this.#readSubmission(stored.record.object);
+			const [kept, results, partials] = await Promise.all([
+				this.#findKept(submission),
 				isNew ? [] : store.readAllResults(id),
 				isNew ? new Map<string, never>() : store.readPartials(id),
 			]);
@@ -332,7 +432,7 @@
 					this.#drop(id);
 				},
 			}, {
-				stored, submission, results, partials,
+				stored, submission, results, partials, kept,
 			});
 			this.#owners.set(id, owner);
 			owner.start();
@@ -394,6 +494,11 @@
 	}
 }
 
+/** The trainer's part of the path: all but the batch's own last step. */
+function findSeries({host, path}: Submission): string {
+	return host + path.slice(0, path.lastIndexOf('/') + 1);
+}
+
 /** As many of the first results as fit into one answer; one at least. */
 function cutPage(results: readonly SampleResult[]): SampleResult[] {
 	let length = 0;
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -14,13 +14,13 @@
 export const hostTable = 'hosts';
 
 /** Time between heartbeats of a process that owns work, in milliseconds. */
-const heartbeatMs = 700;
+const heartbeatMs = 400;
 
-/** Silence after which an owner's work is taken over, in milliseconds: three heartbeats and the delay of a slow store. */
-const silenceMs = 2500;
+/** Silence after which an owner's work is taken over, in milliseconds: two heartbeats and twice the delay of a store that is eighty times slower than usual. */
+const silenceMs = 1700;
 
-/** Gap in hearing the store after which all counts begin anew, in milliseconds: the longest regular wait at the store. */
-const contactGapMs = 1800;
+/** Gap in hearing the store after which all counts begin anew, in milliseconds: the longest regular wait at the store and its slow answer. */
+const contactGapMs = 1500;
 
 const hostSchema = z.object({
 	incarnation: z.string(),
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -1,6 +1,8 @@
 /** Batches: the samples of one training step, handed in at once, made later and read by position. */
 export * from './batch.js';
-export {batchParts, batchTable, BatchStore} from './batch-store.js';
+export {batchTable, BatchStore} from './batch-store.js';
 export * from './batches.js';
 export * from './errors.js';
 export {HostRegistry, hostTable} from './host-registry.js';
+export {KeptTexts} from './kept-texts.js';
+export {batchParts} from './parts.js';
--- /dev/null
+++ b/packages/decisions/__tests__/direct-choice.spec.ts
@@ -0,0 +1,82 @@
+import {expect} from 'chai';
+import {Random} from '@wasabiusher/shared';
+import {chooseDirect, shouldMove, type DirectCandidate} from '../src/index.js';
+
+function createCandidate(id: string, changes: Partial<DirectCandidate> = {}): DirectCandidate {
+	return {
+		id, slots: 8, open: 0, others: 0, paceMs: 40, isWarm: false, ...changes,
+	};
+}
+
+/**
+ * Replays texts of heavy-tailed lengths that begin at once over endpoints of which one is slow for good.
+ *
+ * @returns when the last but a tenth has ended, in milliseconds
+ */
+function replay(choose: (candidates: DirectCandidate[]) => string): number {
+	const random = new Random(7);
+	const paces = [40, 40, 40, 40, 40, 140];
+	const slots = paces.map(() => Array.from({length: 8}, () => 0));
+	const counts = paces.map(() => 0);
+	const finished: number[] = [];
+	for (let i = 0; i < 48; i += 1) {
+		const candidates = paces.map((paceMs, number) => createCandidate(String(number), {open: counts[number], paceMs}));
+		const chosen = Number(choose(candidates));
+		const events = random.next() < 0.08 ? 135 : Math.ceil(random.exponential(20));
+		const free = slots[chosen]!.indexOf(Math.min(...slots[chosen]!));
+		slots[chosen]![free]! += paces[chosen]! * events;
+		counts[chosen]! += 1;
+		finished.push(slots[chosen]![free]!);
+	}
+
+	return finished.toSorted((a, b) => a - b)[Math.floor(0.9 * finished.length)]!;
+}
+
+describe('chooseDirect', () => {
+	it('prefers the fast of two idle endpoints, and equals by chance', () => {
+		const candidates = [createCandidate('slow', {paceMs: 60}), createCandidate('fast')];
+		expect(chooseDirect(candidates, 0)!.id).to.equal('fast');
+		const equals = [createCandidate('a'), createCandidate('b')];
+		expect([0, 0.9].map(chance => chooseDirect(equals, chance)!.id)).to.deep.equal(['a', 'b']);
+	});
+
+	it('fills a fast endpoint before one that is a third slower, and not beyond its slots', () => {
+		expect(chooseDirect([createCandidate('slow', {paceMs: 52}), createCandidate('fast', {open: 7})], 0)!.id).to.equal('fast');
+		expect(chooseDirect([createCandidate('slow', {paceMs: 52}), createCandidate('fast', {open: 12})], 0)!.id).to.equal('slow');
+	});
+
+	it('counts what other processes have there', () => {
+		expect(chooseDirect([createCandidate('a', {others: 8}), createCandidate('b', {open: 5})], 0)!.id).to.equal('b');
+	});
+
+	it('gives nothing without candidates', () => {
+		expect(chooseDirect([], 0)).to.equal(undefined);
+	});
+
+	it('ends a step earlier than by the fewest open requests while one endpoint is slow', () => {
+		const random = new Random(3);
+		const byLoad = replay(candidates => candidates.toSorted((a, b) => a.open - b.open)[0]!.id);
+		const byTime = replay(candidates => chooseDirect(candidates, random.next())!.id);
+		expect(byTime).to.be.lessThan(byLoad);
+	});
+});
+
+describe('shouldMove', () => {
+	const fast = createCandidate('fast');
+
+	it('leaves an endpoint that is much slower than another with room', () => {
+		expect(shouldMove(createCandidate('slow', {paceMs: 130}), [fast], false)).to.equal(true);
+		expect(shouldMove(createCandidate('slow', {paceMs: 130}), [createCandidate('full', {open: 8})], false)).to.equal(false);
+	});
+
+	it('leaves one that is a third slower only with a long run', () => {
+		const slower = createCandidate('slower', {paceMs: 52});
+		expect(shouldMove(slower, [fast], false)).to.equal(false);
+		expect(shouldMove(slower, [fast], true)).to.equal(true);
+	});
+
+	it('stays while nothing was measured', () => {
+		expect(shouldMove(createCandidate('new', {paceMs: undefined}), [fast], true)).to.equal(false);
+		expect(shouldMove(createCandidate('slow', {paceMs: 130}), [createCandidate('new', {paceMs: undefined})], true)).to.equal(false);
+	});
+});
--- a/packages/decisions/src/direct-choice.ts
+++ b/packages/decisions/src/direct-choice.ts
@@ -21,22 +21,57 @@
 	isWarm: boolean;
 };
 
-/**
- * Load, as a part of the slots, that a warm endpoint may be ahead by and still be chosen. A shared prompt saves its reading,
- * which takes less than the time of one queued request.
- */
-const warmAllowance = 0.25;
+/** Part of a request's time that a shared prompt saves, which need not be read again. Prompts are short against texts. */
+const warmAllowance = 0.03;
 
 /** Least factor by which a fast endpoint is preferred; measured paces of healthy endpoints differ by less. */
-const fastestFactor = 0.8;
+const fastestFactor = 0.6;
+
+/**
+ * How much longer a request takes on an endpoint whose slots are all taken, as a part of its time on an idle one. An engine that
+ * batches loses a twentieth; a little more spreads the load over equals.
+ */
+const crowdingFactor = 0.15;
 
 /** Expected time until a new attempt is done there, in typical requests; the least is the best. */
 export function weighCandidate(candidate: DirectCandidate, typicalPaceMs: number | undefined): number {
 	const {slots, open, others, paceMs, isWarm} = candidate;
 	const occupied = (open + others) / Math.max(1, slots);
 	const factor = paceMs === undefined || !typicalPaceMs ? 1 : Math.max(fastestFactor, paceMs / typicalPaceMs);
-	// An idle endpoint still takes the time of the attempt itself.
-	return ((1 + Math.max(0, occupied - (isWarm ? warmAllowance : 0))) * factor) - (isWarm ? warmAllowance : 0);
+	const crowding = crowdingFactor * Math.min(1, occupied);
+	// What is beyond the slots waits for as long as a request takes.
+	const waiting = Math.max(0, occupied - 1);
+	return (1 + crowding + waiting) * factor * (isWarm ? 1 - warmAllowance : 1);
+}
+
+/**
+ * Pace over the typical one from which runs leave an endpoint in their middle: more than endpoints of one service differ by
+ * when sound (some are a third slower), less than the factor of three or more of a faulty one.
+ */
+const leaveFactor = 1.8;
+
+/**
+ * The same for a run that is long already. Lengths are heavy-tailed, so that it will mostly go on for as long again, and the
+ * longest texts decide when a step is whole.
+ */
+const longLeaveFactor = 1.2;
+
+/** Events of a run from which it counts as long, and between two moves of one; the mean of all is about as many. */
+export const longRunEvents = 30;
+
+/**
+ * Whether a run had better go on elsewhere: another endpoint is much faster and has room.
+ *
+ * Load pattern: an endpoint turns three times slower for some seconds while it carries a sixth of a step. What has been made
+ * is not lost by moving, and reading it again takes some milliseconds.
+ *
+ * @param isLong - whether the run has made many events already, and since it was last moved
+ */
+export function shouldMove(current: DirectCandidate, others: readonly DirectCandidate[], isLong: boolean): boolean {
+	const {paceMs: currentMs} = current;
+	const factor = isLong ? longLeaveFactor : leaveFactor;
+	return currentMs !== undefined
+		&& others.some(({open, others: elsewhere, slots, paceMs}) => open + elsewhere < slots && paceMs !== undefined && paceMs * factor < currentMs);
 }
 
 /** Middle of the measured paces; undefined if there are none. */
--- /dev/null
+++ b/packages/direct/__tests__/sample-run.spec.ts
@@ -0,0 +1,160 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {
+	SampleRun, type SampleOutcome, type SampleRequest, type SampleText,
+} from '../src/index.js';
+import {
+	createBench, createRoute, createSample, type Bench,
+} from './fixtures.js';
+
+async function readKind(outcome: Promise<SampleOutcome>): Promise<SampleOutcome['kind']> {
+	const {kind} = await outcome;
+	return kind;
+}
+
+describe('SampleRun', () => {
+	let clock: Clock;
+	let bench: Bench;
+
+	beforeEach(() => {
+		clock = install();
+		bench = createBench(2);
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	async function run(changes: Partial<SampleRequest> = {}, ms = 10_000, text?: SampleText): Promise<SampleOutcome> {
+		const {directory, client, log} = bench;
+		const sample = new SampleRun({
+			directory, client, log, findRoute: () => createRoute({kind: 'batch'}), chance: () => 0,
+		}, createSample(changes), new AbortController().signal, text);
+		const outcome = sample.run();
+		await clock.tickAsync(ms);
+		return outcome;
+	}
+
+	function listRuns() {
+		return bench.endpoints.flatMap(({runs}) => runs);
+	}
+
+	function readEvents(outcome: SampleOutcome): string[] {
+		return outcome.kind === 'made' ? outcome.text.events : [];
+	}
+
+	it('gathers every event once, with the versions that made them', async () => {
+		const outcome = await run();
+		expect(readEvents(outcome)).to.deep.equal(['s1#1', 's1#2', 's1#3', 's1#4', 's1#5']);
+		expect(outcome.kind === 'made' && [...outcome.text.versions]).to.deep.equal([1]);
+	});
+
+	it('goes on elsewhere after the last whole event when a run breaks', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.breakAfter = 2;
+		}
+
+		const outcome = await run();
+		expect(readEvents(outcome)).to.deep.equal(['s1#1', 's1#2', 's1#3', 's1#4', 's1#5']);
+		expect(listRuns().map(({resumeAfter}) => resumeAfter)).to.include(2);
+	});
+
+	it('goes on from a text that an earlier owner has left', async () => {
+		const outcome = await run({}, 10_000, {events: ['s1#1', 's1#2'], versions: new Set([1])});
+		expect(readEvents(outcome)).to.have.length(5);
+		expect(listRuns().map(({resumeAfter}) => resumeAfter)).to.deep.equal([2]);
+	});
+
+	it('names every version when the weights change in the middle of a text', async () => {
+		for (const endpoint of bench.endpoints) {
+			endpoint.switches.eventMs = 100;
+			setTimeout(() => {
+				endpoint.version = 2;
+			}, 250);
+		}
+
+		const outcome = await run();
+		expect(outcome.kind === 'made' && [...outcome.text.versions]).to.deep.equal([1, 2]);
+	});
+
+	it('begins anew when the weights change within a text that must have one version', async () => {
+		for (const endpoint of bench.endpoints) {
+			endpoint.switches.eventMs = 100;
+			setTimeout(() => {
+				endpoint.version = 2;
+			}, 250);
+		}
+
+		const outcome = await run({isSingleVersion: true});
+		expect(readEvents(outcome)).to.have.length(5);
+		expect(outcome.kind === 'made' && [...outcome.text.versions]).to.deep.equal([2]);
+	});
+
+	it('never asks an endpoint whose weights are too old', async () => {
+		bench.directory.recordVersion('i1', 'm', 2);
+		bench.endpoints[1]!.version = 2;
+		const outcome = await run({leastVersion: 2});
+		expect(outcome.kind).to.equal('made');
+		expect(bench.endpoints[0]!.runs).to.have.length(0);
+	});
+
+	it('takes nothing from an endpoint whose weights are older than it was believed', async () => {
+		bench.directory.recordVersion('i0', 'm', 2);
+		bench.directory.recordVersion('i1', 'm', 2);
+		bench.endpoints[1]!.version = 2;
+		const outcome = await run({leastVersion: 2});
+		expect(outcome.kind === 'made' && [...outcome.text.versions]).to.deep.equal([2]);
+	});
+
+	it('gives up after as many failures as the route allows, and at once when it can never be done', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.status = 500;
+		}
+
+		expect([await readKind(run()), listRuns().length]).to.deep.equal(['failed', 3]);
+		for (const {switches} of bench.endpoints) {
+			switches.status = 422;
+		}
+
+		expect([await readKind(run()), listRuns().length]).to.deep.equal(['impossible', 4]);
+	});
+
+	it('is not counted as failed by refusals, and expires in its time', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.isFull = true;
+		}
+
+		expect(await readKind(run({deadlineAt: performance.now() + 3000}))).to.equal('expired');
+		expect(listRuns()).to.have.length(0);
+	});
+
+	it('asks endpoints that refuse less and less often', async () => {
+		let refusals = 0;
+		const {client} = bench;
+		bench.client = {
+			call: client.call.bind(client), open: client.open.bind(client), report: client.report.bind(client), order: client.order.bind(client),
+			async run(...parameters) {
+				const answer = await client.run(...parameters);
+				refusals += Number(answer.isNotRun);
+				return answer;
+			},
+		};
+		for (const {switches} of bench.endpoints) {
+			switches.isFull = true;
+		}
+
+		await run({deadlineAt: performance.now() + 2000});
+		expect(refusals).to.be.within(4, 24);
+	});
+
+	it('leaves an endpoint that turns slow, and resumes at a fast one', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.events = 40;
+		}
+
+		bench.endpoints[0]!.switches.eventMs = 100;
+		const outcomes = await Promise.all(['a', 'b', 'c', 'd'].map(async id => run({id, group: id}, 2000)));
+		expect(outcomes.every(outcome => readEvents(outcome).length === 40)).to.equal(true);
+		expect(bench.endpoints[1]!.runs.some(({resumeAfter}) => resumeAfter !== undefined)).to.equal(true);
+	});
+});
--- /dev/null
+++ b/packages/direct/__tests__/weight-orders.spec.ts
@@ -0,0 +1,88 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {WeightOrders} from '../src/index.js';
+import {createBench, type Bench} from './fixtures.js';
+
+describe('WeightOrders', () => {
+	let clock: Clock;
+	let bench: Bench;
+	let right: {fence: number; isHeld: boolean; holds(): boolean};
+	let orders: WeightOrders;
+
+	beforeEach(() => {
+		clock = install();
+		bench = createBench(6);
+		right = {
+			fence: 5, isHeld: true, holds() {
+				return this.isHeld;
+			},
+		};
+		orders = new WeightOrders({
+			directory: bench.directory, client: bench.client, right, holder: 'a', log: bench.log, chooseMode: () => 'continue',
+		});
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	async function tickFor(ms: number, check?: () => void): Promise<void> {
+		for (let i = 0; i < ms / 50; i += 1) {
+			orders.tick();
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(50);
+			check?.();
+		}
+	}
+
+	function countOrders(): number {
+		return bench.endpoints.reduce((sum, endpoint) => sum + endpoint.orders.length, 0);
+	}
+
+	it('brings every endpoint to a published version, once, and a part of them at a time', async () => {
+		orders.publish('m', 2);
+		await tickFor(6000, () => {
+			expect(bench.endpoints.filter(({isBusy}) => isBusy).length).to.be.at.most(2);
+		});
+		expect(bench.endpoints.map(({version}) => version)).to.deep.equal([2, 2, 2, 2, 2, 2]);
+		expect(countOrders()).to.equal(6);
+	});
+
+	it('gives no order without the lease', async () => {
+		right.isHeld = false;
+		orders.publish('m', 2);
+		await tickFor(2000);
+		expect(countOrders()).to.equal(0);
+	});
+
+	it('skips a version that a newer one has overtaken, and never goes back', async () => {
+		orders.publish('m', 3);
+		orders.publish('m', 2);
+		await tickFor(6000);
+		expect(bench.endpoints.map(({version}) => version)).to.deep.equal([3, 3, 3, 3, 3, 3]);
+	});
+
+	it('does no harm with an order that is carried out late, after a newer one', async () => {
+		const [endpoint] = bench.endpoints;
+		endpoint!.switches.ordersToDelay = 1;
+		endpoint!.switches.lateMs = 5000;
+		orders.publish('m', 2);
+		await tickFor(2500);
+		orders.publish('m', 3);
+		await tickFor(10_000);
+		expect(endpoint!.version).to.equal(3);
+		expect(endpoint!.orderCount).to.equal(2);
+	});
+
+	it('orders again when nothing came of an order, on the same condition', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.ordersToDelay = 1;
+			switches.lateMs = 60_000;
+		}
+
+		orders.publish('m', 2);
+		await tickFor(10_000);
+		expect(bench.endpoints.every(({version}) => version === 2)).to.equal(true);
+		expect(bench.endpoints.every(({orders: [order]}) => order!.expectedOrders === 0 && order!.fence === 5)).to.equal(true);
+	});
+});
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -165,6 +165,8 @@
 
 	async #runAttempts(signal: AbortSignal): Promise<CallOutcome> {
 		const pending = new Set<Promise<AttemptOutcome>>();
+		// The caller is answered in time, however long an attempt takes to notice that it is cut.
+		const ended = waitForAbort(signal);
 		let hedgeAt = Number.POSITIVE_INFINITY;
 		for (;;) {
 			if (this.#signal.aborted) {
@@ -194,7 +196,7 @@
 
 			// What is done next depends on this outcome.
 			// eslint-disable-next-line no-await-in-loop
-			const outcome = await waitFor(pending, hedgeAt);
+			const outcome = await waitFor([...pending, ended], hedgeAt);
 			const final = outcome && this.#judge(outcome);
 			if (final) {
 				return final;
@@ -297,8 +299,17 @@
 	return error instanceof PlatformError && (error.code === 'unavailable' || error.code === 'refused');
 }
 
+/** Resolves when the signal aborts. */
+async function waitForAbort(signal: AbortSignal): Promise<undefined> {
+	return new Promise(resolve => {
+		signal.addEventListener('abort', () => {
+			resolve(undefined);
+		});
+	});
+}
+
 /** The first outcome; undefined when it is time to look again before one has come. */
-async function waitFor(pending: ReadonlySet<Promise<AttemptOutcome>>, lookAt: number): Promise<AttemptOutcome | undefined> {
+async function waitFor(pending: ReadonlyArray<Promise<AttemptOutcome | undefined>>, lookAt: number): Promise<AttemptOutcome | undefined> {
 	let timer: NodeJS.Timeout | undefined;
 	const look = new Promise<undefined>(resolve => {
 		if (Number.isFinite(lookAt)) {
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -1,7 +1,7 @@
 /**
  * The endpoints that are registered, with what this process has seen of each.
  */
-import {chooseDirect, type DirectCandidate} from '@wasabiusher/decisions';
+import {chooseDirect, shouldMove, type DirectCandidate} from '@wasabiusher/decisions';
 import type {EndpointLoad, ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
 
@@ -26,6 +26,15 @@
 /** Weight of a new measurement in an endpoint's pace: four of them are two thirds of it. */
 const paceSmoothing = 0.25;
 
+/** Time after which a measured pace counts for nothing, in milliseconds, so that an endpoint that was slow is tried again. */
+const paceAgeMs = 2000;
+
+/** Longest time for a unit of work that counts in the pace, in milliseconds; loading weights takes longer. */
+const maxUnitMs = 600;
+
+/** Measurements before a pace counts. */
+const minPaces = 3;
+
 /** Time after which what an endpoint told of its load counts for nothing, in milliseconds. */
 const loadAgeMs = 1000;
 
@@ -41,6 +50,8 @@
 	/** Refusals one after the other. */
 	refusals: number;
 	paceMs: number | undefined;
+	paceAt: number;
+	paceCount: number;
 	/** Newest version seen of each model; a running endpoint never goes back. */
 	versions: Map<string, number>;
 	warmKeys: Set<string>;
@@ -194,9 +205,36 @@
 	/** Learns how long a unit of work took. */
 	recordPace(id: string, unitMs: number): void {
 		const standing = this.#standings.get(id);
-		if (standing) {
-			standing.paceMs = standing.paceMs === undefined ? unitMs : standing.paceMs + (paceSmoothing * (unitMs - standing.paceMs));
+		if (!standing) {
+			return;
+		}
+
+		// A pause for new weights says nothing of the pace.
+		if (unitMs > maxUnitMs) {
+			return;
 		}
+
+		const now = performance.now();
+		if (now - standing.paceAt > paceAgeMs) {
+			standing.paceMs = undefined;
+			standing.paceCount = 0;
+		}
+
+		standing.paceMs = standing.paceMs === undefined ? unitMs : standing.paceMs + (paceSmoothing * (unitMs - standing.paceMs));
+		standing.paceAt = now;
+		standing.paceCount += 1;
+	}
+
+	/** Whether a run at an endpoint had better go on at another one that fits the same need. */
+	shouldMove(id: string, need: EndpointNeed, isLong: boolean): boolean {
+		const current = this.#standings.get(id);
+		if (!current) {
+			return false;
+		}
+
+		const now = performance.now();
+		const others = [...this.#standings.values()].filter(standing => standing !== current && standing.vanishedAt === undefined && standing.pausedUntil <= now && isFit(standing, need));
+		return shouldMove(toCandidate(current, undefined), others.map(standing => toCandidate(standing, undefined)), isLong);
 	}
 
 	/** Learns which version of a model an endpoint serves. */
@@ -239,7 +277,7 @@
 
 function createStanding(endpoint: RegisteredEndpoint): Standing {
 	return {
-		endpoint, vanishedAt: undefined, open: 0, load: undefined, loadAt: 0, openAtLoad: 0, pausedUntil: 0, failures: 0, refusals: 0, paceMs: undefined,
+		endpoint, vanishedAt: undefined, open: 0, load: undefined, loadAt: 0, openAtLoad: 0, pausedUntil: 0, failures: 0, refusals: 0, paceMs: undefined, paceAt: 0, paceCount: 0,
 		versions: new Map(), warmKeys: new Set(),
 	};
 }
@@ -272,14 +310,16 @@
 }
 
 function toCandidate(standing: Standing, warmKey: string | undefined): DirectCandidate {
-	const {endpoint, open, load, loadAt, openAtLoad, paceMs, warmKeys} = standing;
-	const isFresh = load !== undefined && performance.now() - loadAt < loadAgeMs;
+	const {endpoint, open, load, loadAt, openAtLoad, paceMs, paceAt, paceCount, warmKeys} = standing;
+	const now = performance.now();
+	const isFresh = load !== undefined && now - loadAt < loadAgeMs;
+	const hasPace = paceCount >= minPaces && now - paceAt < paceAgeMs;
 	return {
 		id: endpoint.id,
 		slots: endpoint.slots,
 		open,
 		others: isFresh ? Math.max(0, load.running + load.waiting - openAtLoad) : 0,
-		paceMs,
+		paceMs: hasPace ? paceMs : undefined,
 		isWarm: warmKey !== undefined && warmKeys.has(warmKey),
 	};
 }
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -4,6 +4,7 @@
  * Load pattern: endpoints that crash, leave, load weights or break answers off in the middle of long texts. Begun
  * anew each time, a text of seven seconds would miss its step; resumed after its last whole event it loses only a round trip.
  */
+import {longRunEvents} from '@wasabiusher/decisions';
 import {
 	PlatformError, type RunEvent, type ServingClient, type ServingRequest, type ServingRun,
 } from '@wasabiusher/backends';
@@ -78,6 +79,8 @@
 	readonly #signal: AbortSignal;
 	readonly #text: SampleText;
 	#failures = 0;
+	/** What the present attempt was chosen by. */
+	#need: EndpointNeed | undefined;
 	/** The endpoint that broke last; another is preferred. */
 	#avoided: string | undefined;
 
@@ -132,6 +135,7 @@
 			warmKey: group,
 			openLimit,
 		};
+		this.#need = need;
 		const elsewhere = this.#avoided === undefined ? undefined : directory.take({...need, excluded: new Set([this.#avoided])});
 		if (elsewhere) {
 			return elsewhere;
@@ -220,8 +224,8 @@
 			directory.recordVersion(id, model, run.weightVersion);
 		}
 
-		await this.#readEvents(id, run);
-		return {kind: 'made', text: this.#text};
+		const isWhole = await this.#readEvents(id, run);
+		return isWhole ? {kind: 'made', text: this.#text} : 'again';
 	}
 
 	#noteRefusal(id: string, run: ServingRun): RunStep {
@@ -234,15 +238,25 @@
 		return 'again';
 	}
 
-	async #readEvents(id: string, run: ServingRun): Promise<void> {
-		const {directory} = this.#settings;
+	/** Reads the run to its end; false if it is left in its middle for a faster endpoint. */
+	async #readEvents(id: string, run: ServingRun): Promise<boolean> {
+		const {directory, log} = this.#settings;
+		const from = this.#text.events.length;
 		let lastAt = performance.now();
 		for await (const event of run.events) {
 			this.#takeEvent(event);
 			const now = performance.now();
 			directory.recordPace(id, now - lastAt);
 			lastAt = now;
+			const isLong = this.#text.events.length - from >= longRunEvents;
+			if (this.#need && directory.shouldMove(id, this.#need, isLong)) {
+				log.info('run_moved', {sample: this.#sample.id, endpoint: id, events: this.#text.events.length});
+				this.#avoided = id;
+				return false;
+			}
 		}
+
+		return true;
 	}
 
 	#takeEvent({id, data, version}: RunEvent): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
  * One entry host without agents: learns what is in force, routes calls, runs batches and gives orders for weights.
  */
 import {
-	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable,
+	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts,
 } from '@wasabiusher/batches';
 import type {
 	BlobStore, LoadMode, RowStore, ServingClient,
@@ -85,6 +85,7 @@
 		this.batches = new Batches({
 			directory: this.#directory, client, random, log, host, hosts: this.#hosts,
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
+			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
 			readStoreMs: () => this.#gate.storeMs,
 		});
--- /dev/null
+++ b/packages/record/__tests__/table-follower.spec.ts
@@ -0,0 +1,94 @@
+import {Buffer} from 'node:buffer';
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {createSilentLog} from '@wasabiusher/shared';
+import {MemoryRowStore} from '@wasabiusher/standins';
+import {TableFollower} from '../src/index.js';
+
+describe('TableFollower', () => {
+	let clock: Clock;
+	let store: MemoryRowStore;
+	let view: MemoryRowStore;
+	let rows: Map<string, string>;
+	let follower: TableFollower;
+
+	async function put(key: string, value: string): Promise<void> {
+		await store.commit({
+			conditions: [], deletes: [], puts: [{
+				table: 't', part: '', key, value: Buffer.from(value),
+			}],
+		});
+	}
+
+	async function drop(key: string): Promise<void> {
+		await store.commit({conditions: [], puts: [], deletes: [{table: 't', part: '', key}]});
+	}
+
+	beforeEach(async () => {
+		clock = install();
+		store = new MemoryRowStore();
+		view = store.createView();
+		rows = new Map();
+		await put('a', '1');
+		follower = new TableFollower({
+			store: view, table: 't', parts: [''], log: createSilentLog(), apply({key, value}) {
+				if (value) {
+					rows.set(key, Buffer.from(value).toString());
+				} else {
+					rows.delete(key);
+				}
+			},
+		});
+		void follower.run();
+		await clock.tickAsync(1);
+	});
+
+	afterEach(async () => {
+		follower.stop();
+		await clock.tickAsync(2000);
+		clock.uninstall();
+	});
+
+	it('reads what is there, then each change as it comes', async () => {
+		expect([...rows]).to.deep.equal([['a', '1']]);
+		await put('a', '2');
+		await put('b', '3');
+		await clock.tickAsync(1);
+		expect([...rows]).to.deep.equal([['a', '2'], ['b', '3']]);
+		await drop('a');
+		await clock.tickAsync(1);
+		expect([...rows]).to.deep.equal([['b', '3']]);
+	});
+
+	it('notices rows that vanished with a history that was lost', async () => {
+		await put('b', '3');
+		await clock.tickAsync(1);
+		view.switches.isDown = true;
+		await clock.tickAsync(1500);
+		await drop('a');
+		await put('c', '4');
+		store.compact();
+		view.switches.isDown = false;
+		await clock.tickAsync(600);
+		expect([...rows]).to.deep.equal([['b', '3'], ['c', '4']]);
+	});
+
+	it('knows soon after an outage what has changed during it', async () => {
+		view.switches.isDown = true;
+		await clock.tickAsync(5000);
+		await put('a', '2');
+		expect(follower.isDown).to.equal(true);
+		view.switches.isDown = false;
+		await clock.tickAsync(300);
+		expect([...rows]).to.deep.equal([['a', '2']]);
+		expect(follower.isDown).to.equal(false);
+	});
+
+	it('tells how long ago the store was heard', async () => {
+		await clock.tickAsync(3000);
+		expect(follower.ageMs).to.be.at.most(1000);
+		view.switches.isDown = true;
+		await clock.tickAsync(4000);
+		expect(follower.ageMs).to.be.at.least(3000);
+	});
+});
--- a/packages/standins/src/memory-serving.ts
+++ b/packages/standins/src/memory-serving.ts
@@ -5,7 +5,6 @@
 	PlatformError, type EndpointTarget, type OrderOutcome, type RunEvent, type ServingAnswer, type ServingClient, type ServingHead, type ServingReport,
 	type ServingRequest, type ServingRun, type ServingStream, type WeightOrder,
 } from '@wasabiusher/backends';
-import {wait} from './wait.js';
 
 /** Set at any time. */
 export type ServingSwitches = {
@@ -194,7 +193,16 @@
 }
 
 async function waitOrAbort(timeMs: number, signal: AbortSignal): Promise<void> {
-	await wait(timeMs);
+	await new Promise<void>(resolve => {
+		const finish = () => {
+			clearTimeout(timer);
+			signal.removeEventListener('abort', finish);
+			resolve();
+		};
+
+		const timer = setTimeout(finish, timeMs);
+		signal.addEventListener('abort', finish);
+	});
 	if (signal.aborted) {
 		throw new PlatformError('unknown', 'the call was given up');
 	}
