--- a/packages/batches/src/batch-store.ts
+++ b/packages/batches/src/batch-store.ts
@@ -5,6 +5,7 @@
  * a former owner that was paused, cut off or slow can write nothing, whatever it believes.
  */
 import {Buffer} from 'node:buffer';
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {
 	PlatformError, type BlobStore, type RowAddress, type RowCondition, type RowStore, type StoredValue,
 } from '@wasabiusher/backends';
@@ -20,6 +21,16 @@
 
 export const batchTable = 'batches';
 const textTable = 'batch-texts';
+const submissionTable = 'batch-submissions';
+
+/**
+ * Greatest submission that lies in rows, in bytes as deflated; a greater one is an object. Rows are written in the one transaction
+ * that accepts the batch, an object before it, at eight times the time.
+ */
+const maxRowsBytes = 500_000;
+
+/** Bytes of a submission in one row; a row of the store holds 65,536. */
+const chunkBytes = 60_000;
 
 /** Rows read in one call, and written in one transaction, with room for conditions. */
 const pageRows = 500;
@@ -31,6 +42,12 @@
 /** Longest text that is kept of an unfinished sample, in bytes; a row holds 65,536. */
 const maxPartialBytes = 60_000;
 
+/** A row to be written in the transaction of a batch's row. */
+export type RowWrite = RowAddress & {value: Uint8Array};
+
+/** A submission that is ready to be accepted. */
+export type PreparedSubmission = {object: string; rows: RowWrite[]};
+
 /** Texts of unfinished samples by the sample's id. */
 export type PartialTexts = ReadonlyMap<string, PartialText>;
 
@@ -44,14 +61,28 @@
 		this.#blobs = blobs;
 	}
 
-	/** Keeps the content of a submission; nothing is accepted by that. */
-	async putSubmission(object: string, submission: Submission): Promise<void> {
-		await guard(this.#blobs.put(object, Buffer.from(JSON.stringify(submission))));
+	/**
+	 * Prepares a submission to be accepted; a great one is kept as an object first. Nothing is accepted by that.
+	 *
+	 * @returns the object's name and the rows that go with the batch's own
+	 */
+	async prepareSubmission(batch: string, submission: Submission): Promise<PreparedSubmission> {
+		const content = deflateRawSync(Buffer.from(JSON.stringify(submission)));
+		if (content.length > maxRowsBytes) {
+			const object = `batch-${batch}`;
+			await guard(this.#blobs.put(object, content));
+			return {object, rows: []};
+		}
+
+		const rows = Array.from({length: Math.ceil(content.length / chunkBytes)}, (_, i) => ({
+			table: submissionTable, part: findPart(batch), key: `${batch}/${String(i).padStart(2, '0')}`, value: content.subarray(i * chunkBytes, (i + 1) * chunkBytes),
+		}));
+		return {object: '', rows};
 	}
 
-	async readSubmission(object: string): Promise<Submission> {
-		const content = await guard(this.#blobs.get(object));
-		return submissionSchema.parse(JSON.parse(Buffer.from(content).toString()));
+	async readSubmission({id, object}: BatchRecord): Promise<Submission> {
+		const content = object === '' ? await this.#readSubmissionRows(id) : await guard(this.#blobs.get(object));
+		return submissionSchema.parse(JSON.parse(inflateRawSync(content).toString()));
 	}
 
 	/** Reads the row of a batch; undefined if there is none. */
@@ -67,12 +98,12 @@
 	 *
 	 * @returns the new version; undefined if the condition did not hold
 	 */
-	async write(record: BatchRecord, version: number, partials: PartialTexts = new Map()): Promise<number | undefined> {
+	async write(record: BatchRecord, version: number, more: readonly RowWrite[] = []): Promise<number | undefined> {
 		const address = locate(record.id);
 		try {
 			const receipt = await this.#rows.commit({
 				conditions: [{...address, version}],
-				puts: [{...address, value: encode(record)}, ...encodePartials(record.id, partials)],
+				puts: [{...address, value: encode(record)}, ...more],
 				deletes: [],
 			});
 			return receipt.version;
@@ -130,6 +161,11 @@
 		}
 	}
 
+	/** Rows of unfinished texts, to be written with the batch's own. */
+	preparePartials(batch: string, partials: PartialTexts): RowWrite[] {
+		return encodePartials(batch, partials);
+	}
+
 	/** Reads what an owner has left of unfinished texts. */
 	async readPartials(batch: string): Promise<Map<string, PartialText>> {
 		const {rows} = await guard(this.#rows.read({
@@ -157,15 +193,29 @@
 
 	/** Removes all of a batch. */
 	async remove({record, version}: StoredBatch): Promise<void> {
-		for (const table of [resultTable, textTable]) {
+		for (const table of [resultTable, textTable, submissionTable]) {
 			// eslint-disable-next-line no-await-in-loop
 			await this.#removeRows(table, record.id);
 		}
 
-		await guard(this.#blobs.drop(record.object));
+		if (record.object !== '') {
+			await guard(this.#blobs.drop(record.object));
+		}
+
 		await guard(this.#rows.commit({conditions: [{...locate(record.id), version}], puts: [], deletes: [locate(record.id)]}));
 	}
 
+	async #readSubmissionRows(batch: string): Promise<Uint8Array> {
+		const {rows} = await guard(this.#rows.read({
+			table: submissionTable, part: findPart(batch), from: `${batch}/`, to: formatEndKey(batch), limit: pageRows,
+		}));
+		if (rows.length === 0) {
+			throw new BatchError('missing', `batch ${batch} has no submission`);
+		}
+
+		return Buffer.concat(rows.map(({value}) => value));
+	}
+
 	async #removeRows(table: string, batch: string): Promise<void> {
 		for (;;) {
 			// eslint-disable-next-line no-await-in-loop
@@ -200,8 +250,8 @@
 }
 
 /** Rows of unfinished texts; those that fit into one transaction, so that keeping them is one write. */
-function encodePartials(batch: string, partials: PartialTexts): Array<RowAddress & {value: Uint8Array}> {
-	const rows: Array<RowAddress & {value: Uint8Array}> = [];
+function encodePartials(batch: string, partials: PartialTexts): RowWrite[] {
+	const rows: RowWrite[] = [];
 	let bytes = 0;
 	for (const [sample, partial] of partials) {
 		const value = encode(partial);
--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -52,7 +52,7 @@
 	/** Counts up with each change of owner. */
 	term: z.int().nonnegative(),
 	isEnded: z.boolean(),
-	/** Name of the object that holds the submission. */
+	/** Name of the object that holds the submission; empty if it lies in rows. */
 	object: z.string(),
 	total: z.int().nonnegative(),
 	/** On the store's steady clock, in milliseconds. */
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -12,7 +12,9 @@
 	type BatchRecord, type KeptText, type ResultPage, type SampleResult, type StoredBatch, type Submission,
 } from './batch.js';
 import {BatchOwner, type BatchOwnerSettings} from './batch-owner.js';
-import {decodeRecord, type BatchStore} from './batch-store.js';
+import {
+	decodeRecord, type BatchStore, type PreparedSubmission, type RowWrite,
+} from './batch-store.js';
 import {BatchError} from './errors.js';
 import type {HostRegistry} from './host-registry.js';
 import type {KeptTexts} from './kept-texts.js';
@@ -26,7 +28,13 @@
 /** Pause between reads of the store for a trainer that waits, in milliseconds. */
 const pollMs = 200;
 
-/** Time within which an answer that was lost is settled, in milliseconds. */
+/**
+ * Time within which the lost answer of an acceptance is settled, in milliseconds. The trainer hands the batch in again elsewhere,
+ * where the row decides; at a host that is cut off from the store a longer wait would only hold it.
+ */
+const acceptMs = 600;
+
+/** Time within which an answer that was lost is settled otherwise, in milliseconds. */
 const settleMs = 2500;
 const settlePauseMs = 100;
 
@@ -95,14 +103,13 @@
 		}
 
 		const {hosts, host, readStoreMs} = this.#settings;
-		const object = `batch-${id}`;
-		await this.#putSubmission(object, submission);
+		const {object, rows} = await this.#prepare(id, submission);
 		const record: BatchRecord = {
 			id, owner: this.#isLeaving ? '' : hosts.incarnation, ownerHost: host, series: findSeries(submission), term: 1, isEnded: false, object,
 			total: submission.samples.length, acceptedMs: readStoreMs(),
 		};
-		this.#submissions.set(object, submission);
-		const stored = await this.#writeSettled(record);
+		this.#submissions.set(id, submission);
+		const stored = await this.#writeSettled(record, rows);
 		if (stored) {
 			this.#learn(stored, true);
 			await hosts.beat();
@@ -206,7 +213,7 @@
 		}
 
 		try {
-			const written = await store.write({...record, owner: '', ownerHost: ''}, version, partials);
+			const written = await store.write({...record, owner: '', ownerHost: ''}, version, store.preparePartials(record.id, partials));
 			log.info('batch_handed_over', {batch: record.id, texts: partials.size, isWritten: written !== undefined});
 		} catch (error) {
 			// Others take it over once this process is seen to have left.
@@ -214,10 +221,10 @@
 		}
 	}
 
-	/** Keeps the content; the store may have it already from an earlier attempt, which does no harm. */
-	async #putSubmission(object: string, submission: Submission): Promise<void> {
+	/** Prepares a submission; the store may have its object already from an earlier attempt, which does no harm. */
+	async #prepare(id: string, submission: Submission): Promise<PreparedSubmission> {
 		try {
-			await this.#settings.store.putSubmission(object, submission);
+			return await this.#settings.store.prepareSubmission(id, submission);
 		} catch (error) {
 			// Without its row the batch is not accepted, whatever became of the object.
 			throw new BatchError('unavailable', `the submission can not be kept: ${describeError(error)}`, error);
@@ -225,14 +232,14 @@
 	}
 
 	/** Writes a new batch's row; undefined if another process has accepted it. */
-	async #writeSettled(record: BatchRecord): Promise<StoredBatch | undefined> {
+	async #writeSettled(record: BatchRecord, rows: readonly RowWrite[]): Promise<StoredBatch | undefined> {
 		const {store} = this.#settings;
 		let isDoubtful = false;
-		const until = performance.now() + settleMs;
+		const until = performance.now() + acceptMs;
 		for (;;) {
 			try {
 				// eslint-disable-next-line no-await-in-loop
-				const version = await store.write(record, 0);
+				const version = await store.write(record, 0, rows);
 				return version === undefined ? undefined : {record, version};
 			} catch (error) {
 				isDoubtful ||= error instanceof BatchError && error.code === 'unknown';
@@ -297,12 +304,12 @@
 
 	async #findSubmission(id: string): Promise<Submission> {
 		const {record} = await this.#find(id);
-		return this.#readSubmission(record.object);
+		return this.#readSubmission(record);
 	}
 
-	async #readSubmission(object: string): Promise<Submission> {
-		const kept = this.#submissions.get(object) ?? await this.#settings.store.readSubmission(object);
-		this.#submissions.set(object, kept);
+	async #readSubmission(record: BatchRecord): Promise<Submission> {
+		const kept = this.#submissions.get(record.id) ?? await this.#settings.store.readSubmission(record);
+		this.#submissions.set(record.id, kept);
 		return kept;
 	}
 
@@ -416,7 +423,7 @@
 		const {store, log, hosts} = this.#settings;
 		const {id} = stored.record;
 		try {
-			const submission = await this.#readSubmission(stored.record.object);
+			const submission = await this.#readSubmission(stored.record);
 			const [kept, results, partials] = await Promise.all([
 				this.#findKept(submission),
 				isNew ? [] : store.readAllResults(id),
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -20,7 +20,7 @@
 const silenceMs = 1700;
 
 /** Gap in hearing the store after which all counts begin anew, in milliseconds: the longest regular wait at the store and its slow answer. */
-const contactGapMs = 1500;
+const contactGapMs = 2200;
 
 const hostSchema = z.object({
 	incarnation: z.string(),
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -78,7 +78,9 @@
 	readonly #sample: SampleRequest;
 	readonly #signal: AbortSignal;
 	readonly #text: SampleText;
+	readonly #startedAt = performance.now();
 	#failures = 0;
+	#runs = 0;
 	/** What the present attempt was chosen by. */
 	#need: EndpointNeed | undefined;
 	/** The endpoint that broke last; another is preferred. */
@@ -177,6 +179,7 @@
 		const stop = new AbortController();
 		const signal = AbortSignal.any([this.#signal, stop.signal]);
 		const before = this.#text.events.length;
+		this.#runs += 1;
 		try {
 			const run = await client.run(endpoint, this.#toServing(), signal);
 			directory.recordHead(id, run);
@@ -225,7 +228,15 @@
 		}
 
 		const isWhole = await this.#readEvents(id, run);
-		return isWhole ? {kind: 'made', text: this.#text} : 'again';
+		if (!isWhole) {
+			return 'again';
+		}
+
+		log.info('text_made', {
+			sample: this.#sample.id, endpoint: id, events: this.#text.events.length, runs: this.#runs, versions: [...this.#text.versions].join(','),
+			tookMs: Math.round(performance.now() - this.#startedAt),
+		});
+		return {kind: 'made', text: this.#text};
 	}
 
 	#noteRefusal(id: string, run: ServingRun): RunStep {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,12 @@
  */
 const staleMs = 2500;
 
+/**
+ * Longest wait for changes of the configuration, in milliseconds. One must be in force 2 s after its confirmation, also on a
+ * host whose connection has gone silent; and a host should know soon that it is cut off from the store.
+ */
+const operatorWaitMs = 700;
+
 /**
  * Time without an answer of the store after which new work had better go to a host that hears it, in milliseconds: a
  * regular wait and one lost answer.
@@ -90,7 +96,7 @@
 			readStoreMs: () => this.#gate.storeMs,
 		});
 		this.#operatorFollower = new TableFollower({
-			store: this.#gate.probing, table: format.operatorTable, parts: [''], log, apply: change => {
+			store: this.#gate.probing, table: format.operatorTable, parts: [''], log, waitMs: operatorWaitMs, apply: change => {
 				this.#catalog.applyOperatorRow(change);
 			},
 		});
--- a/packages/gateway/src/store-gate.ts
+++ b/packages/gateway/src/store-gate.ts
@@ -10,7 +10,7 @@
 } from '@wasabiusher/backends';
 
 /** A call that fails after this time, in milliseconds, shows that the store is silent rather than refusing. */
-const silentMs = 1000;
+const silentMs = 500;
 
 /** Errors that say nothing of whether the store answers: it did. */
 const answeredCodes: ReadonlySet<string> = new Set(['conflict', 'missing', 'limited', 'refused', 'invalid']);
--- a/packages/record/__tests__/table-follower.spec.ts
+++ b/packages/record/__tests__/table-follower.spec.ts
@@ -31,7 +31,7 @@
 		rows = new Map();
 		await put('a', '1');
 		follower = new TableFollower({
-			store: view, table: 't', parts: [''], log: createSilentLog(), apply({key, value}) {
+			store: view, table: 't', parts: [''], log: createSilentLog(), waitMs: 1000, apply({key, value}) {
 				if (value) {
 					rows.set(key, Buffer.from(value).toString());
 				} else {
--- a/packages/record/src/table-follower.ts
+++ b/packages/record/src/table-follower.ts
@@ -10,10 +10,10 @@
 import {describeError, type Log} from '@wasabiusher/shared';
 
 /**
- * Longest wait of one call for changes, in milliseconds. A configuration must be in force 2 s after its
- * confirmation, so a silent connection must show well before that; shorter waits cost more calls.
+ * Longest wait of one call for changes, in milliseconds, if none is set. A silent connection shows only at its end;
+ * shorter waits cost more calls.
  */
-const waitMs = 1000;
+const defaultWaitMs = 1500;
 
 /** First and longest pause after a failed call, in milliseconds: soon after an outage ends, without a flood during it. */
 const firstPauseMs = 50;
@@ -31,6 +31,8 @@
 	/** The part that is read at first; its changes and those of all other parts are followed. */
 	parts: readonly string[];
 	log: Log;
+	/** Longest wait of one call for changes, in milliseconds. */
+	waitMs?: number;
 	/** Called for each row that is there, changed or gone, in the order of the changes. */
 	apply(change: RowChange): void;
 	/** Called after each round in which the store has answered. */
@@ -120,7 +122,7 @@
 	}
 
 	async #follow(): Promise<void> {
-		const {store, table} = this.#settings;
+		const {store, table, waitMs = defaultWaitMs} = this.#settings;
 		// After a failure the answer itself is what matters, not a change.
 		const page = await store.follow(table, this.#version, this.#isDown ? 0 : waitMs);
 		for (const change of page.changes) {
