--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -52,11 +52,17 @@
 	readonly #loading = new Map<string, Transition>();
 	readonly #notBefore = new Map<string, number>();
 	readonly #busy = new Set<string>();
+	#orderedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(settings: WeightOrdersSettings) {
 		this.#settings = settings;
 	}
 
+	/** Milliseconds since this process last sent an order; infinite if it never did. */
+	get sinceOrderMs(): number {
+		return performance.now() - this.#orderedAt;
+	}
+
 	/** Learns of a published version; an older one than known is ignored. */
 	publish(model: string, version: number): void {
 		if (version > (this.#published.get(model) ?? 0)) {
@@ -202,6 +208,7 @@
 		}
 
 		const startedAt = performance.now();
+		this.#orderedAt = startedAt;
 		this.#loading.set(endpoint.id, {
 			model, version, startedAt, nextLookAt: startedAt + reportMs,
 		});
--- /dev/null
+++ b/packages/gateway/__tests__/store-gate.spec.ts
@@ -0,0 +1,91 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {PlatformError} from '@wasabiusher/backends';
+import {MemoryRowStore} from '@wasabiusher/standins';
+import {StoreGate} from '../src/store-gate.js';
+
+const nothing = {conditions: [], puts: [], deletes: []};
+
+describe('StoreGate', () => {
+	let clock: Clock;
+	let store: MemoryRowStore;
+	let gate: StoreGate;
+
+	beforeEach(() => {
+		clock = install();
+		store = new MemoryRowStore();
+		gate = new StoreGate(store);
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	async function catchCode(work: Promise<unknown>, ms = 0): Promise<string> {
+		const outcome = (async () => {
+			try {
+				await work;
+			} catch (error) {
+				return error instanceof PlatformError ? error.code : String(error);
+			}
+
+			return 'none';
+		})();
+		await clock.tickAsync(ms);
+		return outcome;
+	}
+
+	it('refuses at once after a call that was not answered, until the store is heard again', async () => {
+		store.switches.silentMs = 700;
+		expect(await catchCode(gate.commit(nothing), 700)).to.equal('unknown');
+		expect(await catchCode(gate.commit(nothing))).to.equal('unavailable');
+		expect(store.counts.commits).to.equal(1);
+		store.switches.silentMs = 0;
+		expect(await catchCode(gate.follow('t', 0, 0))).to.equal('none');
+		expect(await catchCode(gate.commit(nothing))).to.equal('none');
+	});
+
+	it('lets those who ask on read while others are refused', async () => {
+		store.switches.silentMs = 700;
+		await catchCode(gate.commit(nothing), 700);
+		store.switches.silentMs = 0;
+		expect(await catchCode(gate.read({table: 't', part: ''}))).to.equal('unavailable');
+		expect(await catchCode(gate.probing.read({table: 't', part: ''}))).to.equal('none');
+		expect(gate.isLost).to.equal(false);
+	});
+
+	it('refuses at once after many refusals in a row, not after a few', async () => {
+		store.switches.isDown = true;
+		for (let i = 0; i < 3; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await catchCode(gate.commit(nothing), 150);
+		}
+
+		expect(gate.isLost).to.equal(false);
+		await catchCode(gate.commit(nothing), 150);
+		expect(gate.isLost).to.equal(true);
+		expect(await catchCode(gate.guard(store).put('x', new Uint8Array()))).to.equal('unavailable');
+		store.switches.isDown = false;
+		await catchCode(gate.follow('t', 0, 0));
+		expect(gate.isLost).to.equal(false);
+	});
+
+	it('takes a conflict for an answer', async () => {
+		for (let i = 0; i < 6; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await catchCode(gate.commit({
+				...nothing, conditions: [{
+					table: 't', part: '', key: 'k', version: 7,
+				}],
+			}), 150);
+		}
+
+		expect(gate.isLost).to.equal(false);
+	});
+
+	it('keeps the store\'s clock', async () => {
+		await catchCode(gate.commit(nothing));
+		await clock.tickAsync(500);
+		expect(gate.storeMs).to.equal(performance.now());
+	});
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -174,10 +174,8 @@
 		const {log} = this.#settings;
 		this.#isDraining = true;
 		clearInterval(this.#timer);
-		// Not released: the next holder waits for the term, so that orders of two holders never lie closer than that.
-		this.#lease.stop();
 		try {
-			await this.batches.handOver();
+			await Promise.all([this.#leaveOrders(), this.batches.handOver()]);
 		} catch (error) {
 			log.warn('hand_over_failed', {reason: describeError(error)});
 		}
@@ -194,6 +192,15 @@
 		}
 	}
 
+	/** Gives the lease up at once only if no order was sent for a term: orders of two holders must never lie closer than that. */
+	async #leaveOrders(): Promise<void> {
+		if (this.#orders.sinceOrderMs > this.#settings.leaseMs) {
+			await this.#lease.release();
+		} else {
+			this.#lease.stop();
+		}
+	}
+
 	#createCall(route: Route, request: CallerRequest, signal: AbortSignal): DirectCall {
 		const {client, random, log} = this.#settings;
 		return new DirectCall({
--- a/packages/gateway/src/store-gate.ts
+++ b/packages/gateway/src/store-gate.ts
@@ -1,5 +1,5 @@
 /**
- * The way to the store: keeps its clock, and refuses at once while it is known not to answer.
+ * The way to the store: keeps its clock, and refuses at once while it is known not to serve this host.
  *
  * Load pattern: a host that is cut off from the store while callers still reach it. Each call would wait for its whole
  * time, so readers that could have asked another host at once were held for 1.2 s each. The followers of the
@@ -12,6 +12,13 @@
 /** A call that fails after this time, in milliseconds, shows that the store is silent rather than refusing. */
 const silentMs = 500;
 
+/**
+ * Failures one after the other, and the time that they must span in milliseconds, after which a store that refuses is taken for
+ * lost to this host. Single refusals happen while a part of the store is down.
+ */
+const maxFailures = 4;
+const failingMs = 300;
+
 /** Errors that say nothing of whether the store answers: it did. */
 const answeredCodes: ReadonlySet<string> = new Set(['conflict', 'missing', 'limited', 'refused', 'invalid']);
 
@@ -21,6 +28,8 @@
 	/** The store's clock less this process's monotonic one, in milliseconds. */
 	#offsetMs = 0;
 	#isSilent = false;
+	#failures = 0;
+	#failingSince = 0;
 
 	constructor(store: RowStore) {
 		this.#store = store;
@@ -31,9 +40,9 @@
 		return performance.now() + this.#offsetMs;
 	}
 
-	/** Whether the store has left a call without an answer and has given none since. */
-	get isSilent(): boolean {
-		return this.#isSilent;
+	/** Whether the store has left calls without an answer, or refused them again and again, and has served none since. */
+	get isLost(): boolean {
+		return this.#isSilent || (this.#failures >= maxFailures && performance.now() - this.#failingSince >= failingMs);
 	}
 
 	/** The store for those who ask on while it is silent, so that its first answer is noticed. */
@@ -82,8 +91,20 @@
 	}
 
 	#check(): void {
-		if (this.#isSilent) {
-			throw new PlatformError('unavailable', 'the store does not answer at present; nothing was sent');
+		if (this.isLost) {
+			throw new PlatformError('unavailable', 'the store does not serve this host at present; nothing was sent');
+		}
+	}
+
+	#noteFailure(hasAnswered: boolean): void {
+		if (hasAnswered) {
+			this.#failures = 0;
+			return;
+		}
+
+		this.#failures += 1;
+		if (this.#failures === 1) {
+			this.#failingSince = performance.now();
 		}
 	}
 
@@ -93,9 +114,11 @@
 			const answer = await call();
 			this.#offsetMs = answer.storeMs - performance.now();
 			this.#isSilent = false;
+			this.#failures = 0;
 			return answer;
 		} catch (error) {
 			const hasAnswered = error instanceof PlatformError && answeredCodes.has(error.code);
+			this.#noteFailure(hasAnswered);
 			this.#isSilent = !hasAnswered && (this.#isSilent || performance.now() - startedAt >= silentMs);
 			throw error;
 		}
