--- a/packages/backends/src/serving.ts
+++ b/packages/backends/src/serving.ts
@@ -46,6 +46,11 @@
 	load: EndpointLoad | undefined;
 	/** Version of the weights at the start of the answer. */
 	weightVersion: number | undefined;
+	/**
+	 * Whether the answer tells where it ends. One without a length ends with its connection, and a server that broke off
+	 * looks the same; such an answer must not be handed on as a whole one.
+	 */
+	isFramed: boolean;
 	/** Whether the endpoint announced that it is leaving or closes the connection. */
 	isClosing: boolean;
 };
--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/batch-owner.ts
@@ -326,7 +326,7 @@
 				// Attempts follow one another, so that each is counted.
 				// eslint-disable-next-line no-await-in-loop
 				const outcome = await call.run();
-				if (outcome.kind === 'answered' && outcome.answer.status < 300 && outcome.answer.stamp !== undefined) {
+				if (outcome.kind === 'answered' && outcome.answer.status < 300 && outcome.answer.isFramed && outcome.answer.stamp !== undefined) {
 					return outcome.answer.stamp;
 				}
 
--- a/packages/direct/__tests__/sample-run.spec.ts
+++ b/packages/direct/__tests__/sample-run.spec.ts
@@ -59,6 +59,15 @@
 		expect(listRuns().map(({resumeAfter}) => resumeAfter)).to.include(2);
 	});
 
+	it('does not take a run without a length for whole, and finds what is missing', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.unframed = 1;
+		}
+
+		const outcome = await run();
+		expect(readEvents(outcome)).to.deep.equal(['s1#1', 's1#2', 's1#3', 's1#4', 's1#5']);
+	});
+
 	it('goes on from a text that an earlier owner has left', async () => {
 		const outcome = await run({}, 10_000, {events: ['s1#1', 's1#2'], versions: new Set([1])});
 		expect(readEvents(outcome)).to.have.length(5);
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -232,6 +232,12 @@
 			return 'again';
 		}
 
+		if (!run.isFramed) {
+			// It may have broken off; a resumed run tells whether something is missing.
+			log.info('run_unframed', {sample: this.#sample.id, endpoint: id, events: this.#text.events.length});
+			return 'again';
+		}
+
 		log.info('text_made', {
 			sample: this.#sample.id, endpoint: id, events: this.#text.events.length, runs: this.#runs, versions: [...this.#text.versions].join(','),
 			tookMs: Math.round(performance.now() - this.#startedAt),
--- a/packages/standins/src/memory-serving.ts
+++ b/packages/standins/src/memory-serving.ts
@@ -22,6 +22,8 @@
 	events: number;
 	/** Breaks the next run after this many of its events. */
 	breakAfter: number | undefined;
+	/** How many of the next answers have no length; a run among them ends early as if it were whole. */
+	unframed: number;
 	/** Loses the answer of the next call, which runs all the same. */
 	answersToLose: number;
 	/** Orders that are answered by nothing and carried out after `lateMs` if their condition holds then. */
@@ -36,7 +38,7 @@
 /** One endpoint. */
 export class MemoryEndpoint {
 	readonly switches: ServingSwitches = {
-		isDown: false, isFull: false, status: 200, callMs: 10, eventMs: 10, events: 5, breakAfter: undefined, answersToLose: 0, ordersToDelay: 0,
+		isDown: false, isFull: false, status: 200, callMs: 10, eventMs: 10, events: 5, breakAfter: undefined, unframed: 0, answersToLose: 0, ordersToDelay: 0,
 		lateMs: 3000, loadMs: 900,
 	};
 
@@ -116,7 +118,9 @@
 		note(endpoint, request);
 		const {status} = endpoint.switches;
 		const head = {...createHead(endpoint, status), weightVersion: endpoint.version};
-		return {...head, events: status === 200 ? generate(endpoint, request, signal) : streamNothing()};
+		const lastEvent = endpoint.switches.unframed > 0 ? Math.floor(endpoint.switches.events / 2) : endpoint.switches.events;
+		endpoint.switches.unframed = Math.max(0, endpoint.switches.unframed - 1);
+		return {...head, events: status === 200 ? generate(endpoint, request, signal, lastEvent) : streamNothing()};
 	}
 
 	async report(target: EndpointTarget): Promise<ServingReport> {
@@ -151,9 +155,9 @@
 	}
 }
 
-function createHead({version}: MemoryEndpoint, status: number): ServingHead {
+function createHead({version, switches}: MemoryEndpoint, status: number): ServingHead {
 	return {
-		status, headers: {}, isNotRun: false, stamp: undefined, load: undefined, weightVersion: version, isClosing: false,
+		status, headers: {}, isNotRun: false, stamp: undefined, load: undefined, weightVersion: version, isFramed: switches.unframed === 0, isClosing: false,
 	};
 }
 
@@ -169,9 +173,9 @@
 	endpoint.runs.push({attemptId, resumeAfter, version: endpoint.version});
 }
 
-async function * generate(endpoint: MemoryEndpoint, {attemptId, resumeAfter = 0}: ServingRequest, signal: AbortSignal): AsyncIterable<RunEvent> {
+async function * generate(endpoint: MemoryEndpoint, {attemptId, resumeAfter = 0}: ServingRequest, signal: AbortSignal, lastEvent: number): AsyncIterable<RunEvent> {
 	const {switches} = endpoint;
-	for (let id = resumeAfter + 1; id <= switches.events; id += 1) {
+	for (let id = resumeAfter + 1; id <= lastEvent; id += 1) {
 		// Events come one after the other.
 		// eslint-disable-next-line no-await-in-loop
 		await waitOrAbort(switches.eventMs, signal);
