--- a/packages/batches/__tests__/batches.spec.ts
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -305,6 +305,31 @@
 		expect(scorer.runs).to.have.length(2);
 	});
 
+	it('removes ended batches and kept texts once nobody reads them, and nothing else', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 100;
+			switches.events = 50;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(2, {step: 1})));
+		await settle(a!.batches.submit('2', createSubmission(1, {step: 1, path: '/steps/y'})));
+		await clock.tickAsync(1000);
+		await settle(a!.batches.end('1'));
+		await clock.tickAsync(30_000);
+		await settle(b!.batches.sweep(60_000));
+		expect(await catchCode(settle(b!.batches.read('1', 0, 0)))).to.equal('none');
+		await clock.tickAsync(60_000);
+		await settle(b!.batches.sweep(60_000));
+		expect(await catchCode(settle(a!.batches.read('1', 0, 0)))).to.equal('missing');
+		expect(await readAll(b!, '2')).to.have.length(1);
+		const parts = await Promise.all(['b0', 'b1', 'b2', 'b3'].flatMap(part => ['batch-submissions', 'kept-texts', 'batch-texts'].map(async table => {
+			const {rows} = await world.root.read({table, part});
+			return rows.map(({key}) => key.split('/')[0]);
+		})));
+		expect(new Set(parts.flat())).to.deep.equal(new Set(['2']));
+	});
+
 	it('gives the body of a sample at any process', async () => {
 		const [a, b] = createProcesses('a', 'b');
 		await settle(a!.batches.submit('1', createSubmission(1)));
--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/batch-owner.ts
@@ -212,18 +212,24 @@
 	}
 
 	#findText(id: string, result: SampleResult | undefined): KeptText | undefined {
+		const keptMs = this.#settings.readStoreMs();
 		if (result) {
 			// A sample that was given up is begun anew.
-			return result.state === 'made' ? {events: result.text.split('\n'), versions: result.versions, isWhole: true} : undefined;
+			return result.state === 'made'
+				? {
+					events: result.text.split('\n'), versions: result.versions, isWhole: true, keptMs,
+				}
+				: undefined;
 		}
 
 		const whole = this.#whole.get(id);
 		if (whole) {
-			return {...toPartial(whole), isWhole: true};
+			return {...toPartial(whole), isWhole: true, keptMs};
 		}
 
 		const run = this.#runs.get(id);
-		return run ? {...toPartial(run.text), isWhole: false} : this.#kept.get(id) ?? {events: [], versions: [], isWhole: false};
+		const left = run ? toPartial(run.text) : this.#kept.get(id) ?? {events: [], versions: []};
+		return {isWhole: false, ...left, keptMs};
 	}
 
 	/** What is there of a sample's text, if its versions fit this batch. */
@@ -231,7 +237,7 @@
 		const {leastVersion} = this.#submission;
 		const isSingle = this.#findRoute()?.isSingleVersion;
 		const partial = this.#partials.get(id);
-		const candidates = [this.#kept.get(id), partial && {...partial, isWhole: false}];
+		const candidates = [this.#kept.get(id), partial && {...partial, isWhole: false, keptMs: 0}];
 		return candidates.find(text => text && text.events.length > 0 && text.versions.every(version => version >= leastVersion) && !(isSingle && text.versions.length > 1));
 	}
 
--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -77,6 +77,8 @@
 export const keptTextSchema = partialTextSchema.extend({
 	/** Whether the text is whole. */
 	isWhole: z.boolean(),
+	/** When it was kept, on the store's steady clock, in milliseconds. */
+	keptMs: z.number(),
 });
 
 export type ScoreCall = z.infer<typeof scoreCallSchema>;
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -178,6 +178,31 @@
 		}
 	}
 
+	/**
+	 * Removes what nobody reads any more: batches that have ended and are older than `retentionMs`, and texts as old.
+	 * To be called now and then by one process. Never rejects.
+	 */
+	async sweep(retentionMs: number): Promise<void> {
+		const {store, keptTexts, log, readStoreMs} = this.#settings;
+		const before = readStoreMs() - retentionMs;
+		const old = [...this.#known.values()].filter(({record}) => record.isEnded && record.acceptedMs < before);
+		try {
+			const texts = await keptTexts.forgetBefore(before);
+			for (const {record, version} of old) {
+				// One after the other: nothing waits for it.
+				// eslint-disable-next-line no-await-in-loop
+				await store.remove({record, version});
+			}
+
+			if (old.length > 0 || texts > 0) {
+				log.info('swept', {batches: old.length, texts});
+			}
+		} catch (error) {
+			// What is left is found again at the next sweep.
+			log.info('sweep_failed', {reason: describeError(error)});
+		}
+	}
+
 	/** Hands all batches over: stops their runs, keeps their unfinished texts and leaves them without an owner. */
 	async handOver(): Promise<void> {
 		this.#isLeaving = true;
--- a/packages/batches/src/kept-texts.ts
+++ b/packages/batches/src/kept-texts.ts
@@ -12,7 +12,7 @@
 } from '@wasabiusher/backends';
 import {describeError} from '@wasabiusher/shared';
 import {keptTextSchema, type KeptText} from './batch.js';
-import {findPart} from './parts.js';
+import {batchParts, findPart} from './parts.js';
 import {BatchError} from './errors.js';
 
 const keptTable = 'kept-texts';
@@ -57,10 +57,25 @@
 		return new Map(rows.map(row => [row.key.slice(group.length + 1), decodeRow(row)]));
 	}
 
-	/** Forgets texts that are no longer needed. */
-	async forget(group: string, samples: readonly string[]): Promise<void> {
-		const deletes = samples.map((sample): RowAddress => ({table: keptTable, part: findPart(group), key: `${group}/${sample}`}));
-		await this.#guard(this.#rows.commit({conditions: [], puts: [], deletes}));
+	/**
+	 * Forgets texts that were kept before a time on the store's clock; as many of each part as one write takes.
+	 *
+	 * @returns how many were forgotten
+	 */
+	async forgetBefore(storeMs: number): Promise<number> {
+		const counts = await Promise.all(batchParts.map(async part => this.#forgetInPart(part, storeMs)));
+		return counts.reduce((sum, count) => sum + count, 0);
+	}
+
+	async #forgetInPart(part: string, storeMs: number): Promise<number> {
+		const {rows} = await this.#guard(this.#rows.read({table: keptTable, part, limit: groupRows}));
+		const old = rows.filter(row => decodeRow(row).keptMs < storeMs).slice(0, maxRows);
+		if (old.length > 0) {
+			const deletes = old.map(({table, key}): RowAddress => ({table, part, key}));
+			await this.#guard(this.#rows.commit({conditions: [], puts: [], deletes}));
+		}
+
+		return old.length;
 	}
 
 	async #guard<Result>(work: Promise<Result>): Promise<Result> {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,12 @@
 import {Catalog, type CatalogFormat} from './catalog.js';
 import {StoreGate} from './store-gate.js';
 
+/** How often what nobody reads any more is removed, in milliseconds. */
+const sweepMs = 10_000;
+
+/** How much longer than it must be readable a batch is kept, as a factor: readers and hosts may lag. */
+const retentionFactor = 2;
+
 /** How often orders for weights are looked after, in milliseconds. */
 const ordersMs = 50;
 
@@ -49,6 +55,8 @@
 	log: Log;
 	/** Term of the lease under which orders are given, in milliseconds. */
 	leaseMs: number;
+	/** How long a batch is read after it was handed in, in milliseconds. */
+	statusMs: number;
 	onDeployment?(deployment: Deployment): void;
 };
 
@@ -68,6 +76,7 @@
 	readonly #operatorFollower: TableFollower;
 	readonly #gate: StoreGate;
 	#timer: NodeJS.Timeout | undefined;
+	#sweepTimer: NodeJS.Timeout | undefined;
 	#isDraining = false;
 
 	constructor(settings: GatewaySettings) {
@@ -145,6 +154,12 @@
 		this.#timer = setInterval(() => {
 			this.#orders.tick();
 		}, ordersMs);
+		this.#sweepTimer = setInterval(() => {
+			// The holder of the lease does it for all; two at once do no harm.
+			if (this.#lease.holds()) {
+				void this.batches.sweep(retentionFactor * this.#settings.statusMs);
+			}
+		}, sweepMs);
 	}
 
 	/** Finds the route of a request. */
@@ -174,6 +189,7 @@
 		const {log} = this.#settings;
 		this.#isDraining = true;
 		clearInterval(this.#timer);
+		clearInterval(this.#sweepTimer);
 		try {
 			await Promise.all([this.#leaveOrders(), this.batches.handOver()]);
 		} catch (error) {
@@ -184,6 +200,7 @@
 	/** Ends all that goes on in the background. */
 	stop(): void {
 		clearInterval(this.#timer);
+		clearInterval(this.#sweepTimer);
 		this.#lease.stop();
 		this.#hosts.stop();
 		this.batches.stop();
