--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/batch-owner.ts
@@ -20,6 +20,7 @@
 import {maxWriteBytes, type BatchStore, type PartialTexts} from './batch-store.js';
 import {BatchError} from './errors.js';
 import type {GroupedText} from './kept-texts.js';
+import {pause} from './pause.js';
 import type {PositionedResult} from './result-rows.js';
 
 /** Least pause between transactions of one batch, in milliseconds: results that come together go together. */
@@ -517,9 +518,3 @@
 function toPartial({events, versions}: SampleText): PartialText {
 	return {events: [...events], versions: [...versions]};
 }
-
-async function pause(ms: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -18,6 +18,7 @@
 import {BatchError} from './errors.js';
 import type {HostRegistry} from './host-registry.js';
 import type {KeptTexts} from './kept-texts.js';
+import {pause} from './pause.js';
 
 /** Time between looks for batches without a living owner, in milliseconds. */
 const lookMs = 150;
@@ -540,9 +541,3 @@
 	});
 	return end === -1 ? [...results] : results.slice(0, end);
 }
-
-async function pause(ms: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- /dev/null
+++ b/packages/batches/src/pause.ts
@@ -0,0 +1,6 @@
+/** Resolves after a time, in milliseconds. */
+export async function pause(ms: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -33,7 +33,7 @@
 
 /**
  * Part of the endpoints that follow one model which load it at once. With three models on six endpoints the two of one model
- * loaded together, and its samples were refused until they were done (1,454 of 2,674 attempts on one day).
+ * loaded together, and for about a second no endpoint could make its samples.
  */
 const modelFraction = 0.5;
 
