--- /dev/null
+++ b/packages/decisions/__tests__/refusal-pause.spec.ts
@@ -0,0 +1,64 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {RefusalPause} from '../src/index.js';
+
+describe('RefusalPause', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('lets one attempt at a time through while an endpoint loads, and all soon after it has loaded', async () => {
+		const loadedAt = 900;
+		const pause = new RefusalPause();
+		let refused = 0;
+		let firstSuccessAt: number | undefined;
+		// Twenty samples wait; each tries as soon as it may, and is answered after 5 ms.
+		const attempt = () => {
+			pause.begin();
+			setTimeout(() => {
+				if (performance.now() < loadedAt) {
+					refused += 1;
+					pause.recordRefusal();
+				} else {
+					firstSuccessAt ??= performance.now();
+					pause.recordSuccess();
+				}
+
+				pause.end();
+			}, 5);
+		};
+
+		for (let i = 0; i < 20; i += 1) {
+			attempt();
+		}
+
+		for (let ms = 0; ms < 1200; ms += 5) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(5);
+			for (let i = 0; i < 20 && pause.isOpen; i += 1) {
+				attempt();
+			}
+		}
+
+		// Twenty of these were under way before the first refusal.
+		expect(refused).to.be.below(30);
+		expect(firstSuccessAt).to.be.within(loadedAt, loadedAt + 160);
+	});
+
+	it('lets the next attempt through when one has ended without an answer', () => {
+		const pause = new RefusalPause();
+		pause.recordRefusal();
+		clock.tick(50);
+		expect(pause.isOpen).to.equal(true);
+		pause.begin();
+		expect(pause.isOpen).to.equal(false);
+		pause.end();
+		expect(pause.isOpen).to.equal(true);
+	});
+});
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -1,9 +1,10 @@
 /**
  * The endpoints that are registered, with what this process has seen of each.
  */
-import {chooseDirect, shouldMove, type DirectCandidate} from '@wasabiusher/decisions';
-import type {EndpointLoad, ServingHead} from '@wasabiusher/backends';
+import {chooseDirect, shouldMove} from '@wasabiusher/decisions';
+import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
+import {EndpointStanding} from './endpoint-standing.js';
 
 /**
  * How long an endpoint whose registration has vanished is still asked if nothing else can be, in milliseconds.
@@ -12,53 +13,6 @@
  */
 const vanishedMs = 1200;
 
-/** First and longest time for which an endpoint that could not be reached is left alone, in milliseconds. */
-const firstPauseMs = 200;
-const longestPauseMs = 2000;
-
-/**
- * First and longest time for which an endpoint that refused is left alone, in milliseconds: some requests' service time, and
- * a part of the second that loading weights takes. Without the doubling half of all attempts met an endpoint that was loading.
- */
-const fullPauseMs = 50;
-const longestFullPauseMs = 400;
-
-/** Weight of a new measurement in an endpoint's pace: four of them are two thirds of it. */
-const paceSmoothing = 0.25;
-
-/** Time after which a measured pace counts for nothing, in milliseconds, so that an endpoint that was slow is tried again. */
-const paceAgeMs = 2000;
-
-/** Longest time for a unit of work that counts in the pace, in milliseconds; loading weights takes longer. */
-const maxUnitMs = 600;
-
-/** Measurements before a pace counts. */
-const minPaces = 3;
-
-/** Time after which what an endpoint told of its load counts for nothing, in milliseconds. */
-const loadAgeMs = 1000;
-
-type Standing = {
-	endpoint: RegisteredEndpoint;
-	vanishedAt: number | undefined;
-	open: number;
-	load: EndpointLoad | undefined;
-	loadAt: number;
-	openAtLoad: number;
-	pausedUntil: number;
-	failures: number;
-	/** Refusals one after the other. */
-	refusals: number;
-	paceMs: number | undefined;
-	paceAt: number;
-	paceCount: number;
-	/** Newest version seen of each model; a running endpoint never goes back. */
-	versions: Map<string, number>;
-	warmKeys: Set<string>;
-	/** When a request of this process last ended there. */
-	usedAt: number;
-};
-
 /** What an attempt needs of an endpoint. */
 export type EndpointNeed = {
 	service: string;
@@ -74,15 +28,9 @@
 	openLimit?: number;
 };
 
-/** Time for which a connection is open after its last request, in milliseconds, as endpoints commonly keep them. */
-const connectedMs = 3000;
-
-/** Most shared parts remembered for one endpoint; older ones are forgotten first. */
-const maxWarmKeys = 256;
-
 /** Registered endpoints and their standing. */
 export class EndpointDirectory {
-	readonly #standings = new Map<string, Standing>();
+	readonly #standings = new Map<string, EndpointStanding>();
 	readonly #random: Random;
 	readonly #listeners = new Set<() => void>();
 
@@ -92,11 +40,11 @@
 
 	/** Takes over a registration. */
 	put(endpoint: RegisteredEndpoint): void {
-		const standing = this.#standings.get(endpoint.id) ?? createStanding(endpoint);
+		const standing = this.#standings.get(endpoint.id) ?? new EndpointStanding(endpoint);
 		standing.endpoint = endpoint;
 		standing.vanishedAt = undefined;
 		for (const {model, version} of endpoint.models) {
-			noteVersion(standing, model, version);
+			standing.recordVersion(model, version);
 		}
 
 		this.#standings.set(endpoint.id, standing);
@@ -126,7 +74,7 @@
 
 	/** Newest version of a model that an endpoint is known to hold; undefined if it does not hold it. */
 	findVersion(id: string, model: string): number | undefined {
-		return this.#standings.get(id)?.versions.get(model);
+		return this.#standings.get(id)?.findVersion(model);
 	}
 
 	/** Requests of this process that are open at an endpoint. */
@@ -145,53 +93,24 @@
 	/** Chooses an endpoint for an attempt and counts it as open there; undefined if none can be asked now. */
 	take(need: EndpointNeed): RegisteredEndpoint | undefined {
 		this.#forget();
-		const now = performance.now();
-		const fits = [...this.#standings.values()].filter(standing => isFit(standing, need));
-		const usable = fits.filter(({vanishedAt, pausedUntil}) => vanishedAt === undefined && pausedUntil <= now);
-		const chosen = this.#choose(usable, need) ?? this.#choose(fits.filter(({vanishedAt, pausedUntil}) => vanishedAt !== undefined && pausedUntil <= now), need);
-		if (!chosen) {
-			return undefined;
-		}
-
-		chosen.open += 1;
-		if (need.warmKey !== undefined) {
-			noteWarm(chosen, need.warmKey);
-		}
-
-		return chosen.endpoint;
+		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need));
+		const chosen = this.#choose(fits.filter(({vanishedAt}) => vanishedAt === undefined), need) ?? this.#choose(fits.filter(({vanishedAt}) => vanishedAt !== undefined), need);
+		chosen?.begin(need.warmKey);
+		return chosen?.endpoint;
 	}
 
 	/** Ends what `take` has begun. */
 	release(id: string): void {
 		const standing = this.#standings.get(id);
 		if (standing) {
-			standing.open = Math.max(0, standing.open - 1);
-			standing.usedAt = performance.now();
+			standing.end();
 			this.#notify();
 		}
 	}
 
 	/** Learns from the beginning of an answer. */
-	recordHead(id: string, {load, isNotRun, status}: ServingHead): void {
-		const standing = this.#standings.get(id);
-		if (!standing) {
-			return;
-		}
-
-		standing.failures = 0;
-		if (load) {
-			standing.load = load;
-			standing.loadAt = performance.now();
-			standing.openAtLoad = standing.open;
-		}
-
-		if (!isNotRun) {
-			standing.refusals = 0;
-		} else if (status !== 421 && standing.pausedUntil <= performance.now()) {
-			// Of refusals at the same time one counts.
-			standing.pausedUntil = performance.now() + Math.min(longestFullPauseMs, fullPauseMs * (2 ** standing.refusals));
-			standing.refusals += 1;
-		}
+	recordHead(id: string, head: ServingHead): void {
+		this.#standings.get(id)?.recordHead(head);
 	}
 
 	/** Notes that another server has the address, so this one is gone. */
@@ -201,34 +120,12 @@
 
 	/** Notes that nothing or nothing sound came back. */
 	recordFailure(id: string): void {
-		const standing = this.#standings.get(id);
-		if (standing) {
-			standing.pausedUntil = performance.now() + Math.min(longestPauseMs, firstPauseMs * (2 ** standing.failures));
-			standing.failures += 1;
-		}
+		this.#standings.get(id)?.recordFailure();
 	}
 
-	/** Learns how long a unit of work took. */
+	/** Learns how long a unit of work took, in milliseconds. */
 	recordPace(id: string, unitMs: number): void {
-		const standing = this.#standings.get(id);
-		if (!standing) {
-			return;
-		}
-
-		// A pause for new weights says nothing of the pace.
-		if (unitMs > maxUnitMs) {
-			return;
-		}
-
-		const now = performance.now();
-		if (now - standing.paceAt > paceAgeMs) {
-			standing.paceMs = undefined;
-			standing.paceCount = 0;
-		}
-
-		standing.paceMs = standing.paceMs === undefined ? unitMs : standing.paceMs + (paceSmoothing * (unitMs - standing.paceMs));
-		standing.paceAt = now;
-		standing.paceCount += 1;
+		this.#standings.get(id)?.recordPace(unitMs);
 	}
 
 	/** Whether a run at an endpoint had better go on at another one that fits the same need. */
@@ -238,30 +135,24 @@
 			return false;
 		}
 
-		const now = performance.now();
-		const others = [...this.#standings.values()].filter(standing => standing !== current && standing.vanishedAt === undefined && standing.pausedUntil <= now && isFit(standing, need));
-		return shouldMove(toCandidate(current, undefined), others.map(standing => toCandidate(standing, undefined)), isLong);
+		const others = [...this.#standings.values()].filter(standing => standing !== current && standing.vanishedAt === undefined && standing.isAvailable && isFit(standing, need));
+		return shouldMove(current.toCandidate(undefined), others.map(standing => standing.toCandidate(undefined)), isLong);
 	}
 
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
-		const standing = this.#standings.get(id);
-		if (standing && noteVersion(standing, model, version)) {
+		if (this.#standings.get(id)?.recordVersion(model, version)) {
 			this.#notify();
 		}
 	}
 
 	/** Leaves an endpoint alone for a time, such as while it loads weights. */
 	pause(id: string, pauseMs: number): void {
-		const standing = this.#standings.get(id);
-		if (standing) {
-			standing.pausedUntil = Math.max(standing.pausedUntil, performance.now() + pauseMs);
-		}
+		this.#standings.get(id)?.pause(pauseMs);
 	}
 
-	#choose(standings: readonly Standing[], need: EndpointNeed): Standing | undefined {
-		const candidates = standings.map(standing => toCandidate(standing, need.warmKey));
-		const chosen = chooseDirect(candidates, this.#random.next());
+	#choose(standings: readonly EndpointStanding[], need: EndpointNeed): EndpointStanding | undefined {
+		const chosen = chooseDirect(standings.map(standing => standing.toCandidate(need.warmKey)), this.#random.next());
 		return chosen && this.#standings.get(chosen.id);
 	}
 
@@ -281,52 +172,12 @@
 	}
 }
 
-function createStanding(endpoint: RegisteredEndpoint): Standing {
-	return {
-		endpoint, vanishedAt: undefined, open: 0, load: undefined, loadAt: 0, openAtLoad: 0, pausedUntil: 0, failures: 0, refusals: 0, paceMs: undefined, paceAt: 0, paceCount: 0,
-		versions: new Map(), warmKeys: new Set(), usedAt: Number.NEGATIVE_INFINITY,
-	};
-}
-
-function noteVersion({versions}: Standing, model: string, version: number): boolean {
-	if (version <= (versions.get(model) ?? 0)) {
-		return false;
-	}
-
-	versions.set(model, version);
-	return true;
-}
-
-function noteWarm({warmKeys}: Standing, key: string): void {
-	warmKeys.delete(key);
-	warmKeys.add(key);
-	if (warmKeys.size > maxWarmKeys) {
-		const [oldest] = warmKeys;
-		warmKeys.delete(oldest!);
-	}
-}
-
-function isFit({endpoint, open, versions}: Standing, {service, excluded, least, exact, openLimit}: EndpointNeed): boolean {
+function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit}: EndpointNeed): boolean {
+	const {endpoint, open} = standing;
 	return endpoint.service === service
 		&& !endpoint.isDraining
 		&& !excluded?.has(endpoint.id)
 		&& (openLimit === undefined || open < openLimit * endpoint.slots)
-		&& (!least || (versions.get(least.model) ?? 0) >= least.version)
-		&& (!exact || versions.get(exact.model) === exact.version);
-}
-
-function toCandidate(standing: Standing, warmKey: string | undefined): DirectCandidate {
-	const {endpoint, open, load, loadAt, openAtLoad, paceMs, paceAt, paceCount, warmKeys, usedAt} = standing;
-	const now = performance.now();
-	const isFresh = load !== undefined && now - loadAt < loadAgeMs;
-	const hasPace = paceCount >= minPaces && now - paceAt < paceAgeMs;
-	return {
-		id: endpoint.id,
-		slots: endpoint.slots,
-		open,
-		others: isFresh ? Math.max(0, load.running + load.waiting - openAtLoad) : 0,
-		paceMs: hasPace ? paceMs : undefined,
-		isWarm: warmKey !== undefined && warmKeys.has(warmKey),
-		isConnected: now - usedAt < connectedMs,
-	};
+		&& (!least || (standing.findVersion(least.model) ?? 0) >= least.version)
+		&& (!exact || standing.findVersion(exact.model) === exact.version);
 }
--- /dev/null
+++ b/packages/direct/src/endpoint-standing.ts
@@ -0,0 +1,142 @@
+/**
+ * What one process has seen of an endpoint: its load, pace, versions, refusals and failures.
+ */
+import {Pace, RefusalPause, type DirectCandidate} from '@wasabiusher/decisions';
+import type {EndpointLoad, ServingHead} from '@wasabiusher/backends';
+import type {RegisteredEndpoint} from '@wasabiusher/shared';
+
+/** First and longest time for which an endpoint that could not be reached is left alone, in milliseconds. */
+const firstPauseMs = 200;
+const longestPauseMs = 2000;
+
+/** Time after which what an endpoint told of its load counts for nothing, in milliseconds. */
+const loadAgeMs = 1000;
+
+/** Time for which a connection is open after its last request, in milliseconds, as endpoints commonly keep them. */
+const connectedMs = 3000;
+
+/** Most shared parts remembered for one endpoint; older ones are forgotten first. */
+const maxWarmKeys = 256;
+
+/** Status of an answer from another server at the same address. */
+const misdirectedStatus = 421;
+
+/** The standing of one endpoint. */
+export class EndpointStanding {
+	endpoint: RegisteredEndpoint;
+	/** When its registration vanished, on the monotonic clock. */
+	vanishedAt: number | undefined;
+	readonly #pace = new Pace();
+	readonly #refusals = new RefusalPause();
+	/** Newest version seen of each model; a running endpoint never goes back. */
+	readonly #versions = new Map<string, number>();
+	readonly #warmKeys = new Set<string>();
+	#open = 0;
+	#load: EndpointLoad | undefined;
+	#loadAt = 0;
+	#openAtLoad = 0;
+	#pausedUntil = 0;
+	#failures = 0;
+	/** When a request of this process last ended there. */
+	#usedAt = Number.NEGATIVE_INFINITY;
+
+	constructor(endpoint: RegisteredEndpoint) {
+		this.endpoint = endpoint;
+	}
+
+	/** Requests of this process that are open there. */
+	get open(): number {
+		return this.#open;
+	}
+
+	/** Whether an attempt may be made now, as far as pauses go. */
+	get isAvailable(): boolean {
+		return performance.now() >= this.#pausedUntil && this.#refusals.isOpen;
+	}
+
+	/** Newest version known of a model. */
+	findVersion(model: string): number | undefined {
+		return this.#versions.get(model);
+	}
+
+	/** Learns of a version; returns whether it is newer than what was known. */
+	recordVersion(model: string, version: number): boolean {
+		if (version <= (this.#versions.get(model) ?? 0)) {
+			return false;
+		}
+
+		this.#versions.set(model, version);
+		return true;
+	}
+
+	/** Notes that an attempt begins there. */
+	begin(warmKey: string | undefined): void {
+		this.#open += 1;
+		this.#refusals.begin();
+		if (warmKey === undefined) {
+			return;
+		}
+
+		this.#warmKeys.delete(warmKey);
+		this.#warmKeys.add(warmKey);
+		if (this.#warmKeys.size > maxWarmKeys) {
+			const [oldest] = this.#warmKeys;
+			this.#warmKeys.delete(oldest!);
+		}
+	}
+
+	/** Notes that an attempt has ended. */
+	end(): void {
+		this.#open = Math.max(0, this.#open - 1);
+		this.#refusals.end();
+		this.#usedAt = performance.now();
+	}
+
+	/** Learns from the beginning of an answer. */
+	recordHead({load, isNotRun, status}: ServingHead): void {
+		this.#failures = 0;
+		if (load) {
+			this.#load = load;
+			this.#loadAt = performance.now();
+			this.#openAtLoad = this.#open;
+		}
+
+		if (!isNotRun) {
+			this.#refusals.recordSuccess();
+		} else if (status !== misdirectedStatus) {
+			this.#refusals.recordRefusal();
+		}
+	}
+
+	/** Notes that nothing or nothing sound came back. */
+	recordFailure(): void {
+		this.#pausedUntil = performance.now() + Math.min(longestPauseMs, firstPauseMs * (2 ** this.#failures));
+		this.#failures += 1;
+	}
+
+	/** Leaves it alone for a time, such as while it loads weights. */
+	pause(pauseMs: number): void {
+		this.#pausedUntil = Math.max(this.#pausedUntil, performance.now() + pauseMs);
+	}
+
+	/** Learns how long a unit of work took, in milliseconds. */
+	recordPace(unitMs: number): void {
+		this.#pace.record(unitMs);
+	}
+
+	/** What the choice between endpoints needs to know. */
+	toCandidate(warmKey: string | undefined): DirectCandidate {
+		const now = performance.now();
+		const {id, slots} = this.endpoint;
+		const load = now - this.#loadAt < loadAgeMs ? this.#load : undefined;
+		return {
+			id,
+			slots,
+			open: this.#open,
+			others: load ? Math.max(0, load.running + load.waiting - this.#openAtLoad) : 0,
+			paceMs: this.#pace.unitMs,
+			isWarm: warmKey !== undefined && this.#warmKeys.has(warmKey),
+			isConnected: now - this.#usedAt < connectedMs,
+		};
+	}
+}
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -179,9 +179,14 @@
 		const stop = new AbortController();
 		const signal = AbortSignal.any([this.#signal, stop.signal]);
 		const before = this.#text.events.length;
+		const startedAt = performance.now();
+		let headMs: number | undefined;
+		let status: number | undefined;
 		this.#runs += 1;
 		try {
 			const run = await client.run(endpoint, this.#toServing(), signal);
+			headMs = Math.round(performance.now() - startedAt);
+			({status} = run);
 			directory.recordHead(id, run);
 			return await this.#readRun(id, run, route);
 		} catch (error) {
@@ -197,6 +202,9 @@
 			await this.#pause();
 			return 'again';
 		} finally {
+			log.info('run_ended', {
+				sample: this.#sample.id, endpoint: id, status, from: before, events: this.#text.events.length, headMs, tookMs: Math.round(performance.now() - startedAt),
+			});
 			// Ends a run that is not read to its end.
 			stop.abort();
 			directory.release(id);
