Begin to load a version 0.3 s after it is published

Cause: a trainer hands in its next step some milliseconds after it has published a version, and a third of the engines began to load at that very moment; engines that load begin nothing. Samples without a slot began up to 2.6 s after the step. Test failed first.

--- a/packages/direct/__tests__/weight-orders.spec.ts
+++ b/packages/direct/__tests__/weight-orders.spec.ts
@@ -70,6 +70,14 @@
 		expect([...loaded.values()].map(({size}) => size)).to.deep.equal([2, 2, 2]);
 	});
 
+	it('lets the step that follows a publication fill the slots before any endpoint loads', async () => {
+		orders.publish('m', 2);
+		await tickFor(250);
+		expect(countOrders()).to.equal(0);
+		await tickFor(250);
+		expect(countOrders()).to.equal(2);
+	});
+
 	it('gives no order without the lease', async () => {
 		right.isHeld = false;
 		orders.publish('m', 2);
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -49,12 +49,19 @@
 /** Time for which other work is kept from an endpoint that was told to load, in milliseconds; its reports prolong it. */
 const holdBackMs = 250;
 
+/**
+ * Time from the publication of a version to the first order for it, in milliseconds. A trainer hands in its next step some
+ * milliseconds after it has published; engines that load begin nothing, so with orders at once a third of the slots
+ * stayed empty for the first second of each step. In this time the step fills all slots, and its runs go on during the load.
+ */
+const settleMs = 300;
+
 type Transition = {model: string; version: number; startedAt: number; nextLookAt: number};
 
 /** Gives orders for weights. */
 export class WeightOrders {
 	readonly #settings: WeightOrdersSettings;
-	readonly #published = new Map<string, number>();
+	readonly #published = new Map<string, {version: number; learntAt: number}>();
 	readonly #loading = new Map<string, Transition>();
 	readonly #notBefore = new Map<string, number>();
 	/** Models that endpoints are just being told to load. */
@@ -72,14 +79,14 @@
 
 	/** Learns of a published version; an older one than known is ignored. */
 	publish(model: string, version: number): void {
-		if (version > (this.#published.get(model) ?? 0)) {
-			this.#published.set(model, version);
+		if (version > (this.findPublished(model) ?? 0)) {
+			this.#published.set(model, {version, learntAt: performance.now()});
 		}
 	}
 
 	/** The newest published version of a model. */
 	findPublished(model: string): number | undefined {
-		return this.#published.get(model);
+		return this.#published.get(model)?.version;
 	}
 
 	/** Gives what orders are due and looks after those under way; to be called some times a second. */
@@ -200,9 +207,9 @@
 
 	#findWanted({id}: RegisteredEndpoint, models: readonly string[]): {model: string; version: number; from: number} | undefined {
 		for (const model of models) {
-			const version = this.#published.get(model) ?? 0;
+			const {version, learntAt} = this.#published.get(model) ?? {version: 0, learntAt: 0};
 			const from = this.#settings.directory.findVersion(id, model) ?? 0;
-			if (version > from) {
+			if (version > from && performance.now() - learntAt >= settleMs) {
 				return {model, version, from};
 			}
 		}
