Begin long texts a second time under newer weights, for the step that gets them again

Cause: a trainer with two steps open hands groups that were not whole in again two steps later, must wait for them, and by then the versions that began their texts are too old: texts of 195 events (7.6 s at any engine) were made anew in every second step, and steps of 8 to 9 s instead of 7 put the trainer 10 s behind. Ruled out: keeping the text (its versions may not be used), moving to faster engines (a text that long is at the fastest already).

--- a/packages/batches/__tests__/batches.spec.ts
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -265,6 +265,57 @@
 		expect(results[0]!.text.split('\n')).to.have.length(50);
 	});
 
+	it('begins long texts a second time under newer weights, and the next batch that allows only those goes on with them', async () => {
+		const [a] = createProcesses('a');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 40;
+			switches.events = 195;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(2, {step: 1, leastVersion: 1, wantedGroups: 1})));
+		await clock.tickAsync(4000);
+		world.deployment.published = 2;
+		for (const endpoint of world.serving.endpoints.values()) {
+			endpoint.version = 2;
+			a!.directory.recordVersion(endpoint.id, 'm', 2);
+		}
+
+		await clock.tickAsync(2500);
+		await settle(a!.batches.end('1'));
+		await clock.tickAsync(1000);
+		await settle(a!.batches.submit('2', createSubmission(4, {step: 3, leastVersion: 2})));
+		// Made anew they would take 7.8 s, as the two others do.
+		await clock.tickAsync(5000);
+		const results = await readAll(a!, '2');
+		expect(results.map(({id, versions, text}) => [id, versions.join(','), text.split('\n').length])).to.deep.equal([['s0', '2', 195], ['s1', '2', 195]]);
+	});
+
+	it('begins no text a second time before the versions that the earlier batches will bring', async () => {
+		world = createWorld(4);
+		const [a] = createProcesses('a');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 40;
+			switches.events = 195;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(1, {step: 1, wantedGroups: 1})));
+		await clock.tickAsync(50);
+		const later = createSubmission(2, {step: 2, wantedGroups: 1});
+		await settle(a!.batches.submit('2', {...later, samples: later.samples.map(sample => ({...sample, id: `t${sample.id}`}))}));
+		world.deployment.published = 2;
+		await clock.tickAsync(4000);
+		const runs = () => [...world.serving.endpoints.values()].flatMap(endpoint => endpoint.runs).length;
+		expect(runs()).to.equal(3);
+		world.deployment.published = 3;
+		for (const endpoint of world.serving.endpoints.values()) {
+			endpoint.version = 3;
+			a!.directory.recordVersion(endpoint.id, 'm', 3);
+		}
+
+		await clock.tickAsync(500);
+		expect(runs()).to.equal(5);
+	});
+
 	it('shows nothing that the store does not have yet', async () => {
 		const [a, b] = createProcesses('a', 'b');
 		await settle(a!.batches.submit('1', createSubmission(2)));
--- a/packages/batches/__tests__/fixtures.ts
+++ b/packages/batches/__tests__/fixtures.ts
@@ -49,14 +49,14 @@
 export type World = {
 	root: MemoryRowStore;
 	serving: MemoryServing;
-	deployment: {current: Deployment};
+	deployment: {current: Deployment; published: number};
 	createProcess(host: string): Process;
 };
 
 export function createWorld(endpoints = 2): World {
 	const root = new MemoryRowStore();
 	const serving = new MemoryServing();
-	const deployment = {current: createDeployment()};
+	const deployment = {current: createDeployment(), published: 1};
 	for (let i = 0; i < endpoints; i += 1) {
 		serving.add(`e${i}`, `i${i}`);
 	}
@@ -81,7 +81,7 @@
 		});
 		const batches: Batches = new Batches({
 			store: new BatchStore(store, store), keptTexts: new KeptTexts(store), hosts, host, directory, client: serving, random, log,
-			findDeployment: () => deployment.current, readStoreMs: () => performance.now(),
+			findDeployment: () => deployment.current, findPublished: () => deployment.published, readStoreMs: () => performance.now(),
 		});
 		const followers = [
 			new TableFollower({
--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/batch-owner.ts
@@ -7,12 +7,12 @@
 import {Buffer} from 'node:buffer';
 import {setMaxListeners} from 'node:events';
 import PQueue from 'p-queue';
-import {planBatchOrder} from '@wasabiusher/decisions';
+import {chooseRenewals, planBatchOrder} from '@wasabiusher/decisions';
 import {
 	DirectCall, SampleRun, type CallSettings, type SampleOutcome, type SampleText,
 } from '@wasabiusher/direct';
 import {
-	describeError, findRoute, type Deployment, type Log, type Route,
+	describeError, findRoute, groupBy, type Deployment, type Log, type Route,
 } from '@wasabiusher/shared';
 import type {
 	KeptText, PartialText, Sample, SampleResult, StoredBatch, Submission,
@@ -21,6 +21,7 @@
 import {BatchError} from './errors.js';
 import type {GroupedText} from './kept-texts.js';
 import {pause} from './pause.js';
+import {Renewals} from './renewals.js';
 import type {PositionedResult} from './result-rows.js';
 
 /** Least pause between transactions of one batch, in milliseconds: results that come together go together. */
@@ -47,12 +48,19 @@
 /** Events that a text must have grown by to be written again; fewer are made anew in a quarter of a second. */
 const checkpointEvents = 6;
 
+/** Time between looks for texts that should be begun a second time, in milliseconds; a text grows by seven events in it. */
+const renewalMs = 250;
+
 export type BatchOwnerSettings = CallSettings & {
 	store: BatchStore;
 	/** The configuration in force. */
 	findDeployment(): Deployment | undefined;
+	/** The newest published version of a model. */
+	findPublished(model: string): number | undefined;
 	/** Milliseconds on the store's steady clock. */
 	readStoreMs(): number;
+	/** Batches of the same trainer that were accepted before this one and are still open. */
+	countEarlierOpen(): number;
 	/** Called when the batch is found to have ended or to have another owner. */
 	onReplaced(): void;
 };
@@ -67,6 +75,21 @@
 	kept: Map<string, KeptText>;
 };
 
+/** How a run of a sample is made. */
+type RunPlan = {
+	/** Oldest version that may make an event. */
+	leastVersion: number;
+	/** Aborts when the run is no longer wanted. */
+	signal: AbortSignal;
+	/** What has been made before. */
+	text?: SampleText;
+	/** Whether it keeps away from endpoints whose slots are all taken, by what is known. */
+	avoidsFull?: boolean;
+};
+
+/** A text that a batch can go on with. */
+type UsableText = PartialText & {isWhole: boolean};
+
 /** The owner of one batch. */
 export class BatchOwner {
 	readonly #settings: BatchOwnerSettings;
@@ -86,7 +109,12 @@
 	readonly #stop = createStop();
 	readonly #commits = new PQueue({concurrency: 1});
 	readonly #watchers = new Set<() => void>();
+	readonly #renewals: Renewals;
+	readonly #queue: PQueue;
 	#checkpointTimer: NodeJS.Timeout | undefined;
+	#renewalTimer: NodeJS.Timeout | undefined;
+	/** Version from which on second texts are begun: each earlier batch that is still open brings one more before this one ends. */
+	#renewFrom: number | undefined;
 
 	constructor(settings: BatchOwnerSettings, {stored, submission, results, partials, kept}: OwnedBatch) {
 		this.#settings = settings;
@@ -94,6 +122,8 @@
 		this.#submission = submission;
 		this.#partials = partials;
 		this.#kept = kept;
+		this.#queue = new PQueue({concurrency: this.#countSlots()});
+		this.#renewals = new Renewals((sample, leastVersion, signal) => this.#createRun(this.#getSample(sample), {leastVersion, signal, avoidsFull: true}));
 		for (const {result} of results) {
 			this.#list(result);
 		}
@@ -128,14 +158,16 @@
 		const order = planBatchOrder([...open.values()].map(sample => ({
 			id: sample.id, group: sample.group ?? sample.id, expectedTokens: sample.expectedTokens ?? 0, isCarried: this.#kept.has(sample.id),
 		})), wantedGroups);
-		const queue = new PQueue({concurrency: this.#countSlots()});
 		for (const id of order) {
-			void queue.add(async () => this.#make(open.get(id)!));
+			void this.#queue.add(async () => this.#make(open.get(id)!));
 		}
 
 		this.#checkpointTimer = setInterval(() => {
 			void this.#checkpoint();
 		}, checkpointMs);
+		this.#renewalTimer = setInterval(() => {
+			this.#renew();
+		}, renewalMs);
 		this.#settings.log.info('batch_begun', {
 			batch: this.id, term: this.#stored.record.term, total: samples.length, listed: this.#results.length, partials: this.#partials.size, kept: this.#kept.size,
 		});
@@ -144,7 +176,8 @@
 	/** Stops all runs; nothing is written after that. */
 	stop(): void {
 		this.#stop.abort();
-		clearInterval(this.#checkpointTimer);
+		this.#renewals.stop();
+		this.#clearTimers();
 		this.#notify();
 	}
 
@@ -199,7 +232,7 @@
 	/** Begins nothing more; runs under way go on until `stop`, since their texts may be wanted in the next batch. */
 	retire(): void {
 		this.#isRetired = true;
-		clearInterval(this.#checkpointTimer);
+		this.#clearTimers();
 	}
 
 	/** What was made of the groups that are not whole. */
@@ -213,6 +246,12 @@
 	}
 
 	#findText(id: string, result: SampleResult | undefined): KeptText | undefined {
+		const text = this.#findFirstText(id, result);
+		const renewed = this.#renewals.find(id);
+		return text && renewed ? {...text, renewed: {...toPartial(renewed.text), isWhole: renewed.isWhole}} : text;
+	}
+
+	#findFirstText(id: string, result: SampleResult | undefined): KeptText | undefined {
 		const keptMs = this.#settings.readStoreMs();
 		if (result) {
 			// A sample that was given up is begun anew.
@@ -233,13 +272,65 @@
 		return {isWhole: false, ...left, keptMs};
 	}
 
-	/** What is there of a sample's text, if its versions fit this batch. */
-	#findUsable({id}: Sample): KeptText | undefined {
+	/** The longest of what is there of a sample's text, if its versions fit this batch. */
+	#findUsable({id}: Sample): UsableText | undefined {
 		const {leastVersion} = this.#submission;
 		const isSingle = this.#findRoute()?.isSingleVersion;
 		const partial = this.#partials.get(id);
-		const candidates = [this.#kept.get(id), partial && {...partial, isWhole: false, keptMs: 0}];
-		return candidates.find(text => text && text.events.length > 0 && text.versions.every(version => version >= leastVersion) && !(isSingle && text.versions.length > 1));
+		const kept = this.#kept.get(id);
+		return [kept, kept?.renewed, partial && {...partial, isWhole: false}]
+			.filter(text => text !== undefined)
+			.filter(({events, versions}) => events.length > 0 && versions.every(version => version >= leastVersion) && !(isSingle && versions.length > 1))
+			.toSorted((a, b) => Number(b.isWhole) - Number(a.isWhole) || b.events.length - a.events.length)[0];
+	}
+
+	#getSample(id: string): Sample {
+		return this.#submission.samples.find(sample => sample.id === id)!;
+	}
+
+	/** Begins second texts of long samples whose groups the trainer may end the batch without. */
+	#renew(): void {
+		const {samples, wantedGroups, model} = this.#submission;
+		const published = model === undefined ? undefined : this.#settings.findPublished(model);
+		const groups = groupBy(samples, ({id, group}) => group ?? id);
+		if (published === undefined) {
+			return;
+		}
+
+		this.#renewFrom ??= published + this.#settings.countEarlierOpen();
+		// While samples wait to begin no slot is free, and where all groups are waited for none is handed in again.
+		if (published < this.#renewFrom || this.#queue.size > 0 || groups.size <= wantedGroups) {
+			return;
+		}
+
+		// A group that was carried over is waited for in any case.
+		const texts = [...this.#runs].filter(([id]) => !this.#kept.has(id)).map(([id, {text}]) => ({
+			id, events: text.events.length, oldestVersion: Math.min(...text.versions), isRenewed: this.#renewals.has(id),
+		}));
+		for (const id of chooseRenewals(texts, published)) {
+			this.#settings.log.info('text_renewed', {
+				batch: this.id, sample: id, events: this.#runs.get(id)?.text.events.length, published,
+			});
+			this.#renewals.begin(id, published);
+		}
+
+		this.#dropRenewals([...groups.values()]);
+	}
+
+	/** Ends second texts of groups that are whole. */
+	#dropRenewals(groups: readonly Sample[][]): void {
+		for (const group of groups) {
+			if (group.every(({id}) => this.#listed.has(id))) {
+				for (const {id} of group) {
+					this.#renewals.drop(id);
+				}
+			}
+		}
+	}
+
+	#clearTimers(): void {
+		clearInterval(this.#checkpointTimer);
+		clearInterval(this.#renewalTimer);
 	}
 
 	#countSlots(): number {
@@ -293,14 +384,23 @@
 	}
 
 	async #runSample(sample: Sample): Promise<SampleOutcome> {
-		const {directory, client, log, random} = this.#settings;
-		const {host, model, leastVersion} = this.#submission;
 		const kept = this.#findUsable(sample);
 		if (kept?.isWhole) {
 			return {kind: 'made', text: toText(kept)};
 		}
 
-		const run = new SampleRun({
+		const {leastVersion} = this.#submission;
+		const run = this.#createRun(sample, {leastVersion, signal: this.#stop.signal, text: kept && toText(kept)});
+		this.#runs.set(sample.id, run);
+		return run.run();
+	}
+
+	#createRun(sample: Sample, {
+		leastVersion, signal, text, avoidsFull,
+	}: RunPlan): SampleRun {
+		const {directory, client, log, random} = this.#settings;
+		const {host, model} = this.#submission;
+		return new SampleRun({
 			directory, client, log, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(),
 		}, {
 			id: sample.id,
@@ -309,12 +409,11 @@
 			isSingleVersion: this.#findRoute()?.isSingleVersion ?? false,
 			group: sample.group,
 			deadlineAt: this.#findDeadline(),
+			avoidsFull,
 			request: {
 				method: 'POST', path: sample.path, host, headers: sample.headers, body: Buffer.from(sample.body, 'base64'),
 			},
-		}, this.#stop.signal, kept && toText(kept));
-		this.#runs.set(sample.id, run);
-		return run.run();
+		}, signal, text);
 	}
 
 	/** Calls the scorer until it answers; undefined once it has failed as often as its route allows, or the batch has stopped. */
@@ -451,7 +550,8 @@
 	#settle(): void {
 		this.#waiting = this.#waiting.filter(({id}) => !this.#listed.has(id));
 		if (this.#results.length === this.#submission.samples.length) {
-			clearInterval(this.#checkpointTimer);
+			this.#clearTimers();
+			this.#renewals.stop();
 			this.#settings.log.info('batch_whole', {batch: this.id, total: this.#results.length});
 		}
 
--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -79,6 +79,8 @@
 	isWhole: z.boolean(),
 	/** When it was kept, on the store's steady clock, in milliseconds. */
 	keptMs: z.number(),
+	/** A second text, begun later under newer weights, for a batch that allows only those. */
+	renewed: partialTextSchema.extend({isWhole: z.boolean()}).optional(),
 });
 
 export type ScoreCall = z.infer<typeof scoreCallSchema>;
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -57,7 +57,7 @@
 /** Most text in one answer, in characters; the answer as a whole stays under 1 MB. */
 const maxPageText = 700_000;
 
-export type BatchesSettings = Omit<BatchOwnerSettings, 'onReplaced'> & {
+export type BatchesSettings = Omit<BatchOwnerSettings, 'countEarlierOpen' | 'onReplaced'> & {
 	store: BatchStore;
 	keptTexts: KeptTexts;
 	hosts: HostRegistry;
@@ -461,6 +461,7 @@
 
 			const owner = new BatchOwner({
 				...this.#settings,
+				countEarlierOpen: () => this.#countEarlierOpen(stored.record),
 				onReplaced: () => {
 					this.#drop(id);
 				},
@@ -479,6 +480,10 @@
 		}
 	}
 
+	#countEarlierOpen({series, acceptedMs}: BatchRecord): number {
+		return [...this.#known.values()].filter(({record}) => !record.isEnded && record.series === series && record.acceptedMs < acceptedMs).length;
+	}
+
 	/** Takes over what nobody looks after. */
 	#look(): void {
 		const {hosts} = this.#settings;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -17,6 +17,7 @@
 export * from './poison.js';
 export * from './prefix-index.js';
 export * from './refusal-pause.js';
+export * from './renewals.js';
 export * from './retries.js';
 export * from './routing.js';
 export * from './sample-order.js';
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -26,6 +26,8 @@
 	warmKey?: string;
 	/** Most requests of this process at one endpoint, as a multiple of its slots; undefined for no limit. */
 	openLimit?: number;
+	/** Whether endpoints whose slots are all taken are left out, as far as their load is known. */
+	avoidsFull?: boolean;
 };
 
 /** Registered endpoints and their standing. */
@@ -172,12 +174,13 @@
 	}
 }
 
-function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit}: EndpointNeed): boolean {
-	const {endpoint, open} = standing;
+function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit, avoidsFull}: EndpointNeed): boolean {
+	const {endpoint, open, others} = standing;
 	return endpoint.service === service
 		&& !endpoint.isDraining
 		&& !excluded?.has(endpoint.id)
 		&& (openLimit === undefined || open < openLimit * endpoint.slots)
+		&& (!avoidsFull || open + others < endpoint.slots)
 		&& (!least || (standing.findVersion(least.model) ?? 0) >= least.version)
 		&& (!exact || standing.findVersion(exact.model) === exact.version);
 }
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -49,6 +49,12 @@
 		return this.#open;
 	}
 
+	/** Requests of other processes there, as last told. */
+	get others(): number {
+		const load = performance.now() - this.#loadAt < loadAgeMs ? this.#load : undefined;
+		return load ? Math.max(0, load.running + load.waiting - this.#openAtLoad) : 0;
+	}
+
 	/** Whether an attempt may be made now, as far as pauses go. */
 	get isAvailable(): boolean {
 		return performance.now() >= this.#pausedUntil && this.#refusals.isOpen;
@@ -128,12 +134,11 @@
 	toCandidate(warmKey: string | undefined): DirectCandidate {
 		const now = performance.now();
 		const {id, slots} = this.endpoint;
-		const load = now - this.#loadAt < loadAgeMs ? this.#load : undefined;
 		return {
 			id,
 			slots,
 			open: this.#open,
-			others: load ? Math.max(0, load.running + load.waiting - this.#openAtLoad) : 0,
+			others: this.others,
 			paceMs: this.#pace.unitMs,
 			isWarm: warmKey !== undefined && this.#warmKeys.has(warmKey),
 			isConnected: now - this.#usedAt < connectedMs,
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -27,6 +27,8 @@
 	request: Omit<ServingRequest, 'remainingMs' | 'resumeAfter' | 'expectVersion' | 'attemptId'>;
 	/** When the sample may be given up, on the monotonic clock. */
 	deadlineAt: number;
+	/** Whether its runs keep away from endpoints whose slots are all taken by what is known, so that they hold up nothing. */
+	avoidsFull?: boolean;
 };
 
 /** Text made so far, with the versions that made it. */
@@ -128,7 +130,7 @@
 
 	#take(route: Route): RegisteredEndpoint | undefined {
 		const {directory, chance} = this.#settings;
-		const {model, leastVersion, isSingleVersion, group} = this.#sample;
+		const {model, leastVersion, isSingleVersion, group, avoidsFull} = this.#sample;
 		const [begun] = this.#text.versions;
 		const need: EndpointNeed = {
 			service: chooseService(route, chance()),
@@ -136,6 +138,7 @@
 			exact: isSingleVersion && begun !== undefined && model !== undefined ? {model, version: begun} : undefined,
 			warmKey: group,
 			openLimit,
+			avoidsFull,
 		};
 		this.#need = need;
 		const elsewhere = this.#avoided === undefined ? undefined : directory.take({...need, excluded: new Set([this.#avoided])});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,6 +102,7 @@
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
+			findPublished: model => this.#orders.findPublished(model),
 			readStoreMs: () => this.#gate.storeMs,
 		});
 		this.#operatorFollower = new TableFollower({
