Take nothing over while heartbeats can not be written, and one's own at once after a restart

Hosts that worked were taken for silent, their batches were taken over twice, and after the restart at 34 s nothing could be taken over before the part came back; orders waited until 39.9 s (lease of a process that had ended), while two steps needed weights that no engine had. Now who suspects a host writes heartbeats itself and counts only while they are taken; what an earlier start of the same host owned (batches, the lease for orders) is taken at once; and a host is ready without having read the others' heartbeats. Ruled out: heartbeats in each part (four times the writes, or a transaction that fails with any part).

--- a/packages/batches/__tests__/batches.spec.ts
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -126,6 +126,40 @@
 		expect(after).to.have.length(12);
 	});
 
+	it('takes nothing over while the store takes no heartbeats though its feed goes on, and does once it takes them', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 2000;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(1)));
+		await clock.tickAsync(1000);
+		a!.store.switches.downParts = new Set(['']);
+		b!.store.switches.downParts = new Set(['']);
+		await clock.tickAsync(5000);
+		expect([a!.batches.ownedCount, b!.batches.ownedCount]).to.deep.equal([1, 0]);
+		// Each take-over would have begun a run.
+		expect([...world.serving.endpoints.values()].flatMap(({runs}) => runs)).to.have.length(1);
+		b!.store.switches.downParts = new Set();
+		a!.kill();
+		await clock.tickAsync(3000);
+		expect(b!.batches.ownedCount).to.equal(1);
+	});
+
+	it('takes over at once what an earlier start of its host owned, though heartbeats can not be read', async () => {
+		const [a] = createProcesses('a');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 2000;
+		}
+
+		await settle(a!.batches.submit('1', createSubmission(1)));
+		a!.kill();
+		const again = world.createProcess('a', {downParts: new Set([''])});
+		processes.push(again);
+		await clock.tickAsync(600);
+		expect(again.batches.ownedCount).to.equal(1);
+	});
+
 	it('takes a batch over at once when its owner leaves, and goes on after the events that it had', async () => {
 		const [a, b] = createProcesses('a', 'b');
 		for (const {switches} of world.serving.endpoints.values()) {
--- a/packages/batches/__tests__/fixtures.ts
+++ b/packages/batches/__tests__/fixtures.ts
@@ -1,6 +1,6 @@
 /** A deployment of several processes over one store and a few endpoints, under a paused clock. */
 import {EndpointDirectory} from '@wasabiusher/direct';
-import {MemoryRowStore, MemoryServing} from '@wasabiusher/standins';
+import {MemoryRowStore, MemoryServing, type RowStoreSwitches} from '@wasabiusher/standins';
 import {
 	createSilentLog, Random, type Deployment, type Route,
 } from '@wasabiusher/shared';
@@ -50,7 +50,8 @@
 	root: MemoryRowStore;
 	serving: MemoryServing;
 	deployment: {current: Deployment; published: number};
-	createProcess(host: string): Process;
+	/** @param switches - of its way to the store, from its start on */
+	createProcess(host: string, switches?: Partial<RowStoreSwitches>): Process;
 };
 
 export function createWorld(endpoints = 2): World {
@@ -62,8 +63,9 @@
 	}
 
 	serving.add('scorer', 'sc');
-	const createProcess = (host: string): Process => {
+	const createProcess = (host: string, switches: Partial<RowStoreSwitches> = {}): Process => {
 		const store = root.createView();
+		Object.assign(store.switches, switches);
 		const log = createSilentLog();
 		const random = new Random(host.codePointAt(0) ?? 0);
 		const directory = new EndpointDirectory(random);
--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/batch-owner.ts
@@ -247,7 +247,7 @@
 
 	#findText(id: string, result: SampleResult | undefined): KeptText | undefined {
 		const text = this.#findFirstText(id, result);
-		const renewed = this.#renewals.find(id);
+		const renewed = this.#renewals.read(id);
 		return text && renewed ? {...text, renewed: {...toPartial(renewed.text), isWhole: renewed.isWhole}} : text;
 	}
 
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -488,20 +488,26 @@
 	#look(): void {
 		const {hosts} = this.#settings;
 		for (const known of this.#known.values()) {
-			const {record, seenAt, isTaking} = known;
-			if (!record.isEnded && !isTaking && record.owner !== hosts.incarnation && hosts.isGone(record.owner, seenAt)) {
+			const {record, isTaking} = known;
+			if (!record.isEnded && !isTaking && record.owner !== hosts.incarnation && this.#isOrphan(known)) {
 				known.isTaking = true;
 				void this.#takeOver(record.id);
 			}
 		}
 	}
 
+	/** Whether nobody looks after a batch: an earlier start of this host has ended, whatever is heard of heartbeats. */
+	#isOrphan({record, seenAt}: KnownBatch): boolean {
+		const {hosts, host} = this.#settings;
+		return (record.ownerHost === host && record.owner !== hosts.incarnation) || hosts.isGone(record.owner, seenAt);
+	}
+
 	async #takeOver(id: string): Promise<void> {
 		const {store, hosts, host, log, random} = this.#settings;
 		await pause(random.next() * takeOverSpreadMs);
 		const known = this.#known.get(id);
 		try {
-			if (!known || known.record.isEnded || !hosts.isGone(known.record.owner, known.seenAt)) {
+			if (!known || known.record.isEnded || !this.#isOrphan(known)) {
 				return;
 			}
 
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -3,7 +3,8 @@
  *
  * Nobody compares clocks between hosts. A process is taken for gone when its host has started anew or has said that it
  * leaves, or when it has been silent for a time during which this process heard the store. An outage of the store
- * begins the count anew, since then nobody can be heard.
+ * begins the count anew, since then nobody can be heard. The store's feed may go on while it takes no heartbeats: so who
+ * suspects another writes heartbeats of its own, and counts only while they are taken.
  */
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
@@ -22,6 +23,15 @@
 /** Gap in hearing the store after which all counts begin anew, in milliseconds: the longest regular wait at the store and its slow answer. */
 const contactGapMs = 2200;
 
+/** Silence from which a process is suspected, in milliseconds: two heartbeats and the delay of a slow one. */
+const suspicionMs = 900;
+
+/** Time for which heartbeats of the one who suspects must have been taken, in milliseconds: two of the other's in a row would have been. */
+const soundMs = 800;
+
+/** Age from which a heartbeat that was taken proves nothing of the present, in milliseconds. */
+const proofMs = 1000;
+
 const hostSchema = z.object({
 	incarnation: z.string(),
 	beat: z.int(),
@@ -51,6 +61,11 @@
 	#isLeaving = false;
 	#isWriting = false;
 	#hasAnnounced = false;
+	/** When this process last suspected another. */
+	#suspectedAt = Number.NEGATIVE_INFINITY;
+	/** When a heartbeat of this process was last taken, and since when each one was. */
+	#takenAt = Number.NEGATIVE_INFINITY;
+	#soundFrom = Number.POSITIVE_INFINITY;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(settings: HostRegistrySettings) {
@@ -77,7 +92,8 @@
 
 	/** Writes a heartbeat if it is due; never rejects. */
 	async beat(): Promise<void> {
-		if ((this.#hasAnnounced && !this.#settings.ownsWork()) || this.#isWriting || this.#isLeaving) {
+		const isDue = !this.#hasAnnounced || this.#settings.ownsWork() || performance.now() - this.#suspectedAt < proofMs;
+		if (!isDue || this.#isWriting || this.#isLeaving) {
 			return;
 		}
 
@@ -135,7 +151,29 @@
 		}
 
 		const heardAt = [...this.#hosts.values()].find(host => host.incarnation === incarnation)?.heardAt ?? Number.NEGATIVE_INFINITY;
-		return now - Math.max(heardAt, ownedSince, this.#countFrom) > silenceMs;
+		const silentMs = now - Math.max(heardAt, ownedSince, this.#countFrom);
+		if (silentMs > suspicionMs) {
+			this.#suspect(now);
+		}
+
+		return silentMs > silenceMs && now - this.#takenAt < proofMs && now - this.#soundFrom >= soundMs;
+	}
+
+	#suspect(now: number): void {
+		const isNew = now - this.#suspectedAt >= proofMs;
+		this.#suspectedAt = now;
+		if (isNew) {
+			void this.beat();
+		}
+	}
+
+	#noteTaken(): void {
+		const now = performance.now();
+		if (now - this.#takenAt >= proofMs) {
+			this.#soundFrom = now;
+		}
+
+		this.#takenAt = now;
 	}
 
 	async #write(): Promise<void> {
@@ -152,7 +190,9 @@
 				deletes: [],
 			});
 			this.#hasAnnounced = true;
+			this.#noteTaken();
 		} catch (error) {
+			this.#takenAt = Number.NEGATIVE_INFINITY;
 			log.warn('heartbeat_failed', {beat: this.#beat, reason: describeError(error)});
 		} finally {
 			this.#isWriting = false;
--- a/packages/batches/src/renewals.ts
+++ b/packages/batches/src/renewals.ts
@@ -28,7 +28,7 @@
 	}
 
 	/** The second text of a sample; undefined if none was begun. */
-	find(sample: string): RenewedText | undefined {
+	read(sample: string): RenewedText | undefined {
 		const renewal = this.#renewals.get(sample);
 		return renewal && {text: renewal.run.text, isWhole: renewal.isWhole};
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -74,6 +74,8 @@
 	readonly #orders: WeightOrders;
 	readonly #followers: TableFollower[];
 	readonly #operatorFollower: TableFollower;
+	/** Without what these tell, work can't be taken. */
+	readonly #neededFollowers: TableFollower[];
 	readonly #gate: StoreGate;
 	#timer: NodeJS.Timeout | undefined;
 	#sweepTimer: NodeJS.Timeout | undefined;
@@ -86,7 +88,7 @@
 		const rows = this.#gate;
 		this.#directory = new EndpointDirectory(random);
 		this.#lease = new LeaseHolder({
-			tables: new PartTables(rows), shard: 'weights', holder: host, random, log, termMs: leaseMs,
+			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
 		});
 		this.#orders = new WeightOrders({
 			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
@@ -110,7 +112,7 @@
 				this.#catalog.applyOperatorRow(change);
 			},
 		});
-		this.#followers = [
+		this.#neededFollowers = [
 			this.#operatorFollower,
 			new TableFollower({
 				store: this.#gate.probing, table: format.endpointTable, parts: [''], log, apply: change => {
@@ -122,6 +124,9 @@
 					this.batches.apply(change);
 				},
 			}),
+		];
+		this.#followers = [
+			...this.#neededFollowers,
 			new TableFollower({
 				store: this.#gate.probing, table: hostTable, parts: [''], log,
 				apply: change => {
@@ -134,9 +139,9 @@
 		];
 	}
 
-	/** Whether new work should come here. */
+	/** Whether new work should come here. The heartbeats of others need not be known: a part of the store may be down at a start. */
 	get isReady(): boolean {
-		const knowsAll = this.#catalog.deployment !== undefined && this.#followers.every(({isSynced}) => isSynced);
+		const knowsAll = this.#catalog.deployment !== undefined && this.#neededFollowers.every(({isSynced}) => isSynced);
 		return knowsAll && !this.#isDraining && this.#operatorFollower.ageMs < cutOffMs;
 	}
 
--- a/packages/record/__tests__/lease-holder.spec.ts
+++ b/packages/record/__tests__/lease-holder.spec.ts
@@ -2,14 +2,14 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {createSilentLog, Random} from '@wasabiusher/shared';
-import {LeaseHolder, TakeOverPace} from '../src/index.js';
+import {LeaseHolder, TakeOverPace, type LeaseSettings} from '../src/index.js';
 import {Faults, FaultyTables, type Fault} from './faulty-storage.js';
 
 const termMs = 6000;
 
-function createHolder(tables: FaultyTables, holder: string, pace?: TakeOverPace): LeaseHolder {
+function createHolder(tables: FaultyTables, holder: string, changes: Partial<LeaseSettings> = {}): LeaseHolder {
 	return new LeaseHolder({
-		tables, shard: 'rollout', holder, random: new Random(holder.length + (holder.codePointAt(0) ?? 0)), log: createSilentLog(), termMs, pace,
+		tables, shard: 'rollout', holder, random: new Random(holder.length + (holder.codePointAt(0) ?? 0)), log: createSilentLog(), termMs, ...changes,
 	});
 }
 
@@ -117,6 +117,15 @@
 		expect(await restarted.attempt()).to.be.false;
 	});
 
+	it('takes the lease of its own earlier start at once where it is the only process on its host, with a higher fence', async () => {
+		await createHolder(tables, 'a').attempt();
+		const [again, other] = [createHolder(tables, 'a', {isOnlyOnHost: true}), createHolder(tables, 'b', {isOnlyOnHost: true})];
+		await other.attempt();
+		expect(other.holds()).to.equal(false);
+		await again.attempt();
+		expect([again.holds(), again.fence]).to.deep.equal([true, 2]);
+	});
+
 	it('bounds take-overs when many holders die at once', async () => {
 		const pace = new TakeOverPace(2);
 		const leases = Array.from({length: 40}, (_, index) => index);
--- a/packages/record/src/lease-holder.ts
+++ b/packages/record/src/lease-holder.ts
@@ -52,6 +52,11 @@
 	random: Random;
 	log: Log;
 	termMs?: number;
+	/**
+	 * Whether no other process with this holder's name can be alive. Then the lease of an earlier start is taken at once: its
+	 * holder has ended, and to those who obey the orders the host is the same.
+	 */
+	isOnlyOnHost?: boolean;
 	/** Shared by all leases of a process. */
 	pace?: TakeOverPace;
 	/** Called when the lease was won or lost; `holds()` is still what effects go by. */
@@ -227,7 +232,8 @@
 
 	/** Milliseconds until the lease counts as lapsed here; 0 or less if it can be taken. */
 	#countMsToTakeOver(): number {
-		if (!this.#lease?.holder) {
+		const {holder, isOnlyOnHost} = this.#settings;
+		if (!this.#lease?.holder || (isOnlyOnHost && this.#lease.holder === holder)) {
 			return 0;
 		}
 
--- a/packages/standins/src/memory-row-store.ts
+++ b/packages/standins/src/memory-row-store.ts
@@ -14,6 +14,8 @@
 export type RowStoreSwitches = {
 	/** Refuses each call at once; nothing is done. */
 	isDown: boolean;
+	/** Refuses transactions on rows of these parts and reads of them, while the other parts and the feed go on. */
+	downParts: ReadonlySet<string>;
 	/** Lets each call wait for this time and then fail without an answer; nothing is done. 0 switches it off. */
 	silentMs: number;
 	/** Time before a call takes effect, in milliseconds. */
@@ -28,7 +30,7 @@
 /** The store; several views of it may have switches of their own. */
 export class MemoryRowStore implements RowStore, BlobStore {
 	readonly switches: RowStoreSwitches = {
-		isDown: false, silentMs: 0, delayMs: 0, answersToLose: 0, writesToDelay: 0, lateMs: 1000,
+		isDown: false, downParts: new Set(), silentMs: 0, delayMs: 0, answersToLose: 0, writesToDelay: 0, lateMs: 1000,
 	};
 
 	/** Calls that have begun, refused ones included. */
@@ -51,7 +53,7 @@
 
 	async commit(transaction: RowTransaction): Promise<CommitReceipt> {
 		this.counts.commits += 1;
-		await this.#pass();
+		await this.#pass([...transaction.conditions, ...transaction.puts, ...transaction.deletes].map(({part}) => part));
 		if (this.switches.writesToDelay > 0) {
 			this.switches.writesToDelay -= 1;
 			setTimeout(() => {
@@ -71,7 +73,7 @@
 
 	async read(range: RowRange): Promise<RowPage> {
 		this.counts.reads += 1;
-		await this.#pass();
+		await this.#pass([range.part]);
 		return this.#core.read(range);
 	}
 
@@ -101,9 +103,9 @@
 		this.#core.objects.delete(name);
 	}
 
-	async #pass(): Promise<void> {
-		const {isDown, silentMs, delayMs} = this.switches;
-		if (isDown) {
+	async #pass(parts: readonly string[] = []): Promise<void> {
+		const {isDown, downParts, silentMs, delayMs} = this.switches;
+		if (isDown || parts.some(part => downParts.has(part))) {
 			throw new PlatformError('unavailable', 'the store is down');
 		}
 
