Give a run up after a second in which nothing comes from its engine

Heads of sound engines took up to 1.7 s while full, so the limit before the head is 2 s, and a run is left alone while others at its engine go on. Tests failed first (a text of 50 events was not whole after 4.2 s).

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,5 +1,6 @@
 /** Decisions under load: pure, without I/O or timers. */
 export * from './admission.js';
+export * from './attempt-pause.js';
 export * from './burn.js';
 export * from './concurrency-limit.js';
 export * from './demand-history.js';
@@ -16,7 +17,6 @@
 export * from './placement.js';
 export * from './poison.js';
 export * from './prefix-index.js';
-export * from './refusal-pause.js';
 export * from './renewals.js';
 export * from './retries.js';
 export * from './routing.js';
--- a/packages/direct/__tests__/sample-run.spec.ts
+++ b/packages/direct/__tests__/sample-run.spec.ts
@@ -74,6 +74,39 @@
 		expect(listRuns().map(({resumeAfter}) => resumeAfter)).to.deep.equal([2]);
 	});
 
+	it('goes on elsewhere soon after an endpoint has gone dark in the middle of a text, and asks it with one attempt at a time', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.eventMs = 40;
+			switches.events = 50;
+		}
+
+		const dark = bench.endpoints[0]!;
+		setTimeout(() => {
+			dark.switches.isDark = true;
+		}, 600);
+		bench.directory.pause('i1', 100);
+		const outcome = await run({}, 4200);
+		expect(readEvents(outcome)).to.have.length(50);
+		expect(listRuns().map(({resumeAfter}) => resumeAfter)).to.deep.equal([undefined, 14]);
+	});
+
+	it('leaves a run alone that waits for its turn while others at the same endpoint go on', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.eventMs = 3000;
+			switches.events = 2;
+		}
+
+		const timer = setInterval(() => {
+			for (const {id} of bench.endpoints) {
+				bench.directory.recordPace(id, 40);
+			}
+		}, 40);
+		const outcome = await run({}, 7000);
+		clearInterval(timer);
+		expect(readEvents(outcome)).to.have.length(2);
+		expect(listRuns()).to.have.length(1);
+	});
+
 	it('names every version when the weights change in the middle of a text', async () => {
 		for (const endpoint of bench.endpoints) {
 			endpoint.switches.eventMs = 100;
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -125,6 +125,16 @@
 		this.#standings.get(id)?.recordFailure();
 	}
 
+	/** Notes that nothing has come from an endpoint for long though a run was open there. */
+	recordSilence(id: string): void {
+		this.#standings.get(id)?.recordSilence();
+	}
+
+	/** When an answer or an event last came from an endpoint, on the monotonic clock. */
+	findHeardAt(id: string): number {
+		return this.#standings.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY;
+	}
+
 	/** Learns how long a unit of work took, in milliseconds. */
 	recordPace(id: string, unitMs: number): void {
 		this.#standings.get(id)?.recordPace(unitMs);
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -1,7 +1,7 @@
 /**
  * What one process has seen of an endpoint: its load, pace, versions, refusals and failures.
  */
-import {Pace, RefusalPause, type DirectCandidate} from '@wasabiusher/decisions';
+import {AttemptPause, Pace, type DirectCandidate} from '@wasabiusher/decisions';
 import type {EndpointLoad, ServingHead} from '@wasabiusher/backends';
 import type {RegisteredEndpoint} from '@wasabiusher/shared';
 
@@ -9,6 +9,12 @@
 const firstPauseMs = 200;
 const longestPauseMs = 2000;
 
+/** Pauses after a refusal, in milliseconds: some requests' service time, and a sixth of the time that loading takes. */
+const refusalPause = {firstMs: 50, longestMs: 150};
+
+/** Pauses after a silence, in milliseconds; an endpoint that is dark mostly stays so for seconds. */
+const silencePause = {firstMs: 200, longestMs: 2000};
+
 /** Time after which what an endpoint told of its load counts for nothing, in milliseconds. */
 const loadAgeMs = 1000;
 
@@ -27,7 +33,10 @@
 	/** When its registration vanished, on the monotonic clock. */
 	vanishedAt: number | undefined;
 	readonly #pace = new Pace();
-	readonly #refusals = new RefusalPause();
+	readonly #refusals = new AttemptPause(refusalPause);
+	readonly #silences = new AttemptPause(silencePause);
+	/** When anything last came from it. */
+	#heardAt = Number.NEGATIVE_INFINITY;
 	/** Newest version seen of each model; a running endpoint never goes back. */
 	readonly #versions = new Map<string, number>();
 	readonly #warmKeys = new Set<string>();
@@ -49,6 +58,11 @@
 		return this.#open;
 	}
 
+	/** When an answer or an event last came from it, on the monotonic clock. */
+	get heardAt(): number {
+		return this.#heardAt;
+	}
+
 	/** Requests of other processes there, as last told. */
 	get others(): number {
 		const load = performance.now() - this.#loadAt < loadAgeMs ? this.#load : undefined;
@@ -57,7 +71,7 @@
 
 	/** Whether an attempt may be made now, as far as pauses go. */
 	get isAvailable(): boolean {
-		return performance.now() >= this.#pausedUntil && this.#refusals.isOpen;
+		return performance.now() >= this.#pausedUntil && this.#refusals.isOpen && this.#silences.isOpen;
 	}
 
 	/** Newest version known of a model. */
@@ -79,6 +93,7 @@
 	begin(warmKey: string | undefined): void {
 		this.#open += 1;
 		this.#refusals.begin();
+		this.#silences.begin();
 		if (warmKey === undefined) {
 			return;
 		}
@@ -95,12 +110,15 @@
 	end(): void {
 		this.#open = Math.max(0, this.#open - 1);
 		this.#refusals.end();
+		this.#silences.end();
 		this.#usedAt = performance.now();
 	}
 
 	/** Learns from the beginning of an answer. */
 	recordHead({load, isNotRun, status}: ServingHead): void {
 		this.#failures = 0;
+		this.#heardAt = performance.now();
+		this.#silences.recordSuccess();
 		if (load) {
 			this.#load = load;
 			this.#loadAt = performance.now();
@@ -110,7 +128,7 @@
 		if (!isNotRun) {
 			this.#refusals.recordSuccess();
 		} else if (status !== misdirectedStatus) {
-			this.#refusals.recordRefusal();
+			this.#refusals.record();
 		}
 	}
 
@@ -120,6 +138,11 @@
 		this.#failures += 1;
 	}
 
+	/** Notes that nothing has come for long though a run was open. */
+	recordSilence(): void {
+		this.#silences.record();
+	}
+
 	/** Leaves it alone for a time, such as while it loads weights. */
 	pause(pauseMs: number): void {
 		this.#pausedUntil = Math.max(this.#pausedUntil, performance.now() + pauseMs);
@@ -127,6 +150,7 @@
 
 	/** Learns how long a unit of work took, in milliseconds. */
 	recordPace(unitMs: number): void {
+		this.#heardAt = performance.now();
 		this.#pace.record(unitMs);
 	}
 
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -13,6 +13,7 @@
 } from '@wasabiusher/shared';
 import {chooseService} from './call.js';
 import type {EndpointDirectory, EndpointNeed} from './endpoint-directory.js';
+import {SilenceWatch} from './silence-watch.js';
 
 /** What a sample asks of the endpoints. */
 export type SampleRequest = {
@@ -74,6 +75,9 @@
 
 type RunStep = 'again' | SampleOutcome;
 
+/** A run that has begun at an endpoint. */
+type OpenRun = {id: string; run: ServingRun; route: Route; watch: SilenceWatch};
+
 /** Runs one sample; `run` is called once. */
 export class SampleRun {
 	readonly #settings: SampleRunSettings;
@@ -185,13 +189,17 @@
 		const startedAt = performance.now();
 		let headMs: number | undefined;
 		let status: number | undefined;
+		const watch = new SilenceWatch(stop, () => directory.findHeardAt(id));
 		this.#runs += 1;
 		try {
 			const run = await client.run(endpoint, this.#toServing(), signal);
 			headMs = Math.round(performance.now() - startedAt);
 			({status} = run);
 			directory.recordHead(id, run);
-			return await this.#readRun(id, run, route);
+			watch.note();
+			return await this.#readRun({
+				id, run, route, watch,
+			});
 		} catch (error) {
 			if (this.#signal.aborted) {
 				return {kind: 'stopped'};
@@ -200,11 +208,17 @@
 			log.info('run_broken', {
 				sample: this.#sample.id, endpoint: id, from: before, events: this.#text.events.length, reason: describeError(error),
 			});
-			directory.recordFailure(id);
+			if (stop.signal.aborted) {
+				directory.recordSilence(id);
+			} else {
+				directory.recordFailure(id);
+			}
+
 			this.#avoided = id;
 			await this.#pause();
 			return 'again';
 		} finally {
+			watch.end();
 			log.info('run_ended', {
 				sample: this.#sample.id, endpoint: id, status, from: before, events: this.#text.events.length, headMs, tookMs: Math.round(performance.now() - startedAt),
 			});
@@ -214,7 +228,7 @@
 		}
 	}
 
-	async #readRun(id: string, run: ServingRun, route: Route): Promise<RunStep> {
+	async #readRun({id, run, route, watch}: OpenRun): Promise<RunStep> {
 		const {directory, log} = this.#settings;
 		const {model} = this.#sample;
 		if (run.isNotRun) {
@@ -238,7 +252,7 @@
 			directory.recordVersion(id, model, run.weightVersion);
 		}
 
-		const isWhole = await this.#readEvents(id, run);
+		const isWhole = await this.#readEvents(id, run, watch);
 		if (!isWhole) {
 			return 'again';
 		}
@@ -267,12 +281,13 @@
 	}
 
 	/** Reads the run to its end; false if it is left in its middle for a faster endpoint. */
-	async #readEvents(id: string, run: ServingRun): Promise<boolean> {
+	async #readEvents(id: string, run: ServingRun, watch: SilenceWatch): Promise<boolean> {
 		const {directory, log} = this.#settings;
 		const from = this.#text.events.length;
 		let lastAt = performance.now();
 		for await (const event of run.events) {
 			this.#takeEvent(event);
+			watch.note();
 			const now = performance.now();
 			directory.recordPace(id, now - lastAt);
 			lastAt = now;
--- /dev/null
+++ b/packages/direct/src/silence-watch.ts
@@ -0,0 +1,68 @@
+/**
+ * Ends a run at an endpoint that has gone dark.
+ *
+ * Load pattern: an engine goes dark, or is cut off, in the middle of eight texts; no connection tells. Events come every 40 ms from
+ * a sound engine and every 400 ms from one that is ten times slower, so that a second without any, from
+ * this run or another at the same engine, tells enough. A wait of four seconds held up each of the eight steps' groups by that.
+ */
+import {DeadlineError} from '@wasabiusher/backends';
+
+/** Silence of a run and its endpoint after which it is given up, in milliseconds. */
+const eventSilenceMs = 1000;
+
+/** The same before the head of the answer: a full endpoint lets a run wait for its turn. */
+const headSilenceMs = 2000;
+
+/** Time between looks, in milliseconds. */
+const lookMs = 250;
+
+/** Delay of a look that shows that this process itself stood still, in milliseconds. */
+const standstillMs = 500;
+
+/** Watches one run. */
+export class SilenceWatch {
+	readonly #stop: AbortController;
+	readonly #findHeardAt: () => number;
+	readonly #timer: NodeJS.Timeout;
+	#heardAt = performance.now();
+	#lookedAt = performance.now();
+	#limitMs = headSilenceMs;
+
+	/**
+	 * @param stop - aborted with a `DeadlineError` when the run is given up
+	 * @param findHeardAt - when anything was last heard from the endpoint, on the monotonic clock
+	 */
+	constructor(stop: AbortController, findHeardAt: () => number) {
+		this.#stop = stop;
+		this.#findHeardAt = findHeardAt;
+		this.#timer = setInterval(() => {
+			this.#look();
+		}, lookMs);
+	}
+
+	/** Notes that something of the run has come; from then on events are expected. */
+	note(): void {
+		this.#heardAt = performance.now();
+		this.#limitMs = eventSilenceMs;
+	}
+
+	/** Watches no more. */
+	end(): void {
+		clearInterval(this.#timer);
+	}
+
+	#look(): void {
+		const now = performance.now();
+		if (now - this.#lookedAt > lookMs + standstillMs) {
+			// What came while this process stood still has not been read yet.
+			this.#heardAt = now;
+		}
+
+		this.#lookedAt = now;
+		const silentMs = now - Math.max(this.#heardAt, this.#findHeardAt());
+		if (silentMs >= this.#limitMs) {
+			this.end();
+			this.#stop.abort(new DeadlineError('deadline', `nothing has come for ${Math.round(silentMs)} ms`));
+		}
+	}
+}
