Keep a trainer's batches at one process

Ruled out: preferring open connections (measured before: no difference), keeping idle ones for longer (servers end them after some seconds). The accepting host names the process that ran the trainer's last batch as the owner, if it was heard in the last 0.9 s, its timers are in time and it has not many more batches than others. Heartbeats go on for 3 s after the last work. Tests failed first (no such choice).

--- a/packages/batches/__tests__/batches.spec.ts
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -89,6 +89,26 @@
 		expect(await readAll(a!, '1')).to.have.length(2);
 	});
 
+	it('gives a trainer\'s next batch to the process that ran the last one, whoever accepts it, while that one lives', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = 800;
+		}
+
+		await clock.tickAsync(500);
+		await settle(a!.batches.submit('1', createSubmission(1)));
+		await clock.tickAsync(500);
+		await settle(b!.batches.submit('2', createSubmission(1)));
+		await settle(b!.batches.submit('3', createSubmission(1, {path: '/steps/other/x'})));
+		await clock.tickAsync(500);
+		expect([a!.batches.ownedCount, b!.batches.ownedCount]).to.deep.equal([2, 1]);
+		a!.kill();
+		await clock.tickAsync(1000);
+		await settle(b!.batches.submit('4', createSubmission(1)));
+		await clock.tickAsync(100);
+		expect(b!.batches.ownedCount).to.equal(2);
+	});
+
 	it('says that a batch was not accepted while the store is down, and runs nothing of it', async () => {
 		const [a] = createProcesses('a');
 		await clock.tickAsync(100);
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -7,6 +7,7 @@
 import {Buffer} from 'node:buffer';
 import {LRUCache} from 'lru-cache';
 import type {RowChange} from '@wasabiusher/backends';
+import {shouldOwnNext} from '@wasabiusher/decisions';
 import {describeError} from '@wasabiusher/shared';
 import {
 	type BatchRecord, type KeptText, type ResultPage, type SampleResult, type StoredBatch, type Submission,
@@ -103,11 +104,11 @@
 			return;
 		}
 
-		const {hosts, host, readStoreMs} = this.#settings;
+		const {hosts, readStoreMs} = this.#settings;
 		const {object, rows} = await this.#prepare(id, submission);
+		const series = findSeries(submission);
 		const record: BatchRecord = {
-			id, owner: this.#isLeaving ? '' : hosts.incarnation, ownerHost: host, series: findSeries(submission), term: 1, isEnded: false, object,
-			total: submission.samples.length, acceptedMs: readStoreMs(),
+			id, ...this.#chooseOwner(series), series, term: 1, isEnded: false, object, total: submission.samples.length, acceptedMs: readStoreMs(),
 		};
 		this.#submissions.set(id, submission);
 		const stored = await this.#writeSettled(record, rows);
@@ -247,6 +248,22 @@
 		}
 	}
 
+	/** Who is to run a new batch: whoever ran the trainer's last one, or this process. */
+	#chooseOwner(series: string): Pick<BatchRecord, 'owner' | 'ownerHost'> {
+		const {hosts, host} = this.#settings;
+		const open = [...this.#known.values()].map(({record}) => record).filter(({isEnded}) => !isEnded);
+		const last = [...this.#known.values()]
+			.filter(({record}) => record.series === series)
+			.toSorted((a, b) => b.record.acceptedMs - a.record.acceptedMs)[0]?.record.owner;
+		const live = last === undefined || last === hosts.incarnation ? undefined : hosts.findLive(last);
+		const batches = open.filter(({owner}) => owner === last).length;
+		if (live && shouldOwnNext({...live, batches}, open.length / Math.max(1, hosts.count))) {
+			return {owner: last!, ownerHost: live.host};
+		}
+
+		return {owner: this.#isLeaving ? '' : hosts.incarnation, ownerHost: host};
+	}
+
 	/** Prepares a submission; the store may have its object already from an earlier attempt, which does no harm. */
 	async #prepare(id: string, submission: Submission): Promise<PreparedSubmission> {
 		try {
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -23,6 +23,12 @@
 /** Gap in hearing the store after which all counts begin anew, in milliseconds: the longest regular wait at the store and its slow answer. */
 const contactGapMs = 2200;
 
+/**
+ * Time for which a process that owned work goes on with heartbeats, in milliseconds: a trainer takes about a second
+ * between two batches, and only who is heard is given the next one.
+ */
+const lingerMs = 3000;
+
 /** Silence from which a process is suspected, in milliseconds: two heartbeats and the delay of a slow one. */
 const suspicionMs = 900;
 
@@ -36,6 +42,8 @@
 	incarnation: z.string(),
 	beat: z.int(),
 	isLeaving: z.boolean(),
+	/** How late the process's timers were of late, in milliseconds. */
+	lateMs: z.number().default(0),
 });
 
 type HostRow = z.infer<typeof hostSchema>;
@@ -48,6 +56,9 @@
 	ownsWork(): boolean;
 };
 
+/** What was heard of a process that is not known to be gone. */
+export type LiveHost = {host: string; silentMs: number; lateMs: number};
+
 /** Heartbeats of this process, and what is heard of others. */
 export class HostRegistry {
 	/** Differs for each start of the process. */
@@ -66,6 +77,10 @@
 	/** When a heartbeat of this process was last taken, and since when each one was. */
 	#takenAt = Number.NEGATIVE_INFINITY;
 	#soundFrom = Number.POSITIVE_INFINITY;
+	/** When this process last owned work. */
+	#ownedAt = Number.NEGATIVE_INFINITY;
+	#dueAt = 0;
+	#lateMs = 0;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(settings: HostRegistrySettings) {
@@ -74,12 +89,31 @@
 
 	/** Announces this process, and goes on with heartbeats while it owns work. */
 	start(): void {
+		this.#dueAt = performance.now() + heartbeatMs;
 		this.#timer = setInterval(() => {
+			this.#lateMs = Math.max(0, Math.round(performance.now() - this.#dueAt));
+			this.#dueAt = performance.now() + heartbeatMs;
 			void this.beat();
 		}, heartbeatMs);
 		void this.beat();
 	}
 
+	/** Hosts that were heard of and are not known to be gone. */
+	get count(): number {
+		return this.#hosts.size;
+	}
+
+	/** A process that was heard of and is not known to be gone; undefined if there is none with that incarnation. */
+	findLive(incarnation: string): LiveHost | undefined {
+		for (const [host, row] of this.#hosts) {
+			if (row.incarnation === incarnation) {
+				return {host, silentMs: performance.now() - row.heardAt, lateMs: row.lateMs};
+			}
+		}
+
+		return undefined;
+	}
+
 	stop(): void {
 		clearInterval(this.#timer);
 	}
@@ -92,7 +126,12 @@
 
 	/** Writes a heartbeat if it is due; never rejects. */
 	async beat(): Promise<void> {
-		const isDue = !this.#hasAnnounced || this.#settings.ownsWork() || performance.now() - this.#suspectedAt < proofMs;
+		const now = performance.now();
+		if (this.#settings.ownsWork()) {
+			this.#ownedAt = now;
+		}
+
+		const isDue = !this.#hasAnnounced || now - this.#ownedAt < lingerMs || now - this.#suspectedAt < proofMs;
 		if (!isDue || this.#isWriting || this.#isLeaving) {
 			return;
 		}
@@ -111,6 +150,7 @@
 		const row = hostSchema.parse(JSON.parse(Buffer.from(value).toString()));
 		if (row.isLeaving) {
 			this.#gone.add(row.incarnation);
+			this.#hosts.delete(key);
 		}
 
 		// A heartbeat of an earlier start that the store performed late says nothing of the present one.
@@ -180,7 +220,9 @@
 		const {rows, host, log} = this.#settings;
 		this.#isWriting = true;
 		this.#beat += 1;
-		const row: HostRow = {incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving};
+		const row: HostRow = {
+			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, lateMs: this.#lateMs,
+		};
 		try {
 			await rows.commit({
 				conditions: [],
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,7 @@
 /** Decisions under load: pure, without I/O or timers. */
 export * from './admission.js';
 export * from './attempt-pause.js';
+export * from './batch-owner-choice.js';
 export * from './burn.js';
 export * from './concurrency-limit.js';
 export * from './demand-history.js';
