--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/batch-owner.ts
@@ -9,35 +9,23 @@
 import PQueue from 'p-queue';
 import {chooseRenewals, planBatchOrder} from '@wasabiusher/decisions';
 import {
-	DirectCall, SampleRun, type CallSettings, type SampleOutcome, type SampleText,
+	SampleRun, type SampleOutcome, type SampleText,
 } from '@wasabiusher/direct';
 import {
-	describeError, findRoute, groupBy, type Deployment, type Log, type Route,
+	describeError, findRoute, groupBy, type Route,
 } from '@wasabiusher/shared';
 import type {
 	KeptText, PartialText, Sample, SampleResult, StoredBatch, Submission,
 } from './batch.js';
-import {maxWriteBytes, type BatchStore, type PartialTexts} from './batch-store.js';
-import {BatchError} from './errors.js';
+import type {BatchStore, PartialTexts} from './batch-store.js';
 import type {GroupedText} from './kept-texts.js';
-import {pause} from './pause.js';
 import {Renewals} from './renewals.js';
+import {ResultList} from './result-list.js';
 import type {PositionedResult} from './result-rows.js';
-
-/** Least pause between transactions of one batch, in milliseconds: results that come together go together. */
-const commitPauseMs = 10;
-
-/** Pause after a commit that could not be made, in milliseconds. */
-const commitRetryMs = 100;
-
-/** Most results of one transaction: with the batch's row, conditions and writes stay under 100 entries. */
-const maxCommitResults = 20;
-
-/** Pause between attempts at a score, in milliseconds. */
-const scoreRetryMs = 50;
-
-/** Longest time for one attempt at a score, in milliseconds, where its route allows more. */
-const maxScoreMs = 3000;
+import {
+	chooseUsable, toPartial, toText, type UsableText,
+} from './sample-texts.js';
+import {scoreSample, type ScoringSettings} from './scoring.js';
 
 /** Samples begun at once when no endpoint is registered, so that the first one is not waited for. */
 const leastConcurrency = 8;
@@ -51,10 +39,8 @@
 /** Time between looks for texts that should be begun a second time, in milliseconds; a text grows by seven events in it. */
 const renewalMs = 250;
 
-export type BatchOwnerSettings = CallSettings & {
+export type BatchOwnerSettings = ScoringSettings & {
 	store: BatchStore;
-	/** The configuration in force. */
-	findDeployment(): Deployment | undefined;
 	/** The newest published version of a model. */
 	findPublished(model: string): number | undefined;
 	/** Milliseconds on the store's steady clock. */
@@ -87,18 +73,12 @@
 	avoidsFull?: boolean;
 };
 
-/** A text that a batch can go on with. */
-type UsableText = PartialText & {isWhole: boolean};
-
 /** The owner of one batch. */
 export class BatchOwner {
 	readonly #settings: BatchOwnerSettings;
 	readonly #stored: StoredBatch;
 	readonly #submission: Submission;
-	/** Results that the store has, by position. */
-	readonly #results: SampleResult[] = [];
-	readonly #listed = new Set<string>();
-	#waiting: SampleResult[] = [];
+	readonly #results: ResultList;
 	readonly #partials: Map<string, PartialText>;
 	readonly #kept: Map<string, KeptText>;
 	readonly #runs = new Map<string, SampleRun>();
@@ -107,8 +87,6 @@
 	#isRetired = false;
 	readonly #checkpointed = new Map<string, number>();
 	readonly #stop = createStop();
-	readonly #commits = new PQueue({concurrency: 1});
-	readonly #watchers = new Set<() => void>();
 	readonly #renewals: Renewals;
 	readonly #queue: PQueue;
 	#checkpointTimer: NodeJS.Timeout | undefined;
@@ -124,9 +102,21 @@
 		this.#kept = kept;
 		this.#queue = new PQueue({concurrency: this.#countSlots()});
 		this.#renewals = new Renewals((sample, leastVersion, signal) => this.#createRun(this.#getSample(sample), {leastVersion, signal, avoidsFull: true}));
-		for (const {result} of results) {
-			this.#list(result);
-		}
+		const {store, log} = settings;
+		this.#results = new ResultList({
+			store,
+			log,
+			stored,
+			signal: this.#stop.signal,
+			onReplaced: () => {
+				this.stop();
+				settings.onReplaced();
+			},
+			onWhole: () => {
+				this.#clearTimers();
+				this.#renewals.stop();
+			},
+		}, results);
 	}
 
 	get id(): string {
@@ -139,7 +129,7 @@
 
 	/** Results that the store has, in the order of their positions. */
 	get results(): readonly SampleResult[] {
-		return this.#results;
+		return this.#results.all;
 	}
 
 	get submission(): Submission {
@@ -154,7 +144,7 @@
 	/** Begins all samples that have no result. */
 	start(): void {
 		const {samples, wantedGroups} = this.#submission;
-		const open = new Map(samples.filter(({id}) => !this.#listed.has(id)).map(sample => [sample.id, sample]));
+		const open = new Map(samples.filter(({id}) => !this.#results.has(id)).map(sample => [sample.id, sample]));
 		const order = planBatchOrder([...open.values()].map(sample => ({
 			id: sample.id, group: sample.group ?? sample.id, expectedTokens: sample.expectedTokens ?? 0, isCarried: this.#kept.has(sample.id),
 		})), wantedGroups);
@@ -169,7 +159,7 @@
 			this.#renew();
 		}, renewalMs);
 		this.#settings.log.info('batch_begun', {
-			batch: this.id, term: this.#stored.record.term, total: samples.length, listed: this.#results.length, partials: this.#partials.size, kept: this.#kept.size,
+			batch: this.id, term: this.#stored.record.term, total: samples.length, listed: this.#results.all.length, partials: this.#partials.size, kept: this.#kept.size,
 		});
 	}
 
@@ -178,31 +168,18 @@
 		this.#stop.abort();
 		this.#renewals.stop();
 		this.#clearTimers();
-		this.#notify();
+		this.#results.notify();
 	}
 
 	/** Resolves when results come after a position, when the batch stops here, or after a time. */
 	async waitBeyond(position: number, waitMs: number): Promise<void> {
-		if (this.#results.length > position || this.#stop.signal.aborted || waitMs <= 0) {
-			return;
-		}
-
-		await new Promise<void>(resolve => {
-			const finish = () => {
-				clearTimeout(timer);
-				this.#watchers.delete(finish);
-				resolve();
-			};
-
-			const timer = setTimeout(finish, waitMs);
-			this.#watchers.add(finish);
-		});
+		return this.#results.waitBeyond(position, waitMs);
 	}
 
 	/** Has a whole text scored, then lists it. */
 	async finish(sample: Sample, text: SampleText): Promise<void> {
 		this.#whole.set(sample.id, text);
-		const score = sample.score ? await this.#score(sample) : undefined;
+		const score = sample.score ? await scoreSample(this.#settings, sample, this.#stop.signal) : undefined;
 		if (this.#stop.signal.aborted) {
 			return;
 		}
@@ -212,7 +189,7 @@
 			return;
 		}
 
-		this.#add({
+		this.#results.add({
 			id: sample.id, state: 'made', text: text.events.join('\n'), versions: [...text.versions].toSorted((a, b) => a - b), ...(score === undefined ? {} : {score}),
 		});
 	}
@@ -224,7 +201,7 @@
 		}
 
 		this.#settings.log.warn('sample_abandoned', {batch: this.id, sample: sample.id, reason});
-		this.#add({
+		this.#results.add({
 			id: sample.id, state: 'abandoned', text: '', versions: [],
 		});
 	}
@@ -237,8 +214,8 @@
 
 	/** What was made of the groups that are not whole. */
 	listUnfinished(): GroupedText[] {
-		const open = new Set(this.#submission.samples.filter(({id}) => !this.#listed.has(id)).map(({group}) => group));
-		const results = new Map(this.#results.map(result => [result.id, result]));
+		const open = new Set(this.#submission.samples.filter(({id}) => !this.#results.has(id)).map(({group}) => group));
+		const results = new Map(this.#results.all.map(result => [result.id, result]));
 		return this.#submission.samples.flatMap(({id, group}) => {
 			const text = group !== undefined && open.has(group) ? this.#findText(id, results.get(id)) : undefined;
 			return text ? [{group: group!, sample: id, text}] : [];
@@ -274,14 +251,10 @@
 
 	/** The longest of what is there of a sample's text, if its versions fit this batch. */
 	#findUsable({id}: Sample): UsableText | undefined {
-		const {leastVersion} = this.#submission;
-		const isSingle = this.#findRoute()?.isSingleVersion;
 		const partial = this.#partials.get(id);
 		const kept = this.#kept.get(id);
-		return [kept, kept?.renewed, partial && {...partial, isWhole: false}]
-			.filter(text => text !== undefined)
-			.filter(({events, versions}) => events.length > 0 && versions.every(version => version >= leastVersion) && !(isSingle && versions.length > 1))
-			.toSorted((a, b) => Number(b.isWhole) - Number(a.isWhole) || b.events.length - a.events.length)[0];
+		const texts = [kept, kept?.renewed, partial && {...partial, isWhole: false}].filter(text => text !== undefined);
+		return chooseUsable(texts, {leastVersion: this.#submission.leastVersion, isSingleVersion: this.#findRoute()?.isSingleVersion ?? false});
 	}
 
 	#getSample(id: string): Sample {
@@ -320,7 +293,7 @@
 	/** Ends second texts of groups that are whole. */
 	#dropRenewals(groups: readonly Sample[][]): void {
 		for (const group of groups) {
-			if (group.every(({id}) => this.#listed.has(id))) {
+			if (group.every(({id}) => this.#results.has(id))) {
 				for (const {id} of group) {
 					this.#renewals.drop(id);
 				}
@@ -416,154 +389,6 @@
 		}, signal, text);
 	}
 
-	/** Calls the scorer until it answers; undefined once it has failed as often as its route allows, or the batch has stopped. */
-	async #score({id: sample, score}: Sample): Promise<string | undefined> {
-		const {id, host, path, body} = score!;
-		const {log} = this.#settings;
-		let failures = 0;
-		while (!this.#stop.signal.aborted) {
-			const deployment = this.#settings.findDeployment();
-			const route = deployment && findRoute(deployment, host, path);
-			if (route) {
-				const call = new DirectCall(this.#settings, {...route, kind: 'idempotent', maxAttempts: 1}, {
-					method: 'POST', path, host, headers: {}, body: Buffer.from(body, 'base64'), attemptId: id,
-					deadlineAt: performance.now() + Math.min(maxScoreMs, route.timeoutMs),
-				}, this.#stop.signal);
-				// Attempts follow one another, so that each is counted.
-				// eslint-disable-next-line no-await-in-loop
-				const outcome = await call.run();
-				if (outcome.kind === 'answered' && outcome.answer.status < 300 && outcome.answer.isFramed && outcome.answer.stamp !== undefined) {
-					return outcome.answer.stamp;
-				}
-
-				if (outcome.kind === 'answered' && outcome.answer.status === 500) {
-					failures += 1;
-					log.info('score_failed', {sample, failures, limit: route.maxAttempts});
-					if (failures >= route.maxAttempts) {
-						return undefined;
-					}
-				}
-			}
-
-			// eslint-disable-next-line no-await-in-loop
-			await pause(scoreRetryMs);
-		}
-
-		return undefined;
-	}
-
-	#add(result: SampleResult): void {
-		this.#waiting.push(result);
-		void this.#commits.add(async () => this.#commit());
-	}
-
-	async #commit(): Promise<void> {
-		while (this.#waiting.length > 0 && !this.#stop.signal.aborted) {
-			// One transaction after the other, so that positions follow one another.
-			// eslint-disable-next-line no-await-in-loop
-			await pause(commitPauseMs);
-			// eslint-disable-next-line no-await-in-loop
-			await this.#commitOnce();
-		}
-	}
-
-	async #commitOnce(): Promise<void> {
-		const {store, log} = this.#settings;
-		const first = this.#results.length;
-		const batch = this.#takeCommit().map((result, i) => ({position: first + i, result}));
-		try {
-			const isWritten = await store.commitResults(this.id, this.#stored.version, batch);
-			if (this.#stop.signal.aborted) {
-				return;
-			}
-
-			if (!isWritten) {
-				await this.#reconcile();
-				return;
-			}
-
-			for (const {result} of batch) {
-				this.#list(result);
-			}
-
-			this.#settle();
-		} catch (error) {
-			log.warn('commit_failed', {
-				batch: this.id, first, results: batch.length, reason: describeError(error),
-			});
-			await pause(commitRetryMs);
-			if (error instanceof BatchError && error.code === 'unknown') {
-				await this.#reconcileQuietly();
-			}
-		}
-	}
-
-	/** The oldest results that fit into one transaction. */
-	#takeCommit(): SampleResult[] {
-		const taken: SampleResult[] = [];
-		let bytes = 0;
-		for (const result of this.#waiting) {
-			bytes += result.text.length;
-			if (taken.length > 0 && (taken.length >= maxCommitResults || bytes > maxWriteBytes)) {
-				break;
-			}
-
-			taken.push(result);
-		}
-
-		return taken;
-	}
-
-	async #reconcileQuietly(): Promise<void> {
-		try {
-			await this.#reconcile();
-		} catch (error) {
-			this.#settings.log.info('reconcile_failed', {batch: this.id, reason: describeError(error)});
-		}
-	}
-
-	/** Finds out why a commit was refused, or whether one whose answer was lost was made after all. */
-	async #reconcile(): Promise<void> {
-		const {store, onReplaced} = this.#settings;
-		const found = await store.find(this.id);
-		if (found?.version !== this.#stored.version) {
-			this.stop();
-			onReplaced();
-			return;
-		}
-
-		// Rows beyond what is known here are this owner's own: nobody else may write.
-		const more = await store.readResults(this.id, this.#results.length);
-		for (const {result} of more) {
-			this.#list(result);
-		}
-
-		this.#settle();
-	}
-
-	#list(result: SampleResult): void {
-		this.#results.push(result);
-		this.#listed.add(result.id);
-	}
-
-	/** Forgets what is listed by now, and tells those who wait. */
-	#settle(): void {
-		this.#waiting = this.#waiting.filter(({id}) => !this.#listed.has(id));
-		if (this.#results.length === this.#submission.samples.length) {
-			this.#clearTimers();
-			this.#renewals.stop();
-			this.#settings.log.info('batch_whole', {batch: this.id, total: this.#results.length});
-		}
-
-		this.#notify();
-	}
-
-	#notify(): void {
-		for (const watcher of this.#watchers) {
-			watcher();
-		}
-	}
-
 	/** Keeps texts that have grown, so that a next owner goes on from there. */
 	async #checkpoint(): Promise<void> {
 		const grown = new Map([...this.partials].filter(([id, {events}]) => events.length >= (this.#checkpointed.get(id) ?? 0) + checkpointEvents));
@@ -610,11 +435,3 @@
 		// The batch has ended or has another owner; there is nothing to list.
 	},
 };
-
-function toText({events, versions}: PartialText): SampleText {
-	return {events: [...events], versions: new Set(versions)};
-}
-
-function toPartial({events, versions}: SampleText): PartialText {
-	return {events: [...events], versions: [...versions]};
-}
--- /dev/null
+++ b/packages/batches/src/scoring.ts
@@ -0,0 +1,60 @@
+/**
+ * Scores of whole texts: one call to the scorer, repeated until it answers.
+ */
+import {Buffer} from 'node:buffer';
+import {DirectCall, type CallSettings} from '@wasabiusher/direct';
+import {findRoute, type Deployment} from '@wasabiusher/shared';
+import type {Sample} from './batch.js';
+import {pause} from './pause.js';
+
+/** Pause between attempts at a score, in milliseconds. */
+const scoreRetryMs = 50;
+
+/** Longest time for one attempt at a score, in milliseconds, where its route allows more. */
+const maxScoreMs = 3000;
+
+export type ScoringSettings = CallSettings & {
+	/** The configuration in force. */
+	findDeployment(): Deployment | undefined;
+};
+
+/**
+ * Calls the scorer until it answers.
+ *
+ * @param signal - aborts when the score is no longer wanted
+ * @returns the scorer's mark; undefined once it has failed as often as its route allows, or the signal has aborted
+ */
+export async function scoreSample(settings: ScoringSettings, {id: sample, score}: Sample, signal: AbortSignal): Promise<string | undefined> {
+	const {id, host, path, body} = score!;
+	const {log} = settings;
+	let failures = 0;
+	while (!signal.aborted) {
+		const deployment = settings.findDeployment();
+		const route = deployment && findRoute(deployment, host, path);
+		if (route) {
+			const call = new DirectCall(settings, {...route, kind: 'idempotent', maxAttempts: 1}, {
+				method: 'POST', path, host, headers: {}, body: Buffer.from(body, 'base64'), attemptId: id,
+				deadlineAt: performance.now() + Math.min(maxScoreMs, route.timeoutMs),
+			}, signal);
+			// Attempts follow one another, so that each is counted.
+			// eslint-disable-next-line no-await-in-loop
+			const outcome = await call.run();
+			if (outcome.kind === 'answered' && outcome.answer.status < 300 && outcome.answer.isFramed && outcome.answer.stamp !== undefined) {
+				return outcome.answer.stamp;
+			}
+
+			if (outcome.kind === 'answered' && outcome.answer.status === 500) {
+				failures += 1;
+				log.info('score_failed', {sample, failures, limit: route.maxAttempts});
+				if (failures >= route.maxAttempts) {
+					return undefined;
+				}
+			}
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		await pause(scoreRetryMs);
+	}
+
+	return undefined;
+}
