--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -20,6 +20,7 @@
 import type {HostRegistry} from './host-registry.js';
 import type {KeptTexts} from './kept-texts.js';
 import {pause} from './pause.js';
+import {RetiredBatches} from './retired-batches.js';
 
 /** Time between looks for batches without a living owner, in milliseconds. */
 const lookMs = 150;
@@ -40,12 +41,6 @@
 const settleMs = 2500;
 const settlePauseMs = 100;
 
-/**
- * Time for which runs of an ended batch go on, in milliseconds: a trainer takes about a second to hand in its next batch, which
- * needs their texts. They must have ended when the end has been in force for three seconds.
- */
-const retiredMs = 1500;
-
 /** Time for another process to keep its texts after it has seen a new batch, in milliseconds: some calls to the store. */
 const keepMs = 50;
 
@@ -72,14 +67,14 @@
 	readonly #settings: BatchesSettings;
 	readonly #known = new Map<string, KnownBatch>();
 	readonly #owners = new Map<string, BatchOwner>();
-	/** Owners of batches that have ended, whose runs go on for a moment. */
-	readonly #retired = new Map<string, {owner: BatchOwner; timer: NodeJS.Timeout}>();
+	readonly #retired: RetiredBatches;
 	readonly #submissions = new LRUCache<string, Submission>({max: keptSubmissions});
 	#timer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
 
 	constructor(settings: BatchesSettings) {
 		this.#settings = settings;
+		this.#retired = new RetiredBatches(settings.keptTexts, settings.log);
 	}
 
 	/** Batches that this process runs. */
@@ -212,19 +207,14 @@
 		const {hosts} = this.#settings;
 		await Promise.all([
 			...[...this.#owners.values()].map(async owner => this.#handOver(owner)),
-			...[...this.#retired.keys()].map(async id => this.#flush(id)),
+			this.#retired.flushAll(),
 		]);
 		await hosts.leave();
 	}
 
 	stop(): void {
 		clearInterval(this.#timer);
-		for (const {owner, timer} of this.#retired.values()) {
-			clearTimeout(timer);
-			owner.stop();
-		}
-
-		this.#retired.clear();
+		this.#retired.stop();
 		for (const id of this.#owners.keys()) {
 			this.#drop(id);
 		}
@@ -372,7 +362,7 @@
 			record, version, seenAt: hasSameOwner ? known.seenAt : performance.now(), isTaking: known?.isTaking ?? false,
 		});
 		if (!known && !record.isEnded) {
-			this.#flushSeries(record.series);
+			this.#retired.flushSeries(record.series);
 		}
 
 		const owner = this.#owners.get(record.id);
@@ -396,46 +386,7 @@
 		}
 
 		this.#owners.delete(id);
-		owner.retire();
-		const timer = setTimeout(() => {
-			void this.#flush(id);
-		}, retiredMs);
-		this.#retired.set(id, {owner, timer});
-		void this.#keep(owner);
-	}
-
-	#flushSeries(series: string): void {
-		for (const [id, {owner}] of this.#retired) {
-			if (owner.stored.record.series === series) {
-				void this.#flush(id);
-			}
-		}
-	}
-
-	/** Stops the runs of an ended batch and keeps their texts. */
-	async #flush(id: string): Promise<void> {
-		const retired = this.#retired.get(id);
-		if (!retired) {
-			return;
-		}
-
-		this.#retired.delete(id);
-		clearTimeout(retired.timer);
-		const kept = this.#keep(retired.owner);
-		retired.owner.stop();
-		await kept;
-	}
-
-	async #keep(owner: BatchOwner): Promise<void> {
-		const {keptTexts, log} = this.#settings;
-		const texts = owner.listUnfinished();
-		try {
-			await keptTexts.keep(texts);
-			log.info('texts_kept', {batch: owner.id, texts: texts.length, events: texts.reduce((sum, {text}) => sum + text.events.length, 0)});
-		} catch (error) {
-			// The texts are made anew then.
-			log.warn('texts_not_kept', {batch: owner.id, texts: texts.length, reason: describeError(error)});
-		}
+		this.#retired.add(owner);
 	}
 
 	/** What earlier batches have left of a new one's samples. */
