Ask another host for calls to the store while the store does not serve this one

Now it opens links to two other hosts (known from their heartbeats), which make its calls under the same conditions; the key that hosts prove lies in the store. A host that can't help says so at once. The direct way is tried every 0.3 s. Ruled out: links between all hosts (1,700), and sharing only the configuration (the results could still not be committed). Now a process counts the silence of others only while it hears its own heartbeats in the feed; the test fails with the earlier rule.

--- /dev/null
+++ b/packages/batches/__tests__/host-registry.spec.ts
@@ -0,0 +1,108 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {createSilentLog} from '@wasabiusher/shared';
+import {MemoryRowStore} from '@wasabiusher/standins';
+import {HostRegistry, hostTable} from '../src/index.js';
+
+describe('HostRegistry', () => {
+	let clock: Clock;
+	let store: MemoryRowStore;
+	let version: number;
+	let isFeedOpen: boolean;
+	let registries: HostRegistry[];
+
+	beforeEach(() => {
+		clock = install();
+		store = new MemoryRowStore();
+		version = 0;
+		isFeedOpen = true;
+		registries = [];
+	});
+
+	afterEach(() => {
+		for (const registry of registries) {
+			registry.stop();
+		}
+
+		clock.uninstall();
+	});
+
+	function createRegistry(host: string, ownsWork: boolean): HostRegistry {
+		const registry = new HostRegistry({
+			rows: store, host, log: createSilentLog(), ownsWork: () => ownsWork,
+		});
+		registries.push(registry);
+		registry.start();
+		return registry;
+	}
+
+	/** Lets time pass and gives a registry the feed while it is open. */
+	async function run(registry: HostRegistry, ms: number): Promise<void> {
+		for (let i = 0; i < ms / 50; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(50);
+			if (isFeedOpen) {
+				// eslint-disable-next-line no-await-in-loop
+				const page = await store.read({table: hostTable, part: ''});
+				const seen = version;
+				for (const row of page.rows.filter(({version: written}) => written > seen)) {
+					registry.apply(row);
+				}
+
+				version = page.version;
+				registry.noteContact();
+			}
+		}
+	}
+
+	it('takes a process for gone that is silent while this one hears its own heartbeats', async () => {
+		const [owner, other] = [createRegistry('a', true), createRegistry('b', false)];
+		await run(other, 2000);
+		expect(other.isGone(owner.incarnation, 0)).to.equal(false);
+		owner.stop();
+		let isGone = false;
+		for (let i = 0; i < 60 && !isGone; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await run(other, 50);
+			isGone = other.isGone(owner.incarnation, 0);
+		}
+
+		expect(isGone).to.equal(true);
+	});
+
+	it('takes nobody for gone while its own feed hangs, though its heartbeats are taken', async () => {
+		const [owner, other] = [createRegistry('a', true), createRegistry('b', true)];
+		await run(other, 2000);
+		isFeedOpen = false;
+		const seen: boolean[] = [];
+		for (let i = 0; i < 42; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await run(other, 50);
+			seen.push(other.isGone(owner.incarnation, 0));
+		}
+
+		isFeedOpen = true;
+		for (let i = 0; i < 40; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await run(other, 50);
+			seen.push(other.isGone(owner.incarnation, 0));
+		}
+
+		expect(seen).to.not.include(true);
+	});
+
+	it('names other hosts that can be linked to, and who is alive', async () => {
+		const linked = new HostRegistry({
+			rows: store, host: 'c', address: '127.0.0.1:7', log: createSilentLog(), ownsWork: () => true,
+		});
+		registries.push(linked);
+		linked.start();
+		const other = createRegistry('b', false);
+		await run(other, 1000);
+		expect(other.listPeers()).to.deep.equal(['127.0.0.1:7']);
+		expect(other.findLive(linked.incarnation)?.host).to.equal('c');
+		await linked.leave();
+		await run(other, 100);
+		expect(other.findLive(linked.incarnation)).to.equal(undefined);
+	});
+});
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -3,8 +3,9 @@
  *
  * Nobody compares clocks between hosts. A process is taken for gone when its host has started anew or has said that it
  * leaves, or when it has been silent for a time during which this process heard the store. An outage of the store
- * begins the count anew, since then nobody can be heard. The store's feed may go on while it takes no heartbeats: so who
- * suspects another writes heartbeats of its own, and counts only while they are taken.
+ * begins the count anew, since then nobody can be heard. The store's feed may go on while it takes no heartbeats, and
+ * heartbeats be taken while the feed hangs: so who suspects another writes heartbeats of its own, and counts only while it hears
+ * them come back in the feed.
  */
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
@@ -32,10 +33,10 @@
 /** Silence from which a process is suspected, in milliseconds: two heartbeats and the delay of a slow one. */
 const suspicionMs = 900;
 
-/** Time for which heartbeats of the one who suspects must have been taken, in milliseconds: two of the other's in a row would have been. */
+/** Time for which the one who suspects must have heard its own heartbeats, in milliseconds: two of the other's in a row would have been heard. */
 const soundMs = 800;
 
-/** Age from which a heartbeat that was taken proves nothing of the present, in milliseconds. */
+/** Age from which a heartbeat that was heard proves nothing of the present, in milliseconds. */
 const proofMs = 1000;
 
 const hostSchema = z.object({
@@ -44,6 +45,8 @@
 	isLeaving: z.boolean(),
 	/** How late the process's timers were of late, in milliseconds. */
 	lateMs: z.number().default(0),
+	/** Where other hosts reach it, `ip:port`; empty if they can't. */
+	address: z.string().default(''),
 });
 
 type HostRow = z.infer<typeof hostSchema>;
@@ -51,6 +54,8 @@
 export type HostRegistrySettings = {
 	rows: RowStore;
 	host: string;
+	/** Where other hosts reach this one, `ip:port`; undefined if they can't. */
+	address?: string;
 	log: Log;
 	/** Whether this process owns work, so that its silence would mean something. */
 	ownsWork(): boolean;
@@ -74,8 +79,8 @@
 	#hasAnnounced = false;
 	/** When this process last suspected another. */
 	#suspectedAt = Number.NEGATIVE_INFINITY;
-	/** When a heartbeat of this process was last taken, and since when each one was. */
-	#takenAt = Number.NEGATIVE_INFINITY;
+	/** When this process last heard a heartbeat of its own, and since when it hears each one. */
+	#ownHeardAt = Number.NEGATIVE_INFINITY;
 	#soundFrom = Number.POSITIVE_INFINITY;
 	/** When this process last owned work. */
 	#ownedAt = Number.NEGATIVE_INFINITY;
@@ -103,6 +108,11 @@
 		return this.#hosts.size;
 	}
 
+	/** Where other hosts that are not known to be gone can be reached, `ip:port`. */
+	listPeers(): string[] {
+		return [...this.#hosts].flatMap(([host, {address}]) => host === this.#settings.host || address === '' ? [] : [address]);
+	}
+
 	/** A process that was heard of and is not known to be gone; undefined if there is none with that incarnation. */
 	findLive(incarnation: string): LiveHost | undefined {
 		for (const [host, row] of this.#hosts) {
@@ -158,6 +168,10 @@
 			return;
 		}
 
+		if (row.incarnation === this.incarnation) {
+			this.#noteOwn();
+		}
+
 		if (known && known.incarnation !== row.incarnation) {
 			this.#gone.add(known.incarnation);
 		}
@@ -196,7 +210,7 @@
 			this.#suspect(now);
 		}
 
-		return silentMs > silenceMs && now - this.#takenAt < proofMs && now - this.#soundFrom >= soundMs;
+		return silentMs > silenceMs && now - this.#ownHeardAt < proofMs && now - this.#soundFrom >= soundMs;
 	}
 
 	#suspect(now: number): void {
@@ -207,21 +221,21 @@
 		}
 	}
 
-	#noteTaken(): void {
+	#noteOwn(): void {
 		const now = performance.now();
-		if (now - this.#takenAt >= proofMs) {
+		if (now - this.#ownHeardAt >= proofMs) {
 			this.#soundFrom = now;
 		}
 
-		this.#takenAt = now;
+		this.#ownHeardAt = now;
 	}
 
 	async #write(): Promise<void> {
-		const {rows, host, log} = this.#settings;
+		const {rows, host, address = '', log} = this.#settings;
 		this.#isWriting = true;
 		this.#beat += 1;
 		const row: HostRow = {
-			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, lateMs: this.#lateMs,
+			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, lateMs: this.#lateMs, address,
 		};
 		try {
 			await rows.commit({
@@ -232,9 +246,7 @@
 				deletes: [],
 			});
 			this.#hasAnnounced = true;
-			this.#noteTaken();
 		} catch (error) {
-			this.#takenAt = Number.NEGATIVE_INFINITY;
 			log.warn('heartbeat_failed', {beat: this.#beat, reason: describeError(error)});
 		} finally {
 			this.#isWriting = false;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /**
  * One entry host without agents: learns what is in force, routes calls, runs batches and gives orders for weights.
  */
+import type {Server} from 'node:http';
 import {
 	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts,
 } from '@wasabiusher/batches';
@@ -15,6 +16,10 @@
 	describeError, findRoute, type Deployment, type Log, type Random, type Route,
 } from '@wasabiusher/shared';
 import {Catalog, type CatalogFormat} from './catalog.js';
+import {readLinkKey} from './link-key.js';
+import {PeerLinks} from './peer-links.js';
+import {PeerServer} from './peer-server.js';
+import {RoutedStore} from './routed-store.js';
 import {StoreGate} from './store-gate.js';
 
 /** How often what nobody reads any more is removed, in milliseconds. */
@@ -44,6 +49,9 @@
  */
 const cutOffMs = 3000;
 
+/** Pause before the key of links is asked for again, in milliseconds; nothing waits for it while the store serves this host. */
+const keyRetryMs = 1000;
+
 export type GatewaySettings = {
 	/** Name of the host. */
 	host: string;
@@ -57,6 +65,8 @@
 	leaseMs: number;
 	/** How long a batch is read after it was handed in, in milliseconds. */
 	statusMs: number;
+	/** Where other hosts link to this one; undefined if they can't. */
+	peers?: {address: string; server: Server};
 	onDeployment?(deployment: Deployment): void;
 };
 
@@ -77,15 +87,28 @@
 	/** Without what these tell, work can't be taken. */
 	readonly #neededFollowers: TableFollower[];
 	readonly #gate: StoreGate;
+	readonly #rows: RoutedStore;
+	readonly #peerServer: PeerServer | undefined;
+	#linkKey: string | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#sweepTimer: NodeJS.Timeout | undefined;
 	#isDraining = false;
+	#isStopped = false;
 
 	constructor(settings: GatewaySettings) {
 		this.#settings = settings;
 		const {host, client, format, random, log, leaseMs} = settings;
 		this.#gate = new StoreGate(settings.rows);
-		const rows = this.#gate;
+		const findKey = () => this.#linkKey;
+		const rows = new RoutedStore({
+			gate: this.#gate, log, peers: new PeerLinks({
+				host, random, log, findKey, listPeers: () => this.#hosts.listPeers(),
+			}),
+		});
+		this.#rows = rows;
+		this.#peerServer = settings.peers && new PeerServer(settings.peers.server, {
+			host, gate: this.#gate, log, findKey,
+		});
 		this.#directory = new EndpointDirectory(random);
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
@@ -97,7 +120,7 @@
 			format, directory: this.#directory, orders: this.#orders, log, onDeployment: settings.onDeployment,
 		});
 		this.#hosts = new HostRegistry({
-			rows, host, log, ownsWork: () => this.batches.ownedCount > 0,
+			rows, host, address: settings.peers?.address, log, ownsWork: () => this.batches.ownedCount > 0,
 		});
 		this.batches = new Batches({
 			directory: this.#directory, client, random, log, host, hosts: this.#hosts,
@@ -108,19 +131,19 @@
 			readStoreMs: () => this.#gate.storeMs,
 		});
 		this.#operatorFollower = new TableFollower({
-			store: this.#gate.probing, table: format.operatorTable, parts: [''], log, waitMs: operatorWaitMs, apply: change => {
+			store: rows.probing, table: format.operatorTable, parts: [''], log, waitMs: operatorWaitMs, apply: change => {
 				this.#catalog.applyOperatorRow(change);
 			},
 		});
 		this.#neededFollowers = [
 			this.#operatorFollower,
 			new TableFollower({
-				store: this.#gate.probing, table: format.endpointTable, parts: [''], log, apply: change => {
+				store: rows.probing, table: format.endpointTable, parts: [''], log, apply: change => {
 					this.#catalog.applyEndpoint(change);
 				},
 			}),
 			new TableFollower({
-				store: this.#gate.probing, table: batchTable, parts: batchParts, log, apply: change => {
+				store: rows.probing, table: batchTable, parts: batchParts, log, apply: change => {
 					this.batches.apply(change);
 				},
 			}),
@@ -128,7 +151,7 @@
 		this.#followers = [
 			...this.#neededFollowers,
 			new TableFollower({
-				store: this.#gate.probing, table: hostTable, parts: [''], log,
+				store: rows.probing, table: hostTable, parts: [''], log,
 				apply: change => {
 					this.#hosts.apply(change);
 				},
@@ -154,6 +177,7 @@
 			void follower.run();
 		}
 
+		void this.#learnKey();
 		this.#hosts.start();
 		this.batches.start();
 		this.#lease.start();
@@ -210,11 +234,31 @@
 		this.#lease.stop();
 		this.#hosts.stop();
 		this.batches.stop();
+		this.#rows.stop();
+		this.#peerServer?.close();
+		this.#isStopped = true;
 		for (const follower of this.#followers) {
 			follower.stop();
 		}
 	}
 
+	/** Reads the key that hosts prove to each other, until the store gives it. */
+	async #learnKey(): Promise<void> {
+		while (this.#linkKey === undefined && !this.#isStopped) {
+			try {
+				// Each try follows the one before.
+				// eslint-disable-next-line no-await-in-loop
+				this.#linkKey = await readLinkKey(this.#gate);
+			} catch (error) {
+				this.#settings.log.info('link_key_not_read', {reason: describeError(error)});
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise<void>(resolve => {
+					setTimeout(resolve, keyRetryMs);
+				});
+			}
+		}
+	}
+
 	/** Gives the lease up at once only if no order was sent for a term: orders of two holders must never lie closer than that. */
 	async #leaveOrders(): Promise<void> {
 		if (this.#orders.sinceOrderMs > this.#settings.leaseMs) {
--- /dev/null
+++ b/packages/gateway/src/routed-store.ts
@@ -0,0 +1,118 @@
+/**
+ * The store by the way that is open: directly, or by way of another host while the store does not serve this one.
+ *
+ * Load pattern: a host is cut off from the store, or turned away by it, while callers, trainers and engines reach it. Alone it can
+ * take no configuration and commit no result, its batches are taken over after 1.7 s and begun from kept texts, and
+ * every submission it is given must be tried again elsewhere. Writes are made under the same conditions whoever
+ * sends them, so the other host decides nothing.
+ */
+import type {
+	ChangePage, CommitReceipt, RowPage, RowRange, RowStore, RowTransaction,
+} from '@wasabiusher/backends';
+import {describeError, type Log} from '@wasabiusher/shared';
+import type {PeerLinks} from './peer-links.js';
+import type {StoreGate} from './store-gate.js';
+import {expectOutcome} from './store-work.js';
+
+/** Time between tries of the direct way while it is lost, in milliseconds. */
+const probeMs = 300;
+
+/** A read that costs the store little. */
+const probeRange: RowRange = {table: 'link-keys', part: '', limit: 1};
+
+export type RoutedStoreSettings = {
+	gate: StoreGate;
+	peers: PeerLinks;
+	log: Log;
+};
+
+/** Passes calls on by the way that is open. */
+export class RoutedStore implements RowStore {
+	readonly #settings: RoutedStoreSettings;
+	#probe: NodeJS.Timeout | undefined;
+	#isProbing = false;
+
+	constructor(settings: RoutedStoreSettings) {
+		this.#settings = settings;
+	}
+
+	/** Whether calls go by way of another host at present. */
+	get isRelayed(): boolean {
+		const {gate, peers} = this.#settings;
+		if (!gate.isLost) {
+			return false;
+		}
+
+		this.#startProbing();
+		peers.open();
+		return peers.isUsable;
+	}
+
+	/** The store for those who ask on while no way is open, so that the first answer is noticed. */
+	get probing(): RowStore {
+		const direct = this.#settings.gate.probing;
+		return {
+			commit: async transaction => this.commit(transaction),
+			read: async range => this.isRelayed ? this.read(range) : direct.read(range),
+			follow: async (table, after, waitMs) => this.follow(table, after, waitMs),
+		};
+	}
+
+	async commit(transaction: RowTransaction): Promise<CommitReceipt> {
+		const {gate, peers} = this.#settings;
+		return this.isRelayed ? expectOutcome(await peers.call({op: 'commit', ...transaction}), 'committed') : gate.commit(transaction);
+	}
+
+	async read(range: RowRange): Promise<RowPage> {
+		const {gate, peers} = this.#settings;
+		return this.isRelayed ? expectOutcome(await peers.call({op: 'read', range}), 'page') : gate.read(range);
+	}
+
+	async follow(table: string, after: number, waitMs: number): Promise<ChangePage> {
+		const {gate, peers} = this.#settings;
+		if (!this.isRelayed) {
+			return gate.follow(table, after, waitMs);
+		}
+
+		const {changes, ...page} = expectOutcome(await peers.call({
+			op: 'follow', table, after, waitMs,
+		}, waitMs), 'changes');
+		return {...page, changes: changes.map(change => ({...change, value: change.value}))};
+	}
+
+	/** Tries the direct way no more. */
+	stop(): void {
+		clearInterval(this.#probe);
+		this.#probe = undefined;
+		this.#settings.peers.close();
+	}
+
+	#startProbing(): void {
+		if (this.#probe !== undefined) {
+			return;
+		}
+
+		this.#settings.log.warn('store_way_lost', {});
+		this.#probe = setInterval(() => {
+			void this.#try();
+		}, probeMs);
+	}
+
+	async #try(): Promise<void> {
+		const {gate, log} = this.#settings;
+		if (this.#isProbing) {
+			return;
+		}
+
+		this.#isProbing = true;
+		try {
+			await gate.probing.read(probeRange);
+			this.stop();
+			log.info('store_way_regained', {});
+		} catch (error) {
+			log.debug('store_way_closed', {reason: describeError(error)});
+		} finally {
+			this.#isProbing = false;
+		}
+	}
+}
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -98,6 +98,47 @@
 	table: z.string(), key: z.string(), expect: countSchema, value: z.looseObject({attempt: z.string()}),
 });
 
+const rowAddressShape = {table: z.string(), part: z.string(), key: z.string()};
+
+const rowRangeSchema = z.object({
+	table: z.string(), part: z.string(), from: z.string().optional(), to: z.string().optional(), limit: z.int().optional(),
+});
+
+/** A call to the store that one host makes for another. */
+export const storeWorkSchema = z.discriminatedUnion('op', [
+	z.object({
+		op: z.literal('commit'),
+		conditions: z.array(z.object({...rowAddressShape, version: countSchema})),
+		puts: z.array(z.object({...rowAddressShape, value: bytesSchema})),
+		deletes: z.array(z.object(rowAddressShape)),
+	}),
+	z.object({op: z.literal('read'), range: rowRangeSchema}),
+	z.object({
+		op: z.literal('follow'), table: z.string(), after: countSchema, waitMs: z.number().nonnegative(),
+	}),
+]);
+
+/** What came of such a call; a failure carries the code of the platform layer. */
+export const storeAnswerSchema = z.discriminatedUnion('outcome', [
+	z.object({outcome: z.literal('committed'), version: countSchema, storeMs: z.number()}),
+	z.object({
+		outcome: z.literal('page'),
+		rows: z.array(z.object({...rowAddressShape, value: bytesSchema, version: countSchema})),
+		hasMore: z.boolean(), version: countSchema, storeMs: z.number(),
+	}),
+	z.object({
+		outcome: z.literal('changes'),
+		changes: z.array(z.object({...rowAddressShape, value: bytesSchema.optional(), version: countSchema})),
+		version: countSchema, storeMs: z.number(),
+	}),
+	z.object({
+		outcome: z.literal('failed'), code: z.enum(['unavailable', 'unknown', 'conflict', 'limited', 'refused', 'missing', 'invalid']), reason: z.string(),
+	}),
+]);
+
+export type StoreWork = z.infer<typeof storeWorkSchema>;
+export type StoreAnswer = z.infer<typeof storeAnswerSchema>;
+
 export const messageKindsSchema = z.discriminatedUnion('kind', [
 	// Handshake.
 	z.object({kind: z.literal('challenge'), protocol: z.int(), nonce: z.string()}),
@@ -180,6 +221,9 @@
 	}),
 	/** What is known of requests that were in flight when an endpoint crashed. */
 	z.object({kind: z.literal('suspicions'), suspicions: z.array(suspicionSchema)}),
+	// Host to host: a call to the store for a host that the store does not serve at present.
+	z.object({kind: z.literal('store-call'), call: z.string(), work: storeWorkSchema}),
+	z.object({kind: z.literal('store-answer'), call: z.string(), answer: storeAnswerSchema}),
 	/** What the sender has, so that the receiver can see a gap and send what is missing. */
 	z.object({kind: z.literal('digest'), configurationVersion: countSchema}),
 ]);
