Let calls under way by another host end when the direct way opens again

Links stay 3.5 s now. Ruled out: a fault of the other host. The test failed first ('unknown' in place of an answer).

--- a/packages/gateway/__tests__/routed-store.spec.ts
+++ b/packages/gateway/__tests__/routed-store.spec.ts
@@ -112,6 +112,24 @@
 		expect(helper.store.counts.reads).to.equal(before);
 	});
 
+	it('leaves a call under way to the other host when the direct way opens again', async () => {
+		const helper = await createHost(() => []);
+		const cut = await createHost(() => [helper.address]);
+		cut.store.switches.isDown = true;
+		await repeat(async () => cut.routed.read({table: 't', part: 'p'}));
+		helper.store.switches.delayMs = 1000;
+		const commit = catchCode(cut.routed.commit({conditions: [], puts: [], deletes: []}));
+		cut.store.switches.isDown = false;
+		while (cut.routed.isRelayed) {
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise<void>(resolve => {
+				setTimeout(resolve, 20);
+			});
+		}
+
+		expect(await commit).to.equal('none');
+	});
+
 	it('says that nothing was done when the other host is as lost, and asks yet another one', async () => {
 		const helper = await createHost(() => []);
 		const lost = await createHost(() => []);
--- a/packages/gateway/src/routed-store.ts
+++ b/packages/gateway/src/routed-store.ts
@@ -17,6 +17,9 @@
 /** Time between tries of the direct way while it is lost, in milliseconds. */
 const probeMs = 300;
 
+/** Time for which links stay open once the direct way is open again, in milliseconds: the longest call that is under way on them. */
+const lingerMs = 3500;
+
 /** A read that costs the store little. */
 const probeRange: RowRange = {table: 'link-keys', part: '', limit: 1};
 
@@ -30,6 +33,7 @@
 export class RoutedStore implements RowStore {
 	readonly #settings: RoutedStoreSettings;
 	#probe: NodeJS.Timeout | undefined;
+	#linger: NodeJS.Timeout | undefined;
 	#isProbing = false;
 
 	constructor(settings: RoutedStoreSettings) {
@@ -43,6 +47,7 @@
 			return false;
 		}
 
+		clearTimeout(this.#linger);
 		this.#startProbing();
 		peers.open();
 		return peers.isUsable;
@@ -80,11 +85,16 @@
 		return {...page, changes: changes.map(change => ({...change, value: change.value}))};
 	}
 
-	/** Tries the direct way no more. */
+	/** Tries the direct way no more and ends all links. */
 	stop(): void {
+		this.#stopProbing();
+		clearTimeout(this.#linger);
+		this.#settings.peers.close();
+	}
+
+	#stopProbing(): void {
 		clearInterval(this.#probe);
 		this.#probe = undefined;
-		this.#settings.peers.close();
 	}
 
 	#startProbing(): void {
@@ -99,7 +109,7 @@
 	}
 
 	async #try(): Promise<void> {
-		const {gate, log} = this.#settings;
+		const {gate, peers, log} = this.#settings;
 		if (this.#isProbing) {
 			return;
 		}
@@ -107,7 +117,11 @@
 		this.#isProbing = true;
 		try {
 			await gate.probing.read(probeRange);
-			this.stop();
+			this.#stopProbing();
+			// A write that is under way on a link would be of unknown fate if it were ended now.
+			this.#linger = setTimeout(() => {
+				peers.close();
+			}, lingerMs);
 			log.info('store_way_regained', {});
 		} catch (error) {
 			log.debug('store_way_closed', {reason: describeError(error)});
