Resume a caller's stream at another endpoint within the same answer

Cause: a stream on a route that may be resumed ended with its connection when its endpoint broke off; the caller had to send it again. Now whole events are handed on, and the stream goes on after the last one elsewhere, also after a second of silence, at no more endpoints than the route allows; the head stays that of the first. Streams that may not be resumed are handed on as before, whatever their silence. Ruled out: forwarding bytes as they come (the rest of another event would follow a half one). Seven tests over a scripted endpoint.

--- /dev/null
+++ b/packages/direct/__tests__/stream-call.spec.ts
@@ -0,0 +1,138 @@
+import {Buffer} from 'node:buffer';
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {PlatformError, type ServingRequest, type ServingStream} from '@wasabiusher/backends';
+import type {Route} from '@wasabiusher/shared';
+import {StreamCall, type StreamOutcome} from '../src/index.js';
+import {createBench, createRequest, createRoute} from './fixtures.js';
+
+/** What each attempt does, in their order: pieces, then an end or an error; undefined refuses. */
+type Script = {pieces: string[]; end: 'whole' | 'broken' | 'silent' | 'unframed'; status?: number};
+
+function createEvents(from: number, to: number): string {
+	return Array.from({length: to - from + 1}, (_, i) => `id: ${from + i}\ndata: e${from + i}\n\n`).join('');
+}
+
+describe('StreamCall', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	async function * play({pieces, end}: Script, signal: AbortSignal): AsyncIterable<Uint8Array> {
+		for (const piece of pieces) {
+			yield Buffer.from(piece);
+		}
+
+		if (end === 'silent') {
+			await new Promise<void>(resolve => {
+				signal.addEventListener('abort', () => {
+					resolve();
+				});
+			});
+		}
+
+		if (end === 'silent' || end === 'broken') {
+			throw new PlatformError('unknown', 'the stream broke off');
+		}
+	}
+
+	function start(scripts: Array<Script | undefined>, changes: Partial<Route> = {}, resumeAfter?: number) {
+		const bench = createBench(4);
+		const requests: Array<ServingRequest & {endpoint: string}> = [];
+		const client = {
+			...bench.client,
+			async open({id}: {id: string}, request: ServingRequest, signal: AbortSignal): Promise<ServingStream> {
+				const script = scripts[requests.length];
+				requests.push({...request, endpoint: id});
+				return {
+					status: script?.status ?? (script ? 200 : 503), headers: {}, isNotRun: !script, stamp: `mark-${requests.length}`, load: undefined, weightVersion: undefined,
+					isFramed: script?.end !== 'unframed', isClosing: false, body: play(script ?? {pieces: [], end: 'whole'}, signal),
+				};
+			},
+		};
+		const route = createRoute({kind: 'stream', isResumable: true, ...changes});
+		const call = new StreamCall({...bench, client}, route, {...createRequest(20_000), resumeAfter}, new AbortController().signal);
+		return {requests, outcome: call.open(), bench};
+	}
+
+	async function read(outcome: StreamOutcome): Promise<string> {
+		if (outcome.kind !== 'opened') {
+			return outcome.kind;
+		}
+
+		let text = '';
+		try {
+			for await (const chunk of outcome.stream.body) {
+				text += Buffer.from(chunk).toString();
+			}
+		} catch {
+			text += '(broken off)';
+		} finally {
+			outcome.release();
+		}
+
+		return text;
+	}
+
+	async function readAll(outcome: Promise<StreamOutcome>, ms = 100): Promise<string> {
+		const text = (async () => read(await outcome))();
+		await clock.tickAsync(ms);
+		return text;
+	}
+
+	it('goes on elsewhere after the last whole event, with the head of the first endpoint', async () => {
+		const {requests, outcome, bench} = start([
+			{pieces: [createEvents(1, 2), 'id: 3\nda'], end: 'broken'},
+			undefined,
+			{pieces: [createEvents(3, 4)], end: 'whole'},
+		]);
+		expect(await readAll(outcome)).to.equal(createEvents(1, 4));
+		const opened = await outcome;
+		expect(opened.kind === 'opened' && opened.stream.stamp).to.equal('mark-1');
+		expect(requests.map(({resumeAfter}) => resumeAfter)).to.deep.equal([undefined, 2, 2]);
+		expect(new Set(requests.map(({endpoint}) => endpoint)).size).to.equal(3);
+		expect(['i0', 'i1', 'i2', 'i3'].map(id => bench.directory.countOpen(id))).to.deep.equal([0, 0, 0, 0]);
+	});
+
+	it('goes on after the event that the caller names, when it breaks before the first one', async () => {
+		const {requests, outcome} = start([{pieces: [], end: 'broken'}, {pieces: [createEvents(6, 7)], end: 'whole'}], {}, 5);
+		expect(await readAll(outcome)).to.equal(createEvents(6, 7));
+		expect(requests.map(({resumeAfter}) => resumeAfter)).to.deep.equal([5, 5]);
+	});
+
+	it('goes on elsewhere when nothing comes for a second', async () => {
+		const {outcome} = start([{pieces: [createEvents(1, 2)], end: 'silent'}, {pieces: [createEvents(3, 3)], end: 'whole'}]);
+		expect(await readAll(outcome, 2000)).to.equal(createEvents(1, 3));
+	});
+
+	it('finds out what is missing after an end without a length', async () => {
+		const {outcome} = start([{pieces: [createEvents(1, 2)], end: 'unframed'}, {pieces: [createEvents(3, 3)], end: 'whole'}]);
+		expect(await readAll(outcome)).to.equal(createEvents(1, 3));
+	});
+
+	it('begins at no more endpoints than the route allows, and does not end as if it were whole then', async () => {
+		const broken: Script = {pieces: [], end: 'broken'};
+		const {requests, outcome} = start([{pieces: [createEvents(1, 1)], end: 'broken'}, broken, broken, broken], {maxAttempts: 2});
+		expect(await readAll(outcome)).to.equal(`${createEvents(1, 1)}(broken off)`);
+		expect(requests).to.have.length(2);
+	});
+
+	it('repeats nothing that may have run where the route does not allow it', async () => {
+		const {requests, outcome} = start([{pieces: [createEvents(1, 1)], end: 'broken'}, {pieces: [createEvents(2, 2)], end: 'whole'}], {isResumable: false});
+		expect(await readAll(outcome)).to.equal(`${createEvents(1, 1)}(broken off)`);
+		expect(requests).to.have.length(1);
+	});
+
+	it('hands on an endpoint\'s own failure as it came', async () => {
+		const {outcome} = start([{pieces: ['no'], end: 'whole', status: 500}]);
+		const opened = await outcome;
+		expect(opened.kind === 'opened' && opened.stream.status).to.equal(500);
+		expect(await read(opened)).to.equal('no');
+	});
+});
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -2,7 +2,7 @@
  * A caller's request on the direct way: attempts, retries, second attempts and the proof of "not run".
  */
 import {
-	PlatformError, type ServingAnswer, type ServingClient, type ServingRequest, type ServingStream,
+	PlatformError, type ServingAnswer, type ServingClient, type ServingRequest,
 } from '@wasabiusher/backends';
 import {
 	describeError, type Log, type Random, type RegisteredEndpoint, type Route,
@@ -29,9 +29,6 @@
 		| {kind: 'timeout'; hasSent: boolean}
 		| {kind: 'stopped'};
 
-/** The beginning of a streamed answer, or why there is none. */
-export type StreamOutcome = {kind: 'opened'; stream: ServingStream; endpoint: string; release(): void} | Exclude<CallOutcome, {kind: 'answered'}>;
-
 export type CallSettings = {
 	directory: EndpointDirectory;
 	client: ServingClient;
@@ -46,7 +43,7 @@
  * Time after which a caller should ask again when no endpoint can be asked, in milliseconds: endpoints that refused for
  * lack of room are asked again after some of their service times.
  */
-const retryAfterMs = 100;
+export const retryAfterMs = 100;
 
 type AttemptOutcome
 	= | {kind: 'answered'; answer: ServingAnswer; endpoint: string}
@@ -107,58 +104,6 @@
 		}
 	}
 
-	/** Opens a streamed answer; only attempts that are proven not run are repeated. */
-	async open(): Promise<StreamOutcome> {
-		while (!this.#signal.aborted) {
-			const endpoint = this.#take();
-			if (!endpoint) {
-				return {kind: 'not-run', reason: this.#lastReason, retryAfterMs};
-			}
-
-			// An attempt depends on what became of the one before.
-			// eslint-disable-next-line no-await-in-loop
-			const outcome = await this.#openAt(endpoint);
-			if (outcome) {
-				return outcome;
-			}
-		}
-
-		return {kind: 'stopped'};
-	}
-
-	async #openAt(endpoint: RegisteredEndpoint): Promise<StreamOutcome | undefined> {
-		const {client, directory} = this.#settings;
-		const release = () => {
-			directory.release(endpoint.id);
-		};
-
-		try {
-			const stream = await client.open(endpoint, this.#toServing(), this.#signal);
-			directory.recordHead(endpoint.id, stream);
-			if (!stream.isNotRun) {
-				return {
-					kind: 'opened', stream, endpoint: endpoint.id, release,
-				};
-			}
-
-			this.#lastReason = `${endpoint.id} refused with status ${stream.status}`;
-			release();
-		} catch (error) {
-			release();
-			this.#noteError(endpoint.id, error, this.#signal);
-			if (this.#signal.aborted) {
-				return {kind: 'stopped'};
-			}
-
-			if (!isProvenNotRun(error)) {
-				return {kind: 'unknown', reason: describeError(error)};
-			}
-		}
-
-		this.#excluded.add(endpoint.id);
-		return undefined;
-	}
-
 	get #isRepeatable(): boolean {
 		return this.#route.kind === 'idempotent';
 	}
@@ -295,7 +240,8 @@
 	}
 }
 
-function isProvenNotRun(error: unknown): boolean {
+/** Whether an error proves that nothing has run. */
+export function isProvenNotRun(error: unknown): boolean {
 	return error instanceof PlatformError && (error.code === 'unavailable' || error.code === 'refused');
 }
 
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -3,3 +3,4 @@
 export * from './endpoint-directory.js';
 export * from './sample-run.js';
 export * from './weight-orders.js';
+export * from './stream-call.js';
--- /dev/null
+++ b/packages/direct/src/stream-call.ts
@@ -0,0 +1,168 @@
+/**
+ * A caller's request whose answer is handed on as it comes.
+ *
+ * Only attempts that are proven not run are repeated, unless the route says that a stream may be resumed: then it goes on after
+ * its last whole event at another endpoint, within the same answer.
+ */
+import type {ServingRequest, ServingStream} from '@wasabiusher/backends';
+import {describeError, type RegisteredEndpoint, type Route} from '@wasabiusher/shared';
+import {
+	chooseService, isProvenNotRun, retryAfterMs, type CallOutcome, type CallerRequest, type CallSettings,
+} from './call.js';
+import {resumeStream} from './resumed-stream.js';
+import {SilenceWatch} from './silence-watch.js';
+
+/** The beginning of a streamed answer, or why there is none. */
+export type StreamOutcome = {kind: 'opened'; stream: ServingStream; endpoint: string; release(): void} | Exclude<CallOutcome, {kind: 'answered'}>;
+
+/** An attempt that has begun at an endpoint. */
+type OpenAttempt = {endpoint: RegisteredEndpoint; stream: ServingStream};
+
+/** Opens one streamed answer; `open` is called once. */
+export class StreamCall {
+	readonly #settings: CallSettings;
+	readonly #route: Route;
+	readonly #request: CallerRequest;
+	readonly #signal: AbortSignal;
+	readonly #service: string;
+	/** Endpoints that are not asked again. */
+	readonly #excluded = new Set<string>();
+	/** Endpoints that have begun to run it. */
+	#begun = 0;
+	/** Where it runs at present. */
+	#endpoint: string | undefined;
+	#lastReason = 'no endpoint is registered';
+
+	/** @param signal - aborts when the caller has left */
+	constructor(settings: CallSettings, route: Route, request: CallerRequest, signal: AbortSignal) {
+		this.#settings = settings;
+		this.#route = route;
+		this.#request = request;
+		this.#signal = signal;
+		this.#service = chooseService(route, settings.random.next());
+	}
+
+	async open(): Promise<StreamOutcome> {
+		const outcome = await this.#attemptAll(this.#request.resumeAfter);
+		if ('kind' in outcome) {
+			return outcome;
+		}
+
+		const {endpoint, stream} = outcome;
+		const body = this.#route.isResumable && stream.status === 200
+			? resumeStream(stream, async after => this.#reopen(after), this.#settings.log, this.#request.resumeAfter)
+			: stream.body;
+		return {
+			kind: 'opened',
+			stream: {...stream, body},
+			endpoint: endpoint.id,
+			release: () => {
+				this.#release();
+			},
+		};
+	}
+
+	/** Goes on after an event; undefined if no endpoint can. */
+	async #reopen(after: number | undefined): Promise<ServingStream | undefined> {
+		if (this.#endpoint !== undefined) {
+			this.#settings.directory.recordFailure(this.#endpoint);
+		}
+
+		this.#release();
+		const outcome = this.#begun < this.#route.maxAttempts ? await this.#attemptAll(after) : undefined;
+		if (!outcome || 'kind' in outcome) {
+			return undefined;
+		}
+
+		// The answer has begun as a success; another endpoint's failure can't follow.
+		return outcome.stream.status === 200 ? outcome.stream : undefined;
+	}
+
+	/** Asks one endpoint after the other until one begins. */
+	async #attemptAll(after: number | undefined): Promise<OpenAttempt | Exclude<StreamOutcome, {kind: 'opened'}>> {
+		while (!this.#signal.aborted) {
+			const endpoint = this.#settings.directory.take({service: this.#service, excluded: this.#excluded});
+			if (!endpoint) {
+				return {kind: 'not-run', reason: this.#lastReason, retryAfterMs};
+			}
+
+			this.#endpoint = endpoint.id;
+			this.#excluded.add(endpoint.id);
+			// An attempt depends on what became of the one before.
+			// eslint-disable-next-line no-await-in-loop
+			const outcome = await this.#attempt(endpoint, after);
+			if (outcome) {
+				return outcome;
+			}
+
+			this.#release();
+		}
+
+		return {kind: 'stopped'};
+	}
+
+	/** Asks one endpoint; undefined if it has proven that nothing has run there. */
+	async #attempt(endpoint: RegisteredEndpoint, after: number | undefined): Promise<OpenAttempt | Exclude<StreamOutcome, {kind: 'opened'}> | undefined> {
+		const {client, directory, log} = this.#settings;
+		const {id} = endpoint;
+		const stop = new AbortController();
+		const watch = this.#route.isResumable ? new SilenceWatch(stop, () => directory.findHeardAt(id)) : undefined;
+		try {
+			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, stop.signal]));
+			directory.recordHead(id, stream);
+			if (!stream.isNotRun) {
+				this.#begun += 1;
+				return {endpoint, stream: watch ? {...stream, body: watchBody(stream.body, watch)} : stream};
+			}
+
+			watch?.end();
+			this.#lastReason = `${id} refused with status ${stream.status}`;
+			return undefined;
+		} catch (error) {
+			watch?.end();
+			this.#lastReason = `${id}: ${describeError(error)}`;
+			if (this.#signal.aborted) {
+				this.#release();
+				return {kind: 'stopped'};
+			}
+
+			log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
+			directory.recordFailure(id);
+			if (isProvenNotRun(error)) {
+				return undefined;
+			}
+
+			this.#begun += 1;
+			if (this.#route.isResumable && this.#begun < this.#route.maxAttempts) {
+				return undefined;
+			}
+
+			this.#release();
+			return {kind: 'unknown', reason: this.#lastReason};
+		}
+	}
+
+	#release(): void {
+		if (this.#endpoint !== undefined) {
+			this.#settings.directory.release(this.#endpoint);
+			this.#endpoint = undefined;
+		}
+	}
+
+	#toServing(after: number | undefined): ServingRequest {
+		const {deadlineAt, ...request} = this.#request;
+		return {...request, remainingMs: Math.max(1, Math.round(deadlineAt - performance.now())), ...(after === undefined ? {} : {resumeAfter: after})};
+	}
+}
+
+/** Hands a body on and tells the watch of each piece. */
+async function * watchBody(body: AsyncIterable<Uint8Array>, watch: SilenceWatch): AsyncIterable<Uint8Array> {
+	try {
+		for await (const chunk of body) {
+			watch.note();
+			yield chunk;
+		}
+	} finally {
+		watch.end();
+	}
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,7 +9,7 @@
 	BlobStore, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
 import {
-	DirectCall, EndpointDirectory, WeightOrders, type CallerRequest, type CallOutcome, type StreamOutcome,
+	DirectCall, EndpointDirectory, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
 import {
@@ -206,12 +206,12 @@
 
 	/** Answers a caller's request. */
 	async call(route: Route, request: CallerRequest, signal: AbortSignal): Promise<CallOutcome> {
-		return this.#createCall(route, request, signal).run();
+		return new DirectCall(this.#callSettings, route, request, signal).run();
 	}
 
 	/** Begins a streamed answer. */
 	async openStream(route: Route, request: CallerRequest, signal: AbortSignal): Promise<StreamOutcome> {
-		return this.#createCall(route, request, signal).open();
+		return new StreamCall(this.#callSettings, route, request, signal).open();
 	}
 
 	/** Takes no new work and hands over what lasts; calls under way go on. Never rejects. */
@@ -268,11 +268,11 @@
 		}
 	}
 
-	#createCall(route: Route, request: CallerRequest, signal: AbortSignal): DirectCall {
+	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
-		return new DirectCall({
+		return {
 			directory: this.#directory, client, random, log,
-		}, route, request, signal);
+		};
 	}
 
 	/** Texts that must have one version are finished before the weights change; others go on under the new ones. */
