--- a/packages/batches/__tests__/batches.spec.ts
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -47,6 +47,14 @@
 		return results;
 	}
 
+	/** Sets the time for each event of a run, in milliseconds, and how many a whole run has. */
+	function paceRuns(eventMs: number, events?: number): void {
+		for (const {switches} of world.serving.endpoints.values()) {
+			switches.eventMs = eventMs;
+			switches.events = events ?? switches.events;
+		}
+	}
+
 	beforeEach(() => {
 		clock = install();
 		world = createWorld();
@@ -91,9 +99,7 @@
 
 	it('gives a trainer\'s next batch to the process that ran the last one, whoever accepts it, while that one lives', async () => {
 		const [a, b] = createProcesses('a', 'b');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 800;
-		}
+		paceRuns(800);
 
 		await clock.tickAsync(500);
 		await settle(a!.batches.submit('1', createSubmission(1)));
@@ -130,9 +136,7 @@
 
 	it('goes on at another process when the owner dies, with every position as it was read', async () => {
 		const [a, b] = createProcesses('a', 'b');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 150;
-		}
+		paceRuns(150);
 
 		await settle(a!.batches.submit('1', createSubmission(12)));
 		await clock.tickAsync(1000);
@@ -148,10 +152,7 @@
 
 	it('takes nothing over while the store takes no heartbeats though its feed goes on, and does once it takes them', async () => {
 		const [a, b] = createProcesses('a', 'b');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 800;
-			switches.events = 20;
-		}
+		paceRuns(800, 20);
 
 		await settle(a!.batches.submit('1', createSubmission(1)));
 		await clock.tickAsync(1000);
@@ -169,10 +170,7 @@
 
 	it('takes over at once what an earlier start of its host owned, though heartbeats can not be read', async () => {
 		const [a] = createProcesses('a');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 800;
-			switches.events = 20;
-		}
+		paceRuns(800, 20);
 
 		await settle(a!.batches.submit('1', createSubmission(1)));
 		a!.kill();
@@ -184,10 +182,7 @@
 
 	it('takes a batch over at once when its owner leaves, and goes on after the events that it had', async () => {
 		const [a, b] = createProcesses('a', 'b');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 100;
-			switches.events = 20;
-		}
+		paceRuns(100, 20);
 
 		await settle(a!.batches.submit('1', createSubmission(2)));
 		await clock.tickAsync(1000);
@@ -202,9 +197,7 @@
 
 	it('writes nothing more after another process has taken the batch over while it was cut off', async () => {
 		const [a, b] = createProcesses('a', 'b');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 700;
-		}
+		paceRuns(700);
 
 		await settle(a!.batches.submit('1', createSubmission(4)));
 		await clock.tickAsync(1000);
@@ -239,9 +232,7 @@
 
 	it('runs nothing more of a batch that was ended at another process', async () => {
 		const [a, b] = createProcesses('a', 'b');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 400;
-		}
+		paceRuns(400);
 
 		await settle(a!.batches.submit('1', createSubmission(30)));
 		await clock.tickAsync(500);
@@ -255,10 +246,7 @@
 
 	it('goes on in the next batch with texts of groups that were not whole, at another process', async () => {
 		const [a, b] = createProcesses('a', 'b');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 100;
-			switches.events = 50;
-		}
+		paceRuns(100, 50);
 
 		await settle(a!.batches.submit('1', createSubmission(2, {step: 1})));
 		await clock.tickAsync(1500);
@@ -275,10 +263,7 @@
 
 	it('keeps the text of a run that breaks after the end of its batch', async () => {
 		const [a] = createProcesses('a');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 100;
-			switches.events = 50;
-		}
+		paceRuns(100, 50);
 
 		await settle(a!.batches.submit('1', createSubmission(1, {step: 1})));
 		await clock.tickAsync(1500);
@@ -301,10 +286,7 @@
 
 	it('does not use a kept text that was made by weights too old for the next batch', async () => {
 		const [a] = createProcesses('a');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 100;
-			switches.events = 50;
-		}
+		paceRuns(100, 50);
 
 		await settle(a!.batches.submit('1', createSubmission(1, {step: 1})));
 		await clock.tickAsync(1500);
@@ -323,10 +305,7 @@
 
 	it('begins long texts a second time under newer weights, and the next batch that allows only those goes on with them', async () => {
 		const [a] = createProcesses('a');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 40;
-			switches.events = 195;
-		}
+		paceRuns(40, 195);
 
 		await settle(a!.batches.submit('1', createSubmission(2, {step: 1, leastVersion: 1, wantedGroups: 1})));
 		await clock.tickAsync(4000);
@@ -349,10 +328,7 @@
 	it('begins no text a second time before the versions that the earlier batches will bring', async () => {
 		world = createWorld(4);
 		const [a] = createProcesses('a');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 40;
-			switches.events = 195;
-		}
+		paceRuns(40, 195);
 
 		await settle(a!.batches.submit('1', createSubmission(1, {step: 1, wantedGroups: 1})));
 		await clock.tickAsync(50);
@@ -414,10 +390,7 @@
 
 	it('removes ended batches and kept texts once nobody reads them, and nothing else', async () => {
 		const [a, b] = createProcesses('a', 'b');
-		for (const {switches} of world.serving.endpoints.values()) {
-			switches.eventMs = 100;
-			switches.events = 50;
-		}
+		paceRuns(100, 50);
 
 		await settle(a!.batches.submit('1', createSubmission(2, {step: 1})));
 		await settle(a!.batches.submit('2', createSubmission(1, {step: 1, path: '/steps/y'})));
