Show what the steps of trainers waited for, from logs, as a command

Cause: the logs told that a text took 9 s, not whether it waited for an endpoint, was refused, or was long. Each moment of a text now counts for one phase (waited, refused, begun, resumed, made, stalled, broken), each result tells how long scoring and the commit took, and reads are logged. 'wasabiusher steps' (npm run steps -- LOG) prints for each step the sample that it was whole with and the chain of its times, the least possible time, sums by trainer, a bar for each step and the slots in use.

--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/batch-owner.ts
@@ -143,7 +143,7 @@
 
 	/** Begins all samples that have no result. */
 	start(): void {
-		const {samples, wantedGroups} = this.#submission;
+		const {samples, wantedGroups, step, model} = this.#submission;
 		const open = new Map(samples.filter(({id}) => !this.#results.has(id)).map(sample => [sample.id, sample]));
 		const order = planBatchOrder([...open.values()].map(sample => ({
 			id: sample.id, group: sample.group ?? sample.id, expectedTokens: sample.expectedTokens ?? 0, isCarried: this.#kept.has(sample.id),
@@ -158,8 +158,10 @@
 		this.#renewalTimer = setInterval(() => {
 			this.#renew();
 		}, renewalMs);
+		const {record: {term, series, acceptedMs}} = this.#stored;
 		this.#settings.log.info('batch_begun', {
-			batch: this.id, term: this.#stored.record.term, total: samples.length, listed: this.#results.all.length, partials: this.#partials.size, kept: this.#kept.size,
+			batch: this.id, term, series, step, model, total: samples.length, wanted: wantedGroups, groups: groupBy(samples, ({id, group}) => group ?? id).size,
+			ageMs: Math.round(this.#settings.readStoreMs() - acceptedMs), listed: this.#results.all.length, partials: this.#partials.size, kept: this.#kept.size,
 		});
 	}
 
@@ -178,6 +180,7 @@
 
 	/** Has a whole text scored, then lists it. */
 	async finish(sample: Sample, text: SampleText): Promise<void> {
+		const wholeAt = performance.now();
 		this.#whole.set(sample.id, text);
 		const score = sample.score ? await scoreSample(this.#settings, sample, this.#stop.signal) : undefined;
 		if (this.#stop.signal.aborted) {
@@ -191,7 +194,7 @@
 
 		this.#results.add({
 			id: sample.id, state: 'made', text: text.events.join('\n'), versions: [...text.versions].toSorted((a, b) => a - b), ...(score === undefined ? {} : {score}),
-		});
+		}, {group: sample.group, events: text.events.length, scoredMs: Math.round(performance.now() - wholeAt)});
 	}
 
 	/** Lists a sample as given up. */
@@ -377,6 +380,7 @@
 			directory, client, log, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(),
 		}, {
 			id: sample.id,
+			batch: this.id,
 			model,
 			leastVersion,
 			isSingleVersion: this.#findRoute()?.isSingleVersion ?? false,
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -131,7 +131,7 @@
 		if (owner) {
 			await owner.waitBeyond(after, waitMs);
 			if (this.#owners.get(id) === owner) {
-				return {total: owner.stored.record.total, results: cutPage(owner.results.slice(after))};
+				return this.#notePage(id, after, {total: owner.stored.record.total, results: cutPage(owner.results.slice(after))});
 			}
 		}
 
@@ -324,7 +324,7 @@
 			const found = await this.#settings.store.readResults(id, after);
 			const isOver = performance.now() >= until || after >= total || this.#known.get(id)?.record.isEnded;
 			if (found.length > 0 || isOver) {
-				return {total, results: cutPage(found.map(({result}) => result))};
+				return this.#notePage(id, after, {total, results: cutPage(found.map(({result}) => result))});
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -332,6 +332,14 @@
 		}
 	}
 
+	#notePage(id: string, after: number, page: ResultPage): ResultPage {
+		if (page.results.length > 0) {
+			this.#settings.log.info('results_read', {batch: id, after, results: page.results.length});
+		}
+
+		return page;
+	}
+
 	async #findSubmission(id: string): Promise<Submission> {
 		const {record} = await this.#find(id);
 		return this.#readSubmission(record);
--- a/packages/batches/src/result-list.ts
+++ b/packages/batches/src/result-list.ts
@@ -5,7 +5,7 @@
  * answer what is there is read before anything is written at the next position.
  */
 import PQueue from 'p-queue';
-import {describeError, type Log} from '@wasabiusher/shared';
+import {describeError, type Log, type LogValue} from '@wasabiusher/shared';
 import type {SampleResult, StoredBatch} from './batch.js';
 import {maxWriteBytes, type BatchStore} from './batch-store.js';
 import {BatchError} from './errors.js';
@@ -40,6 +40,8 @@
 	readonly #results: SampleResult[] = [];
 	readonly #listed = new Set<string>();
 	#waiting: SampleResult[] = [];
+	/** What the log says of results once they are listed. */
+	readonly #notes = new Map<string, {addedAt: number; values: Readonly<Record<string, LogValue>>}>();
 	readonly #commits = new PQueue({concurrency: 1});
 	readonly #watchers = new Set<() => void>();
 
@@ -61,9 +63,14 @@
 		return this.#listed.has(sample);
 	}
 
-	/** Lists a result as soon as the store takes it. */
-	add(result: SampleResult): void {
+	/**
+	 * Lists a result as soon as the store takes it.
+	 *
+	 * @param values - what the log says of it besides
+	 */
+	add(result: SampleResult, values: Readonly<Record<string, LogValue>> = {}): void {
 		this.#waiting.push(result);
+		this.#notes.set(result.id, {addedAt: performance.now(), values});
 		void this.#commits.add(async () => this.#commit());
 	}
 
@@ -178,6 +185,14 @@
 	#list(result: SampleResult): void {
 		this.#results.push(result);
 		this.#listed.add(result.id);
+		const note = this.#notes.get(result.id);
+		if (note) {
+			this.#notes.delete(result.id);
+			this.#settings.log.info('result_listed', {
+				batch: this.#settings.stored.record.id, sample: result.id, position: this.#results.length - 1, state: result.state, ...note.values,
+				committedMs: Math.round(performance.now() - note.addedAt),
+			});
+		}
 	}
 
 	/** Forgets what is listed by now, and tells those who wait. */
--- /dev/null
+++ b/packages/cli/__tests__/steps-command.spec.ts
@@ -0,0 +1,57 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {expect} from 'chai';
+import {runProgram} from '../src/program.js';
+
+describe('wasabiusher steps', () => {
+	let directory: string;
+
+	beforeEach(() => {
+		directory = mkdtempSync(path.join(tmpdir(), 'steps-'));
+	});
+
+	afterEach(() => {
+		rmSync(directory, {recursive: true});
+	});
+
+	async function run(...argv: string[]): Promise<{status: number; out: string; error: string}> {
+		const printed = {out: '', error: ''};
+		const status = await runProgram({
+			argv: ['steps', ...argv], environment: {}, writeOut(text) {
+				printed.out += text;
+			}, writeError(text) {
+				printed.error += text;
+			},
+		});
+		return {status, ...printed};
+	}
+
+	function write(name: string, lines: readonly string[]): string {
+		const file = path.join(directory, name);
+		writeFileSync(file, lines.join('\n'));
+		return file;
+	}
+
+	it('reports on the steps of several files, and counts lines that were cut', async () => {
+		const begun = write('a.log', ['time=2026-03-25T09:00:00.000Z level=info program=p event=batch_begun batch=x series=t/ step=1 model=m total=1 wanted=1 groups=1 ageMs=0']);
+		const listed = write('b.log', [
+			'time=2026-03-25T09:00:02.000Z level=info program=p event=result_listed batch=x sample=s position=0 group=g events=9 scoredMs=1 committedMs=2',
+			'time=2026-03-25T09:00:02.000Z level=info program=p event=results_read reason="cu',
+		]);
+		const {status, out} = await run('--logs', `${begun},${listed}`, '--json');
+		expect(status).to.equal(0);
+		expect(JSON.parse(out)).to.deep.include({lines: 3, skipped: 1});
+		expect((JSON.parse(out) as {steps: Array<{wholeMs: number}>}).steps[0]!.wholeMs).to.equal(2000);
+		const text = await run('--logs', begun);
+		expect(text.out).to.include('1 steps');
+	});
+
+	it('says in one line which file can not be read, or that there is no step in it', async () => {
+		const missing = await run('--logs', path.join(directory, 'absent.log'));
+		expect([missing.status, missing.error.split('\n').length]).to.deep.equal([1, 1]);
+		expect(missing.error).to.include('absent.log');
+		const empty = await run('--logs', write('empty.log', ['nothing']));
+		expect([empty.status, empty.error]).to.deep.equal([1, `no step was begun in 1 lines of ${path.join(directory, 'empty.log')}`]);
+	});
+});
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -14,6 +14,7 @@
 import {formatTable, formatTime} from './layout.js';
 import {OperatorClient} from './operator-client.js';
 import {formatStatus, joinStatuses} from './status.js';
+import {stepsCommand} from './steps-command.js';
 import {
 	accessShape, defineCommand, fileShape, jsonShape, type Command,
 } from './command.js';
@@ -167,5 +168,5 @@
 
 /** All commands. */
 export const commands: Readonly<Record<string, Command>> = {
-	validate, diff, apply, history, status, burn: burnCommand,
+	validate, diff, apply, history, status, burn: burnCommand, steps: stepsCommand,
 };
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -13,12 +13,15 @@
 } from '@wasabiusher/shared';
 import {chooseService} from './call.js';
 import type {EndpointDirectory, EndpointNeed} from './endpoint-directory.js';
+import {PhaseTimes, type RunPhase} from './phase-times.js';
 import {SilenceWatch} from './silence-watch.js';
 
 /** What a sample asks of the endpoints. */
 export type SampleRequest = {
 	/** Names the sample; each of its runs carries it. */
 	id: string;
+	/** Names its batch in logs. */
+	batch?: string;
 	model: string | undefined;
 	/** Oldest version of the weights that may make its text. */
 	leastVersion: number;
@@ -85,6 +88,9 @@
 	readonly #signal: AbortSignal;
 	readonly #text: SampleText;
 	readonly #startedAt = performance.now();
+	readonly #times = new PhaseTimes();
+	/** Events that the text had when it came here. */
+	readonly #keptEvents: number;
 	#failures = 0;
 	#runs = 0;
 	/** What the present attempt was chosen by. */
@@ -101,6 +107,7 @@
 		this.#sample = sample;
 		this.#signal = signal;
 		this.#text = text ?? {events: [], versions: new Set()};
+		this.#keptEvents = this.#text.events.length;
 	}
 
 	/** What has been made so far; changes while `run` goes on. */
@@ -159,6 +166,14 @@
 		return endpoint;
 	}
 
+	#findHeadPhase({isNotRun}: ServingRun): RunPhase {
+		if (isNotRun) {
+			return 'refused';
+		}
+
+		return this.#text.events.length > 0 ? 'resumed' : 'begun';
+	}
+
 	#beginAnew(): void {
 		this.#text.events.length = 0;
 		this.#text.versions.clear();
@@ -177,6 +192,7 @@
 			const unsubscribe = this.#settings.directory.onChange(finish);
 			this.#signal.addEventListener('abort', finish);
 		});
+		this.#times.mark('waited');
 		return 'again';
 	}
 
@@ -195,6 +211,7 @@
 			const run = await client.run(endpoint, this.#toServing(), signal);
 			headMs = Math.round(performance.now() - startedAt);
 			({status} = run);
+			this.#times.mark(this.#findHeadPhase(run));
 			directory.recordHead(id, run);
 			watch.note();
 			return await this.#readRun({
@@ -206,7 +223,7 @@
 			}
 
 			log.info('run_broken', {
-				sample: this.#sample.id, endpoint: id, from: before, events: this.#text.events.length, reason: describeError(error),
+				batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, from: before, events: this.#text.events.length, reason: describeError(error),
 			});
 			if (stop.signal.aborted) {
 				directory.recordSilence(id);
@@ -216,11 +233,13 @@
 
 			this.#avoided = id;
 			await this.#pause();
+			this.#times.mark('broken');
 			return 'again';
 		} finally {
 			watch.end();
 			log.info('run_ended', {
-				sample: this.#sample.id, endpoint: id, status, from: before, events: this.#text.events.length, headMs, tookMs: Math.round(performance.now() - startedAt),
+				batch: this.#sample.batch, sample: this.#sample.id, model: this.#sample.model, endpoint: id, status, from: before, events: this.#text.events.length, headMs,
+				tookMs: Math.round(performance.now() - startedAt),
 			});
 			// Ends a run that is not read to its end.
 			stop.abort();
@@ -264,8 +283,8 @@
 		}
 
 		log.info('text_made', {
-			sample: this.#sample.id, endpoint: id, events: this.#text.events.length, runs: this.#runs, versions: [...this.#text.versions].join(','),
-			tookMs: Math.round(performance.now() - this.#startedAt),
+			batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, events: this.#text.events.length, kept: this.#keptEvents, runs: this.#runs,
+			versions: [...this.#text.versions].join(','), tookMs: Math.round(performance.now() - this.#startedAt), ...this.#times.toValues(),
 		});
 		return {kind: 'made', text: this.#text};
 	}
@@ -287,13 +306,16 @@
 		let lastAt = performance.now();
 		for await (const event of run.events) {
 			this.#takeEvent(event);
+			this.#times.markEvent();
 			watch.note();
 			const now = performance.now();
 			directory.recordPace(id, now - lastAt);
 			lastAt = now;
 			const isLong = this.#text.events.length - from >= longRunEvents;
 			if (this.#need && directory.shouldMove(id, this.#need, isLong)) {
-				log.info('run_moved', {sample: this.#sample.id, endpoint: id, events: this.#text.events.length});
+				log.info('run_moved', {
+					batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, events: this.#text.events.length,
+				});
 				this.#avoided = id;
 				return false;
 			}
--- /dev/null
+++ b/packages/logs/__tests__/steps-report.spec.ts
@@ -0,0 +1,93 @@
+import {expect} from 'chai';
+import {formatLine, type LogValue} from '@wasabiusher/shared';
+import {
+	parseLine, plotSlots, plotSteps, reportSteps, StepHistories, type StepsReport,
+} from '../src/index.js';
+
+const startMs = Date.parse('2026-03-25T09:00:00Z');
+
+type Entry = [atMs: number, event: string, values: Record<string, LogValue>];
+
+function report(entries: readonly Entry[]): StepsReport {
+	const histories = new StepHistories();
+	for (const [atMs, event, values] of entries) {
+		histories.add(parseLine(`time=${new Date(startMs + atMs).toISOString()} level=info program=p ${formatLine(event, values)}`)!);
+	}
+
+	return reportSteps(histories);
+}
+
+/** A step of three groups of two, of which two are waited for; the third group's text comes last. */
+function createStep(): Entry[] {
+	const texts: Array<[string, string, number, number]> = [
+		['a1', 'a', 30, 1300], ['a2', 'a', 40, 1700], ['b1', 'b', 50, 2500], ['b2', 'b', 90, 4700], ['c1', 'c', 20, 900], ['c2', 'c', 150, 6200],
+	];
+	return [
+		[100, 'batch_begun', {
+			batch: 'x', series: 't/', step: 3, model: 'm', total: 6, wanted: 2, groups: 3, ageMs: 100,
+		}],
+		...texts.flatMap(([sample, group, events, wholeAt], position): Entry[] => [
+			[wholeAt, 'text_made', {
+				batch: 'x', sample, endpoint: 'e1', events, kept: 0, runs: 2, tookMs: wholeAt - 200, waitedMs: 100, begunMs: 20, madeMs: wholeAt - 320,
+			}],
+			[wholeAt, 'run_ended', {
+				batch: 'x', sample, endpoint: 'e1', model: 'm', status: 200, tookMs: wholeAt - 320,
+			}],
+			[wholeAt + 50, 'result_listed', {
+				batch: 'x', sample, position, group, events, scoredMs: 30, committedMs: 20,
+			}],
+		]),
+		[5000, 'results_read', {batch: 'x', after: 0, results: 4}],
+		[5100, 'batch_ended', {batch: 'x'}],
+	].toSorted((a, b) => Number(a[0]) - Number(b[0])) as Entry[];
+}
+
+describe('reportSteps', () => {
+	it('names the sample that the wanted groups were whole with, and where its time went', () => {
+		const {steps: [step]} = report(createStep());
+		expect(step!.chain).to.include({
+			sample: 'b2', endpoint: 'e1', events: 90, runs: 2, wholeMs: 4750,
+		});
+		expect(step!.chain!.links).to.include({
+			owned: 100, queued: 100, waited: 100, begun: 20, made: 4380, scored: 30, committed: 20, read: 250,
+		});
+		expect(step!.endedMs).to.equal(5100);
+	});
+
+	it('adds the links up to the time of the step', () => {
+		const {steps: [step]} = report(createStep());
+		const {read, ...others} = step!.chain!.links;
+		expect(Object.values(others).reduce((sum, ms) => sum + ms, 0)).to.equal(step!.wholeMs);
+	});
+
+	it('bounds a step by the longest text of the groups that are quickest to make', () => {
+		const {steps: [step], bestPaceMs} = report(createStep());
+		expect(step!.boundMs).to.equal(90 * bestPaceMs!);
+	});
+
+	it('counts a step as unfinished while fewer groups are whole than are waited for', () => {
+		const {trainers: [trainer], steps: [step]} = report(createStep().filter(([, event, {sample}]) => event !== 'result_listed' || (sample !== 'b2' && sample !== 'c2')));
+		expect(step!.chain).to.equal(undefined);
+		expect(trainer).to.include({steps: 1, unfinished: 1});
+	});
+
+	it('keeps the time at which a step was asked when another owner begins it anew', () => {
+		const again: Entry = [3000, 'batch_begun', {
+			batch: 'x', series: 't/', step: 3, model: 'm', total: 6, wanted: 2, groups: 3, ageMs: 2900,
+		}];
+		const {steps: [step]} = report([...createStep(), again].toSorted((a, b) => a[0] - b[0]));
+		expect(step!.owners).to.equal(2);
+		expect(step!.askedAt).to.equal(startMs);
+		expect(step!.chain!.links.owned).to.equal(3000);
+	});
+
+	it('plots a bar for each step and the slots in use', () => {
+		const {steps, slots, from, to} = report(createStep());
+		expect(plotSteps(steps, from, to)[0]).to.match(/^t\/ {3}3 \|=+#+\.+$/v);
+		expect(plotSlots(slots)).to.have.length(1);
+	});
+
+	it('has nothing to tell of logs without steps', () => {
+		expect(report([[0, 'started', {}]])).to.deep.include({steps: [], trainers: [], slots: []});
+	});
+});
--- /dev/null
+++ b/packages/logs/src/index.ts
@@ -0,0 +1,8 @@
+/** What the logs of any number of hosts tell afterwards: of steps, and where their time went. */
+export * from './line.js';
+export * from './read-lines.js';
+export * from './slot-use.js';
+export * from './step-chain.js';
+export * from './step-history.js';
+export * from './step-plot.js';
+export * from './steps-report.js';
--- /dev/null
+++ b/packages/logs/src/step-chain.ts
@@ -0,0 +1,109 @@
+/**
+ * What decided when a step was whole: the sample that the trainer waited for last, and where its time went.
+ *
+ * A trainer waits for a number of whole groups. The step is whole with the last sample of the last of these; the chain of
+ * that sample's times, from the moment at which the step was asked until the trainer had read it, adds up to the step's time.
+ */
+import type {
+	ListedHistory, PhaseTimes, StepHistory, TextHistory,
+} from './step-history.js';
+
+/** Links of the chain in their order, each a time in milliseconds. */
+export const chainLinks = ['owned', 'queued', 'waited', 'refused', 'begun', 'resumed', 'made', 'stalled', 'broken', 'scored', 'committed', 'read'] as const;
+
+export type ChainLink = typeof chainLinks[number];
+
+/** The sample that a step was whole with. */
+export type StepChain = {
+	sample: string;
+	endpoint: string;
+	events: number;
+	kept: number;
+	runs: number;
+	/** From asked to whole. */
+	wholeMs: number;
+	links: Readonly<Record<ChainLink, number>>;
+};
+
+/** Fewest events that tell the pace of a text's endpoint. */
+const minPaceEvents = 20;
+
+/** Part of the texts that are faster than the pace of the lower bound; the very fastest are chance. */
+const bestPart = 0.02;
+
+/** Pace of the fastest endpoints with nothing lost, in milliseconds for an event; undefined if no text tells. */
+export function findBestPace(steps: readonly StepHistory[]): number | undefined {
+	const paces = steps
+		.flatMap(({texts}) => [...texts.values()])
+		.filter(({events, kept}) => events - kept >= minPaceEvents)
+		.map(({events, kept, phases}) => phases.made / (events - kept))
+		.toSorted((a, b) => a - b);
+	return paces[Math.floor(bestPart * paces.length)];
+}
+
+type ListedGroup = {wholeAt: number; last: string; longestEvents: number};
+
+/** Groups of which every sample is listed, in the order in which they became whole. */
+function listWholeGroups({listed, texts, total, groups}: StepHistory): ListedGroup[] {
+	const size = groups > 0 ? Math.round(total / groups) : 1;
+	const members = new Map<string, Array<[string, ListedHistory]>>();
+	for (const entry of listed) {
+		const {group} = entry[1];
+		members.set(group, [...(members.get(group) ?? []), entry]);
+	}
+
+	return [...members.values()].filter(entries => entries.length >= size).map(entries => {
+		const last = entries.toSorted((a, b) => b[1].listedAt - a[1].listedAt)[0]!;
+		return {
+			wholeAt: last[1].listedAt, last: last[0], longestEvents: Math.max(...entries.map(([sample, {events}]) => events - (texts.get(sample)?.kept ?? 0))),
+		};
+	}).toSorted((a, b) => a.wholeAt - b.wholeAt);
+}
+
+/**
+ * Least time in which the step could have been whole, in milliseconds: the longest text of the groups that are quickest to make, on the
+ * fastest endpoint, with nothing lost. Undefined if fewer groups are whole than the trainer waits for.
+ */
+export function findLowerBound(step: StepHistory, bestPaceMs: number): number | undefined {
+	const longest = listWholeGroups(step).map(({longestEvents}) => longestEvents).toSorted((a, b) => a - b);
+	const events = longest[step.wanted - 1];
+	return events === undefined ? undefined : events * bestPaceMs;
+}
+
+/** The chain of a step; undefined if fewer groups are whole than the trainer waits for. */
+export function findChain(step: StepHistory): StepChain | undefined {
+	const group = listWholeGroups(step)[step.wanted - 1];
+	if (!group) {
+		return undefined;
+	}
+
+	const listed = step.listed.get(group.last)!;
+	const text = step.texts.get(group.last);
+	return {
+		sample: group.last,
+		endpoint: text?.endpoint ?? '',
+		events: listed.events,
+		kept: text?.kept ?? listed.events,
+		runs: text?.runs ?? 0,
+		wholeMs: listed.listedAt - step.askedAt,
+		links: measureLinks(step, listed, text),
+	};
+}
+
+function measureLinks(step: StepHistory, listed: ListedHistory, text: TextHistory | undefined): Record<ChainLink, number> {
+	const {scoredMs, committedMs, listedAt, position} = listed;
+	const wholeAt = text?.wholeAt ?? listedAt - committedMs - scoredMs;
+	const owned = Math.max(0, step.begunAt - step.askedAt);
+	const readAt = step.reads.find(read => read.beyond > position && read.readAt >= listedAt)?.readAt;
+	const phases: PhaseTimes = text?.phases ?? {
+		waited: 0, refused: 0, begun: 0, resumed: 0, made: 0, stalled: 0, broken: 0,
+	};
+	return {
+		owned,
+		queued: Math.max(0, wholeAt - (text?.tookMs ?? 0) - step.askedAt - owned),
+		...phases,
+		scored: scoredMs,
+		committed: committedMs,
+		read: readAt === undefined ? 0 : readAt - listedAt,
+	};
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -13,6 +13,7 @@
 	['link'],
 	['backends'],
 	['daemon'],
+	['logs'],
 	['shared'],
 ];
 
