Believe an endpoint's report only once it can know of the order

Cause: reports are some hundred milliseconds old. 'weights_loaded' was never logged. Now an order counts as not taken only if the report's count of orders says so after 0.6 s. Ruled out: that loads hold up runs under way (no run had a pause above 0.25 s in the logs). Test: with reports that lag by 0.3 s two of two endpoints loaded together before, one now.

--- a/packages/direct/__tests__/weight-orders.spec.ts
+++ b/packages/direct/__tests__/weight-orders.spec.ts
@@ -70,6 +70,23 @@
 		expect([...loaded.values()].map(({size}) => size)).to.deep.equal([2, 2, 2]);
 	});
 
+	it('keeps half of the endpoints from loading while reports lag behind', async () => {
+		bench = createBench(2);
+		orders = new WeightOrders({
+			directory: bench.directory, client: bench.client, right, holder: 'a', log: bench.log, chooseMode: () => 'continue',
+		});
+		for (const {switches} of bench.endpoints) {
+			switches.reportLagMs = 300;
+		}
+
+		orders.publish('m', 2);
+		await tickFor(5000, () => {
+			expect(bench.endpoints.filter(({isBusy}) => isBusy).length).to.be.at.most(1);
+		});
+		expect(bench.endpoints.map(({version}) => version)).to.deep.equal([2, 2]);
+		expect(countOrders()).to.equal(2);
+	});
+
 	it('lets the step that follows a publication fill the slots before any endpoint loads', async () => {
 		orders.publish('m', 2);
 		await tickFor(250);
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -56,7 +56,20 @@
  */
 const settleMs = 300;
 
-type Transition = {model: string; version: number; startedAt: number; nextLookAt: number};
+/**
+ * Age that a report may have, in milliseconds: endpoints tell what was some hundred milliseconds ago. An endpoint that had just begun
+ * to load was taken for one that had not taken its order, so that both endpoints of a model loaded together.
+ */
+const reportLagMs = 600;
+
+type Transition = {
+	model: string;
+	version: number;
+	/** Orders that the endpoint had accepted before. */
+	expectedOrders: number;
+	startedAt: number;
+	nextLookAt: number;
+};
 
 /** Gives orders for weights. */
 export class WeightOrders {
@@ -145,10 +158,12 @@
 			return;
 		}
 
-		if (report.isBusy) {
+		const isOpen = this.#loading.get(endpoint.id) === transition && !this.#holds(endpoint, transition);
+		const isTaken = report.isBusy || report.orderCount > transition.expectedOrders;
+		if (isOpen && (isTaken || performance.now() - transition.startedAt < reportLagMs)) {
 			this.#settings.directory.pause(endpoint.id, holdBackMs);
-		} else if (this.#loading.get(endpoint.id) === transition && !this.#holds(endpoint, transition)) {
-			// Neither under way nor done: the order was not taken, or was for another version.
+		} else if (isOpen) {
+			// Neither under way nor done: the order was not taken.
 			this.#loading.delete(endpoint.id);
 			this.#notBefore.set(endpoint.id, performance.now() + retryMs);
 		}
@@ -235,7 +250,7 @@
 		const startedAt = performance.now();
 		this.#orderedAt = startedAt;
 		this.#loading.set(endpoint.id, {
-			model, version, startedAt, nextLookAt: startedAt + reportMs,
+			model, version, expectedOrders: report.orderCount, startedAt, nextLookAt: startedAt + reportMs,
 		});
 		directory.pause(endpoint.id, holdBackMs);
 		try {
--- a/packages/standins/src/memory-serving.ts
+++ b/packages/standins/src/memory-serving.ts
@@ -32,6 +32,8 @@
 	ordersToDelay: number;
 	lateMs: number;
 	loadMs: number;
+	/** Age of what a report tells, in milliseconds. */
+	reportLagMs: number;
 };
 
 /** What has happened at an endpoint. */
@@ -41,21 +43,33 @@
 export class MemoryEndpoint {
 	readonly switches: ServingSwitches = {
 		isDown: false, isDark: false, isFull: false, status: 200, callMs: 10, eventMs: 10, events: 5, breakAfter: undefined, unframed: 0, answersToLose: 0, ordersToDelay: 0,
-		lateMs: 3000, loadMs: 900,
+		lateMs: 3000, loadMs: 900, reportLagMs: 0,
 	};
 
 	/** Requests that have begun to run. */
 	readonly runs: ServingRecord[] = [];
 	readonly orders: WeightOrder[] = [];
 	readonly id: string;
+	/** Version of the model `m`, which makes all runs. */
 	version = 1;
 	orderCount = 0;
 	isBusy = false;
+	/** Versions of other models that it was told to load. */
+	readonly #others = new Map<string, number>();
+	/** Reports as of the last changes, the newest last. */
+	readonly #reports: Array<{madeAt: number; report: ServingReport}> = [];
 
 	constructor(id: string) {
 		this.id = id;
 	}
 
+	/** What it tells of itself; as old as its lag. */
+	report(): ServingReport {
+		const seenAt = performance.now() - this.switches.reportLagMs;
+		const current = this.#describe();
+		return this.switches.reportLagMs === 0 ? current : this.#reports.findLast(({madeAt}) => madeAt <= seenAt)?.report ?? {...current, isBusy: false, orderCount: 0};
+	}
+
 	/** Carries out an order if its condition holds. */
 	take(order: WeightOrder): OrderOutcome {
 		this.orders.push(order);
@@ -63,18 +77,41 @@
 			return 'changed';
 		}
 
-		if (order.version === this.version) {
+		if (order.version === this.#findVersion(order.model)) {
 			return 'holds';
 		}
 
 		this.orderCount += 1;
 		this.isBusy = true;
+		this.#noteChange();
 		setTimeout(() => {
 			this.isBusy = false;
-			this.version = order.version;
+			this.#hold(order);
+			this.#noteChange();
 		}, this.switches.loadMs);
 		return 'accepted';
 	}
+
+	#noteChange(): void {
+		this.#reports.push({madeAt: performance.now(), report: this.#describe()});
+	}
+
+	#describe(): ServingReport {
+		const models = ['m', ...this.#others.keys()].map(model => ({model, version: this.#findVersion(model)}));
+		return {models, isBusy: this.isBusy, orderCount: this.orderCount};
+	}
+
+	#findVersion(model: string): number {
+		return model === 'm' ? this.version : this.#others.get(model) ?? 1;
+	}
+
+	#hold({model, version}: WeightOrder): void {
+		if (model === 'm') {
+			this.version = version;
+		} else {
+			this.#others.set(model, version);
+		}
+	}
 }
 
 /** Calls to endpoints in memory, found by their address. */
@@ -127,8 +164,7 @@
 	}
 
 	async report(target: EndpointTarget): Promise<ServingReport> {
-		const endpoint = this.#reach(target);
-		return {models: [{model: 'm', version: endpoint.version}], isBusy: endpoint.isBusy, orderCount: endpoint.orderCount};
+		return this.#reach(target).report();
 	}
 
 	async order(target: EndpointTarget, order: WeightOrder): Promise<OrderOutcome> {
