Share endpoints among models by the work of their steps and by their pace

Those of the trainer with texts of 70 events stood idle at 2 to 5 of 16 slots, while texts of 181 events were made at 42 to 44 ms an event on full endpoints, or on slow ones at 51, and waited up to 4 s where a model was left with one endpoint. Hypothesis: shares by work, and fast endpoints for long texts, shorten the steps that decide. A batch's row now names its model and expected tokens; heartbeats tell, every fifth time, the best pace of endpoints over ten to twenty seconds, so that a slow spell moves nothing. A model keeps an endpoint unless another lacks 0.3 of one more; what an endpoint follows is told by how far it is behind each model's newest version, not by which trainer publishes more often. Places are worked out once a second or when versions change, not at each tick.

--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -55,6 +55,11 @@
 	/** Name of the object that holds the submission; empty if it lies in rows. */
 	object: z.string(),
 	total: z.int().nonnegative(),
+	/** The model that makes it; empty if none was named. */
+	model: z.string().default(''),
+	/** Expected length of all its texts together, and of the longest one, in tokens; 0 if nothing is known. */
+	expectedTokens: z.number().default(0),
+	longestTokens: z.number().default(0),
 	/** On the store's steady clock, in milliseconds. */
 	acceptedMs: z.number(),
 });
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -7,8 +7,8 @@
 import {Buffer} from 'node:buffer';
 import {LRUCache} from 'lru-cache';
 import type {RowChange} from '@wasabiusher/backends';
-import {shouldOwnNext} from '@wasabiusher/decisions';
-import {describeError} from '@wasabiusher/shared';
+import {shouldOwnNext, type ModelNeed} from '@wasabiusher/decisions';
+import {describeError, groupBy} from '@wasabiusher/shared';
 import {
 	type BatchRecord, type KeptText, type ResultPage, type SampleResult, type StoredBatch, type Submission,
 } from './batch.js';
@@ -50,6 +50,13 @@
 /** Most text in one answer, in characters; the answer as a whole stays under 1 MB. */
 const maxPageText = 700_000;
 
+/**
+ * Batches of a model, and the time in milliseconds, over which what its steps ask for is averaged. The mean of a step counts, not the sum over
+ * time: a trainer that is late asks less often and must not lose endpoints by that.
+ */
+const needBatches = 4;
+const needAgeMs = 20_000;
+
 export type BatchesSettings = Omit<BatchOwnerSettings, 'countEarlierOpen' | 'onReplaced'> & {
 	store: BatchStore;
 	keptTexts: KeptTexts;
@@ -79,6 +86,16 @@
 		return [...this.#owners.values()].filter(({results, submission}) => results.length < submission.samples.length).length;
 	}
 
+	/** What the last steps of each model have asked for; the endpoints are shared by it. */
+	listNeeds(): Map<string, ModelNeed> {
+		const since = this.#settings.readStoreMs() - needAgeMs;
+		const recent = [...this.#known.values()].map(({record}) => record).filter(({model, acceptedMs}) => model !== '' && acceptedMs >= since);
+		return new Map([...groupBy(recent, ({model}) => model)].map(([model, records]) => {
+			const last = records.toSorted((a, b) => b.acceptedMs - a.acceptedMs).slice(0, needBatches);
+			return [model, {work: findMean(last, ({expectedTokens}) => expectedTokens), longest: findMean(last, ({longestTokens}) => longestTokens)}];
+		}));
+	}
+
 	/** Begins to look for batches without a living owner. */
 	start(): void {
 		this.#timer = setInterval(() => {
@@ -100,7 +117,7 @@
 		const {object, rows} = await this.#prepare(id, submission);
 		const series = findSeries(submission);
 		const record: BatchRecord = {
-			id, ...this.#chooseOwner(series), series, term: 1, isEnded: false, object, total: submission.samples.length, acceptedMs: readStoreMs(),
+			id, ...this.#chooseOwner(series), series, term: 1, isEnded: false, object, total: submission.samples.length, ...measureWork(submission), acceptedMs: readStoreMs(),
 		};
 		this.#submissions.set(id, submission);
 		const stored = await this.#writeSettled(record, rows);
@@ -517,6 +534,16 @@
 	return host + path.slice(0, path.lastIndexOf('/') + 1);
 }
 
+/** What a batch asks of the endpoints; a sample of which nothing is known counts as one token. */
+function measureWork({model = '', samples}: Submission): Pick<BatchRecord, 'model' | 'expectedTokens' | 'longestTokens'> {
+	const lengths = samples.map(({expectedTokens}) => expectedTokens ?? 1);
+	return {model, expectedTokens: lengths.reduce((sum, length) => sum + length, 0), longestTokens: Math.max(0, ...lengths)};
+}
+
+function findMean<Item>(items: readonly Item[], read: (item: Item) => number): number {
+	return items.reduce((sum, item) => sum + read(item), 0) / Math.max(1, items.length);
+}
+
 /** As many of the first results as fit into one answer; one at least. */
 function cutPage(results: readonly SampleResult[]): SampleResult[] {
 	let length = 0;
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -45,6 +45,12 @@
 /** Age from which a heartbeat that was heard proves nothing of the present, in milliseconds. */
 const proofMs = 1000;
 
+/** Every so many heartbeats tell paces of endpoints: they change slowly, and each row goes to every host. */
+const pacesEvery = 5;
+
+/** Most endpoints of which a heartbeat tells; a row stays under 1 KB. */
+const maxToldPaces = 24;
+
 const hostSchema = z.object({
 	incarnation: z.string(),
 	beat: z.int(),
@@ -53,6 +59,8 @@
 	lateMs: z.number().default(0),
 	/** Where other hosts reach it, `ip:port`; empty if they can't. */
 	address: z.string().default(''),
+	/** Best paces of endpoints that it has measured, in milliseconds; told now and then. */
+	paces: z.record(z.string(), z.number()).optional(),
 });
 
 type HostRow = z.infer<typeof hostSchema>;
@@ -65,6 +73,10 @@
 	log: Log;
 	/** Whether this process owns work, so that its silence would mean something. */
 	ownsWork(): boolean;
+	/** Paces of endpoints to tell to the others; of so many at most. */
+	listPaces?(most: number): Record<string, number>;
+	/** Called with what another process has told of them. */
+	onPaces?(paces: Record<string, number>): void;
 };
 
 /** What was heard of a process that is not known to be gone. */
@@ -190,6 +202,9 @@
 		}
 
 		this.#hosts.set(key, {...row, heardAt: performance.now()});
+		if (row.paces && row.incarnation !== this.incarnation) {
+			this.#settings.onPaces?.(row.paces);
+		}
 	}
 
 	/** Notes that the store was heard. */
@@ -250,6 +265,7 @@
 		this.#beat += 1;
 		const row: HostRow = {
 			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, lateMs: this.#lateMs, address,
+			...(this.#beat % pacesEvery === 0 ? {paces: this.#settings.listPaces?.(maxToldPaces)} : {}),
 		};
 		try {
 			await rows.commit({
--- a/packages/decisions/__tests__/model-placement.spec.ts
+++ b/packages/decisions/__tests__/model-placement.spec.ts
@@ -1,36 +1,138 @@
 import {expect} from 'chai';
-import {placeModels, type ModelHolder} from '../src/index.js';
+import {Random} from '@wasabiusher/shared';
+import {placeModels, type ModelHolder, type ModelNeed} from '../src/index.js';
 
-function createHolder(id: string, versions: Record<string, number>): ModelHolder {
-	return {id, versions: new Map(Object.entries(versions))};
+function createHolder(id: string, versions: Record<string, number>, paceMs?: number): ModelHolder {
+	return {id, versions: new Map(Object.entries(versions)), paceMs};
+}
+
+function place(holders: readonly ModelHolder[], published: Record<string, number> = {}, needs: Record<string, ModelNeed> = {}): Map<string, readonly string[]> {
+	return placeModels({holders, published: new Map(Object.entries(published)), needs: new Map(Object.entries(needs))});
+}
+
+function countPlaces(placed: ReadonlyMap<string, readonly string[]>): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const model of [...placed.values()].flat().toSorted()) {
+		counts[model] = (counts[model] ?? 0) + 1;
+	}
+
+	return counts;
+}
+
+/** What the endpoints hold once they have followed their places for some versions. */
+function follow(holders: readonly ModelHolder[], placed: ReadonlyMap<string, readonly string[]>, published: Record<string, number>): ModelHolder[] {
+	return holders.map(({id, versions, paceMs}) => {
+		const [model] = placed.get(id)!;
+		return {id, versions: new Map([...versions, [model!, published[model!]!]]), paceMs};
+	});
+}
+
+/** Needs of three trainers: short texts, and two with long ones and some three times the work. */
+const needs: Record<string, ModelNeed> = {
+	a: {work: 31_000, longest: 4000}, b: {work: 75_000, longest: 10_500}, c: {work: 77_000, longest: 10_400},
+};
+
+/**
+ * Replays one step of each trainer over its model's endpoints; texts have heavy-tailed lengths, and an endpoint is slower the more it runs.
+ *
+ * @returns when nine tenths of the groups of the last step are whole, in milliseconds
+ */
+function replay(seed: number, placed: ReadonlyMap<string, readonly string[]>, speeds: Readonly<Record<string, number>>): number {
+	const random = new Random(seed);
+	const steps = {a: {groups: 14, mean: 10, most: 70}, b: {groups: 13, mean: 25, most: 181}, c: {groups: 13, mean: 25, most: 181}};
+	return Math.max(...Object.entries(steps).map(([model, {groups, mean, most}]) => {
+		const ids = [...placed].filter(([, models]) => models.includes(model)).map(([id]) => id);
+		const slots = ids.flatMap(id => Array.from({length: 16}, () => ({freeAt: 0, paceMs: speeds[id]! * (34.3 + (0.45 * 16))})));
+		const wholeAt = Array.from({length: groups}, () => Math.max(...Array.from({length: 4}, () => {
+			const events = Math.min(most, Math.ceil(random.exponential(mean) * (random.next() < 0.08 ? 5 : 1)));
+			const slot = slots.toSorted((x, y) => (x.freeAt + (events * x.paceMs)) - (y.freeAt + (events * y.paceMs)))[0]!;
+			slot.freeAt += events * slot.paceMs;
+			return slot.freeAt;
+		})));
+		return wholeAt.toSorted((x, y) => x - y)[Math.ceil(0.9 * groups) - 1]!;
+	}));
 }
 
 describe('placeModels', () => {
 	const fresh = Array.from({length: 6}, (_, i) => createHolder(`e${i}`, {a: 1, b: 1, c: 1}));
 
-	it('lets each endpoint follow one model, evenly', () => {
-		const placed = placeModels(fresh);
-		const counts = ['a', 'b', 'c'].map(model => [...placed.values()].filter(models => models.includes(model)).length);
-		expect(counts).to.deep.equal([2, 2, 2]);
+	it('lets each endpoint follow one model, evenly while nothing is known of what they need', () => {
+		const placed = place(fresh);
+		expect(countPlaces(placed)).to.deep.equal({a: 2, b: 2, c: 2});
 		expect([...placed.values()].every(models => models.length === 1)).to.equal(true);
 	});
 
-	it('keeps an endpoint with the model that it has followed', () => {
-		const holders = [createHolder('e0', {a: 1, b: 4}), createHolder('e1', {a: 4, b: 1}), createHolder('e2', {a: 1, b: 3}), createHolder('e3', {a: 3, b: 1})];
-		const placed = placeModels(holders);
-		expect(placed.get('e0')).to.deep.equal(['b']);
-		expect(placed.get('e1')).to.deep.equal(['a']);
-		expect(placed.get('e2')).to.deep.equal(['b']);
-		expect(placed.get('e3')).to.deep.equal(['a']);
+	it('shares the endpoints by the work of the steps', () => {
+		const counts = countPlaces(place(fresh, {}, needs));
+		expect(counts.a).to.equal(1);
+		expect(counts).to.satisfy(({b, c}: Record<string, number>) => b! + c! === 5 && Math.abs(b! - c!) === 1);
+		expect(countPlaces(place(fresh.slice(0, 5), {}, needs))).to.deep.equal({a: 1, b: 2, c: 2});
+	});
+
+	it('keeps an endpoint with the model that it has followed, whichever trainer publishes more often', () => {
+		const holders = [
+			createHolder('e0', {a: 1, b: 4}), createHolder('e1', {a: 40, b: 1}), createHolder('e2', {a: 1, b: 3}), createHolder('e3', {a: 39, b: 2}),
+		];
+		const placed = place(holders, {a: 40, b: 4});
+		expect(holders.flatMap(({id}) => placed.get(id)!)).to.deep.equal(['b', 'a', 'b', 'a']);
+	});
+
+	it('does not swing between two models of nearly the same work', () => {
+		const published = {a: 9, b: 5, c: 6};
+		const first = place(fresh, published, needs);
+		let holders = follow(fresh, first, published);
+		for (const [work, next] of [[83_000, 10], [70_000, 11], [81_000, 12]] as const) {
+			const changed = {...needs, b: {work, longest: 10_500}};
+			const versions = {a: next, b: next, c: next};
+			const placed = place(holders, versions, changed);
+			expect([...placed]).to.deep.equal([...first]);
+			holders = follow(holders, placed, versions);
+		}
+	});
+
+	it('gives an endpoint away once another model lacks clearly more', () => {
+		const published = {a: 9, b: 5, c: 6};
+		const holders = follow(fresh, place(fresh, published), published);
+		const counts = countPlaces(place(holders, {a: 10, b: 6, c: 7}, needs));
+		expect(counts.a).to.equal(1);
+	});
+
+	it('changes a slow endpoint of a model with long texts for a fast one of a model with short texts', () => {
+		const published = {a: 2, b: 2, c: 2};
+		const speeds: Record<string, number> = {};
+		const holders = fresh.map(({id, versions}, i) => {
+			speeds[id] = i < 2 ? 47 : 36;
+			return {id, versions, paceMs: speeds[id]};
+		});
+		const placed = place(holders, published, needs);
+		const slow = (model: string) => [...placed].filter(([id, [own]]) => own === model && speeds[id] === 47).length;
+		expect(slow('a')).to.equal(1);
+		expect(place(follow(holders, placed, published), published, needs)).to.deep.equal(placed);
+	});
+
+	it('leaves endpoints alone that are slower only for what they have to do', () => {
+		const published = {a: 2, b: 2, c: 2};
+		const placed = place(fresh, published, needs);
+		const holders = follow(fresh, placed, published).map((holder, i) => ({...holder, paceMs: i % 2 === 0 ? 42 : 36}));
+		expect(place(holders, {a: 3, b: 3, c: 3}, needs)).to.deep.equal(placed);
 	});
 
 	it('gives every model a place when endpoints are lost', () => {
-		const placed = placeModels(fresh.slice(0, 3));
+		const placed = place(fresh.slice(0, 3), {}, needs);
 		expect([...placed.values()].flat().toSorted()).to.deep.equal(['a', 'b', 'c']);
-		expect([...placeModels(fresh.slice(0, 2)).values()].every(models => models.length === 3)).to.equal(true);
+		expect([...place(fresh.slice(0, 2)).values()].every(models => models.length === 3)).to.equal(true);
+		expect(countPlaces(place(fresh, {}, {b: {work: 5, longest: 5}}))).to.deep.equal({a: 1, b: 4, c: 1});
 	});
 
 	it('lets every endpoint follow the only model', () => {
-		expect([...placeModels([createHolder('x', {a: 2}), createHolder('y', {a: 1})]).values()]).to.deep.equal([['a'], ['a']]);
+		expect([...place([createHolder('x', {a: 2}), createHolder('y', {a: 1})]).values()]).to.deep.equal([['a'], ['a']]);
+	});
+
+	it('has the last of three unlike steps whole earlier than with even shares, on endpoints of which two are slower', () => {
+		const speeds = Object.fromEntries(fresh.map(({id}, i) => [id, i % 3 === 2 ? 1.3 : 1]));
+		const holders = fresh.map(holder => ({...holder, paceMs: 36 * speeds[holder.id]!}));
+		const seeds = Array.from({length: 30}, (_, i) => i + 1);
+		const time = (placed: ReadonlyMap<string, readonly string[]>) => seeds.reduce((sum, seed) => sum + replay(seed, placed, speeds), 0) / seeds.length;
+		expect(time(place(holders, {}, needs))).to.be.lessThan(0.95 * time(place(fresh)));
 	});
 });
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,7 @@
 export * from './admission.js';
 export * from './attempt-pause.js';
 export * from './batch-owner-choice.js';
+export * from './best-pace.js';
 export * from './burn.js';
 export * from './concurrency-limit.js';
 export * from './demand-history.js';
--- a/packages/decisions/src/model-placement.ts
+++ b/packages/decisions/src/model-placement.ts
@@ -2,49 +2,149 @@
  * Which endpoints of a service are kept at the newest weights of which model.
  *
  * Load pattern: three trainers share six endpoints and publish a version each every few seconds. With every model loaded
- * everywhere each endpoint is told to load three times as often, and each load stops it for about a second. Each
- * endpoint therefore follows one model; the models share the endpoints evenly, and an endpoint keeps
- * the model whose newest weights it has.
+ * everywhere each endpoint is told to load three times as often, and none takes new texts for about a second then. Each
+ * endpoint therefore follows one model.
+ *
+ * The trainers' steps differ: one has texts of 70 events at most, two have texts of up to 181 and three times the work. With two
+ * endpoints each, those of the first stood idle while texts of the others waited up to 4 s for a slot and were made at the pace of a full
+ * endpoint. So a model's share follows the work of its steps, and fast endpoints go to the models with the longest texts, which
+ * decide when a step is whole. An endpoint that changes its model loads once more, so shares and places change only for
+ * a clear gain.
  */
 import {rankCandidate} from '@wasabiusher/shared';
 
 /** An endpoint with the versions of the models that it holds. */
-export type ModelHolder = {id: string; versions: ReadonlyMap<string, number>};
+export type ModelHolder = {
+	id: string;
+	versions: ReadonlyMap<string, number>;
+	/** Its best pace of late, in milliseconds for an event; undefined while unknown. */
+	paceMs?: number;
+};
+
+/** What the steps of a model ask for of late. */
+export type ModelNeed = {
+	/** Work of a step, in any unit that the models have in common. */
+	work: number;
+	/** Its longest texts, in the same unit. */
+	longest: number;
+};
+
+export type PlacementInput = {
+	/** Endpoints that can serve now. */
+	holders: readonly ModelHolder[];
+	/** The newest version of each model. */
+	published: ReadonlyMap<string, number>;
+	/** Models without an entry are taken to need as little as possible, if any has one. */
+	needs: ReadonlyMap<string, ModelNeed>;
+};
+
+/**
+ * How much an endpoint's part of the work must differ to go to another model, as a part of an endpoint. Hints of lengths are far off for
+ * single texts, so that the work of steps differs by a tenth from one to the next.
+ */
+const keepBonus = 0.3;
+
+/** How much slower an endpoint must be to be changed for another model's, as a factor: full ones are a fifth slower than idle ones. */
+const slowFactor = 1.22;
+
+/** How much longer a model's texts must be for it to get the faster endpoint, as a factor. */
+const longerFactor = 1.4;
 
 /**
  * Models that each endpoint is to follow.
  *
- * @param holders - endpoints that can serve now
  * @returns endpoint ids and the models they follow; with fewer endpoints than models each follows all
  */
-export function placeModels(holders: readonly ModelHolder[]): Map<string, readonly string[]> {
+export function placeModels(input: PlacementInput): Map<string, readonly string[]> {
+	const {holders} = input;
 	const models = [...new Set(holders.flatMap(({versions}) => [...versions.keys()]))].toSorted((a, b) => a.localeCompare(b));
 	if (models.length < 2 || holders.length < models.length) {
 		return new Map(holders.map(({id, versions}) => [id, [...versions.keys()]]));
 	}
 
-	const free = new Set(holders);
-	const placed = new Map<string, readonly string[]>();
-	for (const [i, model] of models.entries()) {
-		const share = Math.ceil(free.size / (models.length - i));
-		for (const holder of listBest([...free], model).slice(0, share)) {
-			free.delete(holder);
-			placed.set(holder.id, [model]);
+	const followed = new Map(holders.map(holder => [holder.id, findFollowed(holder, input)]));
+	const shares = shareEndpoints(models, input, followed);
+	const places = fillShares(models, shares, input, followed);
+	exchangeSlow(places, input);
+	return new Map([...places].map(([{id}, model]) => [id, [model]]));
+}
+
+/** The model that an endpoint has followed so far: the only one that is least behind its newest version there. */
+function findFollowed({versions}: ModelHolder, {published}: PlacementInput): string | undefined {
+	const lags = [...versions].map(([model, version]) => ({model, lag: Math.max(0, (published.get(model) ?? version) - version)}));
+	const least = Math.min(...lags.map(({lag}) => lag));
+	const followed = lags.filter(({lag}) => lag === least);
+	return followed.length === 1 ? followed[0]!.model : undefined;
+}
+
+function count(followed: ReadonlyMap<string, string | undefined>, model: string): number {
+	return [...followed.values()].filter(other => other === model).length;
+}
+
+/** How many endpoints each model gets: one at least, the rest by work; one more goes to who has it already unless another lacks clearly more. */
+function shareEndpoints(models: readonly string[], {holders, needs}: PlacementInput, followed: ReadonlyMap<string, string | undefined>): Map<string, number> {
+	const works = models.map(model => needs.size === 0 ? 1 : needs.get(model)?.work ?? 0);
+	const total = Math.max(Number.EPSILON, works.reduce((sum, work) => sum + work, 0));
+	const quotas = new Map(models.map((model, i) => [model, holders.length * works[i]! / total]));
+	const shares = new Map(models.map(model => [model, Math.max(1, Math.floor(quotas.get(model)!))]));
+	const lack = (model: string) => quotas.get(model)! - shares.get(model)! + (count(followed, model) > shares.get(model)! ? keepBonus : 0);
+	for (let left = holders.length - sum(shares); left !== 0; left = holders.length - sum(shares)) {
+		const byLack = models.toSorted((a, b) => lack(b) - lack(a));
+		const chosen = left > 0 ? byLack[0]! : byLack.findLast(model => shares.get(model)! > 1)!;
+		shares.set(chosen, shares.get(chosen)! + Math.sign(left));
+	}
+
+	return shares;
+}
+
+function sum(shares: ReadonlyMap<string, number>): number {
+	return [...shares.values()].reduce((total, share) => total + share, 0);
+}
+
+/** Gives each model the endpoints that have followed it, the fast ones first, then free ones; those with the longest texts choose first. */
+function fillShares(models: readonly string[], shares: ReadonlyMap<string, number>, {holders, needs}: PlacementInput, followed: ReadonlyMap<string, string | undefined>): Map<ModelHolder, string> {
+	const places = new Map<ModelHolder, string>();
+	const order = models.toSorted((a, b) => (needs.get(b)?.longest ?? 0) - (needs.get(a)?.longest ?? 0));
+	const place = (model: string, candidates: readonly ModelHolder[]) => {
+		const placed = [...places.values()].filter(other => other === model).length;
+		for (const holder of sortBySpeed(candidates, model).slice(0, shares.get(model)! - placed)) {
+			places.set(holder, model);
 		}
+	};
+
+	for (const model of order) {
+		place(model, holders.filter(({id}) => followed.get(id) === model));
+	}
+
+	for (const model of order) {
+		place(model, holders.filter(holder => !places.has(holder) && holder.versions.has(model)));
 	}
 
-	return placed;
+	return places;
 }
 
-/** Endpoints in the order in which they suit a model: those that have followed it so far, then by rank. */
-function listBest(holders: readonly ModelHolder[], model: string): ModelHolder[] {
+/** The fast ones first; those of which nothing is known, and equals, by rank. */
+function sortBySpeed(holders: readonly ModelHolder[], model: string): ModelHolder[] {
+	const known = holders.flatMap(({paceMs}) => paceMs === undefined ? [] : [paceMs]);
+	const usual = known.length === 0 ? 0 : Math.min(...known);
 	return holders
-		.filter(({versions}) => versions.has(model))
-		.toSorted((a, b) => findLead(b, model) - findLead(a, model) || rankCandidate(model, b.id) - rankCandidate(model, a.id));
+		.map(holder => ({holder, isSlow: Number(holder.paceMs !== undefined && holder.paceMs > usual * slowFactor), rank: rankCandidate(model, holder.id)}))
+		.toSorted((a, b) => a.isSlow - b.isSlow || b.rank - a.rank)
+		.map(({holder}) => holder);
 }
 
-/** How far a model's version at an endpoint is ahead of the other models' there. */
-function findLead({versions}: ModelHolder, model: string): number {
-	const others = [...versions].filter(([name]) => name !== model).map(([, version]) => version);
-	return (versions.get(model) ?? 0) - Math.max(0, ...others);
+/** Changes slow endpoints of models with long texts for fast ones of models with short texts. */
+function exchangeSlow(places: Map<ModelHolder, string>, {needs}: PlacementInput): void {
+	const findLongest = (holder: ModelHolder) => needs.get(places.get(holder)!)?.longest ?? 0;
+	const known = [...places.keys()].filter(({paceMs}) => paceMs !== undefined).toSorted((a, b) => b.paceMs! - a.paceMs! || a.id.localeCompare(b.id));
+	for (const slow of known) {
+		const fast = known
+			.filter(other => other.paceMs! * slowFactor < slow.paceMs! && findLongest(other) > 0 && findLongest(other) * longerFactor < findLongest(slow))
+			.toSorted((a, b) => findLongest(a) - findLongest(b) || a.paceMs! - b.paceMs!)[0];
+		if (fast) {
+			const model = places.get(slow)!;
+			places.set(slow, places.get(fast)!);
+			places.set(fast, model);
+		}
+	}
 }
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -140,6 +140,24 @@
 		this.#standings.get(id)?.recordPace(unitMs);
 	}
 
+	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most. */
+	listOwnPaces(most: number): Record<string, number> {
+		const known = [...this.#standings].flatMap(([id, {ownBestMs}]) => ownBestMs === undefined ? [] : [[id, Math.round(ownBestMs * 10) / 10] as const]);
+		return Object.fromEntries(known.slice(0, most));
+	}
+
+	/** Learns what other processes have measured. */
+	learnPaces(paces: Readonly<Record<string, number>>): void {
+		for (const [id, unitMs] of Object.entries(paces)) {
+			this.#standings.get(id)?.learnPace(unitMs);
+		}
+	}
+
+	/** The best pace of late of an endpoint as measured by any process, in milliseconds. */
+	findBestPace(id: string): number | undefined {
+		return this.#standings.get(id)?.bestMs;
+	}
+
 	/** Whether a run at an endpoint had better go on at another one that fits the same need. */
 	shouldMove(id: string, need: EndpointNeed, isLong: boolean): boolean {
 		const current = this.#standings.get(id);
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -1,7 +1,9 @@
 /**
  * What one process has seen of an endpoint: its load, pace, versions, refusals and failures.
  */
-import {AttemptPause, Pace, type DirectCandidate} from '@wasabiusher/decisions';
+import {
+	AttemptPause, BestPace, Pace, type DirectCandidate,
+} from '@wasabiusher/decisions';
 import type {EndpointLoad, ServingHead} from '@wasabiusher/backends';
 import type {RegisteredEndpoint} from '@wasabiusher/shared';
 
@@ -33,6 +35,9 @@
 	/** When its registration vanished, on the monotonic clock. */
 	vanishedAt: number | undefined;
 	readonly #pace = new Pace();
+	/** As measured here, and by any process. */
+	readonly #ownBest = new BestPace();
+	readonly #best = new BestPace();
 	readonly #refusals = new AttemptPause(refusalPause);
 	readonly #silences = new AttemptPause(silencePause);
 	/** When anything last came from it. */
@@ -152,6 +157,26 @@
 	recordPace(unitMs: number): void {
 		this.#heardAt = performance.now();
 		this.#pace.record(unitMs);
+		const {unitMs: meanMs} = this.#pace;
+		if (meanMs !== undefined) {
+			this.#ownBest.record(meanMs);
+			this.#best.record(meanMs);
+		}
+	}
+
+	/** Learns what another process has measured as its best pace, in milliseconds. */
+	learnPace(unitMs: number): void {
+		this.#best.record(unitMs);
+	}
+
+	/** Its best pace of late as measured by this process, in milliseconds. */
+	get ownBestMs(): number | undefined {
+		return this.#ownBest.unitMs;
+	}
+
+	/** Its best pace of late as measured by any process, in milliseconds. */
+	get bestMs(): number | undefined {
+		return this.#best.unitMs;
 	}
 
 	/** What the choice between endpoints needs to know. */
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -5,7 +5,7 @@
  * the rest goes on; an order names how many orders the endpoint must have accepted before, so that one that is carried out
  * late, after a newer one, does nothing. No order is given without the lease, and none whose version an endpoint holds.
  */
-import {placeModels} from '@wasabiusher/decisions';
+import {placeModels, type ModelNeed} from '@wasabiusher/decisions';
 import type {
 	LoadMode, OrderOutcome, ServingClient, ServingReport,
 } from '@wasabiusher/backends';
@@ -26,6 +26,8 @@
 	log: Log;
 	/** How runs under way are treated at a service. */
 	chooseMode(service: string): LoadMode;
+	/** What the steps of each model ask for of late. */
+	findNeeds?(): ReadonlyMap<string, ModelNeed>;
 };
 
 /** Part of a service's endpoints that load at once: a store of weights slows down beyond it, and the others must carry the load. */
@@ -62,6 +64,15 @@
  */
 const reportLagMs = 600;
 
+/**
+ * Longest time for which the places of models hold, in milliseconds; a change of endpoints or versions ends it at once. Working them out
+ * for 10,000 endpoints takes longer than the time between two looks.
+ */
+const placesMs = 1000;
+
+/** Which models each endpoint of a service follows, and the number of endpoints and the versions that this was worked out from. */
+type Places = {placed: ReadonlyMap<string, readonly string[]>; basis: string; madeAt: number};
+
 type Transition = {
 	model: string;
 	version: number;
@@ -79,6 +90,8 @@
 	readonly #notBefore = new Map<string, number>();
 	/** Models that endpoints are just being told to load. */
 	readonly #busy = new Map<string, string>();
+	/** By service. */
+	readonly #places = new Map<string, Places>();
 	#orderedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(settings: WeightOrdersSettings) {
@@ -113,16 +126,50 @@
 		const services = groupBy(directory.list(), ({service}) => service);
 		for (const endpoints of services.values()) {
 			this.#look(endpoints);
-			this.#order(endpoints, this.#place(endpoints));
+			this.#order(endpoints, this.#findPlaces(endpoints));
 		}
 	}
 
 	/** Which models each endpoint follows; those that leave follow none. */
+	#findPlaces(endpoints: readonly RegisteredEndpoint[]): ReadonlyMap<string, readonly string[]> {
+		const {service} = endpoints[0]!;
+		const serving = endpoints.filter(({isDraining}) => !isDraining);
+		const basis = [serving.length, ...[...this.#published.values()].map(({version}) => version)].join(' ');
+		const known = this.#places.get(service);
+		const now = performance.now();
+		if (known?.basis === basis && now - known.madeAt < placesMs) {
+			return known.placed;
+		}
+
+		const placed = this.#place(serving);
+		this.#places.set(service, {placed, basis, madeAt: now});
+		this.#tell(known?.placed, placed);
+		return placed;
+	}
+
 	#place(endpoints: readonly RegisteredEndpoint[]): Map<string, readonly string[]> {
-		const {directory} = this.#settings;
-		return placeModels(endpoints.filter(({isDraining}) => !isDraining).map(({id, models}) => ({
-			id, versions: new Map(models.map(({model}) => [model, directory.findVersion(id, model) ?? 0])),
-		})));
+		const {directory, findNeeds} = this.#settings;
+		return placeModels({
+			holders: endpoints.map(({id, models}) => ({
+				id, versions: new Map(models.map(({model}) => [model, directory.findVersion(id, model) ?? 0])), paceMs: directory.findBestPace(id),
+			})),
+			published: new Map([...this.#published].map(([model, {version}]) => [model, version])),
+			needs: findNeeds?.() ?? new Map<string, ModelNeed>(),
+		});
+	}
+
+	/** Logs which endpoints have changed their models. */
+	#tell(before: ReadonlyMap<string, readonly string[]> | undefined, placed: ReadonlyMap<string, readonly string[]>): void {
+		const {directory, findNeeds, log} = this.#settings;
+		const needs = findNeeds?.();
+		for (const [endpoint, models] of placed) {
+			const from = before?.get(endpoint)?.join(',');
+			if (models.length === 1 && models[0] !== from) {
+				log.info('endpoint_placed', {
+					endpoint, model: models[0], from, work: needs?.get(models[0]!)?.work, longest: needs?.get(models[0]!)?.longest, bestPaceMs: directory.findBestPace(endpoint),
+				});
+			}
+		}
 	}
 
 	/** Looks after orders under way. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -115,12 +115,17 @@
 		});
 		this.#orders = new WeightOrders({
 			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
+			findNeeds: () => this.batches.listNeeds(),
 		});
 		this.#catalog = new Catalog({
 			format, directory: this.#directory, orders: this.#orders, log, onDeployment: settings.onDeployment,
 		});
 		this.#hosts = new HostRegistry({
 			rows, host, address: settings.peers?.address, log, ownsWork: () => this.batches.ownedCount > 0,
+			listPaces: most => this.#directory.listOwnPaces(most),
+			onPaces: paces => {
+				this.#directory.learnPaces(paces);
+			},
 		});
 		this.batches = new Batches({
 			directory: this.#directory, client, random, log, host, hosts: this.#hosts,
