Begin anew with an endpoint that has started again, and let rows of other writers name no endpoint

An endpoint that registers with fewer accepted orders than before kept versions, pace and pauses of its earlier start. Now such a row names no endpoint, the others hold, and each version of a row is told once.

--- a/packages/direct/__tests__/weight-orders.spec.ts
+++ b/packages/direct/__tests__/weight-orders.spec.ts
@@ -121,6 +121,42 @@
 		expect(endpoint!.orderCount).to.equal(2);
 	});
 
+	it('changes nothing by an order of a holder that was frozen between its check and its order, at endpoints that check no fence', async () => {
+		const [endpoint] = bench.endpoints;
+		endpoint!.switches.ordersToDelay = 1;
+		endpoint!.switches.lateMs = 4000;
+		orders.publish('m', 2);
+		await tickFor(600);
+		expect(endpoint!.orders).to.have.length(0);
+		right.isHeld = false;
+		const next = new WeightOrders({
+			directory: bench.directory, client: bench.client, right: {fence: 6, holds: () => true}, holder: 'b', log: bench.log, chooseMode: () => 'continue',
+		});
+		next.publish('m', 3);
+		for (let i = 0; i < 200; i += 1) {
+			next.tick();
+			orders.tick();
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(50);
+		}
+
+		expect(endpoint!.orders.map(({holder, version}) => `${holder}${version}`)).to.include('a2');
+		expect([endpoint!.version, endpoint!.orderCount]).to.deep.equal([3, 1]);
+	});
+
+	it('gives no order once the lease has lapsed while it asked for the report', async () => {
+		const {report} = bench.client;
+		bench.client.report = async target => {
+			const answer = await report.call(bench.serving, target);
+			right.isHeld = false;
+			return answer;
+		};
+
+		orders.publish('m', 2);
+		await tickFor(2000);
+		expect(countOrders()).to.equal(0);
+	});
+
 	it('orders again when nothing came of an order, on the same condition', async () => {
 		for (const {switches} of bench.endpoints) {
 			switches.ordersToDelay = 1;
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -40,9 +40,10 @@
 		this.#random = random;
 	}
 
-	/** Takes over a registration. */
+	/** Takes over a registration. One that has accepted fewer orders than before has started again: nothing that was seen of it holds. */
 	put(endpoint: RegisteredEndpoint): void {
-		const standing = this.#standings.get(endpoint.id) ?? new EndpointStanding(endpoint);
+		const known = this.#standings.get(endpoint.id);
+		const standing = known && endpoint.orderCount >= known.endpoint.orderCount ? known : new EndpointStanding(endpoint);
 		standing.endpoint = endpoint;
 		standing.vanishedAt = undefined;
 		for (const {model, version} of endpoint.models) {
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -34,6 +34,8 @@
 /** The present configuration, endpoints and versions. */
 export class Catalog {
 	readonly #settings: CatalogSettings;
+	/** Versions of registrations that could not be read, so that each is told once. */
+	readonly #unreadable = new Map<string, number>();
 	#deployment: Deployment | undefined;
 
 	constructor(settings: CatalogSettings) {
@@ -58,11 +60,12 @@
 		}
 	}
 
-	/** Takes over a registration, or its removal. */
-	applyEndpoint({key, value}: RowChange): void {
+	/** Takes over a registration, or its removal. A row that can't be read, as another writer may leave, names no endpoint; the others hold. */
+	applyEndpoint({key, value, version}: RowChange): void {
 		const {format, directory, log} = this.#settings;
 		if (value === undefined) {
 			log.info('endpoint_removed', {endpoint: key});
+			this.#unreadable.delete(key);
 			directory.remove(key);
 			return;
 		}
@@ -77,8 +80,13 @@
 			}
 
 			directory.put(endpoint);
+			this.#unreadable.delete(key);
 		} catch (error) {
-			log.error('endpoint_row_invalid', {endpoint: key, reason: describeError(error)});
+			directory.remove(key);
+			if (this.#unreadable.get(key) !== version) {
+				this.#unreadable.set(key, version);
+				log.error('endpoint_row_invalid', {endpoint: key, version, reason: describeError(error)});
+			}
 		}
 	}
 
