--- a/scripts/ablate.ts
+++ b/scripts/ablate.ts
@@ -29,7 +29,7 @@
 	return new Promise((resolve, reject) => {
 		execFile(program, words, {cwd, maxBuffer: maxOutputBytes}, error => {
 			if (error) {
-				reject(error);
+				reject(new Error(`${program} ${words[0]} failed in ${cwd}`, {cause: error}));
 			} else {
 				resolve();
 			}
