--- a/packages/batches/__tests__/host-registry.spec.ts
+++ b/packages/batches/__tests__/host-registry.spec.ts
@@ -153,9 +153,9 @@
 		const other = createRegistry('b', false);
 		await run(other, 1000);
 		expect(other.listPeers()).to.deep.equal(['127.0.0.1:7']);
-		expect(other.findLive(linked.incarnation)?.host).to.equal('c');
+		expect(other.listLive().map(({host, isResting}) => [host, isResting])).to.have.deep.members([['c', false], ['b', true]]);
 		await linked.leave();
 		await run(other, 100);
-		expect(other.findLive(linked.incarnation)).to.equal(undefined);
+		expect(other.listLive().map(({host}) => host)).to.deep.equal(['b']);
 	});
 });
--- a/packages/batches/src/batch-store.ts
+++ b/packages/batches/src/batch-store.ts
@@ -10,8 +10,9 @@
 	PlatformError, type BlobStore, type RowAddress, type RowCondition, type RowStore, type StoredValue,
 } from '@wasabiusher/backends';
 import {describeError} from '@wasabiusher/shared';
+import {z} from 'zod';
 import {
-	batchRecordSchema, partialTextSchema, submissionSchema, type BatchRecord, type PartialText, type StoredBatch, type Submission,
+	batchRecordSchema, partialTextSchema, submissionSchema, type BatchRecord, type PartialText, type SampleResult, type StoredBatch, type Submission,
 } from './batch.js';
 import {BatchError} from './errors.js';
 import {findPart} from './parts.js';
@@ -22,6 +23,7 @@
 export const batchTable = 'batches';
 const textTable = 'batch-texts';
 const submissionTable = 'batch-submissions';
+const endTable = 'batch-ends';
 
 /**
  * Greatest submission that lies in rows, in bytes as deflated; a greater one is an object. Rows are written in the one transaction
@@ -48,6 +50,25 @@
 /** A submission that is ready to be accepted. */
 export type PreparedSubmission = {object: string; rows: RowWrite[]};
 
+/** Where the results of a batch end; whoever appends expects the version that it has read. */
+export type ResultEnd = {
+	/** The first free position. */
+	next: number;
+	/** Version of the row that tells it; 0 while there is none. */
+	version: number;
+};
+
+/** Results that are to follow those that a batch has. */
+export type ResultAppend = {
+	batch: string;
+	/** Version of the batch's row on whose condition they are written. */
+	version: number;
+	end: ResultEnd;
+	results: readonly SampleResult[];
+};
+
+const endSchema = z.object({next: z.int().nonnegative()});
+
 /** Texts of unfinished samples by the sample's id. */
 export type PartialTexts = ReadonlyMap<string, PartialText>;
 
@@ -116,23 +137,38 @@
 		}
 	}
 
+	/** Reads where the results of a batch end. */
+	async readEnd(batch: string): Promise<ResultEnd> {
+		const {key, ...address} = locateEnd(batch);
+		const {rows: [row]} = await guard(this.#rows.read({
+			...address, from: key, to: `${key}\u0000`, limit: 1,
+		}));
+		return row ? {next: endSchema.parse(JSON.parse(Buffer.from(row.value).toString())).next, version: row.version} : {next: 0, version: 0};
+	}
+
 	/**
-	 * Writes results at positions that are free, on the condition that the batch's row is unchanged.
+	 * Writes results at the positions that follow, on the condition that the batch's row and its end are unchanged.
 	 *
-	 * @returns whether they were written; false if a condition did not hold
+	 * @returns the new end; undefined if a condition did not hold
 	 */
-	async commitResults(batch: string, version: number, results: readonly PositionedResult[]): Promise<boolean> {
+	async appendResults({batch, version, end, results}: ResultAppend): Promise<ResultEnd | undefined> {
 		const part = findPart(batch);
-		const puts = results.flatMap(result => encodeResult(batch, part, result));
+		const next = end.next + results.length;
+		const puts = results.flatMap((result, i) => encodeResult(batch, part, {position: end.next + i, result}));
+		// The end alone decides; that the positions are free as well guards what was read against any mistake.
 		const free: RowCondition[] = puts.map(({table, key}) => ({
 			table, part, key, version: 0,
 		}));
 		try {
-			await this.#rows.commit({conditions: [{...locate(batch), version}, ...free], puts, deletes: []});
-			return true;
+			const receipt = await this.#rows.commit({
+				conditions: [{...locate(batch), version}, {...locateEnd(batch), version: end.version}, ...free],
+				puts: [...puts, {...locateEnd(batch), value: encode({next})}],
+				deletes: [],
+			});
+			return {next, version: receipt.version};
 		} catch (error) {
 			if (error instanceof PlatformError && error.code === 'conflict') {
-				return false;
+				return undefined;
 			}
 
 			throw toBatchError(error);
@@ -193,7 +229,7 @@
 
 	/** Removes all of a batch. */
 	async remove({record, version}: StoredBatch): Promise<void> {
-		for (const table of [resultTable, textTable, submissionTable]) {
+		for (const table of [resultTable, textTable, submissionTable, endTable]) {
 			// eslint-disable-next-line no-await-in-loop
 			await this.#removeRows(table, record.id);
 		}
@@ -249,6 +285,10 @@
 	return {table: batchTable, part: findPart(batch), key: batch};
 }
 
+function locateEnd(batch: string): RowAddress {
+	return {table: endTable, part: findPart(batch), key: `${batch}/end`};
+}
+
 /** Rows of unfinished texts; those that fit into one transaction, so that keeping them is one write. */
 function encodePartials(batch: string, partials: PartialTexts): RowWrite[] {
 	const rows: RowWrite[] = [];
--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -40,17 +40,25 @@
 	samples: z.array(sampleSchema),
 });
 
-/** The row of a batch in the store; whoever changes it expects the version that it has read. */
-export const batchRecordSchema = z.object({
-	id: z.string(),
-	/** Incarnation of the process that runs it; empty when nobody does. */
+/** A part of a batch's groups, made, scored and listed by one process. */
+export const shareSchema = z.object({
+	/** Incarnation of the process that works on it; empty when nobody does. */
 	owner: z.string(),
 	/** Name of the owner's host, for people. */
 	ownerHost: z.string(),
-	/** What batches of one trainer have in common; a new one shows that the trainer has gone on. */
-	series: z.string(),
+	/** Where that host is; endpoints are divided by it. */
+	dataCentre: z.string().default(''),
 	/** Counts up with each change of owner. */
 	term: z.int().nonnegative(),
+});
+
+/** The row of a batch in the store; whoever changes it expects the version that it has read. */
+export const batchRecordSchema = z.object({
+	id: z.string(),
+	/** The first has the longest groups; `divideGroups` tells which groups each has. */
+	shares: z.array(shareSchema).min(1),
+	/** What batches of one trainer have in common; a new one shows that the trainer has gone on. */
+	series: z.string(),
 	isEnded: z.boolean(),
 	/** Name of the object that holds the submission; empty if it lies in rows. */
 	object: z.string(),
@@ -91,6 +99,7 @@
 export type ScoreCall = z.infer<typeof scoreCallSchema>;
 export type Sample = z.infer<typeof sampleSchema>;
 export type Submission = z.infer<typeof submissionSchema>;
+export type BatchShare = z.infer<typeof shareSchema>;
 export type BatchRecord = z.infer<typeof batchRecordSchema>;
 export type SampleResult = z.infer<typeof sampleResultSchema>;
 export type PartialText = z.infer<typeof partialTextSchema>;
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -1,29 +1,34 @@
 /**
- * All batches as one process sees them: accepts, owns, takes over, ends and reads them.
+ * All batches as one process sees them: accepts, works on shares of them, ends and reads them.
  *
- * Any process answers for any batch: from memory if it owns it, otherwise from the store. A process that can't ask the
+ * Any process answers for any batch: from memory if it owns all of it, otherwise from the store. A process that can't ask the
  * store says so; it never says that a batch does not exist unless the store has said it.
  */
 import {Buffer} from 'node:buffer';
 import {LRUCache} from 'lru-cache';
 import type {RowChange} from '@wasabiusher/backends';
-import {defaultPolicy, shouldOwnNext, type ModelNeed} from '@wasabiusher/decisions';
-import {describeError, groupBy} from '@wasabiusher/shared';
 import {
-	type BatchRecord, type KeptText, type ResultPage, type SampleResult, type StoredBatch, type Submission,
+	chooseWorkers, countShares, defaultPolicy, type ModelNeed, type WorkerCandidate,
+} from '@wasabiusher/decisions';
+import {
+	describeError, findRoute, groupBy, rankCandidate,
+} from '@wasabiusher/shared';
+import {
+	type BatchRecord, type BatchShare, type KeptText, type ResultPage, type SampleResult, type StoredBatch, type Submission,
 } from './batch.js';
-import {BatchOwner, type BatchOwnerSettings} from './batch-owner.js';
 import {
 	decodeRecord, type BatchStore, type PreparedSubmission, type RowWrite,
 } from './batch-store.js';
 import {BatchError} from './errors.js';
 import type {HostRegistry} from './host-registry.js';
 import type {KeptTexts} from './kept-texts.js';
+import {KnownBatches, needAgeMs} from './known-batches.js';
 import {pause} from './pause.js';
 import {RetiredBatches} from './retired-batches.js';
-
-/** Time between looks for batches without a living owner, in milliseconds. */
-const lookMs = 150;
+import {ShareOwner, type ShareOwnerSettings} from './share-owner.js';
+import {ShareHomes} from './share-homes.js';
+import {listGroups, listShareSamples, nameShare} from './shares.js';
+import {TakeOvers} from './take-overs.js';
 
 /**
  * Pause between reads of the store for a trainer that waits at a host that does not own its batch, in milliseconds. The trainer ends its step
@@ -53,57 +58,54 @@
 /** Most text in one answer, in characters; the answer as a whole stays under 1 MB. */
 const maxPageText = 700_000;
 
-/**
- * Batches of a model, and the time in milliseconds, over which what its steps ask for is averaged. The mean of a step counts, not the sum over
- * time: a trainer that is late asks less often and must not lose endpoints by that.
- */
-const needBatches = 4;
-const needAgeMs = 20_000;
-
-export type BatchesSettings = Omit<BatchOwnerSettings, 'countEarlierOpen' | 'onReplaced'> & {
+export type BatchesSettings = Omit<ShareOwnerSettings, 'countEarlierOpen' | 'onConflict' | 'findHomes'> & {
 	store: BatchStore;
 	keptTexts: KeptTexts;
 	hosts: HostRegistry;
 	host: string;
+	dataCentre?: string;
 };
 
-type KnownBatch = StoredBatch & {seenAt: number; isTaking: boolean};
-
 /** The batches. */
 export class Batches {
 	readonly #settings: BatchesSettings;
-	readonly #known = new Map<string, KnownBatch>();
-	readonly #owners = new Map<string, BatchOwner>();
+	readonly #known = new KnownBatches();
+	/** What this process works on, by the name of the share. */
+	readonly #owners = new Map<string, ShareOwner>();
+	/** Shares that this process is about to work on, by name and term. */
+	readonly #beginning = new Set<string>();
 	readonly #retired: RetiredBatches;
+	readonly #takeOvers: TakeOvers;
 	readonly #submissions = new LRUCache<string, Submission>({max: keptSubmissions});
-	#timer: NodeJS.Timeout | undefined;
 	#isLeaving = false;
 
 	constructor(settings: BatchesSettings) {
 		this.#settings = settings;
-		this.#retired = new RetiredBatches(settings.keptTexts, settings.log);
+		const {
+			store, hosts, host, dataCentre = '', log,
+		} = settings;
+		this.#retired = new RetiredBatches(settings.keptTexts, log);
+		this.#takeOvers = new TakeOvers({
+			store, hosts, host, dataCentre, log, known: this.#known,
+			onFound: found => {
+				this.#learn(found);
+			},
+		});
 	}
 
-	/** Batches that this process runs. */
+	/** Shares of batches that this process works on. */
 	get ownedCount(): number {
-		return [...this.#owners.values()].filter(({results, submission}) => results.length < submission.samples.length).length;
+		return [...this.#owners.values()].filter(({isWhole}) => !isWhole).length;
 	}
 
 	/** What the last steps of each model have asked for; the endpoints are shared by it. */
 	listNeeds(): Map<string, ModelNeed> {
-		const since = this.#settings.readStoreMs() - needAgeMs;
-		const recent = [...this.#known.values()].map(({record}) => record).filter(({model, acceptedMs}) => model !== '' && acceptedMs >= since);
-		return new Map([...groupBy(recent, ({model}) => model)].map(([model, records]) => {
-			const last = records.toSorted((a, b) => b.acceptedMs - a.acceptedMs).slice(0, needBatches);
-			return [model, {work: findMean(last, ({expectedTokens}) => expectedTokens), longest: findMean(last, ({longestTokens}) => longestTokens)}];
-		}));
+		return this.#known.listNeeds(this.#settings.readStoreMs());
 	}
 
 	/** Begins to look for batches without a living owner. */
 	start(): void {
-		this.#timer = setInterval(() => {
-			this.#look();
-		}, lookMs);
+		this.#takeOvers.start();
 	}
 
 	/**
@@ -112,7 +114,7 @@
 	 * @throws {BatchError} `unavailable` if it was not accepted and won't be, `unknown` if that could not be settled
 	 */
 	async submit(id: string, submission: Submission): Promise<void> {
-		if (this.#known.has(id)) {
+		if (this.#known.get(id)) {
 			return;
 		}
 
@@ -120,7 +122,7 @@
 		const {object, rows} = await this.#prepare(id, submission);
 		const series = findSeries(submission);
 		const record: BatchRecord = {
-			id, ...this.#chooseOwner(series), series, term: 1, isEnded: false, object, total: submission.samples.length, ...measureWork(submission), acceptedMs: readStoreMs(),
+			id, shares: this.#chooseShares(submission, series), series, isEnded: false, object, total: submission.samples.length, ...measureWork(submission), acceptedMs: readStoreMs(),
 		};
 		this.#submissions.set(id, submission);
 		const stored = await this.#writeSettled(record, rows);
@@ -134,7 +136,10 @@
 	apply(change: RowChange): void {
 		if (change.value === undefined) {
 			this.#known.delete(change.key);
-			this.#drop(change.key);
+			for (const owner of this.#listOwners(change.key)) {
+				this.#drop(owner);
+			}
+
 			return;
 		}
 
@@ -147,10 +152,10 @@
 	 * @throws {BatchError} `missing` if there is no such batch, `unavailable` if that can't be told
 	 */
 	async read(id: string, after: number, waitMs: number): Promise<ResultPage> {
-		const owner = this.#owners.get(id);
+		const owner = this.#listOwners(id).find(({isAll}) => isAll);
 		if (owner) {
 			await owner.waitBeyond(after, waitMs);
-			if (this.#owners.get(id) === owner) {
+			if (this.#owners.get(owner.name) === owner) {
 				return this.#notePage(id, after, {total: owner.stored.record.total, results: cutPage(owner.results.slice(after))});
 			}
 		}
@@ -160,7 +165,7 @@
 
 	/** Reads the body of a sample; throws `BatchError` as `read` does. */
 	async readBody(id: string, sample: string): Promise<Uint8Array> {
-		const submission = this.#owners.get(id)?.submission ?? await this.#findSubmission(id);
+		const submission = this.#listOwners(id)[0]?.submission ?? await this.#findSubmission(id);
 		const found = submission.samples.find(other => other.id === sample);
 		if (!found) {
 			throw new BatchError('missing', `batch ${id} has no sample ${sample}`);
@@ -220,7 +225,7 @@
 	/** Hands all batches over: stops their runs, keeps their unfinished texts and leaves them without an owner. */
 	async handOver(): Promise<void> {
 		this.#isLeaving = true;
-		clearInterval(this.#timer);
+		this.#takeOvers.stop();
 		const {hosts} = this.#settings;
 		await Promise.all([
 			...[...this.#owners.values()].map(async owner => this.#handOver(owner)),
@@ -230,45 +235,86 @@
 	}
 
 	stop(): void {
-		clearInterval(this.#timer);
+		this.#takeOvers.stop();
 		this.#retired.stop();
-		for (const id of this.#owners.keys()) {
-			this.#drop(id);
+		for (const owner of this.#owners.values()) {
+			this.#drop(owner);
 		}
 	}
 
-	async #handOver(owner: BatchOwner): Promise<void> {
+	/** Leaves a share without an owner, with its unfinished texts; the row may be changed by hosts that hand over other shares meanwhile. */
+	async #handOver(owner: ShareOwner): Promise<void> {
 		const {store, log} = this.#settings;
-		const {record, version} = owner.stored;
-		const {partials} = owner;
-		this.#drop(record.id);
-		if (owner.results.length === record.total) {
+		const {id, share, partials} = owner;
+		this.#drop(owner);
+		if (owner.isWhole) {
 			return;
 		}
 
 		try {
-			const written = await store.write({...record, owner: '', ownerHost: ''}, version, store.preparePartials(record.id, partials));
-			log.info('batch_handed_over', {batch: record.id, texts: partials.size, isWritten: written !== undefined});
+			let found: StoredBatch | undefined = owner.stored;
+			while (found && this.#isOurs(found.record, share)) {
+				const {record, version}: StoredBatch = found;
+				const shares = record.shares.with(share, {...record.shares[share]!, owner: '', ownerHost: ''});
+				// Each try depends on what the one before has found.
+				// eslint-disable-next-line no-await-in-loop
+				const written = await store.write({...record, shares}, version, store.preparePartials(id, partials));
+				if (written !== undefined) {
+					log.info('share_handed_over', {batch: id, share, texts: partials.size});
+					return;
+				}
+
+				// eslint-disable-next-line no-await-in-loop
+				found = await store.find(id);
+			}
 		} catch (error) {
 			// Others take it over once this process is seen to have left.
-			log.warn('hand_over_failed', {batch: record.id, reason: describeError(error)});
+			log.warn('hand_over_failed', {batch: id, share, reason: describeError(error)});
 		}
 	}
 
-	/** Who is to run a new batch: whoever ran the trainer's last one, or this process. */
-	#chooseOwner(series: string): Pick<BatchRecord, 'owner' | 'ownerHost'> {
-		const {hosts, host, policy = defaultPolicy} = this.#settings;
-		const open = [...this.#known.values()].map(({record}) => record).filter(({isEnded}) => !isEnded);
-		const last = [...this.#known.values()]
-			.filter(({record}) => record.series === series)
-			.toSorted((a, b) => b.record.acceptedMs - a.record.acceptedMs)[0]?.record.owner;
-		const live = !policy.keepsTrainers || last === undefined || last === hosts.incarnation ? undefined : hosts.findLive(last);
-		const batches = open.filter(({owner}) => owner === last).length;
-		if (live && shouldOwnNext({...live, batches}, open.length / Math.max(1, hosts.count))) {
-			return {owner: last!, ownerHost: live.host};
-		}
+	/** Who is to work on each share of a new batch. */
+	#chooseShares(submission: Submission, series: string): BatchShare[] {
+		const {hosts, host, dataCentre = '', policy = defaultPolicy} = this.#settings;
+		const last = this.#known.findNewest(series)?.shares.map(({owner}) => owner) ?? [];
+		const counts = this.#known.countSamples();
+		const live = new Map(hosts.listLive().map(found => [found.incarnation, found]));
+		const samples = submission.samples.length;
+		const count = policy.sharesBatches ? countShares({samples, groups: listGroups(submission).size, hosts: live.size}) : 1;
+		const chosen = chooseWorkers(this.#listCandidates(counts), {
+			count, samples: samples / count, last: policy.keepsTrainers ? last : [], endpoints: this.#countEndpoints(submission),
+			rank: id => rankCandidate(series, live.get(id)?.host ?? ''),
+		});
+		const workers = chosen.flatMap(id => live.get(id) ?? []);
+		return workers.length === 0
+			? [{
+				owner: this.#isLeaving ? '' : hosts.incarnation, ownerHost: host, dataCentre, term: 1,
+			}]
+			: workers.map(worker => ({
+				owner: worker.incarnation, ownerHost: worker.host, dataCentre: worker.dataCentre, term: 1,
+			}));
+	}
+
+	#listCandidates(samples: ReadonlyMap<string, number>): WorkerCandidate[] {
+		const {hosts} = this.#settings;
+		return hosts.listLive()
+			.filter(({incarnation}) => !(this.#isLeaving && incarnation === hosts.incarnation))
+			.map(({incarnation, ...found}) => ({
+				...found, id: incarnation, samples: samples.get(incarnation) ?? 0, isHere: incarnation === hosts.incarnation,
+			}));
+	}
+
+	/** Services that may run a submission. */
+	#listServices({host, path}: Submission): Set<string> {
+		const deployment = this.#settings.findDeployment();
+		return new Set((deployment && findRoute(deployment, host, path))?.targets.map(({service}) => service));
+	}
 
-		return {owner: this.#isLeaving ? '' : hosts.incarnation, ownerHost: host};
+	/** Endpoints that may serve a submission, by data centre. */
+	#countEndpoints(submission: Submission): Map<string, number> {
+		const services = this.#listServices(submission);
+		const endpoints = this.#settings.directory.list().filter(({service, isDraining}) => services.has(service) && !isDraining);
+		return new Map([...groupBy(endpoints, ({dataCentre}) => dataCentre)].map(([dataCentre, found]) => [dataCentre, found.length]));
 	}
 
 	/** Prepares a submission; the store may have its object already from an earlier attempt, which does no harm. */
@@ -376,50 +422,82 @@
 	 *
 	 * @param isNew - whether this process has just written the first row, so that there can be no results yet
 	 */
-	#learn({record, version}: StoredBatch, isNew = false): void {
-		const known = this.#known.get(record.id);
-		if (known && known.version >= version) {
+	#learn(stored: StoredBatch, isNew = false): void {
+		const {record} = stored;
+		const {before, isOld} = this.#known.learn(stored);
+		if (isOld) {
 			return;
 		}
 
-		const hasSameOwner = known?.record.owner === record.owner;
-		this.#known.set(record.id, {
-			record, version, seenAt: hasSameOwner ? known.seenAt : performance.now(), isTaking: known?.isTaking ?? false,
-		});
-		if (!known && !record.isEnded) {
+		if (!before && !record.isEnded) {
 			this.#retired.flushSeries(record.series);
 		}
 
-		const owner = this.#owners.get(record.id);
-		if (owner && owner.stored.version !== version) {
-			this.#leave(owner, record.isEnded && hasSameOwner);
+		for (const owner of this.#listOwners(record.id)) {
+			this.#follow(owner, stored);
 		}
 
-		const isOurs = record.owner === this.#settings.hosts.incarnation && !record.isEnded;
-		if (isOurs && !this.#owners.has(record.id) && !this.#isLeaving) {
-			void this.#own({record, version}, isNew);
+		for (const share of record.shares.keys()) {
+			if (this.#isOurs(record, share) && !record.isEnded && !this.#owners.has(nameShare(record.id, share)) && !this.#isLeaving) {
+				void this.#begin(stored, share, isNew);
+			}
 		}
 	}
 
-	/** Leaves a batch: for good, or with its runs going on for a moment if it has merely ended. */
-	#leave(owner: BatchOwner, hasEnded: boolean): void {
-		const {id} = owner;
+	/** Begins a share once for each term, though its row may change for other shares meanwhile. */
+	async #begin(stored: StoredBatch, share: number, isNew: boolean): Promise<void> {
+		const key = `${nameShare(stored.record.id, share)}:${stored.record.shares[share]!.term}`;
+		if (this.#beginning.has(key)) {
+			return;
+		}
+
+		this.#beginning.add(key);
+		try {
+			await this.#own(stored, share, isNew);
+		} finally {
+			this.#beginning.delete(key);
+		}
+	}
+
+	/** Goes on with a share whose batch's row has changed, or leaves it. */
+	#follow(owner: ShareOwner, stored: StoredBatch): void {
+		const {record} = stored;
+		const {term} = (owner.stored.record.shares[owner.share]!);
+		const isSame = this.#isOurs(record, owner.share) && record.shares[owner.share]!.term === term;
+		if (isSame && !record.isEnded) {
+			owner.adopt(stored);
+		} else {
+			this.#leave(owner, isSame);
+		}
+	}
+
+	#isOurs({shares}: BatchRecord, share: number): boolean {
+		return shares[share]?.owner === this.#settings.hosts.incarnation;
+	}
+
+	#listOwners(id: string): ShareOwner[] {
+		return [...this.#owners.values()].filter(owner => owner.id === id);
+	}
+
+	/** Leaves a share: for good, or with its runs going on for a moment if its batch has merely ended. */
+	#leave(owner: ShareOwner, hasEnded: boolean): void {
 		const {policy = defaultPolicy} = this.#settings;
 		const unfinished = hasEnded && policy.keepsTexts ? owner.listUnfinished() : [];
 		if (unfinished.length === 0) {
-			this.#drop(id);
+			this.#drop(owner);
 			return;
 		}
 
-		this.#owners.delete(id);
+		this.#owners.delete(owner.name);
 		this.#retired.add(owner);
 	}
 
 	/** What earlier batches have left of a new one's samples. */
-	async #findKept(submission: Submission): Promise<Map<string, KeptText>> {
+	async #findKept(submission: Submission, {shares}: BatchRecord, share: number): Promise<Map<string, KeptText>> {
 		const {samples, wantedGroups, step} = submission;
 		const {keptTexts, log, policy = defaultPolicy} = this.#settings;
-		const groups = [...new Set(samples.flatMap(({group}) => group ?? []))].slice(0, Math.ceil(wantedGroups * carriedPart));
+		const ours = new Set(listShareSamples(submission, share, shares.length).flatMap(({group}) => group ?? []));
+		const groups = [...new Set(samples.flatMap(({group}) => group ?? []))].slice(0, Math.ceil(wantedGroups * carriedPart)).filter(group => ours.has(group));
 		if (step === 0 || groups.length === 0 || !policy.keepsTexts) {
 			return new Map();
 		}
@@ -437,108 +515,72 @@
 	/** Waits until what was made of a trainer's last batches is kept: told if this process ran them, else some calls to the store later. */
 	async #waitForKept(series: string): Promise<void> {
 		const {hosts, readStoreMs} = this.#settings;
-		const last = [...this.#known.values()].filter(({record}) => record.series === series && record.isEnded && readStoreMs() - record.acceptedMs < needAgeMs);
-		const areOurs = last.every(({record}) => record.owner === hosts.incarnation);
-		const kept = areOurs ? this.#retired.whenKept(series) : undefined;
-		await (kept ?? pause(keepMs));
+		const last = this.#known.listEnded(series, readStoreMs() - needAgeMs);
+		const areOurs = last.every(({shares}) => shares.every(({owner}) => owner === hosts.incarnation));
+		const isTold = areOurs && this.#retired.isKeeping(series);
+		await Promise.all([this.#retired.whenKept(series), pause(isTold ? 0 : keepMs)]);
 	}
 
-	#drop(id: string): void {
-		this.#owners.get(id)?.stop();
-		this.#owners.delete(id);
+	#drop(owner: ShareOwner): void {
+		owner.stop();
+		this.#owners.delete(owner.name);
 	}
 
-	/** Begins to run a batch that the store says is this process's. */
-	async #own(stored: StoredBatch, isNew: boolean): Promise<void> {
+	/** Begins to work on a share that the store says is this process's. */
+	async #own(stored: StoredBatch, share: number, isNew: boolean): Promise<void> {
 		const {store, log, hosts} = this.#settings;
-		const {id} = stored.record;
+		const {record} = stored;
+		const {id} = record;
 		try {
-			const submission = await this.#readSubmission(stored.record);
+			const submission = await this.#readSubmission(record);
 			const [kept, results, partials] = await Promise.all([
-				this.#findKept(submission),
+				this.#findKept(submission, record, share),
 				isNew ? [] : store.readAllResults(id),
 				isNew ? new Map<string, never>() : store.readPartials(id),
 			]);
-			if (this.#known.get(id)?.version !== stored.version || this.#owners.has(id) || this.#isLeaving) {
+			const present = this.#known.get(id);
+			const isCurrent = present?.record.shares[share]?.term === record.shares[share]!.term && this.#isOurs(present.record, share) && !present.record.isEnded;
+			if (!isCurrent || this.#owners.has(nameShare(id, share)) || this.#isLeaving) {
 				return;
 			}
 
-			const owner = new BatchOwner({
+			const homes = new ShareHomes({
 				...this.#settings,
-				countEarlierOpen: () => this.#countEarlierOpen(stored.record),
-				onReplaced: () => {
-					this.#drop(id);
+				listServices: () => this.#listServices(submission),
+				findRecord: () => this.#known.get(id)?.record ?? record,
+			}, share);
+			const owner = new ShareOwner({
+				...this.#settings,
+				countEarlierOpen: () => this.#known.countEarlierOpen(record),
+				findHomes: () => homes.find(),
+				onConflict: found => {
+					this.#noteConflict(id, found);
 				},
 			}, {
-				stored, submission, results, partials, kept,
+				stored: present, share, submission, results, partials, kept,
 			});
-			this.#owners.set(id, owner);
+			this.#owners.set(owner.name, owner);
 			owner.start();
 			await hosts.beat();
 		} catch (error) {
-			log.warn('batch_not_begun', {batch: id, reason: describeError(error)});
+			log.warn('batch_not_begun', {batch: id, share, reason: describeError(error)});
 			await pause(settlePauseMs);
-			if (this.#known.get(id)?.version === stored.version && !this.#isLeaving) {
-				await this.#own(stored, false);
+			const present = this.#known.get(id);
+			if (present && this.#isOurs(present.record, share) && !present.record.isEnded && !this.#isLeaving) {
+				await this.#own(present, share, false);
 			}
 		}
 	}
 
-	#countEarlierOpen({series, acceptedMs}: BatchRecord): number {
-		return [...this.#known.values()].filter(({record}) => !record.isEnded && record.series === series && record.acceptedMs < acceptedMs).length;
-	}
-
-	/** Takes over what nobody looks after. */
-	#look(): void {
-		const {hosts} = this.#settings;
-		for (const known of this.#known.values()) {
-			const {record, isTaking} = known;
-			if (!record.isEnded && !isTaking && record.owner !== hosts.incarnation && this.#isOrphan(known)) {
-				known.isTaking = true;
-				void this.#takeOver(record.id);
-			}
+	/** A write was refused: the row has changed, or another share was first. */
+	#noteConflict(id: string, found: StoredBatch | undefined): void {
+		if (found) {
+			this.#learn(found);
+			return;
 		}
-	}
 
-	/** Whether nobody looks after a batch: an earlier start of this host has ended, whatever is heard of heartbeats. */
-	#isOrphan({record, seenAt}: KnownBatch): boolean {
-		const {hosts, host} = this.#settings;
-		return (record.ownerHost === host && record.owner !== hosts.incarnation) || hosts.isGone(record.owner, seenAt);
-	}
-
-	async #takeOver(id: string): Promise<void> {
-		const {store, hosts, host, log} = this.#settings;
-		const isOwn = this.#known.get(id)?.record.ownerHost === host;
-		await pause(isOwn ? 0 : hosts.findTurnMs(id));
-		const known = this.#known.get(id);
-		try {
-			if (!known || known.record.isEnded || !this.#isOrphan(known)) {
-				return;
-			}
-
-			const record: BatchRecord = {
-				...known.record, owner: hosts.incarnation, ownerHost: host, term: known.record.term + 1,
-			};
-			const version = await store.write(record, known.version);
-			if (version === undefined) {
-				// Another process was first, or the batch has ended; the feed tells, or this read.
-				const found = await store.find(id);
-				if (found) {
-					this.#learn(found);
-				}
-
-				return;
-			}
-
-			log.info('batch_taken_over', {batch: id, from: known.record.ownerHost, term: record.term});
-			this.#learn({record, version});
-		} catch (error) {
-			log.warn('take_over_failed', {batch: id, reason: describeError(error)});
-		} finally {
-			const current = this.#known.get(id);
-			if (current) {
-				current.isTaking = false;
-			}
+		for (const owner of this.#listOwners(id)) {
+			this.#drop(owner);
 		}
 	}
 }
@@ -554,10 +596,6 @@
 	return {model, expectedTokens: lengths.reduce((sum, length) => sum + length, 0), longestTokens: Math.max(0, ...lengths)};
 }
 
-function findMean<Item>(items: readonly Item[], read: (item: Item) => number): number {
-	return items.reduce((sum, item) => sum + read(item), 0) / Math.max(1, items.length);
-}
-
 /** As many of the first results as fit into one answer; one at least. */
 function cutPage(results: readonly SampleResult[]): SampleResult[] {
 	let length = 0;
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -19,6 +19,12 @@
 /** Time between heartbeats of a process that owns work, in milliseconds. */
 const heartbeatMs = 400;
 
+/**
+ * Silence after which work is taken over that was given to a process which has not been heard since, in milliseconds: one that
+ * lives says so within some calls to the store. It was perhaps lost while it had no work, when nobody listens for it.
+ */
+const unheardMs = 1000;
+
 /** Silence after which an owner's work is taken over, in milliseconds: two heartbeats and twice the delay of a store that is eighty times slower than usual. */
 const silenceMs = 1700;
 
@@ -60,6 +66,11 @@
 	incarnation: z.string(),
 	beat: z.int(),
 	isLeaving: z.boolean(),
+	/** Whether it has no work, so that nothing more is heard of it until it has. */
+	isResting: z.boolean().default(false),
+	/** Where it is, and the cores that its process may use; 0 if it does not know. */
+	dataCentre: z.string().default(''),
+	cores: z.number().default(0),
 	/** How late the process's timers were of late, in milliseconds. */
 	lateMs: z.number().default(0),
 	/** Where other hosts reach it, `ip:port`; empty if they can't. */
@@ -77,6 +88,11 @@
 	address?: string;
 	log: Log;
 	policy?: Policy;
+	dataCentre?: string;
+	/** Cores that this process may use; undefined if it does not know. */
+	cores?: number;
+	/** How late this process is with its own work, in milliseconds. */
+	findLateMs?(): number;
 	/** Whether this process owns work, so that its silence would mean something. */
 	ownsWork(): boolean;
 	/** Paces of endpoints to tell to the others; of so many at most. */
@@ -86,7 +102,7 @@
 };
 
 /** What was heard of a process that is not known to be gone. */
-export type LiveHost = {host: string; silentMs: number; lateMs: number};
+export type LiveHost = Pick<HostRow, 'incarnation' | 'dataCentre' | 'cores' | 'isResting' | 'lateMs'> & {host: string; silentMs: number};
 
 /** Heartbeats of this process, and what is heard of others. */
 export class HostRegistry {
@@ -108,8 +124,8 @@
 	#soundFrom = Number.POSITIVE_INFINITY;
 	/** When this process last owned work. */
 	#ownedAt = Number.NEGATIVE_INFINITY;
-	#dueAt = 0;
-	#lateMs = 0;
+	/** Whether the others were told that this process has no work. */
+	#hasRested = false;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(settings: HostRegistrySettings) {
@@ -118,10 +134,7 @@
 
 	/** Announces this process, and goes on with heartbeats while it owns work. */
 	start(): void {
-		this.#dueAt = performance.now() + heartbeatMs;
 		this.#timer = setInterval(() => {
-			this.#lateMs = Math.max(0, Math.round(performance.now() - this.#dueAt));
-			this.#dueAt = performance.now() + heartbeatMs;
 			void this.beat();
 		}, heartbeatMs);
 		void this.beat();
@@ -137,7 +150,10 @@
 		return [...this.#hosts].flatMap(([host, {address}]) => host === this.#settings.host || address === '' ? [] : [address]);
 	}
 
-	/** Time that this host leaves to those that come before it in looking after something, in milliseconds. */
+	/**
+	 * Time that this host leaves to those that come before it in looking after something, in milliseconds. Hosts that work come before those that rest:
+	 * they hear their own heartbeats already, without which nobody takes anything over.
+	 */
 	findTurnMs(name: string): number {
 		const {host, policy = defaultPolicy} = this.#settings;
 		if (!policy.ranksTakeOvers) {
@@ -145,18 +161,15 @@
 		}
 
 		const own = rankCandidate(name, host);
-		return rankStepMs * [...this.#hosts.keys()].filter(other => other !== host && rankCandidate(name, other) > own).length;
+		const rests = this.#isResting(performance.now());
+		const isBefore = (other: string, isResting: boolean) => isResting === rests ? rankCandidate(name, other) > own : rests;
+		return rankStepMs * [...this.#hosts].filter(([other, {isResting}]) => other !== host && isBefore(other, isResting)).length;
 	}
 
-	/** A process that was heard of and is not known to be gone; undefined if there is none with that incarnation. */
-	findLive(incarnation: string): LiveHost | undefined {
-		for (const [host, row] of this.#hosts) {
-			if (row.incarnation === incarnation) {
-				return {host, silentMs: performance.now() - row.heardAt, lateMs: row.lateMs};
-			}
-		}
-
-		return undefined;
+	/** Processes that were heard of and are not known to be gone. */
+	listLive(): LiveHost[] {
+		const now = performance.now();
+		return [...this.#hosts].map(([host, {heardAt, ...row}]) => ({...row, host, silentMs: now - heardAt}));
 	}
 
 	stop(): void {
@@ -166,7 +179,7 @@
 	/** Says that this process leaves; its work may be taken over at once. */
 	async leave(): Promise<void> {
 		this.#isLeaving = true;
-		await this.#write();
+		await this.#write(false);
 	}
 
 	/** Writes a heartbeat if it is due; never rejects. */
@@ -176,12 +189,13 @@
 			this.#ownedAt = now;
 		}
 
-		const isDue = !this.#hasAnnounced || now - this.#ownedAt < lingerMs || now - this.#suspectedAt < proofMs;
+		const isResting = this.#isResting(now);
+		const isDue = !this.#hasAnnounced || !isResting || this.#hasRested !== isResting || now - this.#suspectedAt < proofMs;
 		if (!isDue || this.#isWriting || this.#isLeaving) {
 			return;
 		}
 
-		await this.#write();
+		await this.#write(isResting);
 	}
 
 	/** Takes over a change of the table of hosts. */
@@ -243,13 +257,18 @@
 		}
 
 		const heardAt = [...this.#hosts.values()].find(host => host.incarnation === incarnation)?.heardAt ?? Number.NEGATIVE_INFINITY;
+		const limitMs = heardAt < ownedSince ? unheardMs : silenceMs;
 		const silentMs = now - Math.max(heardAt, ownedSince, this.#countFrom);
 		// The turn is worked out only for who is silent: it takes a hash of each host.
 		if (silentMs > suspicionMs && silentMs > suspicionMs + this.findTurnMs(incarnation)) {
 			this.#suspect(now);
 		}
 
-		return silentMs > silenceMs && now - this.#ownHeardAt < proofMs && now - this.#soundFrom >= soundMs;
+		return silentMs > limitMs && now - this.#ownHeardAt < proofMs && now - this.#soundFrom >= soundMs;
+	}
+
+	#isResting(now: number): boolean {
+		return now - this.#ownedAt >= lingerMs;
 	}
 
 	#suspect(now: number): void {
@@ -269,12 +288,14 @@
 		this.#ownHeardAt = now;
 	}
 
-	async #write(): Promise<void> {
-		const {rows, host, address = '', log} = this.#settings;
+	async #write(isResting: boolean): Promise<void> {
+		const {
+			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, log,
+		} = this.#settings;
 		this.#isWriting = true;
 		this.#beat += 1;
 		const row: HostRow = {
-			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, lateMs: this.#lateMs, address,
+			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, isResting, dataCentre, cores, lateMs: Math.round(findLateMs?.() ?? 0), address,
 			...(this.#beat % pacesEvery === firstPacesBeat ? {paces: this.#settings.listPaces?.(maxToldPaces)} : {}),
 		};
 		try {
@@ -286,6 +307,7 @@
 				deletes: [],
 			});
 			this.#hasAnnounced = true;
+			this.#hasRested = isResting;
 		} catch (error) {
 			log.warn('heartbeat_failed', {beat: this.#beat, reason: describeError(error)});
 		} finally {
--- a/packages/batches/src/retired-batches.ts
+++ b/packages/batches/src/retired-batches.ts
@@ -2,7 +2,7 @@
  * Batches of this process that have ended: their runs go on for a moment, and what was made of unfinished groups is kept.
  */
 import {describeError, type Log} from '@wasabiusher/shared';
-import type {BatchOwner} from './batch-owner.js';
+import type {ShareOwner} from './share-owner.js';
 import type {KeptTexts} from './kept-texts.js';
 
 /**
@@ -11,52 +11,54 @@
  */
 const retiredMs = 1500;
 
-type Retired = {owner: BatchOwner; timer: NodeJS.Timeout};
+type Retired = {owner: ShareOwner; timer: NodeJS.Timeout};
 
 /** The batches that have ended here. */
 export class RetiredBatches {
 	readonly #keptTexts: KeptTexts;
 	readonly #log: Log;
 	readonly #retired = new Map<string, Retired>();
-	/** Texts that are just being kept, by the trainer that their batches belong to. */
-	readonly #keeping = new Map<string, Promise<void>>();
+	/** Texts that are just being kept, with the trainer that their batches belong to. */
+	readonly #keeping = new Set<{series: string; kept: Promise<void>}>();
 
 	constructor(keptTexts: KeptTexts, log: Log) {
 		this.#keptTexts = keptTexts;
 		this.#log = log;
 	}
 
-	/** Takes in a batch that has ended with unfinished groups. */
-	add(owner: BatchOwner): void {
-		const {id} = owner;
+	/** Takes in a share of a batch that has ended with unfinished groups. */
+	add(owner: ShareOwner): void {
+		const {name} = owner;
 		owner.retire();
 		const timer = setTimeout(() => {
-			void this.#flush(id);
+			void this.#flush(name);
 		}, retiredMs);
-		this.#retired.set(id, {owner, timer});
+		this.#retired.set(name, {owner, timer});
 		void this.#keep(owner);
 	}
 
 	/** Keeps the texts of a trainer's ended batches and stops their runs, since its next batch has come. */
 	flushSeries(series: string): void {
-		for (const [id, {owner}] of this.#retired) {
+		for (const [name, {owner}] of this.#retired) {
 			if (owner.stored.record.series === series) {
-				void this.#flush(id);
+				void this.#flush(name);
 			}
 		}
 	}
 
-	/**
-	 * Resolves once what this process has of a trainer's ended batches is kept; never rejects. Undefined if it has nothing of them under way,
-	 * so that another process may.
-	 */
-	whenKept(series: string): Promise<void> | undefined {
-		return this.#keeping.get(series);
+	/** Whether this process is just keeping something of a trainer's ended batches. */
+	isKeeping(series: string): boolean {
+		return [...this.#keeping].some(keeping => keeping.series === series);
+	}
+
+	/** Resolves once what this process is just keeping of a trainer's ended batches is kept; never rejects. */
+	async whenKept(series: string): Promise<void> {
+		await Promise.all([...this.#keeping].filter(keeping => keeping.series === series).map(async ({kept}) => kept));
 	}
 
 	/** Does the same for all of them. Never rejects. */
 	async flushAll(): Promise<void> {
-		await Promise.all([...this.#retired.keys()].map(async id => this.#flush(id)));
+		await Promise.all([...this.#retired.keys()].map(async name => this.#flush(name)));
 	}
 
 	/** Stops all runs; nothing more is kept. */
@@ -69,32 +71,33 @@
 		this.#retired.clear();
 	}
 
-	async #flush(id: string): Promise<void> {
-		const retired = this.#retired.get(id);
+	async #flush(name: string): Promise<void> {
+		const retired = this.#retired.get(name);
 		if (!retired) {
 			return;
 		}
 
-		this.#retired.delete(id);
+		this.#retired.delete(name);
 		clearTimeout(retired.timer);
-		const {series} = retired.owner.stored.record;
-		const kept = this.#keep(retired.owner);
-		this.#keeping.set(series, kept);
+		const keeping = {series: retired.owner.stored.record.series, kept: this.#keep(retired.owner)};
+		this.#keeping.add(keeping);
 		retired.owner.stop();
-		await kept;
-		if (this.#keeping.get(series) === kept) {
-			this.#keeping.delete(series);
-		}
+		await keeping.kept;
+		this.#keeping.delete(keeping);
 	}
 
-	async #keep(owner: BatchOwner): Promise<void> {
+	async #keep(owner: ShareOwner): Promise<void> {
 		const texts = owner.listUnfinished();
 		try {
 			await this.#keptTexts.keep(texts);
-			this.#log.info('texts_kept', {batch: owner.id, texts: texts.length, events: texts.reduce((sum, {text}) => sum + text.events.length, 0)});
+			this.#log.info('texts_kept', {
+				batch: owner.id, share: owner.share, texts: texts.length, events: texts.reduce((sum, {text}) => sum + text.events.length, 0),
+			});
 		} catch (error) {
 			// The texts are made anew then.
-			this.#log.warn('texts_not_kept', {batch: owner.id, texts: texts.length, reason: describeError(error)});
+			this.#log.warn('texts_not_kept', {
+				batch: owner.id, share: owner.share, texts: texts.length, reason: describeError(error),
+			});
 		}
 	}
 }
--- /dev/null
+++ b/packages/batches/src/share-homes.ts
@@ -0,0 +1,58 @@
+/**
+ * The endpoints that a share has for its own, so that hosts that work on one batch don't fill the same slots.
+ */
+import {divideEndpoints} from '@wasabiusher/decisions';
+import type {EndpointDirectory} from '@wasabiusher/direct';
+import type {BatchRecord} from './batch.js';
+
+/** Time for which a division holds, in milliseconds; endpoints come, go and change their models within seconds. */
+const divisionMs = 500;
+
+export type ShareHomesSettings = {
+	directory: EndpointDirectory;
+	/** Services that may run the batch. */
+	listServices(): ReadonlySet<string>;
+	/** The newest published version of a model. */
+	findPublished(model: string): number | undefined;
+	/** The batch's row as last known. */
+	findRecord(): BatchRecord;
+};
+
+/** Tells one share's endpoints. */
+export class ShareHomes {
+	readonly #settings: ShareHomesSettings;
+	readonly #share: number;
+	#homes: ReadonlySet<string> | undefined;
+	#dividedAt = Number.NEGATIVE_INFINITY;
+
+	constructor(settings: ShareHomesSettings, share: number) {
+		this.#settings = settings;
+		this.#share = share;
+	}
+
+	/** Ids of the share's endpoints; undefined if it may use all alike. */
+	find(): ReadonlySet<string> | undefined {
+		const now = performance.now();
+		if (now - this.#dividedAt >= divisionMs) {
+			this.#dividedAt = now;
+			this.#homes = this.#divide();
+		}
+
+		return this.#homes;
+	}
+
+	#divide(): ReadonlySet<string> | undefined {
+		const {directory, listServices, findPublished, findRecord} = this.#settings;
+		const {shares, model} = findRecord();
+		if (shares.length === 1) {
+			return undefined;
+		}
+
+		const services = listServices();
+		// One version back is what a batch still admits; what is older follows another model.
+		const least = (findPublished(model) ?? 1) - 1;
+		const endpoints = directory.list().filter(({id, service, isDraining}) => services.has(service) && !isDraining && (model === '' || (directory.findVersion(id, model) ?? 0) >= least));
+		const ids = divideEndpoints(endpoints, shares.map(({dataCentre}) => dataCentre))[this.#share] ?? [];
+		return ids.length === 0 ? undefined : new Set(ids);
+	}
+}
--- a/packages/batches/src/batch-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -1,20 +1,20 @@
 /**
- * Runs one batch that this process owns: makes its samples, has them scored, and commits results at positions.
+ * Runs one share of a batch that this process owns: makes its samples, has them scored, and commits results at positions.
  *
- * A result is shown to the trainer only once the store has it. When this process no longer owns the batch, or the batch
+ * A result is shown to the trainer only once the store has it. When this process no longer owns the share, or the batch
  * has ended, everything stops and nothing more can be written.
  */
 import {Buffer} from 'node:buffer';
 import {setMaxListeners} from 'node:events';
 import PQueue from 'p-queue';
 import {
-	chooseRenewals, defaultPolicy, planBatchOrder, type Policy,
+	chooseRenewals, defaultPolicy, type Policy,
 } from '@wasabiusher/decisions';
 import {
 	SampleRun, type SampleOutcome, type SampleText,
 } from '@wasabiusher/direct';
 import {
-	describeError, findRoute, groupBy, type Route,
+	describeError, findRoute, type Route,
 } from '@wasabiusher/shared';
 import type {
 	KeptText, PartialText, Sample, SampleResult, StoredBatch, Submission,
@@ -28,6 +28,9 @@
 	chooseUsable, toPartial, toText, type UsableText,
 } from './sample-texts.js';
 import {scoreSample, type ScoringSettings} from './scoring.js';
+import {
+	listGroups, listShareSamples, nameShare, sampleOrders, toOrdered,
+} from './shares.js';
 
 /** Samples begun at once when no endpoint is registered, so that the first one is not waited for. */
 const leastConcurrency = 8;
@@ -41,22 +44,27 @@
 /** Time between looks for texts that should be begun a second time, in milliseconds; a text grows by seven events in it. */
 const renewalMs = 250;
 
-export type BatchOwnerSettings = ScoringSettings & {
+export type ShareOwnerSettings = ScoringSettings & {
 	store: BatchStore;
 	/** The newest published version of a model. */
 	findPublished(model: string): number | undefined;
 	/** Milliseconds on the store's steady clock. */
 	readStoreMs(): number;
+	/** Endpoints that this share has for its own; undefined if it may use all alike. */
+	findHomes(): ReadonlySet<string> | undefined;
 	/** Batches of the same trainer that were accepted before this one and are still open. */
 	countEarlierOpen(): number;
-	/** Called when the batch is found to have ended or to have another owner. */
-	onReplaced(): void;
+	/** Called with the batch's row when a write has found it changed, or something else that it expects; undefined if the row is gone. */
+	onConflict(found: StoredBatch | undefined): void;
 };
 
-/** What is known of a batch when its ownership begins. */
-export type OwnedBatch = {
+/** What is known of a share when its ownership begins. */
+export type OwnedShare = {
 	stored: StoredBatch;
+	/** Which of the batch's shares it is. */
+	share: number;
 	submission: Submission;
+	/** Results of the whole batch. */
 	results: PositionedResult[];
 	partials: Map<string, PartialText>;
 	/** What earlier batches have left of its samples; a group that is found here was carried over. */
@@ -75,11 +83,15 @@
 	avoidsFull?: boolean;
 };
 
-/** The owner of one batch. */
-export class BatchOwner {
-	readonly #settings: BatchOwnerSettings;
+/** The owner of one share of a batch. */
+export class ShareOwner {
+	/** Which of the batch's shares it is. */
+	readonly share: number;
+	/** Samples of this share. */
+	readonly samples: readonly Sample[];
+	readonly #settings: ShareOwnerSettings;
 	readonly #policy: Policy;
-	readonly #stored: StoredBatch;
+	#stored: StoredBatch;
 	readonly #submission: Submission;
 	readonly #results: ResultList;
 	readonly #partials: Map<string, PartialText>;
@@ -97,7 +109,10 @@
 	/** Version from which on second texts are begun: each earlier batch that is still open brings one more before this one ends. */
 	#renewFrom: number | undefined;
 
-	constructor(settings: BatchOwnerSettings, {stored, submission, results, partials, kept}: OwnedBatch) {
+	constructor(settings: ShareOwnerSettings, {stored, share, submission, results, partials, kept}: OwnedShare) {
+		const {shares} = stored.record;
+		this.share = share;
+		this.samples = listShareSamples(submission, share, shares.length);
 		this.#settings = settings;
 		this.#policy = settings.policy ?? defaultPolicy;
 		this.#stored = stored;
@@ -110,17 +125,17 @@
 		this.#results = new ResultList({
 			store,
 			log,
-			stored,
+			batch: stored.record.id,
+			isShared: shares.length > 1,
+			total: this.samples.length,
+			findVersion: () => this.#stored.version,
 			signal: this.#stop.signal,
-			onReplaced: () => {
-				this.stop();
-				settings.onReplaced();
-			},
+			onConflict: settings.onConflict,
 			onWhole: () => {
 				this.#clearTimers();
 				this.#renewals.stop();
 			},
-		}, results);
+		}, this.#selectOwn(results));
 	}
 
 	get id(): string {
@@ -131,7 +146,22 @@
 		return this.#stored;
 	}
 
-	/** Results that the store has, in the order of their positions. */
+	/** The share's name among all shares. */
+	get name(): string {
+		return nameShare(this.id, this.share);
+	}
+
+	/** Whether the batch has no other shares, so that this one has all results. */
+	get isAll(): boolean {
+		return this.#stored.record.shares.length === 1;
+	}
+
+	/** Whether every sample of the share has its result. */
+	get isWhole(): boolean {
+		return this.#results.all.length === this.samples.length;
+	}
+
+	/** Results of this share that the store has, in the order of their positions. */
 	get results(): readonly SampleResult[] {
 		return this.#results.all;
 	}
@@ -145,13 +175,18 @@
 		return new Map([...this.#runs].filter(([, {text}]) => text.events.length > 0).map(([id, {text}]) => [id, toPartial(text)]));
 	}
 
+	/** Takes note that the batch's row has changed while this share stayed as it is. */
+	adopt(stored: StoredBatch): void {
+		this.#stored = stored;
+	}
+
 	/** Begins all samples that have no result. */
 	start(): void {
 		const {samples, wantedGroups, step, model} = this.#submission;
-		const open = new Map(samples.filter(({id}) => !this.#results.has(id)).map(sample => [sample.id, sample]));
-		const order = sampleOrders[this.#policy.sampleOrder]([...open.values()].map(sample => ({
-			id: sample.id, group: sample.group ?? sample.id, expectedTokens: sample.expectedTokens ?? 0, isCarried: this.#kept.has(sample.id),
-		})), wantedGroups);
+		const open = new Map(this.samples.filter(({id}) => !this.#results.has(id)).map(sample => [sample.id, sample]));
+		// What the trainer need not wait for is told by the batch as a whole.
+		const planned = sampleOrders[this.#policy.sampleOrder](toOrdered(samples, id => this.#kept.has(id)), wantedGroups);
+		const order = planned.filter(id => open.has(id));
 		for (const id of order) {
 			void this.#queue.add(async () => this.#make(open.get(id)!));
 		}
@@ -162,9 +197,10 @@
 		this.#renewalTimer = setInterval(() => {
 			this.#renew();
 		}, renewalMs);
-		const {record: {term, series, acceptedMs}} = this.#stored;
+		const {record: {shares, series, acceptedMs}} = this.#stored;
 		this.#settings.log.info('batch_begun', {
-			batch: this.id, term, series, step, model, total: samples.length, wanted: wantedGroups, groups: groupBy(samples, ({id, group}) => group ?? id).size,
+			batch: this.id, share: this.share, shares: shares.length, samples: this.samples.length, term: shares[this.share]!.term, series, step, model,
+			total: samples.length, wanted: wantedGroups, groups: listGroups(this.#submission).size,
 			ageMs: Math.round(this.#settings.readStoreMs() - acceptedMs), listed: this.#results.all.length, partials: this.#partials.size, kept: this.#kept.size,
 		});
 	}
@@ -216,19 +252,26 @@
 	/** Begins nothing more; runs under way go on until `stop`, since their texts may be wanted in the next batch. */
 	retire(): void {
 		this.#isRetired = true;
+		this.#results.close();
 		this.#clearTimers();
 	}
 
 	/** What was made of the groups that are not whole. */
 	listUnfinished(): GroupedText[] {
-		const open = new Set(this.#submission.samples.filter(({id}) => !this.#results.has(id)).map(({group}) => group));
+		const open = new Set(this.samples.filter(({id}) => !this.#results.has(id)).map(({group}) => group));
 		const results = new Map(this.#results.all.map(result => [result.id, result]));
-		return this.#submission.samples.flatMap(({id, group}) => {
+		return this.samples.flatMap(({id, group}) => {
 			const text = group !== undefined && open.has(group) ? this.#findText(id, results.get(id)) : undefined;
 			return text ? [{group: group!, sample: id, text}] : [];
 		});
 	}
 
+	/** The results of this share among those of the batch. */
+	#selectOwn(results: readonly PositionedResult[]): PositionedResult[] {
+		const ids = new Set(this.samples.map(({id}) => id));
+		return results.filter(({result}) => ids.has(result.id));
+	}
+
 	#findText(id: string, result: SampleResult | undefined): KeptText | undefined {
 		const text = this.#findFirstText(id, result);
 		const renewed = this.#renewals.read(id);
@@ -265,14 +308,14 @@
 	}
 
 	#getSample(id: string): Sample {
-		return this.#submission.samples.find(sample => sample.id === id)!;
+		return this.samples.find(sample => sample.id === id)!;
 	}
 
 	/** Begins second texts of long samples whose groups the trainer may end the batch without. */
 	#renew(): void {
-		const {samples, wantedGroups, model} = this.#submission;
+		const {wantedGroups, model} = this.#submission;
 		const published = model === undefined ? undefined : this.#settings.findPublished(model);
-		const groups = groupBy(samples, ({id, group}) => group ?? id);
+		const groups = listGroups(this.#submission);
 		if (published === undefined || !this.#policy.makesSecondTexts) {
 			return;
 		}
@@ -294,7 +337,7 @@
 			this.#renewals.begin(id, published);
 		}
 
-		this.#dropRenewals([...groups.values()]);
+		this.#dropRenewals([...listGroups(this).values()]);
 	}
 
 	/** Ends second texts of groups that are whole. */
@@ -314,8 +357,7 @@
 	}
 
 	#countSlots(): number {
-		const route = this.#findRoute();
-		const services = new Set(route?.targets.map(({service}) => service));
+		const services = new Set(this.#findRoute()?.targets.map(({service}) => service));
 		const slots = this.#settings.directory.list().filter(({service}) => services.has(service)).reduce((sum, endpoint) => sum + endpoint.slots, 0);
 		return Math.max(leastConcurrency, slots);
 	}
@@ -378,10 +420,10 @@
 	#createRun(sample: Sample, {
 		leastVersion, signal, text, avoidsFull,
 	}: RunPlan): SampleRun {
-		const {directory, client, log, random} = this.#settings;
+		const {directory, client, log, random, findHomes} = this.#settings;
 		const {host, model} = this.#submission;
 		return new SampleRun({
-			directory, client, log, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(),
+			directory, client, log, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findHomes,
 		}, {
 			id: sample.id,
 			batch: this.id,
@@ -415,12 +457,6 @@
 	}
 }
 
-/** Ways to order the samples of a batch, by the policy. */
-const sampleOrders: Readonly<Record<Policy['sampleOrder'], typeof planBatchOrder>> = {
-	'longest-first': planBatchOrder,
-	'as-submitted': samples => samples.map(({id}) => id),
-};
-
 /** Each sample of a batch listens for its end. */
 function createStop(): AbortController {
 	const controller = new AbortController();
@@ -428,7 +464,7 @@
 	return controller;
 }
 
-type OutcomeHandler = (owner: BatchOwner, sample: Sample, outcome: SampleOutcome) => Promise<void>;
+type OutcomeHandler = (owner: ShareOwner, sample: Sample, outcome: SampleOutcome) => Promise<void>;
 
 const outcomes: Readonly<Record<SampleOutcome['kind'], OutcomeHandler>> = {
 	async made(owner, sample, outcome) {
--- a/packages/decisions/__tests__/direct-choice.spec.ts
+++ b/packages/decisions/__tests__/direct-choice.spec.ts
@@ -4,7 +4,7 @@
 
 function createCandidate(id: string, changes: Partial<DirectCandidate> = {}): DirectCandidate {
 	return {
-		id, slots: 8, open: 0, others: 0, paceMs: 40, isWarm: false, isConnected: false, ...changes,
+		id, slots: 8, open: 0, others: 0, paceMs: 40, isWarm: false, isHome: false, isConnected: false, ...changes,
 	};
 }
 
--- /dev/null
+++ b/packages/decisions/__tests__/lateness.spec.ts
@@ -0,0 +1,31 @@
+import {expect} from 'chai';
+import {Lateness} from '../src/index.js';
+
+describe('Lateness', () => {
+	it('is late while ticks are late, and no longer once six were in time', () => {
+		const lateness = new Lateness();
+		expect(lateness.isLate).to.equal(false);
+		lateness.record(40);
+		expect(lateness.isLate).to.equal(true);
+		for (let i = 0; i < 6; i += 1) {
+			lateness.record(1);
+		}
+
+		expect(lateness.isLate).to.equal(false);
+	});
+
+	it('tells what is usual: one pause in ten ticks counts for nothing, two do', () => {
+		const lateness = new Lateness();
+		expect(lateness.usualMs).to.equal(0);
+		for (let i = 0; i < 20; i += 1) {
+			lateness.record(i % 10 === 0 ? 80 : 2);
+		}
+
+		expect(lateness.usualMs).to.equal(2);
+		for (let i = 0; i < 20; i += 1) {
+			lateness.record(i % 5 === 0 ? 80 : 2);
+		}
+
+		expect(lateness.usualMs).to.equal(80);
+	});
+});
--- a/packages/decisions/__tests__/pace.spec.ts
+++ b/packages/decisions/__tests__/pace.spec.ts
@@ -25,7 +25,7 @@
 		const random = new Random(3);
 		const paces = [new Pace(), new Pace()];
 		const create = (pace: Pace, id: string) => ({
-			id, slots: 8, open: 0, others: 0, paceMs: pace.unitMs, isWarm: false, isConnected: false,
+			id, slots: 8, open: 0, others: 0, paceMs: pace.unitMs, isWarm: false, isHome: false, isConnected: false,
 		});
 		let moves = 0;
 		for (let i = 0; i < 1000; i += 1) {
--- /dev/null
+++ b/packages/decisions/src/batch-shares.ts
@@ -0,0 +1,181 @@
+/**
+ * Among how many hosts a batch is divided, and which hosts these are.
+ *
+ * Load pattern: 88 entry hosts, half of them of a quarter of a core, and two trainers with steps of 100 to 160 texts. One host for each trainer
+ * made, scored and listed all of them; it was by chance one of the small ones, read up to 270 texts at once and each step took 7 to 12 s while
+ * most of the endpoints' slots stood empty. A batch is divided into shares of whole groups, each the work of one host. The same
+ * host works on the same share of a trainer's next batch, so that its connections to its endpoints stay in use.
+ */
+
+/** Samples of one share: with texts of an event each 40 ms, some 800 events a second, a tenth of a core. */
+const shareSamples = 32;
+
+/** Hosts for each share that there may be: what is left carries callers, and steps in the place of what fails. */
+const hostsPerShare = 4;
+
+/** Samples that a host may be given for each core that it has, open batches together; a core reads some 250 texts at once at its limit. */
+const samplesPerCore = 100;
+
+/** Longest silence of a host that works, in milliseconds: two heartbeats. */
+const maxSilentMs = 900;
+
+/** Lateness from which a host has more to do than it can, and from which it is given nothing new, in milliseconds: an event comes every 40. */
+const maxLateMs = 40;
+const maxNewLateMs = 10;
+
+/** What is known of a host that could work on a share. */
+export type WorkerCandidate = {
+	/** Names this start of its process. */
+	id: string;
+	dataCentre: string;
+	/** Cores that its process may use; 0 if it has not told. */
+	cores: number;
+	/** Whether it has said that it has no work; then its silence means nothing. */
+	isResting: boolean;
+	/** Time since it was last heard, in milliseconds. */
+	silentMs: number;
+	/** How late its own timers are, in milliseconds. */
+	lateMs: number;
+	/** Samples of open batches in its shares. */
+	samples: number;
+	/** Whether it is this host, which lives for sure and can begin at once. */
+	isHere: boolean;
+};
+
+/** What is to be divided. */
+export type ShareRequest = {
+	samples: number;
+	groups: number;
+	/** Hosts that there are. */
+	hosts: number;
+};
+
+/** What workers are chosen by. */
+export type WorkerRequest = {
+	/** Shares of the batch. */
+	count: number;
+	/** Samples of each. */
+	samples: number;
+	/** Who worked on each share of the trainer's last batch, by the share. */
+	last: ReadonlyArray<string | undefined>;
+	/** Where the endpoints are: how many are in each data centre. */
+	endpoints: ReadonlyMap<string, number>;
+	/** Orders hosts that are alike; differs by trainer, so that trainers choose different ones. Higher goes first. */
+	rank(id: string): number;
+};
+
+/** Number of shares into which a batch is divided. */
+export function countShares({samples, groups, hosts}: ShareRequest): number {
+	return Math.max(1, Math.min(Math.ceil(samples / shareSamples), Math.floor(hosts / hostsPerShare), groups));
+}
+
+/** Whether a host goes on with the work that it has. */
+function isSound({isResting, silentMs, lateMs}: WorkerCandidate): boolean {
+	return (isResting || silentMs <= maxSilentMs) && lateMs <= maxLateMs;
+}
+
+/** Samples that a host can still be given; one that has not told its size counts as one core. */
+function findRoom({cores, samples}: WorkerCandidate): number {
+	return ((cores || 1) * samplesPerCore) - samples;
+}
+
+/**
+ * Who works on each share. Hosts of the trainer's last batch keep their shares while they are sound and have room; for the others this host goes
+ * first if it has room, then the host with the most room in the data centre with the most endpoints for each worker: what a worker
+ * reads comes from there.
+ *
+ * @returns ids by the share; shorter than asked if there are not enough hosts
+ */
+export function chooseWorkers(candidates: readonly WorkerCandidate[], {count, samples, last, endpoints, rank}: WorkerRequest): string[] {
+	const byId = new Map(candidates.map(candidate => [candidate.id, candidate]));
+	const chosen: Array<WorkerCandidate | undefined> = Array.from({length: count}, (_, i) => {
+		const candidate = byId.get(last[i] ?? '');
+		return candidate && isSound(candidate) && findRoom(candidate) >= samples ? candidate : undefined;
+	});
+	for (const [i, kept] of chosen.entries()) {
+		const taken = new Set(chosen.flatMap(worker => worker ? [worker.id] : []));
+		const free = candidates.filter(candidate => !taken.has(candidate.id) && isSound(candidate) && candidate.lateMs <= maxNewLateMs);
+		chosen[i] = kept ?? chooseNew(free, {samples, rank, wanted: findWantedPlace(endpoints, chosen)});
+	}
+
+	return chosen.flatMap(worker => worker ? [worker.id] : []);
+}
+
+type NewWorkerRequest = Pick<WorkerRequest, 'samples' | 'rank'> & {wanted: string | undefined};
+
+function chooseNew(free: readonly WorkerCandidate[], {samples, rank, wanted}: NewWorkerRequest): WorkerCandidate | undefined {
+	return free.toSorted((a, b) => Number(findRoom(b) >= samples) - Number(findRoom(a) >= samples)
+		|| Number(b.isHere) - Number(a.isHere)
+		|| Number(b.dataCentre === wanted) - Number(a.dataCentre === wanted)
+		|| findRoom(b) - findRoom(a)
+		|| rank(b.id) - rank(a.id))[0];
+}
+
+/** The data centre with the most endpoints for each worker in it. */
+function findWantedPlace(endpoints: ReadonlyMap<string, number>, chosen: ReadonlyArray<WorkerCandidate | undefined>): string | undefined {
+	const weights = [...endpoints].map(([dataCentre, count]) => {
+		const workers = chosen.filter(worker => worker?.dataCentre === dataCentre).length;
+		return {dataCentre, weight: count / (workers + 1)};
+	});
+	return weights.toSorted((a, b) => b.weight - a.weight)[0]?.dataCentre;
+}
+
+/** A group of samples that is not divided. */
+export type SharedGroup = {
+	id: string;
+	/** Expected length of its longest text, in tokens. */
+	longest: number;
+};
+
+/**
+ * Divides groups among shares: the longest go round first, so that each share has as many long ones as the others. Everyone who has the
+ * same submission divides it in the same way.
+ *
+ * @returns ids of the groups by the share
+ */
+export function divideGroups(groups: readonly SharedGroup[], count: number): string[][] {
+	const shares = Array.from({length: count}, (): string[] => []);
+	const ordered = groups.toSorted((a, b) => b.longest - a.longest);
+	for (const [i, {id}] of ordered.entries()) {
+		const round = Math.floor(i / count);
+		const place = i % count;
+		// Each round goes the other way, so that nobody has the longer one each time.
+		shares[round % 2 === 0 ? place : count - 1 - place]!.push(id);
+	}
+
+	return shares;
+}
+
+/** An endpoint that may be given to a share. */
+export type SharedEndpoint = {id: string; dataCentre: string};
+
+/**
+ * Divides endpoints among the shares of a batch, as evenly as their number lets, each to a worker in its own data centre as far as there is one.
+ *
+ * Load pattern: five hosts fill the same 80 slots, each knowing of the others only what answers told up to a second before; an endpoint
+ * refuses what is beyond its queue. With endpoints of its own, a worker knows what is open there.
+ *
+ * @param places - data centre of the worker of each share
+ * @returns ids by the share; with fewer endpoints than shares some have none
+ */
+export function divideEndpoints(endpoints: readonly SharedEndpoint[], places: readonly string[]): string[][] {
+	const shares = places.map((): string[] => []);
+	const most = Math.ceil(endpoints.length / Math.max(1, places.length));
+	const left: SharedEndpoint[] = [];
+	for (const endpoint of endpoints.toSorted((a, b) => a.id < b.id ? -1 : 1)) {
+		const [near] = [...shares.entries()]
+			.filter(([i, ids]) => places[i] === endpoint.dataCentre && ids.length < most)
+			.toSorted(([, a], [, b]) => a.length - b.length);
+		if (near) {
+			near[1].push(endpoint.id);
+		} else {
+			left.push(endpoint);
+		}
+	}
+
+	for (const {id} of left) {
+		shares.toSorted((a, b) => a.length - b.length)[0]?.push(id);
+	}
+
+	return shares;
+}
--- a/packages/decisions/src/direct-choice.ts
+++ b/packages/decisions/src/direct-choice.ts
@@ -19,6 +19,8 @@
 	paceMs: number | undefined;
 	/** Whether it holds a part of the prompt, from a request before. */
 	isWarm: boolean;
+	/** Whether nobody else fills it with work of this kind. */
+	isHome: boolean;
 	/** Whether this process has probably an idle connection to it. */
 	isConnected: boolean;
 };
@@ -32,6 +34,12 @@
  */
 const connectedAllowance = 0.02;
 
+/**
+ * Part of a request's time by which an endpoint that is this process's own is preferred: more than it takes longer when all its slots are
+ * taken, so that others are asked only when it has none, and less than a slow endpoint takes longer.
+ */
+const homeAllowance = 0.2;
+
 /** Least factor by which a fast endpoint is preferred; measured paces of healthy endpoints differ by less. */
 const fastestFactor = 0.6;
 
@@ -43,13 +51,13 @@
 
 /** Expected time until a new attempt is done there, in typical requests; the least is the best. */
 export function weighCandidate(candidate: DirectCandidate, typicalPaceMs: number | undefined): number {
-	const {slots, open, others, paceMs, isWarm, isConnected} = candidate;
+	const {slots, open, others, paceMs, isWarm, isHome, isConnected} = candidate;
 	const occupied = (open + others) / Math.max(1, slots);
 	const factor = paceMs === undefined || !typicalPaceMs ? 1 : Math.max(fastestFactor, paceMs / typicalPaceMs);
 	const crowding = crowdingFactor * Math.min(1, occupied);
 	// What is beyond the slots waits for as long as a request takes.
 	const waiting = Math.max(0, occupied - 1);
-	const saved = (isWarm ? warmAllowance : 0) + (isConnected ? connectedAllowance : 0);
+	const saved = (isWarm ? warmAllowance : 0) + (isHome ? homeAllowance : 0) + (isConnected ? connectedAllowance : 0);
 	return (1 + crowding + waiting) * factor * (1 - saved);
 }
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,7 +1,7 @@
 /** Decisions under load: pure, without I/O or timers. */
 export * from './admission.js';
 export * from './attempt-pause.js';
-export * from './batch-owner-choice.js';
+export * from './batch-shares.js';
 export * from './best-pace.js';
 export * from './burn.js';
 export * from './concurrency-limit.js';
@@ -13,6 +13,7 @@
 export * from './headroom.js';
 export * from './hedging.js';
 export * from './lagging-load.js';
+export * from './lateness.js';
 export * from './length-prediction.js';
 export * from './model-placement.js';
 export * from './pace.js';
--- a/packages/decisions/src/policy.ts
+++ b/packages/decisions/src/policy.ts
@@ -24,7 +24,9 @@
 	prefersConnected: z.boolean().default(true),
 	/** Slow calls that may be repeated are sent to a second endpoint. */
 	hedgesCalls: z.boolean().default(true),
-	/** A trainer's next batch goes to the process that ran its last one. */
+	/** A batch is divided among several hosts, as its size asks. */
+	sharesBatches: z.boolean().default(true),
+	/** A trainer's next batch goes to the hosts that worked on its last one. */
 	keepsTrainers: z.boolean().default(true),
 	/** Hosts take over by rank; without it all at once. */
 	ranksTakeOvers: z.boolean().default(true),
--- a/packages/direct/__tests__/endpoint-directory.spec.ts
+++ b/packages/direct/__tests__/endpoint-directory.spec.ts
@@ -1,6 +1,6 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {defaultPolicy, type Policy} from '@wasabiusher/decisions';
+import {defaultPolicy, Lateness, type Policy} from '@wasabiusher/decisions';
 import {Random, type RegisteredEndpoint} from '@wasabiusher/shared';
 import {EndpointDirectory} from '../src/index.js';
 
@@ -109,4 +109,59 @@
 
 		expect(directory.listOwnPaces(5)).to.deep.equal({i: 40});
 	});
+
+	it('learns no pace and moves no run while this process is late with its own work', () => {
+		const lateness = new Lateness();
+		const late = new EndpointDirectory(new Random(1), defaultPolicy, lateness);
+		late.put(createEndpoint());
+		late.put(createEndpoint({id: 'slow'}));
+		const record = (slowMs: number) => {
+			for (let i = 0; i < 30; i += 1) {
+				late.recordPace('i', 40);
+				late.recordPace('slow', slowMs);
+			}
+		};
+
+		lateness.record(50);
+		record(300);
+		expect(late.findBestPace('slow')).to.equal(undefined);
+		expect(late.findHeardAt('slow')).to.equal(performance.now());
+		for (let i = 0; i < 6; i += 1) {
+			lateness.record(0);
+		}
+
+		record(160);
+		expect(late.shouldMove('slow', {service: 's'}, false)).to.equal(true);
+		lateness.record(50);
+		expect(late.shouldMove('slow', {service: 's'}, false)).to.equal(false);
+	});
+
+	it('fills its own endpoints, and others one attempt at a time until they tell that they have room', () => {
+		for (const id of ['home', 'b', 'c']) {
+			directory.put(createEndpoint({id}));
+		}
+
+		const need = {service: 's', homes: new Set(['home']), openLimit: 1};
+		const take = () => directory.take(need)?.id;
+		expect([take(), take(), take(), take()]).to.deep.equal(['home', 'home', 'home', 'home']);
+		const other = take()!;
+		expect(['b', 'c']).to.include(other);
+		clock.tick(50);
+		expect(take()).to.equal(undefined);
+		const head = {
+			status: 200, headers: {}, isNotRun: false, stamp: undefined, weightVersion: 1, isFramed: true, isClosing: false,
+		};
+		// Two of its four slots are taken by others, one by this process.
+		directory.recordHead(other, {...head, load: {running: 3, waiting: 0, slots: 4}});
+		// One more fits there, and one may find out about the last endpoint.
+		const [last, again] = [take()!, take()!].toSorted((x, y) => Number(x === other) - Number(y === other));
+		expect(again).to.equal(other);
+		expect(last).to.equal(other === 'b' ? 'c' : 'b');
+		expect(take()).to.equal(undefined);
+		clock.tick(50);
+		directory.recordHead(last!, {...head, load: {running: 4, waiting: 2, slots: 4}});
+		expect(take()).to.equal(undefined);
+		clock.tick(1100);
+		expect(take()).not.to.equal(undefined);
+	});
 });
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -2,7 +2,7 @@
  * The endpoints that are registered, with what this process has seen of each.
  */
 import {
-	chooseDirect, defaultPolicy, ReturnPlan, shouldMove, type Policy,
+	chooseDirect, defaultPolicy, Lateness, ReturnPlan, shouldMove, type Policy,
 } from '@wasabiusher/decisions';
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
@@ -30,6 +30,11 @@
 	openLimit?: number;
 	/** Whether endpoints whose slots are all taken are left out, as far as their load is known. */
 	avoidsFull?: boolean;
+	/**
+	 * Endpoints that nobody else fills with work of this kind. Others are asked only as far as they are known to have room, and by
+	 * one attempt at a time to find that out; undefined if all are alike.
+	 */
+	homes?: ReadonlySet<string>;
 };
 
 /** Registered endpoints and their standing. */
@@ -37,13 +42,16 @@
 	readonly #standings = new Map<string, EndpointStanding>();
 	readonly #random: Random;
 	readonly #policy: Policy;
+	readonly #lateness: Lateness;
 	readonly #listeners = new Set<() => void>();
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
-	constructor(random: Random, policy = defaultPolicy) {
+	/** @param lateness - of this process; what it reads late says nothing of the endpoints */
+	constructor(random: Random, policy = defaultPolicy, lateness = new Lateness()) {
 		this.#random = random;
 		this.#policy = policy;
+		this.#lateness = lateness;
 	}
 
 	/** Takes over a registration. One that has accepted fewer orders than before has started again: nothing that was seen of it holds. */
@@ -110,7 +118,7 @@
 	/** Chooses an endpoint for an attempt and counts it as open there; undefined if none can be asked now. */
 	take(need: EndpointNeed): RegisteredEndpoint | undefined {
 		this.#forget();
-		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need));
+		const fits = this.#listFits(need);
 		const chosen = this.#choose(fits.filter(({vanishedAt}) => vanishedAt === undefined), need) ?? this.#choose(fits.filter(({vanishedAt}) => vanishedAt !== undefined), need);
 		chosen?.begin(need.warmKey);
 		return chosen?.endpoint;
@@ -152,7 +160,12 @@
 
 	/** Learns how long a unit of work took, in milliseconds. */
 	recordPace(id: string, unitMs: number): void {
-		this.#standings.get(id)?.recordPace(unitMs);
+		const standing = this.#standings.get(id);
+		if (this.#lateness.isLate) {
+			standing?.noteHeard();
+		} else {
+			standing?.recordPace(unitMs);
+		}
 	}
 
 	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most. */
@@ -176,11 +189,11 @@
 	/** Whether a run at an endpoint had better go on at another one that fits the same need. */
 	shouldMove(id: string, need: EndpointNeed, isLong: boolean): boolean {
 		const current = this.#standings.get(id);
-		if (!this.#policy.movesRuns || !current) {
+		if (!this.#policy.movesRuns || !current || this.#lateness.isLate) {
 			return false;
 		}
 
-		const others = [...this.#standings.values()].filter(standing => standing !== current && standing.vanishedAt === undefined && standing.isAvailable && isFit(standing, need));
+		const others = this.#listFits(need).filter(standing => standing !== current && standing.vanishedAt === undefined);
 		return shouldMove(current.toCandidate(undefined), others.map(standing => standing.toCandidate(undefined)), isLong);
 	}
 
@@ -196,8 +209,20 @@
 		this.#standings.get(id)?.pause(pauseMs);
 	}
 
+	/** Endpoints that can be asked now. */
+	#listFits(need: EndpointNeed): EndpointStanding[] {
+		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need));
+		const {homes} = need;
+		if (!homes) {
+			return fits;
+		}
+
+		const isProbing = [...this.#standings.values()].some(({endpoint, awaitsHead}) => !homes.has(endpoint.id) && endpoint.service === need.service && awaitsHead);
+		return fits.filter(({endpoint, open, others, isLoadKnown}) => homes.has(endpoint.id) || (isLoadKnown ? open + others < endpoint.slots : !isProbing));
+	}
+
 	#choose(standings: readonly EndpointStanding[], need: EndpointNeed): EndpointStanding | undefined {
-		const chosen = chooseDirect(standings.map(standing => standing.toCandidate(need.warmKey)), this.#random.next());
+		const chosen = chooseDirect(standings.map(standing => standing.toCandidate(need.warmKey, need.homes)), this.#random.next());
 		return chosen && this.#standings.get(chosen.id);
 	}
 
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -48,6 +48,9 @@
 	#open = 0;
 	#load: EndpointLoad | undefined;
 	#loadAt = 0;
+	/** When the last attempt began, and when an answer last did. */
+	#begunAt = Number.NEGATIVE_INFINITY;
+	#headAt = Number.NEGATIVE_INFINITY;
 	#openAtLoad = 0;
 	#pausedUntil = 0;
 	#failures = 0;
@@ -70,9 +73,19 @@
 		return this.#heardAt;
 	}
 
+	/** Whether it told its load lately. */
+	get isLoadKnown(): boolean {
+		return this.#load !== undefined && performance.now() - this.#loadAt < loadAgeMs;
+	}
+
+	/** Whether an attempt is open there that has not been answered yet. */
+	get awaitsHead(): boolean {
+		return this.#open > 0 && this.#begunAt > this.#headAt;
+	}
+
 	/** Requests of other processes there, as last told. */
 	get others(): number {
-		const load = performance.now() - this.#loadAt < loadAgeMs ? this.#load : undefined;
+		const load = this.isLoadKnown ? this.#load : undefined;
 		return load ? Math.max(0, load.running + load.waiting - this.#openAtLoad) : 0;
 	}
 
@@ -100,6 +113,7 @@
 	/** Notes that an attempt begins there. */
 	begin(warmKey: string | undefined): void {
 		this.#open += 1;
+		this.#begunAt = performance.now();
 		this.#refusals.begin();
 		this.#silences.begin();
 		if (warmKey === undefined) {
@@ -125,7 +139,8 @@
 	/** Learns from the beginning of an answer. */
 	recordHead({load, isNotRun, status}: ServingHead): void {
 		this.#failures = 0;
-		this.#heardAt = performance.now();
+		this.#headAt = performance.now();
+		this.#heardAt = this.#headAt;
 		this.#silences.recordSuccess();
 		if (load) {
 			this.#load = load;
@@ -156,9 +171,14 @@
 		this.#pausedUntil = Math.max(this.#pausedUntil, performance.now() + pauseMs);
 	}
 
+	/** Notes that something has come from it. */
+	noteHeard(): void {
+		this.#heardAt = performance.now();
+	}
+
 	/** Learns how long a unit of work took, in milliseconds. */
 	recordPace(unitMs: number): void {
-		this.#heardAt = performance.now();
+		this.noteHeard();
 		this.#pace.record(unitMs);
 		const {unitMs: meanMs} = this.#pace;
 		if (meanMs !== undefined) {
@@ -192,7 +212,7 @@
 	}
 
 	/** What the choice between endpoints needs to know. */
-	toCandidate(warmKey: string | undefined): DirectCandidate {
+	toCandidate(warmKey: string | undefined, homes?: ReadonlySet<string>): DirectCandidate {
 		const now = performance.now();
 		const {id, slots} = this.endpoint;
 		const {weighsPaces, prefersWarm, prefersConnected} = this.#policy;
@@ -203,6 +223,7 @@
 			others: this.others,
 			paceMs: weighsPaces ? this.#pace.unitMs : undefined,
 			isWarm: prefersWarm && warmKey !== undefined && this.#warmKeys.has(warmKey),
+			isHome: homes?.has(id) ?? false,
 			isConnected: prefersConnected && now - this.#usedAt < connectedMs,
 		};
 	}
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -57,6 +57,8 @@
 	log: Log;
 	/** The route in force for the sample's batch; undefined once it was removed. */
 	findRoute(): Route | undefined;
+	/** Endpoints to be used before others; undefined if all are alike. */
+	findHomes?(): ReadonlySet<string> | undefined;
 	/** A number in [0, 1). */
 	chance(): number;
 };
@@ -140,7 +142,7 @@
 	}
 
 	#take(route: Route): RegisteredEndpoint | undefined {
-		const {directory, chance} = this.#settings;
+		const {directory, chance, findHomes} = this.#settings;
 		const {model, leastVersion, isSingleVersion, group, avoidsFull} = this.#sample;
 		const [begun] = this.#text.versions;
 		const need: EndpointNeed = {
@@ -150,6 +152,7 @@
 			warmKey: group,
 			openLimit,
 			avoidsFull,
+			homes: findHomes?.(),
 		};
 		this.#need = need;
 		const elsewhere = this.#avoided === undefined ? undefined : directory.take({...need, excluded: new Set([this.#avoided])});
--- a/packages/direct/src/silence-watch.ts
+++ b/packages/direct/src/silence-watch.ts
@@ -53,9 +53,13 @@
 
 	#look(): void {
 		const now = performance.now();
-		if (now - this.#lookedAt > lookMs + standstillMs) {
+		const lateMs = now - this.#lookedAt - lookMs;
+		if (lateMs > standstillMs) {
 			// What came while this process stood still has not been read yet.
 			this.#heardAt = now;
+		} else if (lateMs > 0) {
+			// The time by which this process is late is not the endpoint's.
+			this.#heardAt += lateMs;
 		}
 
 		this.#lookedAt = now;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
 import {
 	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts,
 } from '@wasabiusher/batches';
-import {defaultPolicy, type Policy} from '@wasabiusher/decisions';
+import {defaultPolicy, Lateness, type Policy} from '@wasabiusher/decisions';
 import type {
 	BlobStore, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
@@ -29,7 +29,7 @@
 /** How much longer than it must be readable a batch is kept, as a factor: readers and hosts may lag. */
 const retentionFactor = 2;
 
-/** How often orders for weights are looked after, in milliseconds. */
+/** How often orders for weights are looked after, and the lateness of this process is measured, in milliseconds. */
 const ordersMs = 50;
 
 /**
@@ -56,6 +56,10 @@
 export type GatewaySettings = {
 	/** Name of the host. */
 	host: string;
+	/** Where it is; endpoints there are near. */
+	dataCentre?: string;
+	/** Cores that this process may use; undefined if it does not know. */
+	cores?: number;
 	rows: RowStore;
 	blobs: BlobStore;
 	client: ServingClient;
@@ -81,6 +85,7 @@
 	readonly batches: Batches;
 	readonly #settings: GatewaySettings;
 	readonly #policy: Policy;
+	readonly #lateness = new Lateness();
 	readonly #directory: EndpointDirectory;
 	readonly #catalog: Catalog;
 	readonly #hosts: HostRegistry;
@@ -95,13 +100,17 @@
 	readonly #peerServer: PeerServer | undefined;
 	#linkKey: string | undefined;
 	#timer: NodeJS.Timeout | undefined;
+	/** When the next tick is due, on the monotonic clock. */
+	#dueAt = 0;
 	#sweepTimer: NodeJS.Timeout | undefined;
 	#isDraining = false;
 	#isStopped = false;
 
 	constructor(settings: GatewaySettings) {
 		this.#settings = settings;
-		const {host, client, format, random, log, leaseMs, policy = defaultPolicy} = settings;
+		const {
+			host, dataCentre, cores, client, format, random, log, leaseMs, policy = defaultPolicy,
+		} = settings;
 		this.#policy = policy;
 		this.#gate = new StoreGate(settings.rows);
 		const findKey = () => this.#linkKey;
@@ -114,7 +123,7 @@
 		this.#peerServer = settings.peers && new PeerServer(settings.peers.server, {
 			host, gate: this.#gate, log, findKey,
 		});
-		this.#directory = new EndpointDirectory(random, policy);
+		this.#directory = new EndpointDirectory(random, policy, this.#lateness);
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
 		});
@@ -127,14 +136,14 @@
 			format, directory: this.#directory, orders: this.#orders, log, onDeployment: settings.onDeployment,
 		});
 		this.#hosts = new HostRegistry({
-			rows, host, address: settings.peers?.address, log, policy, ownsWork: () => this.batches.ownedCount > 0,
+			rows, host, dataCentre, cores, address: settings.peers?.address, log, policy, findLateMs: () => this.#lateness.usualMs, ownsWork: () => this.batches.ownedCount > 0,
 			listPaces: most => this.#directory.listOwnPaces(most),
 			onPaces: paces => {
 				this.#directory.learnPaces(paces);
 			},
 		});
 		this.batches = new Batches({
-			directory: this.#directory, client, random, log, policy, host, hosts: this.#hosts,
+			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts,
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
@@ -192,7 +201,9 @@
 		this.#hosts.start();
 		this.batches.start();
 		this.#lease.start();
+		this.#dueAt = performance.now() + ordersMs;
 		this.#timer = setInterval(() => {
+			this.#noteLateness();
 			this.#orders.tick();
 		}, ordersMs);
 		this.#sweepTimer = setInterval(() => {
@@ -253,6 +264,12 @@
 		}
 	}
 
+	#noteLateness(): void {
+		const now = performance.now();
+		this.#lateness.record(now - this.#dueAt);
+		this.#dueAt = now + ordersMs;
+	}
+
 	/** Reads the key that hosts prove to each other, until the store gives it. */
 	async #learnKey(): Promise<void> {
 		while (this.#linkKey === undefined && !this.#isStopped) {
