Let hosts gather changes of the store, read lost tables at different times, and not take a hanging feed for a loss

Cause: with the store's history lost, the waits of all hosts hang for a second and more; each host took this for the store's silence and refused readers and trainers, though the store answered every other call (402 times on 88 hosts within two seconds). Then all of them read four tables whole at once, and were not ready meanwhile. Registrations that are written each 1.2 s called every host back 22 times a second.

Change: a feed that hangs is verified by another call before the store counts as lost; a host goes on with what it knows while it reads anew, at a time of its own within 0.4 s; the next call for registrations and heartbeats comes 150 ms after the last changes.

Ruled out: longer waits (a silent connection would show later); one host that reads for the others (it would have to be agreed on).

Tests: 88 followers after a lost history, rows that change all the time, a feed that hangs beside a store that answers.

--- a/packages/gateway/__tests__/store-gate.spec.ts
+++ b/packages/gateway/__tests__/store-gate.spec.ts
@@ -70,6 +70,25 @@
 		expect(gate.isLost).to.equal(false);
 	});
 
+	it('does not take a feed that hangs for a loss while the store answers other calls, and does once it leaves those too', async () => {
+		const hanging = store.createView();
+		hanging.switches.silentMs = 1600;
+		let other = store;
+		const mixed = new StoreGate({
+			commit: async transaction => other.commit(transaction),
+			read: async range => other.read(range),
+			follow: async (table, after, waitMs) => hanging.follow(table, after, waitMs),
+		});
+		expect(await catchCode(mixed.follow('t', 0, 1000), 1600)).to.equal('unknown');
+		await clock.tickAsync(1);
+		expect(mixed.isLost).to.equal(false);
+		expect(await catchCode(mixed.commit(nothing))).to.equal('none');
+		other = hanging;
+		await catchCode(mixed.follow('t', 0, 1000), 1600);
+		await clock.tickAsync(1600);
+		expect(mixed.isLost).to.equal(true);
+	});
+
 	it('takes a conflict for an answer', async () => {
 		for (let i = 0; i < 6; i += 1) {
 			// eslint-disable-next-line no-await-in-loop
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,6 +50,12 @@
  */
 const cutOffMs = 3000;
 
+/**
+ * Least time between two calls for registrations and heartbeats, in milliseconds. An endpoint that leaves must get nothing new two seconds after
+ * it has said so, and a silent host is suspected after 0.9 s; both bear a sixth of a second.
+ */
+const gatherMs = 150;
+
 /** Pause before the key of links is asked for again, in milliseconds; nothing waits for it while the store serves this host. */
 const keyRetryMs = 1000;
 
@@ -150,6 +156,7 @@
 			findPublished: model => this.#orders.findPublished(model),
 			readStoreMs: () => this.#gate.storeMs,
 		});
+		const chance = () => random.next();
 		this.#operatorFollower = new TableFollower({
 			store: rows.probing, table: format.operatorTable, parts: [''], log, waitMs: operatorWaitMs, apply: change => {
 				this.#catalog.applyOperatorRow(change);
@@ -158,7 +165,7 @@
 		this.#neededFollowers = [
 			this.#operatorFollower,
 			new TableFollower({
-				store: rows.probing, table: format.endpointTable, parts: [''], log, apply: change => {
+				store: rows.probing, table: format.endpointTable, parts: [''], log, gatherMs, chance, apply: change => {
 					this.#catalog.applyEndpoint(change);
 				},
 			}),
@@ -171,7 +178,7 @@
 		this.#followers = [
 			...this.#neededFollowers,
 			new TableFollower({
-				store: rows.probing, table: hostTable, parts: [''], log,
+				store: rows.probing, table: hostTable, parts: [''], log, gatherMs, chance,
 				apply: change => {
 					this.#hosts.apply(change);
 				},
--- a/packages/gateway/src/routed-store.ts
+++ b/packages/gateway/src/routed-store.ts
@@ -11,7 +11,7 @@
 } from '@wasabiusher/backends';
 import {describeError, type Log} from '@wasabiusher/shared';
 import type {PeerLinks} from './peer-links.js';
-import type {StoreGate} from './store-gate.js';
+import {probeRange, type StoreGate} from './store-gate.js';
 import {expectOutcome} from './store-work.js';
 
 /** Time between tries of the direct way while it is lost, in milliseconds. */
@@ -20,9 +20,6 @@
 /** Time for which links stay open once the direct way is open again, in milliseconds: the longest call that is under way on them. */
 const lingerMs = 3500;
 
-/** A read that costs the store little. */
-const probeRange: RowRange = {table: 'link-keys', part: '', limit: 1};
-
 export type RoutedStoreSettings = {
 	gate: StoreGate;
 	peers: PeerLinks;
--- a/packages/gateway/src/store-gate.ts
+++ b/packages/gateway/src/store-gate.ts
@@ -19,6 +19,9 @@
 const maxFailures = 4;
 const failingMs = 300;
 
+/** A read that costs the store little and tells whether it serves this host. */
+export const probeRange: RowRange = {table: 'link-keys', part: '', limit: 1};
+
 /** Errors that say nothing of whether the store answers: it did. */
 const answeredCodes: ReadonlySet<string> = new Set(['conflict', 'missing', 'limited', 'refused', 'invalid']);
 
@@ -30,6 +33,9 @@
 	#isSilent = false;
 	#failures = 0;
 	#failingSince = 0;
+	/** When a call was last answered, on the monotonic clock. */
+	#answeredAt = Number.NEGATIVE_INFINITY;
+	#isVerifying = false;
 
 	constructor(store: RowStore) {
 		this.#store = store;
@@ -86,8 +92,22 @@
 		return this.#pass(async () => this.#store.read(range));
 	}
 
+	/**
+	 * A feed that hangs is no sign that the store is silent to this host: a store that forgets its history leaves the waits of all hosts
+	 * without an answer, while it serves every other call. Taken for a loss, it made 88 hosts refuse readers and trainers
+	 * at the same moment. So another call must be left without an answer too.
+	 */
 	async follow(table: string, after: number, waitMs: number): Promise<ChangePage> {
-		return this.#pass(async () => this.#store.follow(table, after, waitMs));
+		const startedAt = performance.now();
+		try {
+			return this.#noteAnswer(await this.#store.follow(table, after, waitMs));
+		} catch (error) {
+			if (this.#noteError(error, startedAt + waitMs) && this.#answeredAt < startedAt + waitMs) {
+				void this.#verify();
+			}
+
+			throw error;
+		}
 	}
 
 	#check(): void {
@@ -96,8 +116,8 @@
 		}
 	}
 
-	#noteFailure(hasAnswered: boolean): void {
-		if (hasAnswered) {
+	#noteFailure(isAnswered: boolean): void {
+		if (isAnswered) {
 			this.#failures = 0;
 			return;
 		}
@@ -111,16 +131,54 @@
 	async #pass<Answer extends {storeMs: number}>(call: () => Promise<Answer>): Promise<Answer> {
 		const startedAt = performance.now();
 		try {
-			const answer = await call();
-			this.#offsetMs = answer.storeMs - performance.now();
-			this.#isSilent = false;
-			this.#failures = 0;
-			return answer;
+			return this.#noteAnswer(await call());
 		} catch (error) {
-			const hasAnswered = error instanceof PlatformError && answeredCodes.has(error.code);
-			this.#noteFailure(hasAnswered);
-			this.#isSilent = !hasAnswered && (this.#isSilent || performance.now() - startedAt >= silentMs);
+			this.#isSilent = this.#noteError(error, startedAt) || (this.#isSilent && !hasAnswered(error));
 			throw error;
 		}
 	}
+
+	/** Asks something else of a store whose feed hangs; never rejects. */
+	async #verify(): Promise<void> {
+		if (this.#isVerifying) {
+			return;
+		}
+
+		this.#isVerifying = true;
+		try {
+			await this.probing.read(probeRange);
+		} catch {
+			// What the failure tells is noted where the call was passed on.
+		} finally {
+			this.#isVerifying = false;
+		}
+	}
+
+	#noteAnswer<Answer extends {storeMs: number}>(answer: Answer): Answer {
+		this.#answeredAt = performance.now();
+		this.#offsetMs = answer.storeMs - this.#answeredAt;
+		this.#isSilent = false;
+		this.#failures = 0;
+		return answer;
+	}
+
+	/**
+	 * Notes a failed call.
+	 *
+	 * @param dueAt - when an answer could be expected
+	 * @returns whether the store has left it without an answer
+	 */
+	#noteError(error: unknown, dueAt: number): boolean {
+		const isAnswered = hasAnswered(error);
+		this.#noteFailure(isAnswered);
+		if (isAnswered) {
+			this.#isSilent = false;
+		}
+
+		return !isAnswered && performance.now() - dueAt >= silentMs;
+	}
+}
+
+function hasAnswered(error: unknown): boolean {
+	return error instanceof PlatformError && answeredCodes.has(error.code);
 }
--- a/packages/record/__tests__/table-follower.spec.ts
+++ b/packages/record/__tests__/table-follower.spec.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {createSilentLog} from '@wasabiusher/shared';
+import {createSilentLog, Random} from '@wasabiusher/shared';
 import {MemoryRowStore} from '@wasabiusher/standins';
 import {TableFollower} from '../src/index.js';
 
@@ -91,4 +91,69 @@
 		await clock.tickAsync(4000);
 		expect(follower.ageMs).to.be.at.least(3000);
 	});
+
+	it('asks a few times a second for rows that change all the time, and misses none', async () => {
+		const seen: string[] = [];
+		const gathering = new TableFollower({
+			store: view, table: 't', parts: [''], log: createSilentLog(), waitMs: 1000, gatherMs: 150, apply({value}) {
+				seen.push(Buffer.from(value ?? []).toString());
+			},
+		});
+		void gathering.run();
+		follower.stop();
+		await clock.tickAsync(1100);
+		const before = view.counts.follows;
+		for (let i = 0; i < 100; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await put(`k${i % 10}`, String(i));
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(20);
+		}
+
+		await clock.tickAsync(200);
+		expect(view.counts.follows - before).to.be.within(10, 17);
+		expect(seen.at(-1)).to.equal('99');
+		gathering.stop();
+	});
+
+	it('reads a lost table anew at different times on 88 hosts, and goes on with what it knows meanwhile', async () => {
+		const random = new Random(7);
+		const views = Array.from({length: 88}, () => store.createView());
+		const followers = views.map(hostView => new TableFollower({
+			store: hostView, table: 't', parts: [''], log: createSilentLog(), waitMs: 500, chance: () => random.next(), apply() {
+				// What is read does not matter here.
+			},
+		}));
+		for (const one of followers) {
+			void one.run();
+		}
+
+		await clock.tickAsync(10);
+		const countReads = () => views.reduce((sum, {counts}) => sum + counts.reads, 0);
+		for (const {switches} of views) {
+			switches.isDown = true;
+		}
+
+		await clock.tickAsync(600);
+		await put('a', '3');
+		store.compact();
+		for (const {switches} of views) {
+			switches.isDown = false;
+		}
+
+		const reads: number[] = [];
+		for (let i = 0; i < 60; i += 1) {
+			const before = countReads();
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(25);
+			reads.push(countReads() - before);
+			expect(followers.every(({isSynced}) => isSynced)).to.equal(true);
+		}
+
+		expect(reads.reduce((sum, count) => sum + count, 0)).to.equal(88);
+		expect(Math.max(...reads)).to.be.below(20);
+		for (const one of followers) {
+			one.stop();
+		}
+	});
 });
--- a/packages/record/src/table-follower.ts
+++ b/packages/record/src/table-follower.ts
@@ -19,6 +19,12 @@
 const firstPauseMs = 50;
 const longestPauseMs = 250;
 
+/**
+ * Time over which hosts spread the reading of a whole table after its history was lost, in milliseconds, where their settings ask for it.
+ * All hosts lose it at once, and 88 of them read 88 rows each; meanwhile each goes on with what it knows.
+ */
+const spreadMs = 400;
+
 /** Rows asked for in one call; the store gives 500 at most. */
 const pageRows = 500;
 
@@ -33,6 +39,13 @@
 	log: Log;
 	/** Longest wait of one call for changes, in milliseconds. */
 	waitMs?: number;
+	/**
+	 * Least time from changes that have come until the next call for more, in milliseconds; none by default. Rows that are written all the time, as
+	 * registrations are, would otherwise call each host back for each of them: 22 times a second with 27 endpoints.
+	 */
+	gatherMs?: number;
+	/** A number in [0, 1), to read the table anew at another time than other hosts; undefined to read it at once. */
+	chance?(): number;
 	/** Called for each row that is there, changed or gone, in the order of the changes. */
 	apply(change: RowChange): void;
 	/** Called after each round in which the store has answered. */
@@ -44,6 +57,7 @@
 	readonly #settings: FollowerSettings;
 	readonly #known = new Map<string, RowChange>();
 	#version = -1;
+	#isSynced = false;
 	#contactAt = Number.NEGATIVE_INFINITY;
 	#isStopped = false;
 	#pauseMs = firstPauseMs;
@@ -54,9 +68,9 @@
 		this.#settings = settings;
 	}
 
-	/** Whether the table was read whole since the start. */
+	/** Whether the table was read whole since the start; what is known holds on while it is read anew. */
 	get isSynced(): boolean {
-		return this.#version >= 0;
+		return this.#isSynced;
 	}
 
 	/** Whether the last call to the store has failed. */
@@ -86,7 +100,7 @@
 	async #runRound(): Promise<void> {
 		const {table, log, onContact} = this.#settings;
 		try {
-			await (this.isSynced ? this.#follow() : this.#readWhole());
+			await (this.#version >= 0 ? this.#follow() : this.#readWhole());
 			this.#contactAt = performance.now();
 			this.#pauseMs = firstPauseMs;
 			if (this.#isDown) {
@@ -100,7 +114,7 @@
 				log.warn('history_lost', {table, version: this.#version});
 				this.#version = -1;
 				// A store that loses its history again at once must not be read in a tight loop.
-				await this.#pause();
+				await this.#pause((this.#settings.chance?.() ?? 0) * spreadMs);
 				return;
 			}
 
@@ -113,16 +127,20 @@
 		}
 	}
 
-	async #pause(): Promise<void> {
+	async #pause(moreMs = 0): Promise<void> {
+		await this.#wait(this.#pauseMs + moreMs);
+		this.#pauseMs = Math.min(longestPauseMs, this.#pauseMs * 2);
+	}
+
+	async #wait(ms: number): Promise<void> {
 		await new Promise<void>(resolve => {
 			this.#wake = resolve;
-			setTimeout(resolve, this.#pauseMs);
+			setTimeout(resolve, ms);
 		});
-		this.#pauseMs = Math.min(longestPauseMs, this.#pauseMs * 2);
 	}
 
 	async #follow(): Promise<void> {
-		const {store, table, waitMs = defaultWaitMs} = this.#settings;
+		const {store, table, waitMs = defaultWaitMs, gatherMs = 0} = this.#settings;
 		// After a failure the answer itself is what matters, not a change.
 		const page = await store.follow(table, this.#version, this.#isDown ? 0 : waitMs);
 		for (const change of page.changes) {
@@ -130,6 +148,9 @@
 		}
 
 		this.#version = Math.max(this.#version, page.version);
+		if (page.changes.length > 0 && gatherMs > 0) {
+			await this.#wait(gatherMs);
+		}
 	}
 
 	/** The feed begins at the first page's version, so changes made during the reading are seen again. */
@@ -151,6 +172,7 @@
 		}
 
 		this.#version = version;
+		this.#isSynced = true;
 	}
 
 	async #readPart(part: string, seen: Set<string>): Promise<number> {
