Let the report on steps see shares, samples that were given up, and the pace behind a late reader

Cause: a sample that was given up was listed without its group, so that its group never counted as whole and the report had no `whole` for the step; a late reader's bursts made 0.1 ms an event the fastest pace, and so every bound 0.01 s. Ruled out: lines lost at the output.

Change: given-up samples tell their group; pauses and the events that came in them count together; each share has its own times.

--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -234,7 +234,9 @@
 
 		this.#results.add({
 			id: sample.id, state: 'made', text: text.events.join('\n'), versions: [...text.versions].toSorted((a, b) => a - b), ...(score === undefined ? {} : {score}),
-		}, {group: sample.group, events: text.events.length, scoredMs: Math.round(performance.now() - wholeAt)});
+		}, {
+			share: this.share, group: sample.group, events: text.events.length, scoredMs: Math.round(performance.now() - wholeAt),
+		});
 	}
 
 	/** Lists a sample as given up. */
@@ -246,7 +248,7 @@
 		this.#settings.log.warn('sample_abandoned', {batch: this.id, sample: sample.id, reason});
 		this.#results.add({
 			id: sample.id, state: 'abandoned', text: '', versions: [],
-		});
+		}, {share: this.share, group: sample.group});
 	}
 
 	/** Begins nothing more; runs under way go on until `stop`, since their texts may be wanted in the next batch. */
--- a/packages/logs/__tests__/steps-report.spec.ts
+++ b/packages/logs/__tests__/steps-report.spec.ts
@@ -71,6 +71,24 @@
 		expect(trainer).to.include({steps: 1, unfinished: 1});
 	});
 
+	it('tells the pace of an endpoint from a host that reads late: pauses and the events that came in them count together', () => {
+		const late = createStep().map(([atMs, event, values]): Entry => event === 'text_made'
+			? [atMs, event, {...values, madeMs: Number(values.madeMs) / 100, stalledMs: Number(values.madeMs) * 0.99}]
+			: [atMs, event, values]);
+		expect(report(late).bestPaceMs).to.be.closeTo(report(createStep()).bestPaceMs!, 0.1);
+	});
+
+	it('counts what each share waited for by itself', () => {
+		const shared = createStep().map(([atMs, event, values]): Entry => event === 'result_listed' ? [atMs, event, {...values, share: values.group === 'b' ? 1 : 0}] : [atMs, event, values]);
+		const other: Entry = [250, 'batch_begun', {
+			batch: 'x', share: 1, series: 't/', step: 3, model: 'm', total: 6, wanted: 2, groups: 3, ageMs: 250,
+		}];
+		const taken: Entry = [900, 'batch_begun', {...other[2], share: 0}];
+		const {steps: [step]} = report([...shared, other, taken].toSorted((a, b) => a[0] - b[0]));
+		expect(step!.owners).to.equal(3);
+		expect(step!.chain!.links).to.include({owned: 250, earlier: 0});
+	});
+
 	it('keeps the time at which a step was asked when another owner begins it anew', () => {
 		const again: Entry = [3000, 'batch_begun', {
 			batch: 'x', series: 't/', step: 3, model: 'm', total: 6, wanted: 2, groups: 3, ageMs: 2900,
--- a/packages/logs/src/step-chain.ts
+++ b/packages/logs/src/step-chain.ts
@@ -33,8 +33,9 @@
 export function findBestPace(steps: readonly StepHistory[]): number | undefined {
 	const texts = steps.flatMap(step => [...step.texts.values()]).filter(({events, kept, runs}) => events - kept >= minPaceEvents && runs === 1);
 	const paces = [...groupBy(texts, ({endpoint}) => endpoint).values()].map(own => {
-		const sorted = own.map(({events, kept, phases}) => phases.made / (events - kept)).toSorted((a, b) => a - b);
-		// The middle one: a host that is late reads events faster than they were made.
+		// A host that is late reads several events at once after each pause; both together tell how fast they were made.
+		const sorted = own.map(({events, kept, phases}) => (phases.made + phases.stalled) / (events - kept)).toSorted((a, b) => a - b);
+		// The middle one, since pauses while weights are loaded count in.
 		return sorted[Math.floor(sorted.length / 2)]!;
 	});
 	return paces.length === 0 ? undefined : Math.min(...paces);
@@ -90,10 +91,11 @@
 }
 
 function measureLinks(step: StepHistory, listed: ListedHistory, text: TextHistory | undefined): Record<ChainLink, number> {
-	const {scoredMs, committedMs, listedAt, position} = listed;
+	const {scoredMs, committedMs, listedAt, position, share} = listed;
 	const wholeAt = text?.wholeAt ?? listedAt - committedMs - scoredMs;
-	const owned = Math.max(0, step.begunAt - step.askedAt);
-	const earlier = step.ownedAt - step.begunAt;
+	const {begunAt = step.askedAt, ownedAt = begunAt} = step.shares.get(share) ?? {};
+	const owned = Math.max(0, begunAt - step.askedAt);
+	const earlier = ownedAt - begunAt;
 	const readAt = step.reads.find(read => read.beyond > position && read.readAt >= listedAt)?.readAt;
 	const phases: PhaseTimes = text?.phases ?? {
 		waited: 0, refused: 0, begun: 0, resumed: 0, made: 0, stalled: 0, broken: 0,
--- a/packages/logs/src/step-history.ts
+++ b/packages/logs/src/step-history.ts
@@ -27,7 +27,10 @@
 };
 
 /** How a sample's result was listed. */
-export type ListedHistory = {listedAt: number; position: number; group: string; events: number; scoredMs: number; committedMs: number};
+export type ListedHistory = {listedAt: number; position: number; share: number; group: string; events: number; scoredMs: number; committedMs: number};
+
+/** When the first owner of a share began it, and its last one. */
+export type ShareHistory = {begunAt: number; ownedAt: number};
 
 /** One step; times in milliseconds since 1970 on the clock of the host that ran it. */
 export type StepHistory = {
@@ -37,9 +40,9 @@
 	step: number;
 	model: string;
 	askedAt: number;
-	/** When its first owner began it, and its last one. */
-	begunAt: number;
-	ownedAt: number;
+	/** By the share's number. */
+	shares: Map<number, ShareHistory>;
+	/** Owners of all shares, one after the other or side by side. */
 	owners: number;
 	total: number;
 	wanted: number;
@@ -80,14 +83,16 @@
 function noteBegun({steps}: StepHistories, line: LogLine): void {
 	const batch = readText(line, 'batch');
 	const known = steps.get(batch);
+	const share = readNumber(line, 'share') ?? 0;
+	const shares = known?.shares ?? new Map<number, ShareHistory>();
+	shares.set(share, {begunAt: shares.get(share)?.begunAt ?? line.timeMs, ownedAt: line.timeMs});
 	const begun: StepHistory = {
 		batch,
 		series: readText(line, 'series'),
 		step: readNumber(line, 'step') ?? Number.NaN,
 		model: readText(line, 'model'),
 		askedAt: known?.askedAt ?? line.timeMs - (readNumber(line, 'ageMs') ?? 0),
-		begunAt: known?.begunAt ?? line.timeMs,
-		ownedAt: line.timeMs,
+		shares,
 		owners: (known?.owners ?? 0) + 1,
 		total: readNumber(line, 'total') ?? 0,
 		wanted: readNumber(line, 'wanted') ?? 0,
@@ -131,6 +136,7 @@
 	findStep(histories, line)?.listed.set(sample, {
 		listedAt: line.timeMs,
 		position: readNumber(line, 'position') ?? 0,
+		share: readNumber(line, 'share') ?? 0,
 		group: line.values.get('group') ?? sample,
 		events: readNumber(line, 'events') ?? 0,
 		scoredMs: readNumber(line, 'scoredMs') ?? 0,
