Run samples with the urgency of their route, second texts as the last of all

Ruled out by reading: callers' own headers don't name a class.

Test: what an endpoint is asked with.

--- a/packages/direct/__tests__/sample-run.spec.ts
+++ b/packages/direct/__tests__/sample-run.spec.ts
@@ -49,6 +49,12 @@
 		expect(outcome.kind === 'made' && [...outcome.text.versions]).to.deep.equal([1]);
 	});
 
+	it('asks with the urgency of its route, and as the last of all where nobody waits for it', async () => {
+		await run();
+		await run({avoidsFull: true});
+		expect(listRuns().map(({urgency}) => urgency)).to.have.members([createRoute().priority, 9]);
+	});
+
 	it('goes on elsewhere after the last whole event when a run breaks', async () => {
 		for (const {switches} of bench.endpoints) {
 			switches.breakAfter = 2;
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -72,6 +72,13 @@
 /** Longest wait until endpoints are looked at again though none has changed, in milliseconds. */
 const lookMs = 100;
 
+/**
+ * Urgency of runs that nobody waits for, and the last one before it: endpoints take ten classes. Without a class all runs count alike there, so
+ * that at an endpoint which two trainers fill the one whose route goes first waited behind the other.
+ */
+const spareUrgency = 9;
+const lastUrgency = 8;
+
 /** Pause after an endpoint refused or broke, in milliseconds, so that a failing one is not asked in a tight loop. */
 const pauseMs = 20;
 
@@ -214,7 +221,7 @@
 		const watch = new SilenceWatch(stop, () => directory.findHeardAt(id));
 		this.#runs += 1;
 		try {
-			const run = await client.run(endpoint, this.#toServing(), signal);
+			const run = await client.run(endpoint, this.#toServing(route), signal);
 			headMs = Math.round(performance.now() - startedAt);
 			({status} = run);
 			this.#times.mark(this.#findHeadPhase(run));
@@ -357,13 +364,14 @@
 		versions.add(version);
 	}
 
-	#toServing(): ServingRequest {
-		const {id, request, deadlineAt} = this.#sample;
+	#toServing({priority}: Route): ServingRequest {
+		const {id, request, deadlineAt, avoidsFull} = this.#sample;
 		const {events} = this.#text;
 		return {
 			...request,
 			attemptId: id,
 			remainingMs: Math.max(1, Math.round(deadlineAt - performance.now())),
+			urgency: avoidsFull ? spareUrgency : Math.min(lastUrgency, priority),
 			...(events.length > 0 ? {resumeAfter: events.length} : {}),
 		};
 	}
--- a/packages/standins/src/memory-serving.ts
+++ b/packages/standins/src/memory-serving.ts
@@ -37,7 +37,7 @@
 };
 
 /** What has happened at an endpoint. */
-export type ServingRecord = {attemptId: string; resumeAfter: number | undefined; version: number};
+export type ServingRecord = {attemptId: string; resumeAfter: number | undefined; urgency: number | undefined; version: number};
 
 /** One endpoint. */
 export class MemoryEndpoint {
@@ -208,8 +208,10 @@
 	return endpoint.switches.isFull || endpoint.isBusy ? {...createHead(endpoint, 503), isNotRun: true} : undefined;
 }
 
-function note(endpoint: MemoryEndpoint, {attemptId, resumeAfter}: ServingRequest): void {
-	endpoint.runs.push({attemptId, resumeAfter, version: endpoint.version});
+function note(endpoint: MemoryEndpoint, {attemptId, resumeAfter, urgency}: ServingRequest): void {
+	endpoint.runs.push({
+		attemptId, resumeAfter, urgency, version: endpoint.version,
+	});
 }
 
 async function * generate(endpoint: MemoryEndpoint, {attemptId, resumeAfter = 0}: ServingRequest, signal: AbortSignal, lastEvent: number): AsyncIterable<RunEvent> {
