Divide endpoints by what all hosts read alike, and use half of another's room at most

Each divided by the versions that its own answers had told, so that one endpoint more or less shifted the whole division; and each took all free slots that an answer had told of. Ruled out: renewals (they keep away from full endpoints), loads of weights (none there then).

Change: registrations decide, a hash for each endpoint among workers alike, and others' endpoints are used up to half of their room.

--- a/packages/batches/src/share-homes.ts
+++ b/packages/batches/src/share-homes.ts
@@ -51,7 +51,9 @@
 		const services = listServices();
 		// One version back is what a batch still admits; what is older follows another model.
 		const least = (findPublished(model) ?? 1) - 1;
-		const endpoints = directory.list().filter(({id, service, isDraining}) => services.has(service) && !isDraining && (model === '' || (directory.findVersion(id, model) ?? 0) >= least));
+		// By what endpoints have registered, which all hosts read alike; each host has seen other answers, and by those three of them filled one endpoint.
+		const endpoints = directory.list().filter(({service, isDraining, models}) => services.has(service) && !isDraining
+			&& (model === '' || models.some(held => held.model === model && held.version >= least)));
 		const ids = divideEndpoints(endpoints, shares.map(({dataCentre}) => dataCentre))[this.#share] ?? [];
 		return ids.length === 0 ? undefined : new Set(ids);
 	}
--- a/packages/decisions/__tests__/batch-shares.spec.ts
+++ b/packages/decisions/__tests__/batch-shares.spec.ts
@@ -92,10 +92,20 @@
 });
 
 describe('divideEndpoints', () => {
+	const endpoints = ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map((id, i) => ({id, dataCentre: i < 4 ? 'd1' : 'd2'}));
+
 	it('gives each worker endpoints of its own, near ones first, as evenly as they can be', () => {
-		const endpoints = ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map((id, i) => ({id, dataCentre: i < 4 ? 'd1' : 'd2'}));
 		const shares = divideEndpoints(endpoints, ['d1', 'd2', 'd3']);
 		expect(shares).to.deep.equal([['a', 'b', 'c'], ['e', 'f', 'g'], ['d']]);
 		expect(divideEndpoints(endpoints.slice(0, 1), ['d2', 'd1'])).to.deep.equal([[], ['a']]);
 	});
+
+	it('changes little for the others when an endpoint goes', () => {
+		const many = Array.from({length: 24}, (_, i) => ({id: `i${i}`, dataCentre: 'd9'}));
+		const find = (shares: string[][], id: string) => shares.findIndex(ids => ids.includes(id));
+		const before = divideEndpoints(many, ['d1', 'd2', 'd3', 'd4']);
+		const after = divideEndpoints(many.slice(1), ['d1', 'd2', 'd3', 'd4']);
+		const moved = many.slice(1).filter(({id}) => find(before, id) !== find(after, id));
+		expect(moved.length).to.be.at.most(6);
+	});
 });
--- a/packages/decisions/src/batch-shares.ts
+++ b/packages/decisions/src/batch-shares.ts
@@ -7,6 +7,8 @@
  * host works on the same share of a trainer's next batch, so that its connections to its endpoints stay in use.
  */
 
+import {rankCandidate} from '@wasabiusher/shared';
+
 /** Samples of one share: with texts of an event each 40 ms, some 800 events a second, a tenth of a core. */
 const shareSamples = 32;
 
@@ -160,6 +162,7 @@
 
 /**
  * Divides endpoints among the shares of a batch, as evenly as their number lets, each to a worker in its own data centre as far as there is one.
+ * Among workers alike a hash decides for each endpoint, so that one more or less changes little for the others.
  *
  * Load pattern: five hosts fill the same 80 slots, each knowing of the others only what answers told up to a second before; an endpoint
  * refuses what is beyond its queue. With endpoints of its own, a worker knows what is open there.
@@ -168,23 +171,18 @@
  * @returns ids by the share; with fewer endpoints than shares some have none
  */
 export function divideEndpoints(endpoints: readonly SharedEndpoint[], places: readonly string[]): string[][] {
-	const shares = places.map((): string[] => []);
+	const shares = places.map((dataCentre, share) => ({dataCentre, name: String(share), ids: [] as string[]}));
 	const most = Math.ceil(endpoints.length / Math.max(1, places.length));
-	const left: SharedEndpoint[] = [];
-	for (const endpoint of endpoints.toSorted((a, b) => a.id < b.id ? -1 : 1)) {
-		const [near] = [...shares.entries()]
-			.filter(([i, ids]) => places[i] === endpoint.dataCentre && ids.length < most)
-			.toSorted(([, a], [, b]) => a.length - b.length);
-		if (near) {
-			near[1].push(endpoint.id);
-		} else {
-			left.push(endpoint);
-		}
-	}
-
-	for (const {id} of left) {
-		shares.toSorted((a, b) => a.length - b.length)[0]?.push(id);
+	const take = (endpoint: SharedEndpoint, from: typeof shares) => {
+		const [best] = from.filter(({ids}) => ids.length < most).toSorted((a, b) => rankCandidate(endpoint.id, b.name) - rankCandidate(endpoint.id, a.name));
+		best?.ids.push(endpoint.id);
+		return best !== undefined;
+	};
+
+	const far = endpoints.toSorted((a, b) => a.id < b.id ? -1 : 1).filter(endpoint => !take(endpoint, shares.filter(({dataCentre}) => dataCentre === endpoint.dataCentre)));
+	for (const endpoint of far) {
+		take(endpoint, shares);
 	}
 
-	return shares;
+	return shares.map(({ids}) => ids);
 }
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -227,7 +227,7 @@
 		}
 
 		const isProbing = [...this.#standings.values()].some(({endpoint, awaitsHead}) => !homes.has(endpoint.id) && endpoint.service === need.service && awaitsHead);
-		return fits.filter(({endpoint, open, others, isLoadKnown}) => homes.has(endpoint.id) || (isLoadKnown ? open + others < endpoint.slots : open === 0 && !isProbing));
+		return fits.filter(standing => homes.has(standing.endpoint.id) || (standing.isLoadKnown ? hasForeignRoom(standing) : standing.open === 0 && !isProbing));
 	}
 
 	#choose(standings: readonly EndpointStanding[], need: EndpointNeed): EndpointStanding | undefined {
@@ -251,6 +251,11 @@
 	}
 }
 
+/** Whether an endpoint that others fill has room as well: half of what they leave, since several see the same free slots. */
+function hasForeignRoom({endpoint, open, others}: EndpointStanding): boolean {
+	return open < Math.max(1, Math.floor((endpoint.slots - others) / 2)) && open + others < endpoint.slots;
+}
+
 function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit, avoidsFull}: EndpointNeed): boolean {
 	const {endpoint, open, others} = standing;
 	return endpoint.service === service
