--- a/packages/batches/__tests__/batches.spec.ts
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import {BatchError, type SampleResult} from '../src/index.js';
 import {
-	createSubmission, createWorld, type Process, type World,
+	createSubmission, createWorld, tickUntilDone, type Process, type World,
 } from './fixtures.js';
 
 async function catchCode(work: Promise<unknown>): Promise<string> {
@@ -26,20 +26,8 @@
 		return created;
 	}
 
-	async function settle<Result>(work: Promise<Result>, ms = 5000): Promise<Result> {
-		// The clock is moved on until the work is done.
-		const until = Date.now() + ms;
-		const state = {isDone: false};
-		const watched = work.finally(() => {
-			state.isDone = true;
-		});
-		watched.catch(() => undefined);
-		while (!state.isDone && Date.now() < until) {
-			// eslint-disable-next-line no-await-in-loop
-			await clock.tickAsync(10);
-		}
-
-		return watched;
+	async function settle<Result>(work: Promise<Result>): Promise<Result> {
+		return tickUntilDone(clock, work);
 	}
 
 	async function readAll(process: Process, id: string): Promise<SampleResult[]> {
--- a/packages/batches/__tests__/fixtures.ts
+++ b/packages/batches/__tests__/fixtures.ts
@@ -1,4 +1,5 @@
 /** A deployment of several processes over one store and a few endpoints, under a paused clock. */
+import type {Clock} from '@sinonjs/fake-timers';
 import {EndpointDirectory} from '@wasabiusher/direct';
 import {MemoryRowStore, MemoryServing, type RowStoreSwitches} from '@wasabiusher/standins';
 import {
@@ -127,3 +128,23 @@
 		root, serving, deployment, createProcess,
 	};
 }
+
+/** Longest simulated time in which any work of a test is done, in milliseconds. */
+const workMs = 5000;
+
+/** Moves a paused clock on until some work is done. */
+export async function tickUntilDone<Result>(clock: Clock, work: Promise<Result>): Promise<Result> {
+	const until = Date.now() + workMs;
+	const state = {isDone: false};
+	const watched = work.finally(() => {
+		state.isDone = true;
+	});
+	// Who awaits it is told of its failure.
+	watched.catch(() => undefined);
+	while (!state.isDone && Date.now() < until) {
+		// eslint-disable-next-line no-await-in-loop
+		await clock.tickAsync(10);
+	}
+
+	return watched;
+}
--- a/packages/batches/__tests__/shared-batches.spec.ts
+++ b/packages/batches/__tests__/shared-batches.spec.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import type {SampleResult} from '../src/index.js';
 import {
-	createSubmission, createWorld, type Process, type World,
+	createSubmission, createWorld, tickUntilDone, type Process, type World,
 } from './fixtures.js';
 
 /** Samples of a batch that two of eight hosts share. */
@@ -13,19 +13,8 @@
 	let world: World;
 	let processes: Process[];
 
-	async function settle<Result>(work: Promise<Result>, ms = 5000): Promise<Result> {
-		const until = Date.now() + ms;
-		const state = {isDone: false};
-		const watched = work.finally(() => {
-			state.isDone = true;
-		});
-		watched.catch(() => undefined);
-		while (!state.isDone && Date.now() < until) {
-			// eslint-disable-next-line no-await-in-loop
-			await clock.tickAsync(10);
-		}
-
-		return watched;
+	async function settle<Result>(work: Promise<Result>): Promise<Result> {
+		return tickUntilDone(clock, work);
 	}
 
 	/** Reads a batch as a trainer does, page by page from a position on. */
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -7,27 +7,26 @@
 import {Buffer} from 'node:buffer';
 import {LRUCache} from 'lru-cache';
 import type {RowChange} from '@wasabiusher/backends';
+import {defaultPolicy, type ModelNeed} from '@wasabiusher/decisions';
+import {describeError} from '@wasabiusher/shared';
 import {
-	chooseWorkers, countShares, defaultPolicy, type ModelNeed, type WorkerCandidate,
-} from '@wasabiusher/decisions';
-import {
-	describeError, findRoute, groupBy, rankCandidate,
-} from '@wasabiusher/shared';
-import {
-	type BatchRecord, type BatchShare, type KeptText, type ResultPage, type SampleResult, type StoredBatch, type Submission,
+	findSeries, measureWork, prepareSubmission, settlePauseMs, writeAccepted,
+} from './acceptance.js';
+import type {
+	BatchRecord, ResultPage, SampleResult, StoredBatch, Submission,
 } from './batch.js';
-import {
-	decodeRecord, type BatchStore, type PreparedSubmission, type RowWrite,
-} from './batch-store.js';
+import {decodeRecord, type BatchStore} from './batch-store.js';
 import {BatchError} from './errors.js';
 import type {HostRegistry} from './host-registry.js';
+import {KeptFinder} from './kept-finder.js';
 import type {KeptTexts} from './kept-texts.js';
-import {KnownBatches, needAgeMs} from './known-batches.js';
+import {KnownBatches} from './known-batches.js';
 import {pause} from './pause.js';
 import {RetiredBatches} from './retired-batches.js';
-import {ShareOwner, type ShareOwnerSettings} from './share-owner.js';
 import {ShareHomes} from './share-homes.js';
-import {listGroups, listShareSamples, nameShare} from './shares.js';
+import {ShareOwner, type ShareOwnerSettings} from './share-owner.js';
+import {SharePlanner} from './share-planner.js';
+import {nameShare} from './shares.js';
 import {TakeOvers} from './take-overs.js';
 
 /**
@@ -36,21 +35,8 @@
  */
 const pollMs = 50;
 
-/**
- * Time within which the lost answer of an acceptance is settled, in milliseconds. The trainer hands the batch in again elsewhere,
- * where the row decides; at a host that is cut off from the store a longer wait would only hold it.
- */
-const acceptMs = 600;
-
-/** Time within which an answer that was lost is settled otherwise, in milliseconds. */
+/** Time within which the lost answer of an end is settled, in milliseconds. */
 const settleMs = 2500;
-const settlePauseMs = 100;
-
-/** Time for another process to keep its texts after it has seen a new batch, in milliseconds: some calls to the store. */
-const keepMs = 50;
-
-/** Part of the wanted groups that may have been carried over from an earlier batch; they come first. */
-const carriedPart = 0.5;
 
 /** Submissions of other owners that are kept to serve their bodies. */
 const keptSubmissions = 8;
@@ -76,17 +62,20 @@
 	readonly #beginning = new Set<string>();
 	readonly #retired: RetiredBatches;
 	readonly #takeOvers: TakeOvers;
+	readonly #planner: SharePlanner;
+	readonly #keptFinder: KeptFinder;
 	readonly #submissions = new LRUCache<string, Submission>({max: keptSubmissions});
 	#isLeaving = false;
 
 	constructor(settings: BatchesSettings) {
 		this.#settings = settings;
-		const {
-			store, hosts, host, dataCentre = '', log,
-		} = settings;
-		this.#retired = new RetiredBatches(settings.keptTexts, log);
+		const {keptTexts, dataCentre = '', log} = settings;
+		const known = this.#known;
+		this.#retired = new RetiredBatches(keptTexts, log);
+		this.#planner = new SharePlanner({...settings, dataCentre, known});
+		this.#keptFinder = new KeptFinder({...settings, known, retired: this.#retired});
 		this.#takeOvers = new TakeOvers({
-			store, hosts, host, dataCentre, log, known: this.#known,
+			...settings, dataCentre, known,
 			onFound: found => {
 				this.#learn(found);
 			},
@@ -118,14 +107,15 @@
 			return;
 		}
 
-		const {hosts, readStoreMs} = this.#settings;
-		const {object, rows} = await this.#prepare(id, submission);
+		const {store, hosts, readStoreMs} = this.#settings;
+		const {object, rows} = await prepareSubmission(store, id, submission);
 		const series = findSeries(submission);
 		const record: BatchRecord = {
-			id, shares: this.#chooseShares(submission, series), series, isEnded: false, object, total: submission.samples.length, ...measureWork(submission), acceptedMs: readStoreMs(),
+			id, shares: this.#planner.plan(submission, series, this.#isLeaving), series, isEnded: false, object, total: submission.samples.length,
+			...measureWork(submission), acceptedMs: readStoreMs(),
 		};
 		this.#submissions.set(id, submission);
-		const stored = await this.#writeSettled(record, rows);
+		const stored = await writeAccepted(store, record, rows);
 		if (stored) {
 			this.#learn(stored, true);
 			await hosts.beat();
@@ -273,99 +263,6 @@
 		}
 	}
 
-	/** Who is to work on each share of a new batch. */
-	#chooseShares(submission: Submission, series: string): BatchShare[] {
-		const {hosts, host, dataCentre = '', policy = defaultPolicy} = this.#settings;
-		const last = this.#known.findNewest(series)?.shares.map(({owner}) => owner) ?? [];
-		const counts = this.#known.countSamples();
-		const live = new Map(hosts.listLive().map(found => [found.incarnation, found]));
-		const samples = submission.samples.length;
-		const endpoints = this.#countEndpoints(submission);
-		const available = [...endpoints.values()].reduce((sum, found) => sum + found, 0) / this.#countModels(submission);
-		const count = policy.sharesBatches
-			? countShares({
-				samples, groups: listGroups(submission).size, hosts: live.size, endpoints: available,
-			})
-			: 1;
-		const chosen = chooseWorkers(this.#listCandidates(counts), {
-			count, samples: samples / count, last: policy.keepsTrainers ? last : [], endpoints,
-			rank: id => rankCandidate(series, live.get(id)?.host ?? ''),
-		});
-		const workers = chosen.flatMap(id => live.get(id) ?? []);
-		return workers.length === 0
-			? [{
-				owner: this.#isLeaving ? '' : hosts.incarnation, ownerHost: host, dataCentre, term: 1,
-			}]
-			: workers.map(worker => ({
-				owner: worker.incarnation, ownerHost: worker.host, dataCentre: worker.dataCentre, term: 1,
-			}));
-	}
-
-	#listCandidates(samples: ReadonlyMap<string, number>): WorkerCandidate[] {
-		const {hosts} = this.#settings;
-		return hosts.listLive()
-			.filter(({incarnation}) => !(this.#isLeaving && incarnation === hosts.incarnation))
-			.map(({incarnation, ...found}) => ({
-				...found, id: incarnation, samples: samples.get(incarnation) ?? 0, isHere: incarnation === hosts.incarnation,
-			}));
-	}
-
-	/** Services that may run a submission. */
-	#listServices({host, path}: Submission): Set<string> {
-		const deployment = this.#settings.findDeployment();
-		return new Set((deployment && findRoute(deployment, host, path))?.targets.map(({service}) => service));
-	}
-
-	/** Models that share the endpoints of a submission. */
-	#countModels(submission: Submission): number {
-		const services = this.#listServices(submission);
-		const models = this.#settings.findDeployment()?.services.filter(({name}) => services.has(name)).flatMap(service => service.models);
-		return Math.max(1, new Set(models).size);
-	}
-
-	/** Endpoints that may serve a submission, by data centre. */
-	#countEndpoints(submission: Submission): Map<string, number> {
-		const services = this.#listServices(submission);
-		const endpoints = this.#settings.directory.list().filter(({service, isDraining}) => services.has(service) && !isDraining);
-		return new Map([...groupBy(endpoints, ({dataCentre}) => dataCentre)].map(([dataCentre, found]) => [dataCentre, found.length]));
-	}
-
-	/** Prepares a submission; the store may have its object already from an earlier attempt, which does no harm. */
-	async #prepare(id: string, submission: Submission): Promise<PreparedSubmission> {
-		try {
-			return await this.#settings.store.prepareSubmission(id, submission);
-		} catch (error) {
-			// Without its row the batch is not accepted, whatever became of the object.
-			throw new BatchError('unavailable', `the submission can not be kept: ${describeError(error)}`, error);
-		}
-	}
-
-	/** Writes a new batch's row; undefined if another process has accepted it. */
-	async #writeSettled(record: BatchRecord, rows: readonly RowWrite[]): Promise<StoredBatch | undefined> {
-		const {store} = this.#settings;
-		let isDoubtful = false;
-		const until = performance.now() + acceptMs;
-		for (;;) {
-			try {
-				// eslint-disable-next-line no-await-in-loop
-				const version = await store.write(record, 0, rows);
-				return version === undefined ? undefined : {record, version};
-			} catch (error) {
-				isDoubtful ||= error instanceof BatchError && error.code === 'unknown';
-				if (!isDoubtful) {
-					throw error;
-				}
-
-				if (performance.now() > until) {
-					throw new BatchError('unknown', `it is not known whether batch ${record.id} was accepted`, error);
-				}
-
-				// eslint-disable-next-line no-await-in-loop
-				await pause(settlePauseMs);
-			}
-		}
-	}
-
 	/** Writes a row on a condition; undefined if the row must be read again. */
 	async #tryWrite(store: BatchStore, record: BatchRecord, version: number, until: number): Promise<number | undefined> {
 		try {
@@ -505,35 +402,6 @@
 		this.#retired.add(owner);
 	}
 
-	/** What earlier batches have left of a new one's samples. */
-	async #findKept(submission: Submission, {shares}: BatchRecord, share: number, whenKept: Promise<void>): Promise<Map<string, KeptText>> {
-		const {samples, wantedGroups, step} = submission;
-		const {keptTexts, log, policy = defaultPolicy} = this.#settings;
-		const ours = new Set(listShareSamples(submission, share, shares.length).flatMap(({group}) => group ?? []));
-		const groups = [...new Set(samples.flatMap(({group}) => group ?? []))].slice(0, Math.ceil(wantedGroups * carriedPart)).filter(group => ours.has(group));
-		if (step === 0 || groups.length === 0 || !policy.keepsTexts) {
-			return new Map();
-		}
-
-		await whenKept;
-		try {
-			const found = await Promise.all(groups.map(async group => keptTexts.findGroup(group)));
-			return new Map(found.flatMap(texts => [...texts]));
-		} catch (error) {
-			log.warn('texts_not_found', {reason: describeError(error)});
-			return new Map();
-		}
-	}
-
-	/** Waits until what was made of a trainer's last batches is kept: told if this process ran them, else some calls to the store later. */
-	async #waitForKept(series: string): Promise<void> {
-		const {hosts, readStoreMs} = this.#settings;
-		const last = this.#known.listEnded(series, readStoreMs() - needAgeMs);
-		const areOurs = last.every(({shares}) => shares.every(({owner}) => owner === hosts.incarnation));
-		const isTold = areOurs && this.#retired.isKeeping(series);
-		await Promise.all([this.#retired.whenKept(series), pause(isTold ? 0 : keepMs)]);
-	}
-
 	#drop(owner: ShareOwner): void {
 		owner.stop();
 		this.#owners.delete(owner.name);
@@ -545,10 +413,11 @@
 		const {record} = stored;
 		const {id} = record;
 		try {
-			const whenKept = this.#waitForKept(record.series);
+			const {policy = defaultPolicy} = this.#settings;
+			const whenKept = this.#keptFinder.waitForKept(record.series);
 			const submission = await this.#readSubmission(record);
 			const [kept, results, partials] = await Promise.all([
-				this.#findKept(submission, record, share, whenKept),
+				policy.keepsTexts ? this.#keptFinder.find(submission, record, share, whenKept) : new Map<string, never>(),
 				isNew ? [] : store.readAllResults(id),
 				isNew ? new Map<string, never>() : store.readPartials(id),
 			]);
@@ -560,7 +429,7 @@
 
 			const homes = new ShareHomes({
 				...this.#settings,
-				listServices: () => this.#listServices(submission),
+				listServices: () => this.#planner.listServices(submission),
 				findRecord: () => this.#known.get(id)?.record ?? record,
 			}, share);
 			const owner = new ShareOwner({
@@ -599,17 +468,6 @@
 	}
 }
 
-/** The trainer's part of the path: all but the batch's own last step. */
-function findSeries({host, path}: Submission): string {
-	return host + path.slice(0, path.lastIndexOf('/') + 1);
-}
-
-/** What a batch asks of the endpoints; a sample of which nothing is known counts as one token. */
-function measureWork({model = '', samples}: Submission): Pick<BatchRecord, 'model' | 'expectedTokens' | 'longestTokens'> {
-	const lengths = samples.map(({expectedTokens}) => expectedTokens ?? 1);
-	return {model, expectedTokens: lengths.reduce((sum, length) => sum + length, 0), longestTokens: Math.max(0, ...lengths)};
-}
-
 /** As many of the first results as fit into one answer; one at least. */
 function cutPage(results: readonly SampleResult[]): SampleResult[] {
 	let length = 0;
