--- a/packages/decisions/__tests__/batch-shares.spec.ts
+++ b/packages/decisions/__tests__/batch-shares.spec.ts
@@ -27,6 +27,12 @@
 		expect(countShares({...request, samples: 4, groups: 1})).to.equal(1);
 	});
 
+	it('keeps the list of results from being written by more than sixteen hosts', () => {
+		expect(countShares({
+			samples: 2048, groups: 256, hosts: 1700, endpoints: 10_000,
+		})).to.equal(16);
+	});
+
 	it('takes a quarter of the hosts at most, and leaves three endpoints and a group to each share', () => {
 		expect(countShares({...request, hosts: 8})).to.equal(2);
 		expect(countShares({...request, hosts: 1})).to.equal(1);
--- a/packages/decisions/src/batch-shares.ts
+++ b/packages/decisions/src/batch-shares.ts
@@ -12,6 +12,12 @@
 /** Samples of one share: with texts of an event each 40 ms, some 800 events a second, a tenth of a core. */
 const shareSamples = 32;
 
+/**
+ * Most shares of one batch. All append to one list in a part of the store that takes 300 transactions a second; sixteen workers that commit five
+ * times a second each leave three quarters of that to other batches.
+ */
+const mostShares = 16;
+
 /** Hosts for each share that there may be: what is left carries callers, and steps in the place of what fails. */
 const hostsPerShare = 4;
 
@@ -76,7 +82,7 @@
 
 /** Number of shares into which a batch is divided. */
 export function countShares({samples, groups, hosts, endpoints}: ShareRequest): number {
-	const most = Math.min(Math.floor(hosts / hostsPerShare), Math.floor(endpoints / endpointsPerShare), groups);
+	const most = Math.min(mostShares, Math.floor(hosts / hostsPerShare), Math.floor(endpoints / endpointsPerShare), groups);
 	return Math.max(1, Math.min(Math.ceil(samples / shareSamples), most));
 }
 
