--- a/packages/logs/__tests__/steps-report.spec.ts
+++ b/packages/logs/__tests__/steps-report.spec.ts
@@ -71,6 +71,13 @@
 		expect(trainer).to.include({steps: 1, unfinished: 1});
 	});
 
+	it('waits for a group that was carried over, though enough others are whole before it', () => {
+		const carried = createStep().map(([atMs, event, values]): Entry => event === 'text_made' && values.sample === 'c2' ? [atMs, event, {...values, kept: 100}] : [atMs, event, values]);
+		const {steps: [step]} = report(carried);
+		expect(step!.chain).to.include({sample: 'c2', wholeMs: 6250});
+		expect(step!.boundMs).to.equal(50 * report(carried).bestPaceMs!);
+	});
+
 	it('tells the pace of an endpoint from a host that reads late: pauses and the events that came in them count together', () => {
 		const late = createStep().map(([atMs, event, values]): Entry => event === 'text_made'
 			? [atMs, event, {...values, madeMs: Number(values.madeMs) / 100, stalledMs: Number(values.madeMs) * 0.99}]
--- a/packages/logs/src/step-chain.ts
+++ b/packages/logs/src/step-chain.ts
@@ -41,7 +41,7 @@
 	return paces.length === 0 ? undefined : Math.min(...paces);
 }
 
-type ListedGroup = {wholeAt: number; last: string; longestEvents: number};
+type ListedGroup = {wholeAt: number; last: string; longestEvents: number; isCarried: boolean};
 
 /** Groups of which every sample is listed, in the order in which they became whole. */
 function listWholeGroups({listed, texts, total, groups}: StepHistory): ListedGroup[] {
@@ -55,24 +55,35 @@
 	return [...members.values()].filter(entries => entries.length >= size).map(entries => {
 		const last = entries.toSorted((a, b) => b[1].listedAt - a[1].listedAt)[0]!;
 		return {
-			wholeAt: last[1].listedAt, last: last[0], longestEvents: Math.max(...entries.map(([sample, {events}]) => events - (texts.get(sample)?.kept ?? 0))),
+			wholeAt: last[1].listedAt,
+			last: last[0],
+			// What an earlier step has left of a group shows that the trainer waits for it whatever else is whole.
+			isCarried: entries.some(([sample]) => (texts.get(sample)?.kept ?? 0) > 0),
+			longestEvents: Math.max(...entries.map(([sample, {events}]) => events - (texts.get(sample)?.kept ?? 0))),
 		};
 	}).toSorted((a, b) => a.wholeAt - b.wholeAt);
 }
 
+/** Groups that the trainer waits for: those carried over, and the first others by an order, up to as many as are wanted; undefined if there are fewer, or none is waited for. */
+function listWanted(groups: readonly ListedGroup[], wanted: number): ListedGroup[] | undefined {
+	const carried = groups.filter(({isCarried}) => isCarried);
+	const others = groups.filter(({isCarried}) => !isCarried);
+	return wanted === 0 || groups.length < wanted ? undefined : [...carried, ...others.slice(0, Math.max(0, wanted - carried.length))];
+}
+
 /**
  * Least time in which the step could have been whole, in milliseconds: the longest text of the groups that are quickest to make, on the
  * fastest endpoint, with nothing lost. Undefined if fewer groups are whole than the trainer waits for.
  */
 export function findLowerBound(step: StepHistory, bestPaceMs: number): number | undefined {
-	const longest = listWholeGroups(step).map(({longestEvents}) => longestEvents).toSorted((a, b) => a - b);
-	const events = longest[step.wanted - 1];
-	return events === undefined ? undefined : events * bestPaceMs;
+	const quickest = listWholeGroups(step).toSorted((a, b) => a.longestEvents - b.longestEvents);
+	const waited = listWanted(quickest, step.wanted);
+	return waited && Math.max(...waited.map(({longestEvents}) => longestEvents)) * bestPaceMs;
 }
 
 /** The chain of a step; undefined if fewer groups are whole than the trainer waits for. */
 export function findChain(step: StepHistory): StepChain | undefined {
-	const group = listWholeGroups(step)[step.wanted - 1];
+	const group = listWanted(listWholeGroups(step), step.wanted)?.toSorted((a, b) => b.wholeAt - a.wholeAt)[0];
 	if (!group) {
 		return undefined;
 	}
