Let the end of a batch's results tell how many each share has listed

Cause, found by reading: a share that is taken over while the new owner's reading of the results lies behind would have listed again what its former owner had; the positions, free by then, no longer guarded it.

Change: a worker writes nothing while the count of its share differs from what it knows; it reads the list and takes note. This takes the place of remembering which transaction is in doubt, and does the same after a lost answer.

--- a/packages/batches/__tests__/shared-batches.spec.ts
+++ b/packages/batches/__tests__/shared-batches.spec.ts
@@ -108,6 +108,25 @@
 		expectEachOnce(await readFrom(processes[3]!, '1'));
 	});
 
+	it('lists nothing again that the owner before has listed, though the next one did not see it when it began', async () => {
+		paceRuns(40, 25);
+		await settle(processes[0]!.batches.submit('1', createSubmission(great)));
+		await clock.tickAsync(1300);
+		for (const {store} of processes) {
+			// What a host reads of results when it takes a share over lies behind what was written.
+			store.switches.hiddenTables = new Set(['batch-results']);
+		}
+
+		listWorkers()[0]!.kill();
+		await clock.tickAsync(2500);
+		for (const {store} of processes) {
+			store.switches.hiddenTables = new Set();
+		}
+
+		await clock.tickAsync(8000);
+		expectEachOnce(await readFrom(processes.find(({store}) => !store.switches.isDown)!, '1'));
+	});
+
 	it('goes on when both hosts leave at the same moment', async () => {
 		paceRuns(40, 60);
 		await settle(processes[0]!.batches.submit('1', createSubmission(great)));
--- a/packages/batches/src/batch-store.ts
+++ b/packages/batches/src/batch-store.ts
@@ -54,6 +54,8 @@
 export type ResultEnd = {
 	/** The first free position. */
 	next: number;
+	/** Results that each share has listed, by the share. */
+	listed: readonly number[];
 	/** Version of the row that tells it; 0 while there is none. */
 	version: number;
 };
@@ -61,13 +63,15 @@
 /** Results that are to follow those that a batch has. */
 export type ResultAppend = {
 	batch: string;
+	/** The share that lists them. */
+	share: number;
 	/** Version of the batch's row on whose condition they are written. */
 	version: number;
 	end: ResultEnd;
 	results: readonly SampleResult[];
 };
 
-const endSchema = z.object({next: z.int().nonnegative()});
+const endSchema = z.object({next: z.int().nonnegative(), listed: z.array(z.int().nonnegative())});
 
 /** Texts of unfinished samples by the sample's id. */
 export type PartialTexts = ReadonlyMap<string, PartialText>;
@@ -143,7 +147,7 @@
 		const {rows: [row]} = await guard(this.#rows.read({
 			...address, from: key, to: `${key}\u0000`, limit: 1,
 		}));
-		return row ? {next: endSchema.parse(JSON.parse(Buffer.from(row.value).toString())).next, version: row.version} : {next: 0, version: 0};
+		return row ? {...endSchema.parse(JSON.parse(Buffer.from(row.value).toString())), version: row.version} : {next: 0, listed: [], version: 0};
 	}
 
 	/**
@@ -151,9 +155,10 @@
 	 *
 	 * @returns the new end; undefined if a condition did not hold
 	 */
-	async appendResults({batch, version, end, results}: ResultAppend): Promise<ResultEnd | undefined> {
+	async appendResults({batch, share, version, end, results}: ResultAppend): Promise<ResultEnd | undefined> {
 		const part = findPart(batch);
 		const next = end.next + results.length;
+		const listed = Array.from({length: Math.max(end.listed.length, share + 1)}, (_, i) => (end.listed[i] ?? 0) + (i === share ? results.length : 0));
 		const puts = results.flatMap((result, i) => encodeResult(batch, part, {position: end.next + i, result}));
 		// The end alone decides; that the positions are free as well guards what was read against any mistake.
 		const free: RowCondition[] = puts.map(({table, key}) => ({
@@ -162,10 +167,10 @@
 		try {
 			const receipt = await this.#rows.commit({
 				conditions: [{...locate(batch), version}, {...locateEnd(batch), version: end.version}, ...free],
-				puts: [...puts, {...locateEnd(batch), value: encode({next})}],
+				puts: [...puts, {...locateEnd(batch), value: encode({next, listed})}],
 				deletes: [],
 			});
-			return {next, version: receipt.version};
+			return {next, listed, version: receipt.version};
 		} catch (error) {
 			if (error instanceof PlatformError && error.code === 'conflict') {
 				return undefined;
--- a/packages/batches/src/result-list.ts
+++ b/packages/batches/src/result-list.ts
@@ -2,7 +2,8 @@
  * The results of one share of a batch, each at the position at which the store has it.
  *
  * A result is shown only once the store has it. All shares of a batch append to one list: each transaction expects the end that was just
- * read, so that positions follow one another whoever writes. After a lost answer nothing is written again before it is known what became of it.
+ * read, so that positions follow one another whoever writes. The end tells how many results each share has listed; while that differs from what is
+ * known here, as after a lost answer, nothing more is written before the missing ones are found.
  */
 import PQueue from 'p-queue';
 import {describeError, type Log, type LogValue} from '@wasabiusher/shared';
@@ -25,10 +26,12 @@
 	store: BatchStore;
 	log: Log;
 	batch: string;
+	/** Which of the batch's shares it is. */
+	share: number;
 	/** Whether other processes append to the batch's results as well. */
 	isShared: boolean;
-	/** Samples of this share. */
-	total: number;
+	/** Ids of the samples of this share. */
+	samples: ReadonlySet<string>;
 	/** Aborts when the share stops here; nothing is written after that. */
 	signal: AbortSignal;
 	/** The version of the batch's row as last known. */
@@ -39,9 +42,6 @@
 	onWhole(): void;
 };
 
-/** A transaction that may still take effect: its answer was lost and the end that it expects has not changed since. */
-type Doubt = ResultEnd;
-
 /** The results of one share. */
 export class ResultList {
 	readonly #settings: ResultListSettings;
@@ -55,7 +55,6 @@
 	readonly #watchers = new Set<() => void>();
 	/** Where the results end, as far as nobody else can have moved it. */
 	#end: ResultEnd | undefined;
-	#doubt: Doubt | undefined;
 	#isClosed = false;
 
 	/** @param results - those of this share that the store has already */
@@ -82,6 +81,10 @@
 	 * @param values - what the log says of it besides
 	 */
 	add(result: SampleResult, values: Readonly<Record<string, LogValue>> = {}): void {
+		if (this.#listed.has(result.id)) {
+			return;
+		}
+
 		this.#waiting.push(result);
 		this.#notes.set(result.id, {addedAt: performance.now(), values});
 		void this.#commits.add(async () => this.#commit());
@@ -145,60 +148,45 @@
 		}
 	}
 
-	/** Where the results end; a transaction in doubt is settled once the end tells that it can take effect no more. */
+	/**
+	 * Where the results end, once all that this share has listed is known here. A transaction whose answer was lost has either moved the end, and
+	 * its results are found, or it expects the same end as the next one, and only one of both can take effect.
+	 */
 	async #findEnd(): Promise<ResultEnd> {
-		const {store, batch, isShared} = this.#settings;
+		const {store, batch, share, isShared} = this.#settings;
 		if (this.#end && !isShared) {
 			return this.#end;
 		}
 
 		const end = await store.readEnd(batch);
-		if (this.#doubt && end.version !== this.#doubt.version) {
-			await this.#settleDoubt(this.#doubt, end.next);
+		if ((end.listed[share] ?? 0) !== this.#results.length) {
+			await this.#findMissing(end);
 		}
 
 		return end;
 	}
 
-	/** Finds out what of this share was listed from a position on. */
-	async #settleDoubt({next: from}: Doubt, to: number): Promise<void> {
-		const {store, batch} = this.#settings;
-		let position = from;
-		while (position < to) {
-			// Each page begins where the one before has ended.
-			// eslint-disable-next-line no-await-in-loop
-			const page = await store.readResults(batch, position);
-			for (const {position: at, result} of page.filter(({result: {id}}) => this.#isWaiting(id))) {
-				this.#list(result, at);
+	/** Finds results of this share that were listed without this process's knowledge. */
+	async #findMissing({listed, next}: ResultEnd): Promise<void> {
+		const {store, batch, share, samples} = this.#settings;
+		for (const {position, result} of await store.readAllResults(batch)) {
+			if (samples.has(result.id) && !this.#listed.has(result.id)) {
+				this.#list(result, position);
 			}
-
-			position = page.length === 0 ? to : page.at(-1)!.position + 1;
 		}
 
-		this.#doubt = undefined;
 		this.#settle();
-	}
-
-	#isWaiting(id: string): boolean {
-		return this.#waiting.some(result => result.id === id);
+		if (listed[share] !== this.#results.length) {
+			throw new BatchError('unavailable', `of ${next} results of batch ${batch} share ${share} has ${listed[share] ?? 0}, found were ${this.#results.length}`);
+		}
 	}
 
 	async #append(end: ResultEnd, results: readonly SampleResult[]): Promise<void> {
-		const {store, batch, findVersion, onConflict} = this.#settings;
+		const {store, batch, share, findVersion, onConflict} = this.#settings;
 		this.#end = undefined;
-		let written: ResultEnd | undefined;
-		try {
-			written = await store.appendResults({
-				batch, version: findVersion(), end, results,
-			});
-		} catch (error) {
-			if (error instanceof BatchError && error.code === 'unknown') {
-				this.#doubt = end;
-			}
-
-			throw error;
-		}
-
+		const written = await store.appendResults({
+			batch, share, version: findVersion(), end, results,
+		});
 		if (!written) {
 			// The row or the end has changed; a row that was ended or given to another process closes this list.
 			onConflict(await store.find(batch));
@@ -206,7 +194,6 @@
 		}
 
 		this.#end = written;
-		this.#doubt = undefined;
 		for (const [i, result] of results.entries()) {
 			this.#list(result, end.next + i);
 		}
@@ -245,7 +232,7 @@
 
 	/** Forgets what is listed by now, and tells those who wait. */
 	#settle(): void {
-		const {log, batch, total, onWhole} = this.#settings;
+		const {log, batch, samples: {size: total}, onWhole} = this.#settings;
 		this.#waiting = this.#waiting.filter(result => !this.#listed.has(result.id));
 		if (this.#results.length === total) {
 			log.info('share_whole', {batch, total});
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -89,6 +89,7 @@
 	readonly share: number;
 	/** Samples of this share. */
 	readonly samples: readonly Sample[];
+	readonly #ids: ReadonlySet<string>;
 	readonly #settings: ShareOwnerSettings;
 	readonly #policy: Policy;
 	#stored: StoredBatch;
@@ -113,6 +114,7 @@
 		const {shares} = stored.record;
 		this.share = share;
 		this.samples = listShareSamples(submission, share, shares.length);
+		this.#ids = new Set(this.samples.map(({id}) => id));
 		this.#settings = settings;
 		this.#policy = settings.policy ?? defaultPolicy;
 		this.#stored = stored;
@@ -126,8 +128,9 @@
 			store,
 			log,
 			batch: stored.record.id,
+			share,
 			isShared: shares.length > 1,
-			total: this.samples.length,
+			samples: this.#ids,
 			findVersion: () => this.#stored.version,
 			signal: this.#stop.signal,
 			onConflict: settings.onConflict,
@@ -270,8 +273,7 @@
 
 	/** The results of this share among those of the batch. */
 	#selectOwn(results: readonly PositionedResult[]): PositionedResult[] {
-		const ids = new Set(this.samples.map(({id}) => id));
-		return results.filter(({result}) => ids.has(result.id));
+		return results.filter(({result}) => this.#ids.has(result.id));
 	}
 
 	#findText(id: string, result: SampleResult | undefined): KeptText | undefined {
--- a/packages/standins/src/memory-row-store.ts
+++ b/packages/standins/src/memory-row-store.ts
@@ -16,6 +16,8 @@
 	isDown: boolean;
 	/** Refuses transactions on rows of these parts and reads of them, while the other parts and the feed go on. */
 	downParts: ReadonlySet<string>;
+	/** Reads of these tables find nothing, as from a copy that lies behind. */
+	hiddenTables: ReadonlySet<string>;
 	/** Lets each call wait for this time and then fail without an answer; nothing is done. 0 switches it off. */
 	silentMs: number;
 	/** Time before a call takes effect, in milliseconds. */
@@ -30,7 +32,7 @@
 /** The store; several views of it may have switches of their own. */
 export class MemoryRowStore implements RowStore, BlobStore {
 	readonly switches: RowStoreSwitches = {
-		isDown: false, downParts: new Set(), silentMs: 0, delayMs: 0, answersToLose: 0, writesToDelay: 0, lateMs: 1000,
+		isDown: false, downParts: new Set(), hiddenTables: new Set(), silentMs: 0, delayMs: 0, answersToLose: 0, writesToDelay: 0, lateMs: 1000,
 	};
 
 	/** Calls that have begun, refused ones included. */
@@ -74,7 +76,8 @@
 	async read(range: RowRange): Promise<RowPage> {
 		this.counts.reads += 1;
 		await this.#pass([range.part]);
-		return this.#core.read(range);
+		const page = this.#core.read(range);
+		return this.switches.hiddenTables.has(range.table) ? {...page, rows: []} : page;
 	}
 
 	async follow(table: string, after: number, waitMs: number): Promise<ChangePage> {
