Let customers prove themselves by keys, and keep what they hand in from each other

Change: the adapter decodes customers, keys, priorities and open routes; a request's key is looked up once (one map, changed by what differs), and a refusal is confirmed with the store before it is given, by a question that all doubtful requests of a moment share; where the store can't be asked the answer is 503. Endpoints are told the customer by a header of ours, never the key. Batches, kept texts and series carry their customer; to another customer a batch does not exist. A customer's priority goes before the route's. The store's own follower answers the question, so a route that was just added is found, too.

Ruled out: asking the store for the whole row at each unknown key (its size times the callers'); 401 by what was heard in the last 2.5 s, which is not what is in force; a pause until the regular wait of the feed ends (up to 0.7 s).

Found by reading: kept texts were found by the group's name alone, so a customer could have got what another's samples had made.

Cost of the look-ups: not measured yet.

--- a/packages/backends/src/serving.ts
+++ b/packages/backends/src/serving.ts
@@ -19,6 +19,8 @@
 	/** Headers of the caller that concern the endpoint, names in lower case. */
 	headers: Record<string, string>;
 	body: Uint8Array;
+	/** Whose request it is, as the endpoint is told; undefined if nobody's. */
+	customer?: string;
 	/** Names this attempt of the caller; the endpoint's answer carries it. */
 	attemptId: string;
 	/** Time that the caller still waits, in milliseconds; the endpoint stops then. */
--- a/packages/batches/__tests__/fixtures.ts
+++ b/packages/batches/__tests__/fixtures.ts
@@ -13,7 +13,7 @@
 export function createRoute(changes: Partial<Route> = {}): Route {
 	return {
 		name: 'steps', host: 'h', prefix: '/steps/', kind: 'batch', isResumable: true, timeoutMs: 10_000, objectiveMs: 400, priority: 0,
-		targets: [{service: 's', weight: 1}], maxAttempts: 3, sampleTtlMs: 40_000, isSingleVersion: false, ...changes,
+		targets: [{service: 's', weight: 1}], maxAttempts: 3, sampleTtlMs: 40_000, isSingleVersion: false, isOpen: false, ...changes,
 	};
 }
 
--- a/packages/batches/src/acceptance.ts
+++ b/packages/batches/src/acceptance.ts
@@ -4,6 +4,7 @@
 import {describeError} from '@wasabiusher/shared';
 import type {BatchRecord, StoredBatch, Submission} from './batch.js';
 import type {BatchStore, PreparedSubmission, RowWrite} from './batch-store.js';
+import {nameForCustomer} from './customers.js';
 import {BatchError} from './errors.js';
 import {pause} from './pause.js';
 
@@ -16,9 +17,9 @@
 /** Pause before a write whose answer was lost is tried again, in milliseconds. */
 export const settlePauseMs = 100;
 
-/** Names a trainer: its part of the path, which is all but the batch's own last step. */
-export function findSeries({host, path}: Submission): string {
-	return host + path.slice(0, path.lastIndexOf('/') + 1);
+/** Names a trainer: its customer, and its part of the path, which is all but the batch's own last step. */
+export function findSeries({customer, host, path}: Submission): string {
+	return nameForCustomer(customer, host + path.slice(0, path.lastIndexOf('/') + 1));
 }
 
 /** What a batch asks of the endpoints; a sample of which nothing is known counts as one token. */
--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -31,6 +31,8 @@
 	/** Host name and path by which the batch was handed in; they select its route. */
 	host: z.string(),
 	path: z.string(),
+	/** Whose it is; undefined if no key was needed. */
+	customer: z.string().optional(),
 	step: z.number().optional(),
 	model: z.string().optional(),
 	/** Oldest version of the weights that may make a sample. */
@@ -57,6 +59,8 @@
 	id: z.string(),
 	/** The first has the longest groups; `divideGroups` tells which groups each has. */
 	shares: z.array(shareSchema).min(1),
+	/** Whose it is; empty if no key was needed. */
+	customer: z.string().default(''),
 	/** What batches of one trainer have in common; a new one shows that the trainer has gone on. */
 	series: z.string(),
 	isEnded: z.boolean(),
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -16,6 +16,7 @@
 	BatchRecord, ResultPage, SampleResult, StoredBatch, Submission,
 } from './batch.js';
 import {decodeRecord, type BatchStore} from './batch-store.js';
+import {isOfCustomer} from './customers.js';
 import {BatchError} from './errors.js';
 import type {HostRegistry} from './host-registry.js';
 import {KeptFinder} from './kept-finder.js';
@@ -105,10 +106,13 @@
 	/**
 	 * Accepts a batch once the store has it.
 	 *
-	 * @throws {BatchError} `unavailable` if it was not accepted and won't be, `unknown` if that could not be settled
+	 * @throws {BatchError} `unavailable` if it was not accepted and won't be, `unknown` if that could not be settled, `taken` if another
+	 * customer has a batch of that name
 	 */
 	async submit(id: string, submission: Submission): Promise<void> {
-		if (this.#known.get(id)) {
+		const known = this.#known.get(id);
+		if (known) {
+			expectOwn(known.record, submission.customer);
 			return;
 		}
 
@@ -117,13 +121,15 @@
 		const series = findSeries(submission);
 		const record: BatchRecord = {
 			id, shares: this.#planner.plan(submission, series, this.#isLeaving), series, isEnded: false, object, total: submission.samples.length,
-			...measureWork(submission), acceptedMs: readStoreMs(),
+			...measureWork(submission), customer: submission.customer ?? '', acceptedMs: readStoreMs(),
 		};
 		this.#submissions.set(id, submission);
 		const stored = await writeAccepted(store, record, rows);
 		if (stored) {
 			this.#learn(stored, true);
 			await hosts.beat();
+		} else {
+			await this.#expectAccepted(id, submission.customer);
 		}
 	}
 
@@ -144,23 +150,26 @@
 	/**
 	 * Reads results from a position on, waiting up to `waitMs` for one.
 	 *
-	 * @throws {BatchError} `missing` if there is no such batch, `unavailable` if that can't be told
+	 * @param customer - who asks; undefined where no key is needed
+	 * @throws {BatchError} `missing` if the customer has no such batch, `unavailable` if that can't be told
 	 */
-	async read(id: string, after: number, waitMs: number): Promise<ResultPage> {
+	async read(id: string, after: number, waitMs: number, customer?: string): Promise<ResultPage> {
 		const owner = this.#listOwners(id).find(({isAll}) => isAll);
-		if (owner) {
+		if (owner && isOfCustomer(owner.stored.record, customer)) {
 			await owner.waitBeyond(after, waitMs);
 			if (this.#owners.get(owner.name) === owner) {
 				return this.#notePage(id, after, {total: owner.stored.record.total, results: cutPage(owner.results.slice(after))});
 			}
 		}
 
-		return this.#readStored(id, after, waitMs);
+		const {record: {total}} = await this.#findOwn(id, customer);
+		return this.#readStored(id, after, waitMs, total);
 	}
 
 	/** Reads the body of a sample; throws `BatchError` as `read` does. */
-	async readBody(id: string, sample: string): Promise<Uint8Array> {
-		const submission = this.#listOwners(id)[0]?.submission ?? await this.#findSubmission(id);
+	async readBody(id: string, sample: string, customer?: string): Promise<Uint8Array> {
+		const {record} = await this.#findOwn(id, customer);
+		const submission = this.#listOwners(id)[0]?.submission ?? await this.#readSubmission(record);
 		const found = submission.samples.find(other => other.id === sample);
 		if (!found) {
 			throw new BatchError('missing', `batch ${id} has no sample ${sample}`);
@@ -170,13 +179,13 @@
 	}
 
 	/** Ends a batch; nothing of it runs any more. Throws `BatchError` as `read` does, or `unknown`. */
-	async end(id: string): Promise<void> {
+	async end(id: string, customer?: string): Promise<void> {
 		const {store, log} = this.#settings;
 		const until = performance.now() + settleMs;
 		for (;;) {
 			// Each try depends on what the one before has found.
 			// eslint-disable-next-line no-await-in-loop
-			const found = await this.#find(id, true);
+			const found = await this.#findOwn(id, customer, true);
 			if (found.record.isEnded) {
 				return;
 			}
@@ -297,9 +306,30 @@
 		return found;
 	}
 
-	async #readStored(id: string, after: number, waitMs: number): Promise<ResultPage> {
+	/** Looks whose batch it is that another process has accepted; that something of it runs can't be ruled out any more. */
+	async #expectAccepted(id: string, customer: string | undefined): Promise<void> {
+		let found: StoredBatch;
+		try {
+			found = await this.#find(id, true);
+		} catch (error) {
+			throw new BatchError('unknown', `batch ${id} was accepted elsewhere, and can't be read: ${describeError(error)}`, error);
+		}
+
+		expectOwn(found.record, customer);
+	}
+
+	/** Finds a batch of a customer; another's does not exist for it. */
+	async #findOwn(id: string, customer: string | undefined, isFresh = false): Promise<StoredBatch> {
+		const found = await this.#find(id, isFresh);
+		if (!isOfCustomer(found.record, customer)) {
+			throw new BatchError('missing', `the customer has no batch ${id}`);
+		}
+
+		return found;
+	}
+
+	async #readStored(id: string, after: number, waitMs: number, total: number): Promise<ResultPage> {
 		const until = performance.now() + waitMs;
-		const {record: {total}} = await this.#find(id);
 		for (;;) {
 			// eslint-disable-next-line no-await-in-loop
 			const found = await this.#settings.store.readResults(id, after);
@@ -321,11 +351,6 @@
 		return page;
 	}
 
-	async #findSubmission(id: string): Promise<Submission> {
-		const {record} = await this.#find(id);
-		return this.#readSubmission(record);
-	}
-
 	async #readSubmission(record: BatchRecord): Promise<Submission> {
 		const kept = this.#submissions.get(record.id) ?? await this.#settings.store.readSubmission(record);
 		this.#submissions.set(record.id, kept);
@@ -475,6 +500,12 @@
 	}
 }
 
+function expectOwn(record: BatchRecord, customer: string | undefined): void {
+	if (!isOfCustomer(record, customer)) {
+		throw new BatchError('taken', `the name ${record.id} is another batch's`);
+	}
+}
+
 /** As many of the first results as fit into one answer; one at least. */
 function cutPage(results: readonly SampleResult[]): SampleResult[] {
 	let length = 0;
--- a/packages/batches/src/kept-finder.ts
+++ b/packages/batches/src/kept-finder.ts
@@ -3,6 +3,7 @@
  */
 import {describeError, type Log} from '@wasabiusher/shared';
 import type {BatchRecord, KeptText, Submission} from './batch.js';
+import {nameForCustomer} from './customers.js';
 import type {HostRegistry} from './host-registry.js';
 import type {KeptTexts} from './kept-texts.js';
 import {needAgeMs, type KnownBatches} from './known-batches.js';
@@ -40,7 +41,7 @@
 	 * @param whenKept - resolves when they can be expected to be there
 	 */
 	async find(submission: Submission, {shares}: BatchRecord, share: number, whenKept: Promise<void>): Promise<Map<string, KeptText>> {
-		const {samples, wantedGroups, step} = submission;
+		const {samples, wantedGroups, step, customer} = submission;
 		const {keptTexts, log} = this.#settings;
 		const ours = new Set(listShareSamples(submission, share, shares.length).flatMap(({group}) => group ?? []));
 		const groups = [...new Set(samples.flatMap(({group}) => group ?? []))].slice(0, Math.ceil(wantedGroups * carriedPart)).filter(group => ours.has(group));
@@ -50,7 +51,7 @@
 
 		await whenKept;
 		try {
-			const found = await Promise.all(groups.map(async group => keptTexts.findGroup(group)));
+			const found = await Promise.all(groups.map(async group => keptTexts.findGroup(nameForCustomer(customer, group))));
 			return new Map(found.flatMap(texts => [...texts]));
 		} catch (error) {
 			log.warn('texts_not_found', {reason: describeError(error)});
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -14,13 +14,14 @@
 	SampleRun, type SampleOutcome, type SampleText,
 } from '@wasabiusher/direct';
 import {
-	describeError, findRoute, type Route,
+	applyCustomer, describeError, findRoute, type Route,
 } from '@wasabiusher/shared';
 import type {
 	KeptText, PartialText, Sample, SampleResult, StoredBatch, Submission,
 } from './batch.js';
 import type {BatchStore, PartialTexts} from './batch-store.js';
 import type {GroupedText} from './kept-texts.js';
+import {nameForCustomer} from './customers.js';
 import {Renewals} from './renewals.js';
 import {ResultList} from './result-list.js';
 import type {PositionedResult} from './result-rows.js';
@@ -267,7 +268,7 @@
 		const results = new Map(this.#results.all.map(result => [result.id, result]));
 		return this.samples.flatMap(({id, group}) => {
 			const text = group !== undefined && open.has(group) ? this.#findText(id, results.get(id)) : undefined;
-			return text ? [{group: group!, sample: id, text}] : [];
+			return text ? [{group: nameForCustomer(this.#submission.customer, group!), sample: id, text}] : [];
 		});
 	}
 
@@ -368,8 +369,9 @@
 
 	#findRoute(): Route | undefined {
 		const deployment = this.#settings.findDeployment();
-		const {host, path} = this.#submission;
-		return deployment && findRoute(deployment, host, path);
+		const {host, path, customer} = this.#submission;
+		const route = deployment && findRoute(deployment, host, path);
+		return route && applyCustomer(route, deployment.customers?.get(customer ?? ''));
 	}
 
 	/** When samples may be given up, on the monotonic clock. */
@@ -425,7 +427,7 @@
 		leastVersion, signal, text, avoidsFull,
 	}: RunPlan): SampleRun {
 		const {directory, client, log, random, findHomes} = this.#settings;
-		const {host, model} = this.#submission;
+		const {host, model, customer} = this.#submission;
 		return new SampleRun({
 			directory, client, log, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findHomes,
 		}, {
@@ -438,7 +440,7 @@
 			deadlineAt: this.#findDeadline(),
 			avoidsFull,
 			request: {
-				method: 'POST', path: sample.path, host, headers: sample.headers, body: Buffer.from(sample.body, 'base64'),
+				method: 'POST', path: sample.path, host, headers: sample.headers, body: Buffer.from(sample.body, 'base64'), customer,
 			},
 		}, signal, text);
 	}
--- a/packages/direct/__tests__/fixtures.ts
+++ b/packages/direct/__tests__/fixtures.ts
@@ -25,7 +25,7 @@
 export function createRoute(changes: Partial<Route> = {}): Route {
 	return {
 		name: 'r', host: 'h', prefix: '/', kind: 'idempotent', isResumable: false, timeoutMs: 1000, objectiveMs: 100, priority: 0,
-		targets: [{service: 's', weight: 1}], maxAttempts: 3, sampleTtlMs: 40_000, isSingleVersion: false, ...changes,
+		targets: [{service: 's', weight: 1}], maxAttempts: 3, sampleTtlMs: 40_000, isSingleVersion: false, isOpen: false, ...changes,
 	};
 }
 
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -8,6 +8,7 @@
 import {
 	describeError, type Deployment, type Log, type PublishedVersion, type RegisteredEndpoint,
 } from '@wasabiusher/shared';
+import {CustomerKeys} from './customer-keys.js';
 
 /** A row of the operators' table. */
 export type OperatorRow
@@ -33,6 +34,7 @@
 
 /** The present configuration, endpoints and versions. */
 export class Catalog {
+	readonly keys = new CustomerKeys();
 	readonly #settings: CatalogSettings;
 	/** Versions of registrations that could not be read, so that each is told once. */
 	readonly #unreadable = new Map<string, number>();
@@ -97,7 +99,8 @@
 		}
 
 		this.#deployment = deployment;
-		log.info('configuration_adopted', {version: deployment.version, routes: deployment.routes.length});
+		this.keys.adopt(deployment.customers);
+		log.info('configuration_adopted', {version: deployment.version, routes: deployment.routes.length, customers: deployment.customers?.size});
 		onDeployment?.(deployment);
 	}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,8 +14,11 @@
 } from '@wasabiusher/direct';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
 import {
-	describeError, findRoute, type Deployment, type Log, type Random, type Route,
+	describeError, type Deployment, type Log, type Random, type Route,
 } from '@wasabiusher/shared';
+import {
+	decideAccess, identify, type Access, type AccessRequest, type Identity,
+} from './access.js';
 import {Catalog, type CatalogFormat} from './catalog.js';
 import {readLinkKey} from './link-key.js';
 import {PeerLinks} from './peer-links.js';
@@ -33,10 +36,10 @@
 const ordersMs = 50;
 
 /**
- * Age of what is known of the configuration from which a path that is not in it may be one that was added since, in
- * milliseconds: a configuration must be in force within 2 s.
+ * Longest wait of a request that would be refused until the store has confirmed what is known, in milliseconds: the caller can still be served
+ * elsewhere in its time.
  */
-const staleMs = 2500;
+const confirmMs = 400;
 
 /**
  * Longest wait for changes of the configuration, in milliseconds. One must be in force 2 s after its confirmation, also on a
@@ -83,9 +86,6 @@
 	onDeployment?(deployment: Deployment): void;
 };
 
-/** What to do with a request: its route, or why there is none. */
-export type RouteChoice = {kind: 'route'; route: Route} | {kind: 'unknown-route'} | {kind: 'unsure'};
-
 /** The host's part of the system. */
 export class Gateway {
 	readonly batches: Batches;
@@ -221,16 +221,14 @@
 		}, sweepMs);
 	}
 
-	/** Finds the route of a request. */
-	chooseRoute(host: string, path: string): RouteChoice {
-		const {deployment} = this.#catalog;
-		const route = deployment && findRoute(deployment, host, path);
-		if (route) {
-			return {kind: 'route', route};
-		}
+	/** Finds the route and the customer of a request; a refusal is what the store has confirmed. Never rejects. */
+	async findAccess(request: AccessRequest): Promise<Access> {
+		return this.#confirm(() => decideAccess(this.#catalog.deployment, this.#catalog.keys, request));
+	}
 
-		// Only who has heard the store lately can know that there is no such route.
-		return deployment && this.#operatorFollower.ageMs < staleMs ? {kind: 'unknown-route'} : {kind: 'unsure'};
+	/** Finds whose key it is, for calls that concern no route. A refusal is what the store has confirmed. Never rejects. */
+	async identify(key: string | undefined): Promise<Identity> {
+		return this.#confirm(() => identify(this.#catalog.deployment, this.#catalog.keys, key));
 	}
 
 	/** Answers a caller's request. */
@@ -271,6 +269,17 @@
 		}
 	}
 
+	/** Decides by what is known, and before a refusal once more by what the store says now. */
+	async #confirm<Decision extends {kind: string}>(decide: () => Decision): Promise<Decision | {kind: 'unsure'}> {
+		const decision = decide();
+		if (decision.kind === 'granted' || decision.kind === 'unsure') {
+			return decision;
+		}
+
+		const isConfirmed = await Promise.race([this.#operatorFollower.refresh(), waitForNothing(confirmMs)]);
+		return isConfirmed ? decide() : {kind: 'unsure'};
+	}
+
 	#noteLateness(): void {
 		const now = performance.now();
 		this.#lateness.record(now - this.#dueAt);
@@ -317,3 +326,12 @@
 		return hasSingle ? 'finish-first' : 'continue';
 	}
 }
+
+/** Resolves to false after a time. */
+async function waitForNothing(ms: number): Promise<false> {
+	return new Promise(resolve => {
+		setTimeout(() => {
+			resolve(false);
+		}, ms);
+	});
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
 /** An entry host that calls endpoints directly. */
+export * from './access.js';
 export * from './catalog.js';
 export * from './gateway.js';
--- a/packages/record/src/table-follower.ts
+++ b/packages/record/src/table-follower.ts
@@ -25,6 +25,9 @@
  */
 const spreadMs = 400;
 
+/** Least time between two questions for news, in milliseconds: callers decide how often `refresh` is called. */
+const refreshGapMs = 100;
+
 /** Rows asked for in one call; the store gives 500 at most. */
 const pageRows = 500;
 
@@ -63,6 +66,9 @@
 	#pauseMs = firstPauseMs;
 	#isDown = false;
 	#wake: (() => void) | undefined;
+	/** The question for news that is under way, and the one that follows it. */
+	#question: Promise<boolean> | undefined;
+	#nextQuestion: Promise<boolean> | undefined;
 
 	constructor(settings: FollowerSettings) {
 		this.#settings = settings;
@@ -97,6 +103,56 @@
 		this.#wake?.();
 	}
 
+	/**
+	 * Takes over all changes that were made before this call. Calls at the same time share a question; never rejects.
+	 *
+	 * @returns whether the store has answered
+	 */
+	async refresh(): Promise<boolean> {
+		if (!this.#question) {
+			this.#question = this.#ask();
+			void this.#endQuestion(this.#question);
+			return this.#question;
+		}
+
+		// The store may have answered the question under way before the change in doubt.
+		this.#nextQuestion ??= this.#askAfter(this.#question);
+		return this.#nextQuestion;
+	}
+
+	async #endQuestion(question: Promise<boolean>): Promise<void> {
+		await Promise.all([question, new Promise<void>(resolve => {
+			setTimeout(resolve, refreshGapMs);
+		})]);
+		this.#question = undefined;
+	}
+
+	async #askAfter(question: Promise<boolean>): Promise<boolean> {
+		await this.#endQuestion(question);
+		this.#nextQuestion = undefined;
+		return this.refresh();
+	}
+
+	async #ask(): Promise<boolean> {
+		const {store, table, log} = this.#settings;
+		if (this.#version < 0) {
+			return false;
+		}
+
+		try {
+			const page = await store.follow(table, this.#version, 0);
+			for (const change of page.changes) {
+				this.#take(change);
+			}
+
+			this.#contactAt = performance.now();
+			return true;
+		} catch (error) {
+			log.debug('news_not_known', {table, reason: describeError(error)});
+			return false;
+		}
+	}
+
 	async #runRound(): Promise<void> {
 		const {table, log, onContact} = this.#settings;
 		try {
--- a/packages/shared/src/deployment.ts
+++ b/packages/shared/src/deployment.ts
@@ -35,6 +35,16 @@
 	sampleTtlMs: number;
 	/** Whether all of a sample's text must come from one version of the weights. */
 	isSingleVersion: boolean;
+	/** Whether requests need no key. */
+	isOpen: boolean;
+};
+
+/** Who hands requests in, and the keys that prove it. */
+export type Customer = {
+	name: string;
+	/** 0 is the most urgent; goes before the priority of a route, which holds if it is undefined. */
+	priority?: number;
+	keys: readonly string[];
 };
 
 /** A service as the configuration names it. */
@@ -64,6 +74,8 @@
 	routes: Route[];
 	services: ServiceRule[];
 	limits: CallerLimits;
+	/** By name; undefined if requests need no key. */
+	customers?: ReadonlyMap<string, Customer>;
 };
 
 /** Weights of a model as an endpoint has loaded them. */
@@ -105,3 +117,8 @@
 
 	return best;
 }
+
+/** A route as it holds for a customer, whose own priority goes first. */
+export function applyCustomer(route: Route, customer: Customer | undefined): Route {
+	return customer?.priority === undefined ? route : {...route, priority: customer.priority};
+}
