Report what customers used in each window, by one host at a time

Change: a package 'duties'. Each host counts what it has sent to endpoints, by customer and window of true time, from the moment of sending, less what was proven not to have run; counts are written within 0.15 s and once more as final. The holder of the lease closes a window when all hosts that are heard of have told it, or seven tenths of its time are over, fixes the report under a condition before it is sent, and sends it until it is confirmed; nothing goes out under a fence that was refused. A clock that is off is found out by what the others tell of theirs and the store's steady clock. The lease of weights serves for both duties; it is released on a drain only if neither has acted for a term.

Ruled out: counts in heartbeats (only hosts that work send any), a lease of its own (39 hosts asking for it), closing after a fixed time.

--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -1,4 +1,5 @@
 /** Clients of the platform and of endpoints; the only place that knows their wire formats. */
+export type * from './duty.js';
 export type * from './endpoint.js';
 export * from './adapters.js';
 export * from './errors.js';
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -82,6 +82,8 @@
 	lateMs: z.number().default(0),
 	/** Where other hosts reach it, `ip:port`; empty if they can't. */
 	address: z.string().default(''),
+	/** Time of day of its host less the store's clock, in milliseconds, as told when it was written. */
+	clockMs: z.number().optional(),
 	/** Best paces of endpoints that it has measured, in milliseconds; told now and then. */
 	paces: z.record(z.string(), z.number()).optional(),
 });
@@ -100,6 +102,10 @@
 	cores?: number;
 	/** How late this process is with its own work, in milliseconds. */
 	findLateMs?(): number;
+	/** Time of day of this host less the store's clock, in milliseconds; undefined until that is known. */
+	readClockMs?(): number | undefined;
+	/** Called with what another host has told of its clock. */
+	onClock?(host: string, clockMs: number): void;
 	/** Whether this process owns work, so that its silence would mean something. */
 	ownsWork(): boolean;
 	/** Paces of endpoints to tell to the others; of so many at most. */
@@ -125,6 +131,8 @@
 	/** Heartbeats that are not answered yet. */
 	#unanswered = 0;
 	#hasAnnounced = false;
+	/** Whether the others know this host's clock. */
+	#hasToldClock = false;
 	/** When this process last suspected another. */
 	#suspectedAt = Number.NEGATIVE_INFINITY;
 	/** When this process last heard a heartbeat of its own, and since when it hears each one. */
@@ -198,7 +206,8 @@
 		}
 
 		const isResting = this.#isResting(now);
-		const isDue = !this.#hasAnnounced || !isResting || this.#hasRested !== isResting || now - this.#suspectedAt < proofMs;
+		const hasNews = !this.#hasAnnounced || (!this.#hasToldClock && this.#settings.readClockMs?.() !== undefined);
+		const isDue = hasNews || !isResting || this.#hasRested !== isResting || now - this.#suspectedAt < proofMs;
 		if (!isDue || this.#unanswered >= maxUnanswered || this.#isLeaving) {
 			return;
 		}
@@ -234,6 +243,10 @@
 		}
 
 		this.#hosts.set(key, {...row, heardAt: performance.now()});
+		if (row.clockMs !== undefined) {
+			this.#settings.onClock?.(key, row.clockMs);
+		}
+
 		if (row.paces && row.incarnation !== this.incarnation) {
 			this.#settings.onPaces?.(row.paces);
 		}
@@ -298,12 +311,13 @@
 
 	async #write(isResting: boolean): Promise<void> {
 		const {
-			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, log,
+			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, readClockMs, log,
 		} = this.#settings;
+		const clockMs = readClockMs?.();
 		this.#unanswered += 1;
 		this.#beat += 1;
 		const row: HostRow = {
-			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, isResting, dataCentre, cores, lateMs: Math.round(findLateMs?.() ?? 0), address,
+			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, isResting, dataCentre, cores, lateMs: Math.round(findLateMs?.() ?? 0), address, clockMs,
 			...(this.#beat % pacesEvery === firstPacesBeat ? {paces: this.#settings.listPaces?.(maxToldPaces)} : {}),
 		};
 		try {
@@ -315,6 +329,7 @@
 				deletes: [],
 			});
 			this.#hasAnnounced = true;
+			this.#hasToldClock ||= clockMs !== undefined;
 			this.#hasRested = isResting;
 		} catch (error) {
 			log.warn('heartbeat_failed', {beat: this.#beat, reason: describeError(error)});
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -9,6 +9,7 @@
 	describeError, type Log, type Random, type RegisteredEndpoint, type Route,
 } from '@wasabiusher/shared';
 import type {EndpointDirectory} from './endpoint-directory.js';
+import {BegunRuns, type RunMeter} from './run-meter.js';
 
 /** A request as a caller has sent it. */
 export type CallerRequest = Omit<ServingRequest, 'remainingMs'> & {
@@ -36,6 +37,8 @@
 	random: Random;
 	log: Log;
 	policy?: Policy;
+	/** Counts what begins to run; undefined if nobody wants to know. */
+	meter?: RunMeter;
 };
 
 /** Part of the objective after which a second attempt is started elsewhere; a retry can still meet the objective then. */
@@ -68,7 +71,7 @@
 	readonly #signal: AbortSignal;
 	readonly #service: string;
 	/** Endpoints that may have begun to run it. */
-	readonly #mayHaveRun = new Set<string>();
+	readonly #mayHaveRun: BegunRuns;
 	/** Endpoints that are not asked again. */
 	readonly #excluded = new Set<string>();
 	/** The endpoint's own failure, to be handed on if nothing better comes. */
@@ -82,6 +85,7 @@
 		this.#request = request;
 		this.#signal = signal;
 		this.#service = chooseService(route, settings.random.next());
+		this.#mayHaveRun = new BegunRuns(request.customer, settings.meter);
 	}
 
 	/** Calls until an answer has come, the time is up or nothing more may be tried. */
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -4,3 +4,4 @@
 export * from './sample-run.js';
 export * from './weight-orders.js';
 export * from './stream-call.js';
+export * from './run-meter.js';
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -10,6 +10,7 @@
 	chooseService, isProvenNotRun, type CallOutcome, type CallerRequest, type CallSettings,
 } from './call.js';
 import {resumeStream} from './resumed-stream.js';
+import {BegunRuns} from './run-meter.js';
 import {SilenceWatch} from './silence-watch.js';
 
 /** The beginning of a streamed answer, or why there is none. */
@@ -27,8 +28,10 @@
 	readonly #service: string;
 	/** Endpoints that are not asked again. */
 	readonly #excluded = new Set<string>();
-	/** Endpoints that have begun to run it. */
+	/** Runs that have begun, or may have. */
 	#begun = 0;
+	/** The same by endpoint, as they count for the customer. */
+	readonly #runs: BegunRuns;
 	/** Where it runs at present. */
 	#endpoint: string | undefined;
 	#lastReason = 'no endpoint is registered';
@@ -40,6 +43,7 @@
 		this.#request = request;
 		this.#signal = signal;
 		this.#service = chooseService(route, settings.random.next());
+		this.#runs = new BegunRuns(request.customer, settings.meter);
 	}
 
 	async open(): Promise<StreamOutcome> {
@@ -108,6 +112,7 @@
 		const stop = new AbortController();
 		const watch = this.#route.isResumable ? new SilenceWatch(stop, () => directory.findHeardAt(id)) : undefined;
 		try {
+			this.#runs.add(id);
 			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, stop.signal]));
 			directory.recordHead(id, stream);
 			if (!stream.isNotRun) {
@@ -116,6 +121,7 @@
 			}
 
 			watch?.end();
+			this.#runs.delete(id);
 			this.#lastReason = `${id} refused with status ${stream.status}`;
 			return undefined;
 		} catch (error) {
@@ -129,6 +135,7 @@
 			log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
 			directory.recordFailure(id);
 			if (isProvenNotRun(error)) {
+				this.#runs.delete(id);
 				return undefined;
 			}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,11 +7,14 @@
 } from '@wasabiusher/batches';
 import {defaultPolicy, Lateness, type Policy} from '@wasabiusher/decisions';
 import type {
-	BlobStore, LoadMode, RowStore, ServingClient,
+	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
 import {
 	DirectCall, EndpointDirectory, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
+import {
+	TrueTime, UsageReporter, UsageStore, UsageTeller,
+} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
 import {
 	describeError, type Deployment, type Log, type Random, type Route,
@@ -81,6 +84,8 @@
 	statusMs: number;
 	/** Where other hosts link to this one; undefined if they can't. */
 	peers?: {address: string; server: Server};
+	/** How usage is reported; undefined if nobody wants to know it. */
+	usage?: {client: DutyClient; windowMs: number; dueMs: number};
 	/** Which mechanisms decide; all by default. */
 	policy?: Policy;
 	onDeployment?(deployment: Deployment): void;
@@ -104,6 +109,8 @@
 	readonly #gate: StoreGate;
 	readonly #rows: RoutedStore;
 	readonly #peerServer: PeerServer | undefined;
+	readonly #trueTime: TrueTime;
+	readonly #usage: {teller: UsageTeller; reporter: UsageReporter} | undefined;
 	#linkKey: string | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	/** When the next tick is due, on the monotonic clock. */
@@ -129,6 +136,7 @@
 		this.#peerServer = settings.peers && new PeerServer(settings.peers.server, {
 			host, gate: this.#gate, log, findKey,
 		});
+		this.#trueTime = new TrueTime(() => this.#gate.steadyStoreMs);
 		this.#directory = new EndpointDirectory(random, policy, this.#lateness);
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
@@ -143,6 +151,10 @@
 		});
 		this.#hosts = new HostRegistry({
 			rows, host, dataCentre, cores, address: settings.peers?.address, log, policy, findLateMs: () => this.#lateness.usualMs, ownsWork: () => this.batches.hasWork,
+			readClockMs: () => this.#trueTime.ownOffsetMs,
+			onClock: (other, clockMs) => {
+				this.#trueTime.learn(other, clockMs);
+			},
 			listPaces: most => this.#directory.listOwnPaces(most),
 			onPaces: paces => {
 				this.#directory.learnPaces(paces);
@@ -156,6 +168,7 @@
 			findPublished: model => this.#orders.findPublished(model),
 			readStoreMs: () => this.#gate.storeMs,
 		});
+		this.#usage = this.#createUsage();
 		const chance = () => random.next();
 		this.#operatorFollower = new TableFollower({
 			store: rows.probing, table: format.operatorTable, parts: [''], log, waitMs: operatorWaitMs, apply: change => {
@@ -208,6 +221,8 @@
 		this.#hosts.start();
 		this.batches.start();
 		this.#lease.start();
+		this.#usage?.teller.start();
+		this.#usage?.reporter.start();
 		this.#dueAt = performance.now() + ordersMs;
 		this.#timer = setInterval(() => {
 			this.#noteLateness();
@@ -245,6 +260,7 @@
 	async drain(): Promise<void> {
 		const {log} = this.#settings;
 		this.#isDraining = true;
+		this.#usage?.reporter.stop();
 		clearInterval(this.#timer);
 		clearInterval(this.#sweepTimer);
 		try {
@@ -254,11 +270,18 @@
 		}
 	}
 
+	/** Tells the last that there is to tell, once no call is under way any more. Never rejects. */
+	async leave(): Promise<void> {
+		await this.#usage?.teller.leave();
+	}
+
 	/** Ends all that goes on in the background. */
 	stop(): void {
 		clearInterval(this.#timer);
 		clearInterval(this.#sweepTimer);
 		this.#lease.stop();
+		this.#usage?.teller.stop();
+		this.#usage?.reporter.stop();
 		this.#hosts.stop();
 		this.batches.stop();
 		this.#rows.stop();
@@ -303,9 +326,28 @@
 		}
 	}
 
-	/** Gives the lease up at once only if no order was sent for a term: orders of two holders must never lie closer than that. */
+	#createUsage(): {teller: UsageTeller; reporter: UsageReporter} | undefined {
+		const {usage, host, random, log} = this.#settings;
+		if (!usage) {
+			return undefined;
+		}
+
+		const store = new UsageStore(this.#rows);
+		const readTrueMs = () => this.#trueTime.read();
+		return {
+			teller: new UsageTeller({
+				store, host, incarnation: this.#hosts.incarnation, windowMs: usage.windowMs, readTrueMs, countHosts: () => this.#hosts.count, chance: () => random.next(), log,
+			}),
+			reporter: new UsageReporter({
+				...usage, store, right: this.#lease, holder: host, readTrueMs, log,
+			}),
+		};
+	}
+
+	/** Gives the lease up at once only if nothing was done under it for a term: acts of two holders must never lie closer than that. */
 	async #leaveOrders(): Promise<void> {
-		if (this.#orders.sinceOrderMs > this.#settings.leaseMs) {
+		const sinceActMs = Math.min(this.#orders.sinceOrderMs, this.#usage?.reporter.sinceActMs ?? Number.POSITIVE_INFINITY);
+		if (sinceActMs > this.#settings.leaseMs) {
 			await this.#lease.release();
 		} else {
 			this.#lease.stop();
@@ -315,7 +357,7 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, client, random, log, policy: this.#policy,
+			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage?.teller,
 		};
 	}
 
--- a/packages/gateway/src/store-gate.ts
+++ b/packages/gateway/src/store-gate.ts
@@ -19,6 +19,9 @@
 const maxFailures = 4;
 const failingMs = 300;
 
+/** Greatest difference in rate between two steady clocks, as a ratio. */
+const maxDrift = 1e-4;
+
 /** A read that costs the store little and tells whether it serves this host. */
 export const probeRange: RowRange = {table: 'link-keys', part: '', limit: 1};
 
@@ -30,6 +33,8 @@
 	readonly #store: RowStore;
 	/** The store's clock less this process's monotonic one, in milliseconds. */
 	#offsetMs = 0;
+	/** The same by the quickest answers, which tell it best. */
+	#steadyOffsetMs = Number.NEGATIVE_INFINITY;
 	#isSilent = false;
 	#failures = 0;
 	#failingSince = 0;
@@ -46,6 +51,11 @@
 		return performance.now() + this.#offsetMs;
 	}
 
+	/** The store's clock now by its quickest answers; undefined until the store was heard. */
+	get steadyStoreMs(): number | undefined {
+		return Number.isFinite(this.#steadyOffsetMs) ? performance.now() + this.#steadyOffsetMs : undefined;
+	}
+
 	/** Whether the store has left calls without an answer, or refused them again and again, and has served none since. */
 	get isLost(): boolean {
 		return this.#isSilent || (this.#failures >= maxFailures && performance.now() - this.#failingSince >= failingMs);
@@ -155,8 +165,12 @@
 	}
 
 	#noteAnswer<Answer extends {storeMs: number}>(answer: Answer): Answer {
-		this.#answeredAt = performance.now();
-		this.#offsetMs = answer.storeMs - this.#answeredAt;
+		const now = performance.now();
+		// Before the first answer both are infinite.
+		const driftMs = Number.isFinite(this.#answeredAt) ? (now - this.#answeredAt) * maxDrift : 0;
+		this.#answeredAt = now;
+		this.#offsetMs = answer.storeMs - now;
+		this.#steadyOffsetMs = Math.max(this.#steadyOffsetMs - driftMs, this.#offsetMs);
 		this.#isSilent = false;
 		this.#failures = 0;
 		return answer;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -5,6 +5,7 @@
 	engineSettingsSchema, poisonMarker, type EngineSettings, type EngineSwitches,
 } from './engine-settings.js';
 export * from './ledger.js';
+export * from './memory-duties.js';
 export * from './memory-membership.js';
 export * from './memory-row-store.js';
 export * from './memory-serving.js';
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -19,6 +19,8 @@
 const record = (file: string) => `packages/record/src/${file}.ts`;
 const systems = (file: string) => `packages/systems/src/${file}.ts`;
 const recordSpec = (name: string) => `packages/record/__tests__/${name}.spec.ts`;
+const duties = (file: string) => `packages/duties/src/${file}.ts`;
+const usageSpec = 'packages/duties/__tests__/usage.spec.ts';
 const systemsSpec = (name: string) => `packages/systems/__tests__/${name}.spec.ts`;
 
 const withoutInvariants: Patch = {file: systems('invariants'), find: 'if (!holds) {', replace: 'if (false as boolean) {'};
@@ -28,6 +30,29 @@
 const unguarded = [withoutInvariants, trueInvariants];
 
 const mutants: Mutant[] = [
+	{
+		name: 'usage is sent before it is fixed',
+		patches: [{
+			file: duties('usage-reporter'), find: 'const report = await store.fix({window, counts});',
+			replace: 'await this.#send({window, counts, isSent: false, version: 0});\n\t\tconst report = await store.fix({window, counts});',
+		}],
+		specs: [usageSpec],
+	},
+	{
+		name: 'the number under which usage is reported is not raised with the holder',
+		patches: [{file: duties('usage-reporter'), find: 'client.reportUsage(report, {holder, fence})', replace: 'client.reportUsage(report, {holder, fence: 1})'}],
+		specs: [usageSpec],
+	},
+	{
+		name: 'usage is sent under a number that was refused',
+		patches: [{file: duties('usage-reporter'), find: 'return right.holds() && right.fence > this.#refusedFence;', replace: 'return right.holds();'}],
+		specs: [usageSpec],
+	},
+	{
+		name: 'usage that was fixed by another holder is fixed anew',
+		patches: [{file: duties('usage-store'), find: 'this.#writeReport({window, counts, isSent: false}, 0);', replace: 'this.#writeReport({window, counts, isSent: false}, undefined as never);'}],
+		specs: [usageSpec],
+	},
 	{
 		name: 'a holder does not see that its lease has lapsed',
 		patches: [{file: record('lease-holder'), find: 'return performance.now() < this.#heldUntil;', replace: 'return this.#heldUntil > 0;'}],
