Look again later when the store has a report that can't be read yet

Cause, found by a mistake put in on purpose: a holder whose report was refused, and which could not read the one that was first, asked the store again in a tight loop. The test hides the table of reports; before, it never ended.

--- a/packages/duties/__tests__/usage.spec.ts
+++ b/packages/duties/__tests__/usage.spec.ts
@@ -203,6 +203,25 @@
 		expect(readCounts()).to.deep.equal({x: 1});
 	});
 
+	it('does not ask in a tight loop when the store refuses a report that nobody can read', async () => {
+		await moveTo(1000);
+		for (const host of hosts) {
+			host.store.switches.hiddenTables = new Set(['usage-reports']);
+		}
+
+		await moveTo(6500);
+		world.pass('b');
+		const {commits} = hosts[1]!.store.counts;
+		await moveTo(9500);
+		expect(hosts[1]!.store.counts.commits - commits).to.be.below(20);
+		for (const host of hosts) {
+			host.store.switches.hiddenTables = new Set();
+		}
+
+		await moveTo(16_500);
+		expect([readCounts(0), readCounts(1)]).to.deep.equal([{}, {}]);
+	});
+
 	it('goes on when the platform takes no more calls at a time', async () => {
 		await moveTo(1000);
 		call(0, 'x');
--- a/packages/duties/src/usage-reporter.ts
+++ b/packages/duties/src/usage-reporter.ts
@@ -164,29 +164,34 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await this.#fix(window, told, sinceEndMs);
+			if (!await this.#fix(window, told, sinceEndMs)) {
+				return;
+			}
 		}
 	}
 
-	async #fix(window: number, told: readonly HostUsage[], sinceEndMs: number): Promise<void> {
+	/** Fixes what is reported of a window; false if the store has a report already, which is learnt first. */
+	async #fix(window: number, told: readonly HostUsage[], sinceEndMs: number): Promise<boolean> {
 		const {store, log} = this.#settings;
 		const counts = sumCounts(told);
 		const report = await store.fix({window, counts});
-		if (report) {
-			this.#unsent.set(window, report);
-			log.info('usage_closed', {
-				window, hosts: told.length, missing: told.filter(({isFinal}) => !isFinal).length, customers: counts.size, sinceEndMs: Math.round(sinceEndMs),
-			});
-			this.#nextWindow = window + 1;
-			this.#noteTold(told);
-			if (window % sweptWindows === 0) {
-				await store.forgetBefore(window - keptWindows);
-			}
-		} else {
+		if (!report) {
 			// Another holder was first, or a write of this one whose answer was lost: what the store has is what counts.
 			this.#fence = 0;
-			await this.#learn();
+			return false;
 		}
+
+		this.#unsent.set(window, report);
+		log.info('usage_closed', {
+			window, hosts: told.length, missing: told.filter(({isFinal}) => !isFinal).length, customers: counts.size, sinceEndMs: Math.round(sinceEndMs),
+		});
+		this.#nextWindow = window + 1;
+		this.#noteTold(told);
+		if (window % sweptWindows === 0) {
+			await store.forgetBefore(window - keptWindows);
+		}
+
+		return true;
 	}
 
 	async #sendAll(): Promise<void> {
