Leave the queue of a full endpoint when another has room

Hosts fill the same slots without knowing of each other, and a load that is not known counts as none.

Change: a run without a head after 0.15 s is taken away when another endpoint that fits has room, as far as is known; the wait doubles with each queue left; the queue is noted as the endpoint's load.

--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -195,6 +195,16 @@
 		return this.#standings.get(id)?.bestMs;
 	}
 
+	/** Notes that a request waits at an endpoint for a slot. */
+	recordQueue(id: string): void {
+		this.#standings.get(id)?.recordQueue();
+	}
+
+	/** Whether an endpoint other than one could begin a request at once, as far as is known. */
+	hasRoomElsewhere(id: string, need: EndpointNeed): boolean {
+		return this.#listFits(need).some(({endpoint, open, others, vanishedAt}) => endpoint.id !== id && vanishedAt === undefined && open + others < endpoint.slots);
+	}
+
 	/** Whether a run at an endpoint had better go on at another one that fits the same need. */
 	shouldMove(id: string, need: EndpointNeed, isLong: boolean): boolean {
 		const current = this.#standings.get(id);
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -55,7 +55,7 @@
 	},
 	{
 		name: 'a holder does not see that its lease has lapsed',
-		patches: [{file: record('lease-holder'), find: 'return performance.now() < this.#heldUntil;', replace: 'return this.#heldUntil > 0;'}],
+		patches: [{file: record('lease-holder'), find: 'return performance.now() < this.#heldUntil &&', replace: 'return this.#heldUntil > 0 &&'}],
 		specs: [recordSpec('lease-holder')],
 	},
 	{
@@ -80,7 +80,7 @@
 	},
 	{
 		name: 'a lost answer is taken for a refusal',
-		patches: [{file: record('settled-write'), find: 'return witness === \'ours\';', replace: 'return false;'}],
+		patches: [{file: record('settled-write'), find: 'return typeof witness === \'number\' ? witness : undefined;', replace: 'return undefined;'}],
 		specs: [recordSpec('configuration-history'), recordSpec('sample-log')],
 	},
 	{
