Move a run to the endpoint for which it is moved

The run was left first and its next endpoint chosen by other weights afterwards.

Change: the endpoint is chosen among those that justify the move and taken before the run is left; if none is left, the run stays. The test replays it with crowded fast endpoints: four bounces between the slow ones before, one move after. shouldMove is listBetter; its tests are as strict.

--- a/packages/decisions/__tests__/direct-choice.spec.ts
+++ b/packages/decisions/__tests__/direct-choice.spec.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {Random} from '@wasabiusher/shared';
-import {chooseDirect, shouldMove, type DirectCandidate} from '../src/index.js';
+import {chooseDirect, listBetter, type DirectCandidate} from '../src/index.js';
 
 function createCandidate(id: string, changes: Partial<DirectCandidate> = {}): DirectCandidate {
 	return {
@@ -69,22 +69,22 @@
 	});
 });
 
-describe('shouldMove', () => {
+describe('listBetter', () => {
 	const fast = createCandidate('fast');
 
 	it('leaves an endpoint that is much slower than another with room', () => {
-		expect(shouldMove(createCandidate('slow', {paceMs: 130}), [fast], false)).to.equal(true);
-		expect(shouldMove(createCandidate('slow', {paceMs: 130}), [createCandidate('full', {open: 8})], false)).to.equal(false);
+		expect(listBetter(createCandidate('slow', {paceMs: 130}), [fast], false)).to.have.length(1);
+		expect(listBetter(createCandidate('slow', {paceMs: 130}), [createCandidate('full', {open: 8})], false)).to.deep.equal([]);
 	});
 
 	it('leaves one that is a third slower only with a long run', () => {
 		const slower = createCandidate('slower', {paceMs: 52});
-		expect(shouldMove(slower, [fast], false)).to.equal(false);
-		expect(shouldMove(slower, [fast], true)).to.equal(true);
+		expect(listBetter(slower, [fast], false)).to.deep.equal([]);
+		expect(listBetter(slower, [fast], true)).to.have.length(1);
 	});
 
 	it('stays while nothing was measured', () => {
-		expect(shouldMove(createCandidate('new', {paceMs: undefined}), [fast], true)).to.equal(false);
-		expect(shouldMove(createCandidate('slow', {paceMs: 130}), [createCandidate('new', {paceMs: undefined})], true)).to.equal(false);
+		expect(listBetter(createCandidate('new', {paceMs: undefined}), [fast], true)).to.deep.equal([]);
+		expect(listBetter(createCandidate('slow', {paceMs: 130}), [createCandidate('new', {paceMs: undefined})], true)).to.deep.equal([]);
 	});
 });
--- a/packages/decisions/__tests__/pace.spec.ts
+++ b/packages/decisions/__tests__/pace.spec.ts
@@ -1,7 +1,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {Random} from '@wasabiusher/shared';
-import {Pace, shouldMove} from '../src/index.js';
+import {Pace, listBetter} from '../src/index.js';
 
 describe('Pace', () => {
 	let clock: Clock;
@@ -34,7 +34,7 @@
 			}
 
 			const [current, other] = paces.map((pace, number) => create(pace, String(number)));
-			moves += shouldMove(current!, [other!], true) ? 1 : 0;
+			moves += listBetter(current!, [other!], true).length;
 		}
 
 		// A mean that weighs each new event by a quarter moved 89 times.
--- a/packages/decisions/src/direct-choice.ts
+++ b/packages/decisions/src/direct-choice.ts
@@ -77,18 +77,19 @@
 export const longRunEvents = 30;
 
 /**
- * Whether a run had better go on elsewhere: another endpoint is much faster and has room.
+ * Endpoints at which a run had better go on: much faster than its own, and with room.
  *
  * Load pattern: an endpoint turns three times slower for some seconds while it carries a sixth of a step. What has been made
  * is not lost by moving, and reading it again takes some milliseconds.
  *
  * @param isLong - whether the run has made many events already, and since it was last moved
  */
-export function shouldMove(current: DirectCandidate, others: readonly DirectCandidate[], isLong: boolean): boolean {
+export function listBetter(current: DirectCandidate, others: readonly DirectCandidate[], isLong: boolean): DirectCandidate[] {
 	const {paceMs: currentMs} = current;
 	const factor = isLong ? longLeaveFactor : leaveFactor;
-	return currentMs !== undefined
-		&& others.some(({open, others: elsewhere, slots, paceMs}) => open + elsewhere < slots && paceMs !== undefined && paceMs * factor < currentMs);
+	return currentMs === undefined
+		? []
+		: others.filter(({open, others: elsewhere, slots, paceMs}) => open + elsewhere < slots && paceMs !== undefined && paceMs * factor < currentMs);
 }
 
 /** Middle of the measured paces; undefined if there are none. */
--- a/packages/direct/__tests__/endpoint-directory.spec.ts
+++ b/packages/direct/__tests__/endpoint-directory.spec.ts
@@ -54,7 +54,7 @@
 			return changed;
 		};
 
-		expect([prepare({}), prepare({movesRuns: false})].map(one => one.shouldMove('slow', {service: 's'}, false))).to.deep.equal([true, false]);
+		expect([prepare({}), prepare({movesRuns: false})].map(one => one.takeBetter('slow', {service: 's'}, false) !== undefined)).to.deep.equal([true, false]);
 		const chosen = (one: EndpointDirectory) => new Set(Array.from({length: 8}, () => {
 			const {id} = one.take({service: 's'})!;
 			one.release(id);
@@ -132,9 +132,9 @@
 		}
 
 		record(160);
-		expect(late.shouldMove('slow', {service: 's'}, false)).to.equal(true);
+		expect(late.takeBetter('slow', {service: 's'}, false)).not.to.equal(undefined);
 		lateness.record(50);
-		expect(late.shouldMove('slow', {service: 's'}, false)).to.equal(false);
+		expect(late.takeBetter('slow', {service: 's'}, false)).to.equal(undefined);
 	});
 
 	it('fills its own endpoints, and others one attempt at a time until they tell that they have room', () => {
--- a/packages/direct/__tests__/sample-run.spec.ts
+++ b/packages/direct/__tests__/sample-run.spec.ts
@@ -242,6 +242,37 @@
 		expect(refusals).to.be.within(4, 24);
 	});
 
+	it('goes on at the faster endpoint for which it leaves a slow one, also if that is no home', async () => {
+		bench = createBench(5);
+		const {directory} = bench;
+		for (const [i, {switches}] of bench.endpoints.entries()) {
+			switches.events = 100;
+			switches.eventMs = i >= 2 ? 45 : 60;
+		}
+
+		let othersAtFast = 4;
+		// Loads are told and paces measured by other runs.
+		const measure = setInterval(() => {
+			for (const [i, {switches}] of bench.endpoints.entries()) {
+				directory.recordHead(`i${i}`, {
+					status: 200, headers: {}, isNotRun: false, stamp: undefined, load: {running: i >= 2 ? othersAtFast : 0, waiting: 0, slots: 4}, weightVersion: 1, isFramed: true, isClosing: false,
+				});
+				directory.recordPace(`i${i}`, switches.eventMs);
+			}
+		}, 60);
+		await clock.tickAsync(1000);
+		const outcome = new SampleRun({
+			directory, client: bench.client, log: bench.log, findRoute: () => createRoute({kind: 'batch'}), chance: () => 0, findHomes: () => new Set(['i0', 'i1']),
+		}, createSample(), new AbortController().signal).run();
+		await clock.tickAsync(500);
+		othersAtFast = 3;
+		await clock.tickAsync(8000);
+		clearInterval(measure);
+		expect(readEvents(await outcome)).to.have.length(100);
+		const [first, second, ...fast] = bench.endpoints;
+		expect([first!.runs.length + second!.runs.length, fast.flatMap(({runs}) => runs).length]).to.deep.equal([1, 1]);
+	});
+
 	it('leaves an endpoint that turns slow, and resumes at a fast one', async () => {
 		for (const {switches} of bench.endpoints) {
 			switches.events = 40;
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -2,7 +2,7 @@
  * The endpoints that are registered, with what this process has seen of each.
  */
 import {
-	chooseDirect, defaultPolicy, Lateness, ReturnPlan, shouldMove, type Policy,
+	chooseDirect, defaultPolicy, Lateness, listBetter, ReturnPlan, type Policy,
 } from '@wasabiusher/decisions';
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
@@ -205,15 +205,24 @@
 		return this.#listFits(need).some(({endpoint, open, others, vanishedAt}) => endpoint.id !== id && vanishedAt === undefined && open + others < endpoint.slots);
 	}
 
-	/** Whether a run at an endpoint had better go on at another one that fits the same need. */
-	shouldMove(id: string, need: EndpointNeed, isLong: boolean): boolean {
+	/**
+	 * Chooses an endpoint at which a run of another had better go on, and counts the run as open there; undefined if there is none. A run that left first
+	 * and chose then went from one slow endpoint to another that was nearer.
+	 *
+	 * @param isLong - whether the run has made many events already, and since it was last moved
+	 */
+	takeBetter(id: string, need: EndpointNeed, isLong: boolean): RegisteredEndpoint | undefined {
 		const current = this.#standings.get(id);
 		if (!this.#policy.movesRuns || !current || this.#lateness.isLate) {
-			return false;
+			return undefined;
 		}
 
 		const others = this.#listFits(need).filter(standing => standing !== current && standing.vanishedAt === undefined);
-		return shouldMove(current.toCandidate(undefined), others.map(standing => standing.toCandidate(undefined)), isLong);
+		const better = listBetter(current.toCandidate(undefined), others.map(standing => standing.toCandidate(need.warmKey, need.homes)), isLong);
+		const chosen = chooseDirect(better, this.#random.next());
+		const standing = chosen && this.#standings.get(chosen.id);
+		standing?.begin(need.warmKey);
+		return standing?.endpoint;
 	}
 
 	/** Learns which version of a model an endpoint serves. */
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -113,6 +113,8 @@
 	#need: EndpointNeed | undefined;
 	/** The endpoint that broke last; another is preferred. */
 	#avoided: string | undefined;
+	/** The endpoint for which the last run was left; it counts as open there already. */
+	#better: RegisteredEndpoint | undefined;
 
 	/**
 	 * @param signal - aborts when the sample is no longer wanted here
@@ -133,6 +135,12 @@
 
 	/** Runs until the text is whole or can't be. Never rejects. */
 	async run(): Promise<SampleOutcome> {
+		const outcome = await this.#runToEnd();
+		this.#leaveBetter();
+		return outcome;
+	}
+
+	async #runToEnd(): Promise<SampleOutcome> {
 		while (!this.#signal.aborted) {
 			if (performance.now() >= this.#sample.deadlineAt) {
 				return {kind: 'expired'};
@@ -143,7 +151,8 @@
 				return {kind: 'failed'};
 			}
 
-			const endpoint = this.#take(route);
+			const endpoint = this.#better ?? this.#take(route);
+			this.#better = undefined;
 			// Each run goes on where the one before has broken.
 			// eslint-disable-next-line no-await-in-loop
 			const step = endpoint ? await this.#runAt(endpoint, route) : await this.#waitForEndpoint();
@@ -183,6 +192,14 @@
 		return endpoint;
 	}
 
+	/** Gives up what was taken for a run that does not come. */
+	#leaveBetter(): void {
+		if (this.#better) {
+			this.#settings.directory.release(this.#better.id);
+			this.#better = undefined;
+		}
+	}
+
 	#findHeadPhase({isNotRun}: ServingRun): RunPhase {
 		if (isNotRun) {
 			return 'refused';
@@ -361,10 +378,10 @@
 				directory.recordRunPace(id, (now - firstAt) / (count - 1));
 			}
 
-			const isLong = count >= longRunEvents;
-			if (this.#need && directory.shouldMove(id, this.#need, isLong)) {
+			this.#better = this.#need && directory.takeBetter(id, this.#need, count >= longRunEvents);
+			if (this.#better) {
 				log.info('run_moved', {
-					batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, events: this.#text.events.length,
+					batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, to: this.#better.id, events: this.#text.events.length,
 				});
 				this.#avoided = id;
 				return false;
