Make a slow score a second time at another endpoint

Change: a call for a score asks a second endpoint at half of its route's objective or when the first has failed; failures of both count against the attempts that the route allows. Ruled out: asking two at once, which doubles the scorers' work.

Tests: a slow scorer is not waited for (fails before: no score in 0.7 s); no more failures than attempts.

--- /dev/null
+++ b/packages/batches/__tests__/scoring.spec.ts
@@ -0,0 +1,89 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {EndpointDirectory} from '@wasabiusher/direct';
+import {createSilentLog, Random} from '@wasabiusher/shared';
+import {MemoryServing, type MemoryEndpoint} from '@wasabiusher/standins';
+import {scoreSample, type ScoringSettings} from '../src/scoring.js';
+import {createDeployment, createRoute} from './fixtures.js';
+
+describe('scoreSample', () => {
+	let clock: Clock;
+	let scorers: MemoryEndpoint[];
+	let settings: ScoringSettings;
+
+	beforeEach(() => {
+		clock = install();
+		const serving = new MemoryServing();
+		const directory = new EndpointDirectory(new Random(1));
+		scorers = Array.from({length: 3}, (_, i) => {
+			directory.put({
+				id: `k${i}`, service: 'scorer', address: `k${i}`, dataCentre: 'd', slots: 8, isDraining: false, models: [], orderCount: 0, coldMs: 0,
+			});
+			return serving.add(`k${i}`, `k${i}`);
+		});
+		const route = createRoute({
+			name: 'scores', prefix: '/scores/', kind: 'idempotent', timeoutMs: 3000, objectiveMs: 800, maxAttempts: 4, targets: [{service: 'scorer', weight: 1}],
+		});
+		settings = {
+			directory, client: serving, random: new Random(2), log: createSilentLog(), findDeployment: () => createDeployment([route]),
+		};
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	async function score(ms: number): Promise<string | undefined> {
+		const sample = {
+			id: 's', path: '/steps/s', headers: {}, body: '', score: {
+				id: 'c', host: 'h', path: '/scores/c', body: '',
+			},
+		};
+		const mark = scoreSample(settings, sample, new AbortController().signal);
+		await clock.tickAsync(ms);
+		return mark;
+	}
+
+	function countRuns(): number {
+		return scorers.reduce((sum, {runs}) => sum + runs.length, 0);
+	}
+
+	it('asks one endpoint as long as it answers in time', async () => {
+		for (const {switches} of scorers) {
+			switches.callMs = 300;
+		}
+
+		expect(await score(350)).to.match(/\/c$/v);
+		expect(countRuns()).to.equal(1);
+	});
+
+	it('does not wait for a slow endpoint', async () => {
+		for (const {switches} of scorers) {
+			switches.callMs = 200;
+		}
+
+		// Whichever is asked first is the slow one.
+		const sends: number[] = [];
+		const {client} = settings;
+		settings = {
+			...settings, client: Object.assign(Object.create(client) as typeof client, {
+				async call(...[target, request, signal]: Parameters<typeof client.call>) {
+					sends.push(performance.now());
+					scorers.find(({id}) => id === target.id)!.switches.callMs = sends.length === 1 ? 2500 : 200;
+					return client.call(target, request, signal);
+				},
+			}),
+		};
+		expect(await score(700)).to.match(/\/c$/v);
+		expect(sends).to.have.length(2);
+	});
+
+	it('fails at no more endpoints than the route allows attempts', async () => {
+		for (const {switches} of scorers) {
+			switches.status = 500;
+		}
+
+		expect(await score(3000)).to.equal(undefined);
+		expect(countRuns()).to.equal(4);
+	});
+});
--- a/packages/batches/src/scoring.ts
+++ b/packages/batches/src/scoring.ts
@@ -1,5 +1,8 @@
 /**
- * Scores of whole texts: one call to the scorer, repeated until it answers.
+ * Scores of whole texts: a call to the scorer, repeated until it answers.
+ *
+ * Load pattern: one call in some dozen takes several times as long as the others, and a step is whole only when the last of its groups is scored. A call
+ * that is slow is made a second time at another endpoint, within the attempts that its route allows.
  */
 import {Buffer} from 'node:buffer';
 import {DirectCall, type CallSettings} from '@wasabiusher/direct';
@@ -10,6 +13,9 @@
 /** Pause between attempts at a score, in milliseconds. */
 const scoreRetryMs = 50;
 
+/** Most endpoints that one call asks: a second one when the first is slow or fails. */
+const maxOpenCalls = 2;
+
 /** Longest time for one attempt at a score, in milliseconds, where its route allows more. */
 const maxScoreMs = 3000;
 
@@ -32,11 +38,11 @@
 		const deployment = settings.findDeployment();
 		const route = deployment && findRoute(deployment, host, path);
 		if (route) {
-			const call = new DirectCall(settings, {...route, kind: 'idempotent', maxAttempts: 1}, {
+			const call = new DirectCall(settings, {...route, kind: 'idempotent', maxAttempts: Math.min(maxOpenCalls, route.maxAttempts - failures)}, {
 				method: 'POST', path, host, headers: {}, body: Buffer.from(body, 'base64'), attemptId: id,
 				deadlineAt: performance.now() + Math.min(maxScoreMs, route.timeoutMs),
 			}, signal);
-			// Attempts follow one another, so that each is counted.
+			// Calls follow one another, so that each attempt is counted.
 			// eslint-disable-next-line no-await-in-loop
 			const outcome = await call.run();
 			if (outcome.kind === 'answered' && outcome.answer.status < 300 && outcome.answer.isFramed && outcome.answer.stamp !== undefined) {
@@ -44,7 +50,7 @@
 			}
 
 			if (outcome.kind === 'answered' && outcome.answer.status === 500) {
-				failures += 1;
+				failures += call.runCount;
 				log.info('score_failed', {sample, failures, limit: route.maxAttempts});
 				if (failures >= route.maxAttempts) {
 					return undefined;
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -104,6 +104,11 @@
 		}
 	}
 
+	/** Endpoints that may have run it. */
+	get runCount(): number {
+		return this.#mayHaveRun.size;
+	}
+
 	get #isRepeatable(): boolean {
 		return this.#route.kind === 'idempotent';
 	}
