--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -1,11 +1,6 @@
 /**
- * All batches as one process sees them: accepts, works on shares of them, ends and reads them.
- *
- * Any process answers for any batch: from memory if it owns all of it, otherwise from the store. A process that can't ask the
- * store says so; it never says that a batch does not exist unless the store has said it.
+ * All batches as one process sees them: accepts them, works on shares of them, hands shares over and ends them.
  */
-import {Buffer} from 'node:buffer';
-import {LRUCache} from 'lru-cache';
 import type {RowChange} from '@wasabiusher/backends';
 import {defaultPolicy, type ModelNeed} from '@wasabiusher/decisions';
 import {describeError} from '@wasabiusher/shared';
@@ -13,8 +8,9 @@
 	findSeries, measureWork, prepareSubmission, settlePauseMs, writeAccepted,
 } from './acceptance.js';
 import type {
-	BatchRecord, ResultPage, SampleResult, StoredBatch, Submission,
+	BatchRecord, ResultPage, StoredBatch, Submission,
 } from './batch.js';
+import {BatchReader} from './batch-reader.js';
 import {decodeRecord, type BatchStore} from './batch-store.js';
 import {isOfCustomer} from './customers.js';
 import {BatchError} from './errors.js';
@@ -28,23 +24,12 @@
 import {ShareOwner, type ShareOwnerSettings} from './share-owner.js';
 import {SharePlanner} from './share-planner.js';
 import {nameShare} from './shares.js';
+import {Submissions} from './submissions.js';
 import {TakeOvers} from './take-overs.js';
 
-/**
- * Pause between reads of the store for a trainer that waits at a host that does not own its batch, in milliseconds. The trainer ends its step
- * when it has read the last group it waits for, so half of this is idle time of each step; ten trainers that wait take 200 reads a second.
- */
-const pollMs = 50;
-
 /** Time within which the lost answer of an end is settled, in milliseconds. */
 const settleMs = 2500;
 
-/** Submissions of other owners that are kept to serve their bodies. */
-const keptSubmissions = 8;
-
-/** Most text in one answer, in characters; the answer as a whole stays under 1 MB. */
-const maxPageText = 700_000;
-
 export type BatchesSettings = Omit<ShareOwnerSettings, 'countEarlierOpen' | 'onConflict' | 'findHomes'> & {
 	store: BatchStore;
 	keptTexts: KeptTexts;
@@ -65,13 +50,22 @@
 	readonly #takeOvers: TakeOvers;
 	readonly #planner: SharePlanner;
 	readonly #keptFinder: KeptFinder;
-	readonly #submissions = new LRUCache<string, Submission>({max: keptSubmissions});
+	readonly #submissions: Submissions;
+	readonly #reader: BatchReader;
 	#isLeaving = false;
 
 	constructor(settings: BatchesSettings) {
 		this.#settings = settings;
 		const {keptTexts, dataCentre = '', log} = settings;
 		const known = this.#known;
+		this.#submissions = new Submissions(settings.store);
+		this.#reader = new BatchReader({
+			store: settings.store, submissions: this.#submissions, known, log,
+			listOwners: id => this.#listOwners(id),
+			onFound: found => {
+				this.#learn(found);
+			},
+		});
 		this.#retired = new RetiredBatches(keptTexts, log);
 		this.#planner = new SharePlanner({...settings, dataCentre, known});
 		this.#keptFinder = new KeptFinder({...settings, known, retired: this.#retired});
@@ -123,7 +117,7 @@
 			id, shares: this.#planner.plan(submission, series, this.#isLeaving), series, isEnded: false, object, total: submission.samples.length,
 			...measureWork(submission), customer: submission.customer ?? '', acceptedMs: readStoreMs(),
 		};
-		this.#submissions.set(id, submission);
+		this.#submissions.keep(id, submission);
 		const stored = await writeAccepted(store, record, rows);
 		if (stored) {
 			this.#learn(stored, true);
@@ -154,28 +148,12 @@
 	 * @throws {BatchError} `missing` if the customer has no such batch, `unavailable` if that can't be told
 	 */
 	async read(id: string, after: number, waitMs: number, customer?: string): Promise<ResultPage> {
-		const owner = this.#listOwners(id).find(({isAll}) => isAll);
-		if (owner && isOfCustomer(owner.stored.record, customer)) {
-			await owner.waitBeyond(after, waitMs);
-			if (this.#owners.get(owner.name) === owner) {
-				return this.#notePage(id, after, {total: owner.stored.record.total, results: cutPage(owner.results.slice(after))});
-			}
-		}
-
-		const {record: {total}} = await this.#findOwn(id, customer);
-		return this.#readStored(id, after, waitMs, total);
+		return this.#reader.read(id, after, waitMs, customer);
 	}
 
 	/** Reads the body of a sample; throws `BatchError` as `read` does. */
 	async readBody(id: string, sample: string, customer?: string): Promise<Uint8Array> {
-		const {record} = await this.#findOwn(id, customer);
-		const submission = this.#listOwners(id)[0]?.submission ?? await this.#readSubmission(record);
-		const found = submission.samples.find(other => other.id === sample);
-		if (!found) {
-			throw new BatchError('missing', `batch ${id} has no sample ${sample}`);
-		}
-
-		return Buffer.from(found.body, 'base64');
+		return this.#reader.readBody(id, sample, customer);
 	}
 
 	/** Ends a batch; nothing of it runs any more. Throws `BatchError` as `read` does, or `unknown`. */
@@ -185,7 +163,7 @@
 		for (;;) {
 			// Each try depends on what the one before has found.
 			// eslint-disable-next-line no-await-in-loop
-			const found = await this.#findOwn(id, customer, true);
+			const found = await this.#reader.findOwnBatch(id, customer, true);
 			if (found.record.isEnded) {
 				return;
 			}
@@ -291,26 +269,11 @@
 		}
 	}
 
-	async #find(id: string, isFresh = false): Promise<StoredBatch> {
-		const known = isFresh ? undefined : this.#known.get(id);
-		if (known) {
-			return known;
-		}
-
-		const found = await this.#settings.store.find(id);
-		if (!found) {
-			throw new BatchError('missing', `the store has no batch ${id}`);
-		}
-
-		this.#learn(found);
-		return found;
-	}
-
 	/** Looks whose batch it is that another process has accepted; that something of it runs can't be ruled out any more. */
 	async #expectAccepted(id: string, customer: string | undefined): Promise<void> {
 		let found: StoredBatch;
 		try {
-			found = await this.#find(id, true);
+			found = await this.#reader.findBatch(id, true);
 		} catch (error) {
 			throw new BatchError('unknown', `batch ${id} was accepted elsewhere, and can't be read: ${describeError(error)}`, error);
 		}
@@ -318,45 +281,6 @@
 		expectOwn(found.record, customer);
 	}
 
-	/** Finds a batch of a customer; another's does not exist for it. */
-	async #findOwn(id: string, customer: string | undefined, isFresh = false): Promise<StoredBatch> {
-		const found = await this.#find(id, isFresh);
-		if (!isOfCustomer(found.record, customer)) {
-			throw new BatchError('missing', `the customer has no batch ${id}`);
-		}
-
-		return found;
-	}
-
-	async #readStored(id: string, after: number, waitMs: number, total: number): Promise<ResultPage> {
-		const until = performance.now() + waitMs;
-		for (;;) {
-			// eslint-disable-next-line no-await-in-loop
-			const found = await this.#settings.store.readResults(id, after);
-			const isOver = performance.now() >= until || after >= total || this.#known.get(id)?.record.isEnded;
-			if (found.length > 0 || isOver) {
-				return this.#notePage(id, after, {total, results: cutPage(found.map(({result}) => result))});
-			}
-
-			// eslint-disable-next-line no-await-in-loop
-			await pause(pollMs);
-		}
-	}
-
-	#notePage(id: string, after: number, page: ResultPage): ResultPage {
-		if (page.results.length > 0) {
-			this.#settings.log.info('results_read', {batch: id, after, results: page.results.length});
-		}
-
-		return page;
-	}
-
-	async #readSubmission(record: BatchRecord): Promise<Submission> {
-		const kept = this.#submissions.get(record.id) ?? await this.#settings.store.readSubmission(record);
-		this.#submissions.set(record.id, kept);
-		return kept;
-	}
-
 	/**
 	 * Takes note of a batch's row; an older one than known is ignored.
 	 *
@@ -447,7 +371,7 @@
 		try {
 			const {policy = defaultPolicy} = this.#settings;
 			const whenKept = this.#keptFinder.waitForKept(record.series);
-			const submission = await this.#readSubmission(record);
+			const submission = await this.#submissions.read(record);
 			const [kept, results, partials] = await Promise.all([
 				policy.keepsTexts ? this.#keptFinder.find(submission, record, share, whenKept) : new Map<string, never>(),
 				isNew ? [] : store.readAllResults(id),
@@ -505,13 +429,3 @@
 		throw new BatchError('taken', `the name ${record.id} is another batch's`);
 	}
 }
-
-/** As many of the first results as fit into one answer; one at least. */
-function cutPage(results: readonly SampleResult[]): SampleResult[] {
-	let length = 0;
-	const end = results.findIndex(({text}, i) => {
-		length += text.length;
-		return i > 0 && length > maxPageText;
-	});
-	return end === -1 ? [...results] : results.slice(0, end);
-}
