Revert "Leave the queue of a full endpoint when another has room"

When all slots are filled a run that leaves loses its place, and a load that is not known is taken for room.

Not tried: leaving only for an endpoint whose room was told.

--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -429,7 +429,7 @@
 		const {directory, client, log, random, findHomes} = this.#settings;
 		const {host, model, customer} = this.#submission;
 		return new SampleRun({
-			directory, client, log, policy: this.#policy, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findHomes,
+			directory, client, log, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findHomes,
 		}, {
 			id: sample.id,
 			batch: this.id,
--- a/packages/decisions/src/policy.ts
+++ b/packages/decisions/src/policy.ts
@@ -8,8 +8,6 @@
 export const policySchema = z.strictObject({
 	/** Runs leave an endpoint in their middle for a faster one. */
 	movesRuns: z.boolean().default(true),
-	/** Runs that wait in an endpoint's queue leave it when another endpoint has room. */
-	leavesQueues: z.boolean().default(true),
 	/** Long texts are begun a second time under newer weights, for a later step. */
 	makesSecondTexts: z.boolean().default(true),
 	/** What was made of groups that are not whole is kept for a later step. */
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -195,16 +195,6 @@
 		return this.#standings.get(id)?.bestMs;
 	}
 
-	/** Notes that a request waits at an endpoint for a slot. */
-	recordQueue(id: string): void {
-		this.#standings.get(id)?.recordQueue();
-	}
-
-	/** Whether an endpoint other than one could begin a request at once, as far as is known. */
-	hasRoomElsewhere(id: string, need: EndpointNeed): boolean {
-		return this.#listFits(need).some(({endpoint, open, others, vanishedAt}) => endpoint.id !== id && vanishedAt === undefined && open + others < endpoint.slots);
-	}
-
 	/**
 	 * Chooses an endpoint at which a run of another had better go on, and counts the run as open there; undefined if there is none. A run that left first
 	 * and chose then went from one slow endpoint to another that was nearer.
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -4,7 +4,7 @@
  * Load pattern: endpoints that crash, leave, load weights or break answers off in the middle of long texts. Begun
  * anew each time, a text of seven seconds would miss its step; resumed after its last whole event it loses only a round trip.
  */
-import {defaultPolicy, longRunEvents, type Policy} from '@wasabiusher/decisions';
+import {longRunEvents} from '@wasabiusher/decisions';
 import {
 	PlatformError, type RunEvent, type ServingClient, type ServingRequest, type ServingRun,
 } from '@wasabiusher/backends';
@@ -14,7 +14,6 @@
 import {chooseService} from './call.js';
 import type {EndpointDirectory, EndpointNeed} from './endpoint-directory.js';
 import {PhaseTimes, type RunPhase} from './phase-times.js';
-import {QueueLeftError, QueueWatch} from './queue-watch.js';
 import {SilenceWatch} from './silence-watch.js';
 
 /** What a sample asks of the endpoints. */
@@ -56,7 +55,6 @@
 	directory: EndpointDirectory;
 	client: ServingClient;
 	log: Log;
-	policy?: Policy;
 	/** The route in force for the sample's batch; undefined once it was removed. */
 	findRoute(): Route | undefined;
 	/** Endpoints to be used before others; undefined if all are alike. */
@@ -107,8 +105,6 @@
 	readonly #keptEvents: number;
 	#failures = 0;
 	#runs = 0;
-	/** Queues of endpoints that were left before the run began. */
-	#leftQueues = 0;
 	/** What the present attempt was chosen by. */
 	#need: EndpointNeed | undefined;
 	/** The endpoint that broke last; another is preferred. */
@@ -240,11 +236,9 @@
 		let headMs: number | undefined;
 		let status: number | undefined;
 		const watch = new SilenceWatch(stop, () => directory.findHeardAt(id));
-		const queueWatch = this.#watchQueue(id, stop);
 		this.#runs += 1;
 		try {
 			const run = await client.run(endpoint, this.#toServing(route), signal);
-			queueWatch?.end();
 			headMs = Math.round(performance.now() - startedAt);
 			({status} = run);
 			this.#times.mark(this.#findHeadPhase(run));
@@ -258,10 +252,6 @@
 				return {kind: 'stopped'};
 			}
 
-			if (stop.signal.reason instanceof QueueLeftError) {
-				return this.#noteQueue(id, stop.signal.reason);
-			}
-
 			log.info('run_broken', {
 				batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, from: before, events: this.#text.events.length, reason: describeError(error),
 			});
@@ -277,7 +267,6 @@
 			return 'again';
 		} finally {
 			watch.end();
-			queueWatch?.end();
 			log.info('run_ended', {
 				batch: this.#sample.batch, sample: this.#sample.id, model: this.#sample.model, endpoint: id, status, from: before, events: this.#text.events.length, headMs,
 				tookMs: Math.round(performance.now() - startedAt),
@@ -288,25 +277,6 @@
 		}
 	}
 
-	/** Watches a run that may wait at its endpoint; undefined if it stays there whatever comes. */
-	#watchQueue(id: string, stop: AbortController): QueueWatch | undefined {
-		const {directory, policy = defaultPolicy} = this.#settings;
-		const need = this.#need;
-		return policy.leavesQueues && need ? new QueueWatch(stop, this.#leftQueues, () => directory.hasRoomElsewhere(id, need)) : undefined;
-	}
-
-	#noteQueue(id: string, {message}: QueueLeftError): RunStep {
-		const {directory, log} = this.#settings;
-		log.info('queue_left', {
-			batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, events: this.#text.events.length, reason: message,
-		});
-		directory.recordQueue(id);
-		this.#leftQueues += 1;
-		this.#avoided = id;
-		this.#times.mark('refused');
-		return 'again';
-	}
-
 	async #readRun({id, run, route, watch}: OpenRun): Promise<RunStep> {
 		const {directory, log} = this.#settings;
 		const {model} = this.#sample;
