Tell the last counts of a process that leaves while a write is on its way

Cause, found by reading: leave() began no write while another was under way, so the counts of the last moments were lost and the window waited for the host. The test delays the store by 0.3 s a call and failed first (one of two requests reported).

--- a/packages/duties/__tests__/usage.spec.ts
+++ b/packages/duties/__tests__/usage.spec.ts
@@ -100,6 +100,20 @@
 		expect([findDelay(1) < 2000, findDelay(2) < 2000]).to.deep.equal([true, true]);
 	});
 
+	it('does not wait for a host that has left while the store was slow to take its counts', async () => {
+		await moveTo(6000);
+		hosts[1]!.store.switches.delayMs = 300;
+		call(1, 'x');
+		// The write of this count is on its way when the process leaves.
+		await moveTo(6200);
+		call(1, 'x');
+		const left = hosts[1]!.teller.leave();
+		await moveTo(18_000);
+		await left;
+		expect(readCounts(1)).to.deep.equal({x: 2});
+		expect([findDelay(1) < 2000, findDelay(2) < 2000]).to.deep.equal([true, true]);
+	});
+
 	it('waits for a host that does not reach the store for some seconds', async () => {
 		await moveTo(6000);
 		hosts[2]!.store.switches.isDown = true;
--- a/packages/duties/src/usage-teller.ts
+++ b/packages/duties/src/usage-teller.ts
@@ -47,7 +47,7 @@
 	readonly #over = new Set<number>();
 	#writeTimer: NodeJS.Timeout | undefined;
 	#endTimer: NodeJS.Timeout | undefined;
-	#isWriting = false;
+	#writing: Promise<void> | undefined;
 	#isLeaving = false;
 	#isStopped = false;
 
@@ -76,6 +76,7 @@
 		this.#finalWindow = current;
 		this.#isLeaving = true;
 		this.#over.add(current);
+		await this.#writing;
 		await this.#write();
 	}
 
@@ -128,7 +129,7 @@
 	}
 
 	async #write(): Promise<void> {
-		if (this.#isWriting) {
+		if (this.#writing) {
 			this.#planWrite();
 			return;
 		}
@@ -138,13 +139,19 @@
 			return;
 		}
 
+		this.#writing = this.#tell(windows);
+		await this.#writing;
+		this.#writing = undefined;
+	}
+
+	/** Tells the counts of some windows as they are now; never rejects. */
+	async #tell(windows: readonly number[]): Promise<void> {
 		const {store, log} = this.#settings;
 		const usages = windows.map(window => this.#toUsage(window));
 		for (const window of windows) {
 			this.#counts.markTold(window);
 		}
 
-		this.#isWriting = true;
 		try {
 			await store.tell(usages);
 			for (const window of windows) {
@@ -157,8 +164,6 @@
 
 			log.info('usage_not_told', {windows: windows.join(','), reason: describeError(error)});
 			this.#planWrite(retryMs);
-		} finally {
-			this.#isWriting = false;
 		}
 	}
 
