--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,9 +12,7 @@
 import {
 	DirectCall, EndpointDirectory, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
-import {
-	TrueTime, UsageReporter, UsageStore, UsageTeller,
-} from '@wasabiusher/duties';
+import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
 import {
 	describeError, type Deployment, type Log, type Random, type Route,
@@ -110,7 +108,7 @@
 	readonly #rows: RoutedStore;
 	readonly #peerServer: PeerServer | undefined;
 	readonly #trueTime: TrueTime;
-	readonly #usage: {teller: UsageTeller; reporter: UsageReporter} | undefined;
+	readonly #usage: Usage | undefined;
 	#linkKey: string | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	/** When the next tick is due, on the monotonic clock. */
@@ -221,8 +219,7 @@
 		this.#hosts.start();
 		this.batches.start();
 		this.#lease.start();
-		this.#usage?.teller.start();
-		this.#usage?.reporter.start();
+		this.#usage?.start();
 		this.#dueAt = performance.now() + ordersMs;
 		this.#timer = setInterval(() => {
 			this.#noteLateness();
@@ -260,7 +257,7 @@
 	async drain(): Promise<void> {
 		const {log} = this.#settings;
 		this.#isDraining = true;
-		this.#usage?.reporter.stop();
+		this.#usage?.resign();
 		clearInterval(this.#timer);
 		clearInterval(this.#sweepTimer);
 		try {
@@ -272,7 +269,7 @@
 
 	/** Tells the last that there is to tell, once no call is under way any more. Never rejects. */
 	async leave(): Promise<void> {
-		await this.#usage?.teller.leave();
+		await this.#usage?.leave();
 	}
 
 	/** Ends all that goes on in the background. */
@@ -280,8 +277,7 @@
 		clearInterval(this.#timer);
 		clearInterval(this.#sweepTimer);
 		this.#lease.stop();
-		this.#usage?.teller.stop();
-		this.#usage?.reporter.stop();
+		this.#usage?.stop();
 		this.#hosts.stop();
 		this.batches.stop();
 		this.#rows.stop();
@@ -326,27 +322,24 @@
 		}
 	}
 
-	#createUsage(): {teller: UsageTeller; reporter: UsageReporter} | undefined {
+	#createUsage(): Usage | undefined {
 		const {usage, host, random, log} = this.#settings;
-		if (!usage) {
-			return undefined;
-		}
-
-		const store = new UsageStore(this.#rows);
-		const readTrueMs = () => this.#trueTime.read();
-		return {
-			teller: new UsageTeller({
-				store, host, incarnation: this.#hosts.incarnation, windowMs: usage.windowMs, readTrueMs, countHosts: () => this.#hosts.count, chance: () => random.next(), log,
-			}),
-			reporter: new UsageReporter({
-				...usage, store, right: this.#lease, holder: host, readTrueMs, log,
-			}),
-		};
+		return usage && new Usage({
+			...usage,
+			store: new UsageStore(this.#rows),
+			host,
+			incarnation: this.#hosts.incarnation,
+			right: this.#lease,
+			log,
+			readTrueMs: () => this.#trueTime.read(),
+			countHosts: () => this.#hosts.count,
+			chance: () => random.next(),
+		});
 	}
 
 	/** Gives the lease up at once only if nothing was done under it for a term: acts of two holders must never lie closer than that. */
 	async #leaveOrders(): Promise<void> {
-		const sinceActMs = Math.min(this.#orders.sinceOrderMs, this.#usage?.reporter.sinceActMs ?? Number.POSITIVE_INFINITY);
+		const sinceActMs = Math.min(this.#orders.sinceOrderMs, this.#usage?.sinceActMs ?? Number.POSITIVE_INFINITY);
 		if (sinceActMs > this.#settings.leaseMs) {
 			await this.#lease.release();
 		} else {
@@ -357,7 +350,7 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage?.teller,
+			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage,
 		};
 	}
 
