--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -17,18 +17,17 @@
 	applyCustomer, describeError, findRoute, type Route,
 } from '@wasabiusher/shared';
 import type {
-	KeptText, PartialText, Sample, SampleResult, StoredBatch, Submission,
+	Sample, SampleResult, StoredBatch, Submission,
 } from './batch.js';
 import type {BatchStore, PartialTexts} from './batch-store.js';
-import type {GroupedText} from './kept-texts.js';
 import {nameForCustomer} from './customers.js';
+import type {GroupedText} from './kept-texts.js';
 import {Renewals} from './renewals.js';
 import {ResultList} from './result-list.js';
 import type {PositionedResult} from './result-rows.js';
-import {
-	chooseUsable, toPartial, toText, type UsableText,
-} from './sample-texts.js';
+import {toText, type UsableText} from './sample-texts.js';
 import {scoreSample, type ScoringSettings} from './scoring.js';
+import {ShareTexts, type LeftTexts} from './share-texts.js';
 import {
 	listGroups, listShareSamples, nameShare, sampleOrders, toOrdered,
 } from './shares.js';
@@ -60,16 +59,13 @@
 };
 
 /** What is known of a share when its ownership begins. */
-export type OwnedShare = {
+export type OwnedShare = LeftTexts & {
 	stored: StoredBatch;
 	/** Which of the batch's shares it is. */
 	share: number;
 	submission: Submission;
 	/** Results of the whole batch. */
 	results: PositionedResult[];
-	partials: Map<string, PartialText>;
-	/** What earlier batches have left of its samples; a group that is found here was carried over. */
-	kept: Map<string, KeptText>;
 };
 
 /** How a run of a sample is made. */
@@ -96,11 +92,7 @@
 	#stored: StoredBatch;
 	readonly #submission: Submission;
 	readonly #results: ResultList;
-	readonly #partials: Map<string, PartialText>;
-	readonly #kept: Map<string, KeptText>;
-	readonly #runs = new Map<string, SampleRun>();
-	/** Whole texts that wait for their score or for the store. */
-	readonly #whole = new Map<string, SampleText>();
+	readonly #texts: ShareTexts;
 	#isRetired = false;
 	readonly #checkpointed = new Map<string, number>();
 	readonly #stop = createStop();
@@ -111,7 +103,7 @@
 	/** Version from which on second texts are begun: each earlier batch that is still open brings one more before this one ends. */
 	#renewFrom: number | undefined;
 
-	constructor(settings: ShareOwnerSettings, {stored, share, submission, results, partials, kept}: OwnedShare) {
+	constructor(settings: ShareOwnerSettings, {stored, share, submission, results, ...left}: OwnedShare) {
 		const {shares} = stored.record;
 		this.share = share;
 		this.samples = listShareSamples(submission, share, shares.length);
@@ -120,8 +112,7 @@
 		this.#policy = settings.policy ?? defaultPolicy;
 		this.#stored = stored;
 		this.#submission = submission;
-		this.#partials = partials;
-		this.#kept = kept;
+		this.#texts = new ShareTexts(left);
 		this.#queue = new PQueue({concurrency: this.#countSlots()});
 		this.#renewals = new Renewals((sample, leastVersion, signal) => this.#createRun(this.#getSample(sample), {leastVersion, signal, avoidsFull: true}));
 		const {store, log} = settings;
@@ -176,7 +167,7 @@
 
 	/** Texts that are not whole yet. */
 	get partials(): PartialTexts {
-		return new Map([...this.#runs].filter(([, {text}]) => text.events.length > 0).map(([id, {text}]) => [id, toPartial(text)]));
+		return this.#texts.listPartials();
 	}
 
 	/** Takes note that the batch's row has changed while this share stayed as it is. */
@@ -189,7 +180,7 @@
 		const {samples, wantedGroups, step, model} = this.#submission;
 		const open = new Map(this.samples.filter(({id}) => !this.#results.has(id)).map(sample => [sample.id, sample]));
 		// What the trainer need not wait for is told by the batch as a whole.
-		const planned = sampleOrders[this.#policy.sampleOrder](toOrdered(samples, id => this.#kept.has(id)), wantedGroups);
+		const planned = sampleOrders[this.#policy.sampleOrder](toOrdered(samples, id => this.#texts.isCarried(id)), wantedGroups);
 		const order = planned.filter(id => open.has(id));
 		for (const id of order) {
 			void this.#queue.add(async () => this.#make(open.get(id)!));
@@ -205,7 +196,7 @@
 		this.#settings.log.info('batch_begun', {
 			batch: this.id, share: this.share, shares: shares.length, samples: this.samples.length, term: shares[this.share]!.term, series, step, model,
 			total: samples.length, wanted: wantedGroups, groups: listGroups(this.#submission).size,
-			ageMs: Math.round(this.#settings.readStoreMs() - acceptedMs), listed: this.#results.all.length, partials: this.#partials.size, kept: this.#kept.size,
+			ageMs: Math.round(this.#settings.readStoreMs() - acceptedMs), listed: this.#results.all.length, ...this.#texts.leftCounts,
 		});
 	}
 
@@ -225,7 +216,7 @@
 	/** Has a whole text scored, then lists it. */
 	async finish(sample: Sample, text: SampleText): Promise<void> {
 		const wholeAt = performance.now();
-		this.#whole.set(sample.id, text);
+		this.#texts.whole.set(sample.id, text);
 		const score = sample.score ? await scoreSample(this.#settings, sample, this.#stop.signal) : undefined;
 		if (this.#stop.signal.aborted) {
 			return;
@@ -264,10 +255,11 @@
 
 	/** What was made of the groups that are not whole. */
 	listUnfinished(): GroupedText[] {
+		const keptMs = this.#settings.readStoreMs();
 		const open = new Set(this.samples.filter(({id}) => !this.#results.has(id)).map(({group}) => group));
 		const results = new Map(this.#results.all.map(result => [result.id, result]));
 		return this.samples.flatMap(({id, group}) => {
-			const text = group !== undefined && open.has(group) ? this.#findText(id, results.get(id)) : undefined;
+			const text = group !== undefined && open.has(group) ? this.#texts.findKeepable(id, results.get(id), this.#renewals.read(id), keptMs) : undefined;
 			return text ? [{group: nameForCustomer(this.#submission.customer, group!), sample: id, text}] : [];
 		});
 	}
@@ -277,39 +269,9 @@
 		return results.filter(({result}) => this.#ids.has(result.id));
 	}
 
-	#findText(id: string, result: SampleResult | undefined): KeptText | undefined {
-		const text = this.#findFirstText(id, result);
-		const renewed = this.#renewals.read(id);
-		return text && renewed ? {...text, renewed: {...toPartial(renewed.text), isWhole: renewed.isWhole}} : text;
-	}
-
-	#findFirstText(id: string, result: SampleResult | undefined): KeptText | undefined {
-		const keptMs = this.#settings.readStoreMs();
-		if (result) {
-			// A sample that was given up is begun anew.
-			return result.state === 'made'
-				? {
-					events: result.text.split('\n'), versions: result.versions, isWhole: true, keptMs,
-				}
-				: undefined;
-		}
-
-		const whole = this.#whole.get(id);
-		if (whole) {
-			return {...toPartial(whole), isWhole: true, keptMs};
-		}
-
-		const run = this.#runs.get(id);
-		const left = run ? toPartial(run.text) : this.#kept.get(id) ?? {events: [], versions: []};
-		return {isWhole: false, ...left, keptMs};
-	}
-
-	/** The longest of what is there of a sample's text, if its versions fit this batch. */
+	/** What there is of a sample's text to go on with, if its versions fit this batch. */
 	#findUsable({id}: Sample): UsableText | undefined {
-		const partial = this.#partials.get(id);
-		const kept = this.#kept.get(id);
-		const texts = [kept, kept?.renewed, partial && {...partial, isWhole: false}].filter(text => text !== undefined);
-		return chooseUsable(texts, {leastVersion: this.#submission.leastVersion, isSingleVersion: this.#findRoute()?.isSingleVersion ?? false});
+		return this.#texts.findUsable(id, {leastVersion: this.#submission.leastVersion, isSingleVersion: this.#findRoute()?.isSingleVersion ?? false});
 	}
 
 	#getSample(id: string): Sample {
@@ -332,12 +294,12 @@
 		}
 
 		// A group that was carried over is waited for in any case.
-		const texts = [...this.#runs].filter(([id]) => !this.#kept.has(id)).map(([id, {text}]) => ({
+		const texts = [...this.#texts.runs].filter(([id]) => !this.#texts.isCarried(id)).map(([id, {text}]) => ({
 			id, events: text.events.length, oldestVersion: Math.min(...text.versions), isRenewed: this.#renewals.has(id),
 		}));
 		for (const id of chooseRenewals(texts, published)) {
 			this.#settings.log.info('text_renewed', {
-				batch: this.id, sample: id, events: this.#runs.get(id)?.text.events.length, published,
+				batch: this.id, sample: id, events: this.#texts.runs.get(id)?.text.events.length, published,
 			});
 			this.#renewals.begin(id, published);
 		}
@@ -399,7 +361,7 @@
 		} finally {
 			// What an ended batch leaves unfinished is still wanted.
 			if (!this.#isRetired) {
-				this.#runs.delete(sample.id);
+				this.#texts.runs.delete(sample.id);
 			}
 		}
 	}
@@ -407,7 +369,7 @@
 	/** A text that became whole after the batch's end is kept for the next one. */
 	#noteRetired({id}: Sample, outcome: SampleOutcome): void {
 		if (outcome.kind === 'made') {
-			this.#whole.set(id, outcome.text);
+			this.#texts.whole.set(id, outcome.text);
 		}
 	}
 
@@ -419,7 +381,7 @@
 
 		const {leastVersion} = this.#submission;
 		const run = this.#createRun(sample, {leastVersion, signal: this.#stop.signal, text: kept && toText(kept)});
-		this.#runs.set(sample.id, run);
+		this.#texts.runs.set(sample.id, run);
 		return run.run();
 	}
 
