--- a/xo.config.js
+++ b/xo.config.js
@@ -7,7 +7,7 @@
 	['entry', 'agent', 'cli', 'load', 'gateway'],
 	['standins'],
 	['systems', 'batches'],
-	['direct'],
+	['direct', 'duties'],
 	['decisions'],
 	['record'],
 	['link'],
