End a mutant's tests with their time

Cause: mocha started a second process for tsx, which went on for half an hour when a mistake put in on purpose never ended (found as a process of ours at a full core, ended by pid).

--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -275,10 +275,10 @@
 	return {isCaught: failures > 0, verdict: failures > 0 ? `caught by ${failures}` : 'NOT CAUGHT'};
 }
 
-/** How many tests fail; a run that ends in any other way, such as a file that can not be loaded, is an error of this list. */
+/** How many tests fail, in one process that ends with its time; a run that ends in any other way, such as a file that can not be loaded, is an error of this list. */
 function countFailures(copy: string, specs: readonly string[]): number {
 	const mocha = path.join(copy, 'node_modules', 'mocha', 'bin', 'mocha.js');
-	const {status, stdout} = spawnSync(process.execPath, [mocha, '--no-config', '--node-option', 'import=tsx', '--exit', '--timeout', '20000', '--reporter', 'dot', ...specs], {
+	const {status, stdout} = spawnSync(process.execPath, ['--import', 'tsx', mocha, '--no-config', '--exit', '--timeout', '20000', '--reporter', 'dot', ...specs], {
 		cwd: copy, encoding: 'utf8', timeout: 120_000,
 	});
 	const failures = Number(/(\d+) failing/v.exec(stdout)?.[1] ?? 0);
