Let no late write bring back counts that were told anew

Cause, found by reading: counts are written without a condition, so a write whose answer was lost and which the store performs seconds later took the place of a newer row; the window was reported with one of two requests (the test failed so). Change: after each write of unknown fate the rows are written under a higher revision, and the highest one holds. Ruled out: conditions on the row's version, which need a reading after each lost answer while the store is in trouble.

--- a/packages/duties/__tests__/usage.spec.ts
+++ b/packages/duties/__tests__/usage.spec.ts
@@ -236,6 +236,21 @@
 		expect([readCounts(0), readCounts(1)]).to.deep.equal([{}, {}]);
 	});
 
+	it('does not go back to counts whose writing the store has performed late', async () => {
+		await moveTo(4000);
+		hosts[1]!.store.switches.writesToDelay = 1;
+		hosts[1]!.store.switches.lateMs = 1500;
+		call(1, 'x');
+		await moveTo(4300);
+		call(1, 'x');
+		// The first write is performed after the second one, and before the window is closed.
+		hosts[2]!.store.switches.isDown = true;
+		await moveTo(8000);
+		hosts[2]!.store.switches.isDown = false;
+		await moveTo(14_000);
+		expect([readCounts(), readCounts(1)]).to.deep.equal([{x: 2}, {}]);
+	});
+
 	it('goes on when the platform takes no more calls at a time', async () => {
 		await moveTo(1000);
 		call(0, 'x');
--- a/packages/duties/src/true-time.ts
+++ b/packages/duties/src/true-time.ts
@@ -30,11 +30,6 @@
 		this.#offsets.set(host, offsetMs);
 	}
 
-	/** Forgets a host that is gone. */
-	forget(host: string): void {
-		this.#offsets.delete(host);
-	}
-
 	read(): number {
 		const storeMs = this.#readStoreMs();
 		const offsetMs = findMiddle([...this.#offsets.values()]);
--- a/packages/duties/src/usage-store.ts
+++ b/packages/duties/src/usage-store.ts
@@ -33,7 +33,12 @@
 const reportRowSchema = z.object({counts: countsSchema, isSent: z.boolean()});
 
 /** What a host has counted in a window. */
-export type HostUsage = ToldUsage & {window: number; counts: ReadonlyMap<string, number>};
+export type HostUsage = ToldUsage & {
+	window: number;
+	counts: ReadonlyMap<string, number>;
+	/** Goes up whenever it is not known whether a row was written; the highest holds, whenever the others are performed. */
+	revision: number;
+};
 
 /** A report with the version of its row. */
 export type StoredReport = UsageReport & {isSent: boolean; version: number};
@@ -46,20 +51,27 @@
 		this.#rows = rows;
 	}
 
-	/** Writes what one host has counted, in the place of what it has told of these windows before. */
+	/** Writes what one host has counted, in the place of what it has told of these windows under the same revision. */
 	async tell(usages: readonly HostUsage[]): Promise<void> {
-		const puts = usages.map(({window, host, incarnation, isFinal, isLast, counts}) => ({
-			...locateCounts(window, incarnation), value: encode({
+		const puts = usages.map(({window, host, incarnation, revision, isFinal, isLast, counts}) => ({
+			...locateCounts(window, incarnation, revision), value: encode({
 				host, isFinal, isLast, counts: Object.fromEntries(counts),
 			}),
 		}));
 		await guard(this.#rows.commit({conditions: [], puts, deletes: []}));
 	}
 
-	/** Reads what all hosts have told of a window. */
+	/** Reads what all hosts have told of a window last. */
 	async readTold(window: number): Promise<HostUsage[]> {
 		const pages = await Promise.all(countParts.map(async part => this.#readRange(part, `${formatWindow(window)}/`, `${formatWindow(window)}0`)));
-		return pages.flat().map(row => decodeCounts(row));
+		const newest = new Map<string, HostUsage>();
+		for (const usage of pages.flat().map(row => decodeCounts(row))) {
+			if (usage.revision >= (newest.get(usage.incarnation)?.revision ?? 0)) {
+				newest.set(usage.incarnation, usage);
+			}
+		}
+
+		return [...newest.values()];
 	}
 
 	/** The oldest window of which something was told; undefined if nothing was. */
@@ -151,8 +163,8 @@
 	return String(window).padStart(windowDigits, '0');
 }
 
-function locateCounts(window: number, incarnation: string): RowAddress {
-	return {table: countTable, part: countParts[hashToNumber(incarnation) % partCount]!, key: `${formatWindow(window)}/${incarnation}`};
+function locateCounts(window: number, incarnation: string, revision: number): RowAddress {
+	return {table: countTable, part: countParts[hashToNumber(incarnation) % partCount]!, key: `${formatWindow(window)}/${incarnation}/${revision}`};
 }
 
 function locateReport(window: number): RowAddress {
@@ -164,10 +176,10 @@
 }
 
 function decodeCounts({key, value}: StoredValue): HostUsage {
-	const [window = '', incarnation = ''] = key.split('/', 2);
+	const [window = '', incarnation = '', revision = ''] = key.split('/', 3);
 	const {host, isFinal, isLast, counts} = decode(countRowSchema, key, value);
 	return {
-		window: Number(window), host, incarnation, isFinal, isLast, counts: new Map(Object.entries(counts)),
+		window: Number(window), host, incarnation, revision: Number(revision), isFinal, isLast, counts: new Map(Object.entries(counts)),
 	};
 }
 
--- a/packages/duties/src/usage-teller.ts
+++ b/packages/duties/src/usage-teller.ts
@@ -48,6 +48,8 @@
 	#writeTimer: NodeJS.Timeout | undefined;
 	#endTimer: NodeJS.Timeout | undefined;
 	#writing: Promise<void> | undefined;
+	/** Raised after each write that may still be performed, so that it can't take the place of a later one. */
+	#revision = 0;
 	#isLeaving = false;
 	#isStopped = false;
 
@@ -158,6 +160,7 @@
 				this.#over.delete(window);
 			}
 		} catch (error) {
+			this.#revision += 1;
 			for (const window of windows) {
 				this.#counts.markUntold(window);
 			}
@@ -170,7 +173,7 @@
 	#toUsage(window: number): HostUsage {
 		const {host, incarnation} = this.#settings;
 		return {
-			window, host, incarnation, isFinal: window <= this.#finalWindow, isLast: this.#isLeaving, counts: this.#counts.read(window),
+			window, host, incarnation, revision: this.#revision, isFinal: window <= this.#finalWindow, isLast: this.#isLeaving, counts: this.#counts.read(window),
 		};
 	}
 }
