Count only failures that scorers have answered against a score's attempts

Since scores are asked for at two endpoints, a call in which one answer broke off and one failed counted two failures.

Change: DirectCall tells how many endpoints answered that it failed, and only these count. Ruled out: scorers that fail a different way (only status 500 counts, as before).

--- a/packages/batches/__tests__/scoring.spec.ts
+++ b/packages/batches/__tests__/scoring.spec.ts
@@ -33,6 +33,24 @@
 		clock.uninstall();
 	});
 
+	/** Changes the endpoint that is asked first, whichever that is, before it is. */
+	function changeFirst(change: (scorer: MemoryEndpoint) => void): void {
+		const {client} = settings;
+		let isFirst = true;
+		settings = {
+			...settings, client: Object.assign(Object.create(client) as typeof client, {
+				async call(...[target, request, signal]: Parameters<typeof client.call>) {
+					if (isFirst) {
+						isFirst = false;
+						change(scorers.find(({id}) => id === target.id)!);
+					}
+
+					return client.call(target, request, signal);
+				},
+			}),
+		};
+	}
+
 	async function score(ms: number): Promise<string | undefined> {
 		const sample = {
 			id: 's', path: '/steps/s', headers: {}, body: '', score: {
@@ -62,20 +80,24 @@
 			switches.callMs = 200;
 		}
 
-		// Whichever is asked first is the slow one.
-		const sends: number[] = [];
-		const {client} = settings;
-		settings = {
-			...settings, client: Object.assign(Object.create(client) as typeof client, {
-				async call(...[target, request, signal]: Parameters<typeof client.call>) {
-					sends.push(performance.now());
-					scorers.find(({id}) => id === target.id)!.switches.callMs = sends.length === 1 ? 2500 : 200;
-					return client.call(target, request, signal);
-				},
-			}),
-		};
+		changeFirst(({switches}) => {
+			switches.callMs = 2500;
+		});
 		expect(await score(700)).to.match(/\/c$/v);
-		expect(sends).to.have.length(2);
+		expect(countRuns()).to.equal(2);
+	});
+
+	it('gives up only after as many failures as the route allows attempts, whatever else has broken off', async () => {
+		for (const {switches} of scorers) {
+			switches.status = 500;
+		}
+
+		changeFirst(({switches}) => {
+			switches.answersToLose = 1;
+		});
+		expect(await score(5000)).to.equal(undefined);
+		// One of them has broken off.
+		expect(countRuns()).to.equal(5);
 	});
 
 	it('fails at no more endpoints than the route allows attempts', async () => {
--- a/packages/batches/src/scoring.ts
+++ b/packages/batches/src/scoring.ts
@@ -49,8 +49,8 @@
 				return outcome.answer.stamp;
 			}
 
-			if (outcome.kind === 'answered' && outcome.answer.status === 500) {
-				failures += call.runCount;
+			if (call.failureCount > 0) {
+				failures += call.failureCount;
 				log.info('score_failed', {sample, failures, limit: route.maxAttempts});
 				if (failures >= route.maxAttempts) {
 					return undefined;
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -41,6 +41,9 @@
 	meter?: RunMeter;
 };
 
+/** Status of an endpoint that has run a request and failed. */
+const failedStatus = 500;
+
 /** Part of the objective after which a second attempt is started elsewhere; a retry can still meet the objective then. */
 const hedgeRatio = 0.5;
 
@@ -76,6 +79,7 @@
 	readonly #excluded = new Set<string>();
 	/** The endpoint's own failure, to be handed on if nothing better comes. */
 	#failure: {answer: ServingAnswer; endpoint: string} | undefined;
+	#failureCount = 0;
 	#lastReason = 'no endpoint is registered';
 
 	/** @param signal - aborts when the caller has left */
@@ -104,9 +108,9 @@
 		}
 	}
 
-	/** Endpoints that may have run it. */
-	get runCount(): number {
-		return this.#mayHaveRun.size;
+	/** Endpoints that have run it and answered that it failed; one that broke off is not among them. */
+	get failureCount(): number {
+		return this.#failureCount;
 	}
 
 	get #isRepeatable(): boolean {
@@ -182,6 +186,7 @@
 			}
 
 			this.#failure = outcome;
+			this.#failureCount += outcome.answer.status === failedStatus ? 1 : 0;
 			return undefined;
 		}
 
