--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -196,8 +196,8 @@
 	}
 
 	/**
-	 * Chooses an endpoint at which a run of another had better go on, and counts the run as open there; undefined if there is none. A run that left first
-	 * and chose then went from one slow endpoint to another that was nearer.
+	 * Chooses an endpoint at which a run of another had better go on, and counts the run as open there; undefined if there is none. It is taken before the run
+	 * leaves, so that the run doesn't end up at another slow endpoint that is merely nearer.
 	 *
 	 * @param isLong - whether the run has made many events already, and since it was last moved
 	 */
