Remove all counts of windows that are long over

Cause, found by reading the change once more: every twelve windows one transaction of 100 rows was removed of each of the four parts, while 39 hosts write 117 in that time and 1,700 hosts 5,100; the table would have grown without end and findOldestTold told of it. Change: rows are removed until none is left.

--- a/packages/duties/src/usage-store.ts
+++ b/packages/duties/src/usage-store.ts
@@ -106,17 +106,25 @@
 		await this.#writeReport({...report, isSent: true}, report.version);
 	}
 
-	/** Removes what lies before a window; as much of each part as one transaction takes. */
+	/** Removes all that lies before a window. */
 	async forgetBefore(window: number): Promise<void> {
-		const ranges = [{table: reportTable, part: ''}, ...countParts.map(part => ({table: countTable, part}))];
-		await Promise.all(ranges.map(async ({table, part}) => {
+		await Promise.all([this.#removeBefore(window, reportTable, ''), ...countParts.map(async part => this.#removeBefore(window, countTable, part))]);
+	}
+
+	async #removeBefore(window: number, table: string, part: string): Promise<void> {
+		for (;;) {
+			// What is read next is what the last transaction has left.
+			// eslint-disable-next-line no-await-in-loop
 			const {rows} = await guard(this.#rows.read({
 				table, part, to: formatWindow(window), limit: maxDeletes,
 			}));
-			if (rows.length > 0) {
-				await guard(this.#rows.commit({conditions: [], puts: [], deletes: rows.map(({key}) => ({table, part, key}))}));
+			if (rows.length === 0) {
+				return;
 			}
-		}));
+
+			// eslint-disable-next-line no-await-in-loop
+			await guard(this.#rows.commit({conditions: [], puts: [], deletes: rows.map(({key}) => ({table, part, key}))}));
+		}
 	}
 
 	async #writeReport({window, counts, isSent}: Omit<StoredReport, 'version'>, version: number): Promise<number | undefined> {
