Let the tests of customers and of usage fail when they must

Each of the new and sharper tests fails with its mistake put in by hand: names without the customer, the route's priority, a successor that sums anew. No code but the stand-in, which notes the customer of a run.

--- a/packages/duties/__tests__/usage.spec.ts
+++ b/packages/duties/__tests__/usage.spec.ts
@@ -1,5 +1,6 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import {UsageStore} from '../src/index.js';
 import {
 	createWorld, dueMs, windowMs, type Host, type World,
 } from './fixtures.js';
@@ -134,8 +135,10 @@
 		world.duties.switches.isDown = true;
 		await moveTo(6500);
 		hosts[0]!.kill();
-		// A host that tells more after the report was fixed changes nothing of it.
-		hosts[1]!.teller.begin('z').undo();
+		// What is told after the report was fixed changes nothing of it.
+		await new UsageStore(world.root).tell([{
+			window: firstWindow, host: 'd', incarnation: 'd-1', revision: 0, isFinal: true, isLast: true, counts: new Map([['z', 1]]),
+		}]);
 		world.duties.switches.isDown = false;
 		world.pass('b');
 		await moveTo(9000);
@@ -261,9 +264,12 @@
 
 	it('keeps no rows of windows that are long over', async () => {
 		await moveTo(100 * windowMs);
-		const {rows} = await world.root.read({table: 'usage-reports', part: '', limit: 500});
-		expect(rows.length).to.be.below(70);
-		const {rows: counts} = await world.root.read({table: 'usage-counts', part: 'u0', limit: 500});
-		expect(counts.length).to.be.at.most(70 * hosts.length);
+		// Those of 48 windows are kept, and of up to 12 more until the next removal.
+		const mostWindows = 48 + 12 + 2;
+		const ranges = [{table: 'usage-reports', part: ''}, ...['u0', 'u1', 'u2', 'u3'].map(part => ({table: 'usage-counts', part}))];
+		const pages = await Promise.all(ranges.map(async range => world.root.read({...range, limit: 500})));
+		const [reports, ...counts] = pages.map(({rows}) => rows.length);
+		expect(reports).to.be.within(48, mostWindows);
+		expect(counts.reduce((sum, length) => sum + length, 0)).to.be.within(48 * hosts.length, mostWindows * hosts.length);
 	});
 });
--- a/packages/standins/src/memory-serving.ts
+++ b/packages/standins/src/memory-serving.ts
@@ -37,7 +37,7 @@
 };
 
 /** What has happened at an endpoint. */
-export type ServingRecord = {attemptId: string; resumeAfter: number | undefined; urgency: number | undefined; version: number};
+export type ServingRecord = {attemptId: string; resumeAfter: number | undefined; urgency: number | undefined; customer: string | undefined; version: number};
 
 /** One endpoint. */
 export class MemoryEndpoint {
@@ -208,9 +208,9 @@
 	return endpoint.switches.isFull || endpoint.isBusy ? {...createHead(endpoint, 503), isNotRun: true} : undefined;
 }
 
-function note(endpoint: MemoryEndpoint, {attemptId, resumeAfter, urgency}: ServingRequest): void {
+function note(endpoint: MemoryEndpoint, {attemptId, resumeAfter, urgency, customer}: ServingRequest): void {
 	endpoint.runs.push({
-		attemptId, resumeAfter, urgency, version: endpoint.version,
+		attemptId, resumeAfter, urgency, customer, version: endpoint.version,
 	});
 }
 
