--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -5,6 +5,7 @@
 export * from './errors.js';
 export * from './membership.js';
 export type * from './row-store.js';
+export * from './row-pages.js';
 export type * from './serving.js';
 export type * from './storage.js';
 export {callEmpty, type HttpCall, type WholeCall} from './http.js';
--- a/packages/duties/src/usage-store.ts
+++ b/packages/duties/src/usage-store.ts
@@ -5,7 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	PlatformError, type RowAddress, type RowStore, type StoredValue, type UsageReport,
+	PlatformError, readPages, type RowAddress, type RowRange, type RowStore, type StoredValue, type UsageReport,
 } from '@wasabiusher/backends';
 import {describeError, hashToNumber} from '@wasabiusher/shared';
 import {z} from 'zod';
@@ -63,7 +63,9 @@
 
 	/** Reads what all hosts have told of a window last. */
 	async readTold(window: number): Promise<HostUsage[]> {
-		const pages = await Promise.all(countParts.map(async part => this.#readRange(part, `${formatWindow(window)}/`, `${formatWindow(window)}0`)));
+		const pages = await Promise.all(countParts.map(async part => this.#readAll({
+			table: countTable, part, from: `${formatWindow(window)}/`, to: `${formatWindow(window)}0`,
+		})));
 		const newest = new Map<string, HostUsage>();
 		for (const usage of pages.flat().map(row => decodeCounts(row))) {
 			if (usage.revision >= (newest.get(usage.incarnation)?.revision ?? 0)) {
@@ -83,7 +85,7 @@
 
 	/** Reads the reports from a window on, in ascending order. */
 	async readReports(from: number): Promise<StoredReport[]> {
-		const rows = await this.#readAll(reportTable, '', formatWindow(from));
+		const rows = await this.#readAll({table: reportTable, part: '', from: formatWindow(from)});
 		return rows.map(row => decodeReport(row));
 	}
 
@@ -143,27 +145,17 @@
 		}
 	}
 
-	async #readRange(part: string, from: string, to: string): Promise<StoredValue[]> {
-		return this.#readAll(countTable, part, from, to);
-	}
-
-	async #readAll(table: string, part: string, from: string, to?: string): Promise<StoredValue[]> {
+	async #readAll(range: RowRange): Promise<StoredValue[]> {
 		const rows: StoredValue[] = [];
-		let next = from;
-		for (;;) {
-			// Each page begins where the one before has ended.
-			// eslint-disable-next-line no-await-in-loop
-			const page = await guard(this.#rows.read({
-				table, part, from: next, to, limit: pageRows,
-			}));
-			rows.push(...page.rows);
-			const last = page.rows.at(-1);
-			if (!page.hasMore || !last) {
-				return rows;
+		try {
+			for await (const page of readPages(this.#rows, {...range, limit: pageRows})) {
+				rows.push(...page.rows);
 			}
-
-			next = `${last.key}\u0000`;
+		} catch (error) {
+			throw toDutyError(error);
 		}
+
+		return rows;
 	}
 }
 
--- a/packages/record/src/table-follower.ts
+++ b/packages/record/src/table-follower.ts
@@ -6,7 +6,9 @@
  * noticed within the wait and the store client's time; a lost history is answered by reading the table again, and
  * rows that are missing then count as removed.
  */
-import {PlatformError, type RowChange, type RowStore} from '@wasabiusher/backends';
+import {
+	PlatformError, readPages, type RowChange, type RowStore,
+} from '@wasabiusher/backends';
 import {describeError, type Log} from '@wasabiusher/shared';
 
 /**
@@ -31,9 +33,6 @@
 /** Rows asked for in one call; the store gives 500 at most. */
 const pageRows = 500;
 
-/** Key that comes after all keys with the prefix of an empty text. */
-const noKey = '';
-
 export type FollowerSettings = {
 	store: RowStore;
 	table: string;
@@ -233,27 +232,16 @@
 
 	async #readPart(part: string, seen: Set<string>): Promise<number> {
 		const {store, table} = this.#settings;
-		let from = noKey;
 		let first: number | undefined;
-		for (;;) {
-			// eslint-disable-next-line no-await-in-loop
-			const page = await store.read({
-				table, part, from, limit: pageRows,
-			});
+		for await (const page of readPages(store, {table, part, limit: pageRows})) {
 			first ??= page.version;
 			for (const row of page.rows) {
 				seen.add(nameRow(row));
 				this.#take(row);
 			}
-
-			const last = page.rows.at(-1);
-			if (!page.hasMore || !last) {
-				return first;
-			}
-
-			// The smallest key that comes after the last one.
-			from = `${last.key}\u0000`;
 		}
+
+		return first!;
 	}
 
 	#take(change: RowChange): void {
