Name the parts that hard load asks for, with their interfaces

Cause: on two customers with hard load waiting work, slots of other hosts and the speed of endpoints are known to nobody. The interfaces between the parts are typed modules without a body, so that the parts can be built side by side; the policy has a switch for each. No behaviour changes.

--- a/packages/backends/src/serving.ts
+++ b/packages/backends/src/serving.ts
@@ -34,7 +34,13 @@
 };
 
 /** Work at an endpoint, as it told with an answer. */
-export type EndpointLoad = {running: number; waiting: number; slots: number};
+export type EndpointLoad = {
+	running: number;
+	waiting: number;
+	slots: number;
+	/** Factor by which work takes longer on its machine at this moment; 1 as usual, undefined if it does not tell. */
+	slowness?: number;
+};
 
 /** Beginning of an endpoint's answer. */
 export type ServingHead = {
--- a/packages/decisions/src/policy.ts
+++ b/packages/decisions/src/policy.ts
@@ -32,6 +32,18 @@
 	ranksTakeOvers: z.boolean().default(true),
 	/** A host that the store does not serve has others make its calls. */
 	relaysStoreCalls: z.boolean().default(true),
+	/** Requests, texts and scores wait at their host in one order; without it each looks for an endpoint by itself. */
+	queuesAtHost: z.boolean().default(true),
+	/** Slots of an endpoint are shared among hosts by rations from its home host. */
+	sharesSlots: z.boolean().default(true),
+	/** Lasting classes, spells and present moments of endpoints are told apart, and texts are planned by them. */
+	plansTexts: z.boolean().default(true),
+	/** What a step needs most is committed first, and the results of several shares together. */
+	commitsByWorth: z.boolean().default(true),
+	/** Weights are loaded when the fewest texts wait for it; without it a fixed time after their publication. */
+	timesLoads: z.boolean().default(true),
+	/** Requests that crash endpoints are refused once three have crashed. */
+	refusesCrashers: z.boolean().default(true),
 	/** How the endpoints of a service are shared among its models. */
 	placement: z.enum(['by-need', 'even', 'all-models']).default('by-need'),
 	/** In which order the samples of a batch are begun. */
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -35,6 +35,10 @@
 	 * one attempt at a time to find that out; undefined if all are alike.
 	 */
 	homes?: ReadonlySet<string>;
+	/** Units of work that it is expected to take, such as events of a text; undefined if nobody knows. */
+	units?: number;
+	/** Time until it should be done, in milliseconds; undefined if nobody waits for it. */
+	dueInMs?: number;
 };
 
 /** Registered endpoints and their standing. */
--- a/packages/shared/src/deployment.ts
+++ b/packages/shared/src/deployment.ts
@@ -97,6 +97,8 @@
 	orderCount: number;
 	/** Time for which it stays slow after its start, in milliseconds. */
 	coldMs: number;
+	/** When it started, in milliseconds since 1970 by its own clock; differs for each start under one id. Undefined if it does not tell. */
+	bornMs?: number;
 };
 
 /** A version of weights that a trainer has published. */
--- /dev/null
+++ b/packages/slots/src/index.ts
@@ -0,0 +1,3 @@
+export type * from './waiter.js';
+export type * from './slot-line.js';
+export type * from './ration.js';
--- /dev/null
+++ b/packages/slots/src/slot-line.ts
@@ -0,0 +1,18 @@
+/**
+ * Where the requests, texts and scores of one process wait for slots, in one order.
+ */
+import type {SlotAnswer, Waiter} from './waiter.js';
+
+/** Who has how many in a line, for `status` and metrics. */
+export type TurnCount = {turn: string; urgency: number; waiting: number; oldestMs: number};
+
+/** The line. */
+export type SlotLine<Need, Endpoint> = {
+	/** How many wait. */
+	readonly size: number;
+	/** Waits for a slot; refused at once if it can't be served in its time. Never rejects. */
+	wait(waiter: Waiter<Need>, signal: AbortSignal): Promise<SlotAnswer<Endpoint>>;
+	/** Hands out what has become free. */
+	look(): void;
+	listTurns(): TurnCount[];
+};
