Tell one start of an endpoint from the next by its birth

An endpoint that crashes behind a cut and starts again under its id was taken for the earlier start unless it had accepted fewer orders. Registrations and reports now carry its start: what was believed of the earlier one goes, runs open there end at once, a row that the earlier one wrote late changes nothing, and a report of another start than the registered one gives no order.

--- a/packages/backends/src/serving.ts
+++ b/packages/backends/src/serving.ts
@@ -93,6 +93,8 @@
 	/** Whether an order is being carried out. */
 	isBusy: boolean;
 	orderCount: number;
+	/** Start of the endpoint, as in its registration; undefined if it does not tell. */
+	bornMs?: number;
 };
 
 /** How runs under way are treated while weights are changed. */
--- /dev/null
+++ b/packages/direct/__tests__/restart-watch.spec.ts
@@ -0,0 +1,122 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import type {RegisteredEndpoint} from '@wasabiusher/shared';
+import {DirectCall, SampleRun, WeightOrders} from '../src/index.js';
+import {
+	createBench, createRequest, createRoute, createSample, type Bench,
+} from './fixtures.js';
+
+describe('an endpoint that starts again under its id', () => {
+	let clock: Clock;
+	let bench: Bench;
+
+	beforeEach(() => {
+		clock = install();
+		bench = createBench(2);
+		register({bornMs: 100, orderCount: 2});
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	function register(changes: Partial<RegisteredEndpoint>): void {
+		bench.directory.put({...bench.directory.get('i0')!, ...changes});
+	}
+
+	it('is known by its start alone: nothing believed of the earlier one holds, though as many orders were accepted', () => {
+		const {directory} = bench;
+		directory.recordVersion('i0', 'm', 7);
+		directory.recordRunPace('i0', 120);
+		directory.pause('i0', 60_000);
+		register({bornMs: 200, orderCount: 2, models: [{model: 'm', version: 3}]});
+		expect([directory.findVersion('i0', 'm'), directory.findBestPace('i0')]).to.deep.equal([3, undefined]);
+		expect(directory.take({service: 's', excluded: new Set(['i1'])})?.id).to.equal('i0');
+	});
+
+	it('does not come back to the former start by what that one wrote late', () => {
+		register({bornMs: 200, orderCount: 0, models: [{model: 'm', version: 3}]});
+		register({
+			bornMs: 100, orderCount: 9, isDraining: true, models: [{model: 'm', version: 9}],
+		});
+		expect(bench.directory.get('i0')).to.deep.include({bornMs: 200, isDraining: false});
+		expect(bench.directory.findVersion('i0', 'm')).to.equal(3);
+	});
+
+	it('stays draining within one start, whatever is written late, and serves after the next', () => {
+		register({isDraining: true});
+		register({isDraining: false});
+		expect(bench.directory.get('i0')!.isDraining).to.equal(true);
+		register({bornMs: 200, isDraining: false});
+		expect(bench.directory.get('i0')!.isDraining).to.equal(false);
+	});
+
+	it('keeps count of what is open at the new start when attempts at the earlier one end', () => {
+		const {directory} = bench;
+		const need = {service: 's', excluded: new Set(['i1'])};
+		directory.take(need);
+		register({bornMs: 200});
+		directory.release('i0');
+		expect(directory.countOpen('i0')).to.equal(0);
+		directory.take(need);
+		expect(directory.countOpen('i0')).to.equal(1);
+		directory.release('i0');
+		expect(directory.countOpen('i0')).to.equal(0);
+	});
+
+	it('has a dark run go on elsewhere at once, and is not blamed for it', async () => {
+		const {directory, endpoints} = bench;
+		endpoints[0]!.switches.isDark = true;
+		directory.pause('i1', 50);
+		const run = new SampleRun({
+			directory, client: bench.client, log: bench.log, findRoute: () => createRoute({kind: 'batch'}), chance: () => 0,
+		}, createSample(), new AbortController().signal).run();
+		await clock.tickAsync(200);
+		register({bornMs: 200});
+		await clock.tickAsync(400);
+		const {kind} = await run;
+		expect(kind).to.equal('made');
+		expect(endpoints[1]!.runs).to.have.length(1);
+		expect(directory.take({service: 's', excluded: new Set(['i1'])})?.id).to.equal('i0');
+	});
+
+	it('answers a call that may not run twice with "unknown" at once, and sends one that may to another endpoint', async () => {
+		const outcomes = await Promise.all((['non-idempotent', 'idempotent'] as const).map(async kind => {
+			const {directory, endpoints, ...settings} = createBench(2);
+			directory.put({...directory.get('i0')!, bornMs: 100});
+			directory.pause('i1', 20);
+			endpoints[0]!.switches.callMs = 50_000;
+			const call = new DirectCall({...settings, directory, policy: undefined}, createRoute({kind, objectiveMs: 5000}), createRequest(60_000), new AbortController().signal).run();
+			await clock.tickAsync(100);
+			directory.put({...directory.get('i0')!, bornMs: 200});
+			await clock.tickAsync(100);
+			return call;
+		}));
+		expect(outcomes.map(({kind}) => kind)).to.deep.equal(['unknown', 'answered']);
+	});
+
+	it('is not ordered by the report of another start than the registered one', async () => {
+		const {directory, client, log, endpoints} = bench;
+		const orders = new WeightOrders({
+			directory, client, right: {fence: 1, holds: () => true}, holder: 'a', log, chooseMode: () => 'continue',
+		});
+		endpoints[0]!.bornMs = 200;
+		endpoints[0]!.version = 9;
+		orders.publish('m', 2);
+		const tick = async () => {
+			for (let i = 0; i < 40; i += 1) {
+				orders.tick();
+				// eslint-disable-next-line no-await-in-loop
+				await clock.tickAsync(50);
+			}
+		};
+
+		await tick();
+		expect(endpoints[0]!.orders).to.have.length(0);
+		expect(directory.findVersion('i0', 'm')).to.equal(1);
+		endpoints[0]!.version = 1;
+		register({bornMs: 200, orderCount: 0});
+		await tick();
+		expect(endpoints[0]!.orders).to.have.length(1);
+	});
+});
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -10,6 +10,7 @@
 } from '@wasabiusher/shared';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import {BegunRuns, type RunMeter} from './run-meter.js';
+import {RestartWatch} from './restart-watch.js';
 
 /** A request as a caller has sent it. */
 export type CallerRequest = Omit<ServingRequest, 'remainingMs'> & {
@@ -202,10 +203,11 @@
 		const {client, directory} = this.#settings;
 		const {id} = endpoint;
 		const startedAt = performance.now();
+		const restart = new RestartWatch(directory, id);
 		this.#excluded.add(id);
 		this.#mayHaveRun.add(id);
 		try {
-			const answer = await client.call(endpoint, this.#toServing(), signal);
+			const answer = await client.call(endpoint, this.#toServing(), AbortSignal.any([signal, restart.signal]));
 			directory.recordHead(id, answer);
 			if (answer.isNotRun) {
 				this.#mayHaveRun.delete(id);
@@ -219,13 +221,14 @@
 			directory.recordPace(id, performance.now() - startedAt);
 			return {kind: 'answered', answer, endpoint: id};
 		} catch (error) {
-			return this.#noteError(id, error, signal);
+			return this.#noteError(id, error, signal, restart);
 		} finally {
+			restart.end();
 			directory.release(id);
 		}
 	}
 
-	#noteError(id: string, error: unknown, signal: AbortSignal): AttemptOutcome {
+	#noteError(id: string, error: unknown, signal: AbortSignal, {hasRestarted}: RestartWatch): AttemptOutcome {
 		const {directory, log} = this.#settings;
 		const reason = `${id}: ${describeError(error)}`;
 		this.#lastReason = reason;
@@ -235,7 +238,10 @@
 		}
 
 		log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
-		directory.recordFailure(id);
+		if (!hasRestarted) {
+			directory.recordFailure(id);
+		}
+
 		if (isProvenNotRun(error)) {
 			this.#mayHaveRun.delete(id);
 			return {kind: 'not-run', endpoint: id, reason};
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -7,6 +7,7 @@
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
 import {EndpointStanding} from './endpoint-standing.js';
+import {compareStarts} from './restart-watch.js';
 
 /**
  * How long an endpoint whose registration has vanished is still asked if nothing else can be, in milliseconds.
@@ -48,6 +49,8 @@
 	readonly #policy: Policy;
 	readonly #lateness: Lateness;
 	readonly #listeners = new Set<() => void>();
+	/** By endpoint; called when it has started again. */
+	readonly #restartListeners = new Map<string, Set<() => void>>();
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
@@ -58,20 +61,42 @@
 		this.#lateness = lateness;
 	}
 
-	/** Takes over a registration. One that has accepted fewer orders than before has started again: nothing that was seen of it holds. */
+	/** Takes over a registration. Of one that has started again nothing that was seen holds, and what a former start wrote late is ignored. */
 	put(endpoint: RegisteredEndpoint): void {
 		const known = this.#standings.get(endpoint.id);
-		const standing = known && endpoint.orderCount >= known.endpoint.orderCount ? known : new EndpointStanding(endpoint, this.#policy);
-		standing.endpoint = endpoint;
-		standing.vanishedAt = undefined;
+		const relation = known ? compareStarts(endpoint, known.endpoint) : 'new';
+		if (relation === 'former') {
+			return;
+		}
+
+		const standing = known && relation === 'same' ? known : new EndpointStanding(endpoint, this.#policy, known?.countEnds());
+		standing.register(endpoint);
 		for (const {model, version} of endpoint.models) {
 			standing.recordVersion(model, version);
 		}
 
 		this.#standings.set(endpoint.id, standing);
+		if (known && known !== standing) {
+			for (const listener of this.#restartListeners.get(endpoint.id) ?? []) {
+				listener();
+			}
+		}
+
 		this.#notify();
 	}
 
+	/** Calls back when an endpoint has started again under its id; returns how to end that. */
+	onRestart(id: string, listener: () => void): () => void {
+		const listeners = this.#restartListeners.get(id) ?? new Set();
+		this.#restartListeners.set(id, listeners.add(listener));
+		return () => {
+			listeners.delete(listener);
+			if (listeners.size === 0 && this.#restartListeners.get(id) === listeners) {
+				this.#restartListeners.delete(id);
+			}
+		};
+	}
+
 	/** Notes that a registration is gone; the endpoint is a last resort for a moment. */
 	remove(id: string): void {
 		const standing = this.#standings.get(id);
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -46,6 +46,8 @@
 	readonly #versions = new Map<string, number>();
 	readonly #warmKeys = new Set<string>();
 	#open = 0;
+	/** Attempts at an earlier start under this id that have not been ended yet. */
+	#formerOpen: number;
 	#load: EndpointLoad | undefined;
 	#loadAt = 0;
 	/** When the last attempt began, and when an answer last did. */
@@ -58,9 +60,23 @@
 	#usedAt = Number.NEGATIVE_INFINITY;
 	readonly #policy: Policy;
 
-	constructor(endpoint: RegisteredEndpoint, policy = defaultPolicy) {
+	/** @param formerOpen - attempts at an earlier start whose ends are still to come */
+	constructor(endpoint: RegisteredEndpoint, policy = defaultPolicy, formerOpen = 0) {
 		this.endpoint = endpoint;
 		this.#policy = policy;
+		this.#formerOpen = formerOpen;
+	}
+
+	/** Takes over a registration of the same start. One that tells its start never comes back from draining, whatever is written late. */
+	register(endpoint: RegisteredEndpoint): void {
+		const isDraining = endpoint.isDraining || (endpoint.bornMs !== undefined && this.endpoint.bornMs === endpoint.bornMs && this.endpoint.isDraining);
+		this.endpoint = {...endpoint, isDraining};
+		this.vanishedAt = undefined;
+	}
+
+	/** Attempts whose ends are still to come, at this start and at earlier ones. */
+	countEnds(): number {
+		return this.#open + this.#formerOpen;
 	}
 
 	/** Requests of this process that are open there. */
@@ -130,6 +146,12 @@
 
 	/** Notes that an attempt has ended. */
 	end(): void {
+		if (this.#formerOpen > 0) {
+			// Those at the earlier start are ended at once, so they come first.
+			this.#formerOpen -= 1;
+			return;
+		}
+
 		this.#open = Math.max(0, this.#open - 1);
 		this.#refusals.end();
 		this.#silences.end();
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -14,6 +14,7 @@
 import {chooseService} from './call.js';
 import type {EndpointDirectory, EndpointNeed} from './endpoint-directory.js';
 import {PhaseTimes, type RunPhase} from './phase-times.js';
+import {RestartWatch} from './restart-watch.js';
 import {SilenceWatch} from './silence-watch.js';
 
 /** What a sample asks of the endpoints. */
@@ -230,7 +231,8 @@
 		const {directory, client, log} = this.#settings;
 		const {id} = endpoint;
 		const stop = new AbortController();
-		const signal = AbortSignal.any([this.#signal, stop.signal]);
+		const restart = new RestartWatch(directory, id);
+		const signal = AbortSignal.any([this.#signal, stop.signal, restart.signal]);
 		const before = this.#text.events.length;
 		const startedAt = performance.now();
 		let headMs: number | undefined;
@@ -257,7 +259,7 @@
 			});
 			if (stop.signal.aborted) {
 				directory.recordSilence(id);
-			} else {
+			} else if (!restart.hasRestarted) {
 				directory.recordFailure(id);
 			}
 
@@ -267,6 +269,7 @@
 			return 'again';
 		} finally {
 			watch.end();
+			restart.end();
 			log.info('run_ended', {
 				batch: this.#sample.batch, sample: this.#sample.id, model: this.#sample.model, endpoint: id, status, from: before, events: this.#text.events.length, headMs,
 				tookMs: Math.round(performance.now() - startedAt),
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -11,6 +11,7 @@
 } from './call.js';
 import {resumeStream} from './resumed-stream.js';
 import {BegunRuns} from './run-meter.js';
+import {RestartWatch} from './restart-watch.js';
 import {SilenceWatch} from './silence-watch.js';
 
 /** The beginning of a streamed answer, or why there is none. */
@@ -34,6 +35,7 @@
 	readonly #runs: BegunRuns;
 	/** Where it runs at present. */
 	#endpoint: string | undefined;
+	#restart: RestartWatch | undefined;
 	#lastReason = 'no endpoint is registered';
 
 	/** @param signal - aborts when the caller has left */
@@ -68,7 +70,7 @@
 
 	/** Goes on after an event; undefined if no endpoint can. */
 	async #reopen(after: number | undefined): Promise<ServingStream | undefined> {
-		if (this.#endpoint !== undefined) {
+		if (this.#endpoint !== undefined && !this.#restart?.hasRestarted) {
 			this.#settings.directory.recordFailure(this.#endpoint);
 		}
 
@@ -110,10 +112,12 @@
 		const {client, directory, log} = this.#settings;
 		const {id} = endpoint;
 		const stop = new AbortController();
+		const restart = new RestartWatch(directory, id);
+		this.#restart = restart;
 		const watch = this.#route.isResumable ? new SilenceWatch(stop, () => directory.findHeardAt(id)) : undefined;
 		try {
 			this.#runs.add(id);
-			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, stop.signal]));
+			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, stop.signal, restart.signal]));
 			directory.recordHead(id, stream);
 			if (!stream.isNotRun) {
 				this.#begun += 1;
@@ -133,7 +137,10 @@
 			}
 
 			log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
-			directory.recordFailure(id);
+			if (!restart.hasRestarted) {
+				directory.recordFailure(id);
+			}
+
 			if (isProvenNotRun(error)) {
 				this.#runs.delete(id);
 				return undefined;
@@ -150,6 +157,7 @@
 	}
 
 	#release(): void {
+		this.#restart?.end();
 		if (this.#endpoint !== undefined) {
 			this.#settings.directory.release(this.#endpoint);
 			this.#endpoint = undefined;
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -15,6 +15,7 @@
 	describeError, groupBy, type Log, type RegisteredEndpoint,
 } from '@wasabiusher/shared';
 import type {EndpointDirectory} from './endpoint-directory.js';
+import {isOfStart} from './restart-watch.js';
 
 /** The right to give orders; a `LeaseHolder` has this shape. */
 export type OrderRight = {readonly fence: number; holds(): boolean};
@@ -74,6 +75,8 @@
 	version: number;
 	/** Orders that the endpoint had accepted before. */
 	expectedOrders: number;
+	/** The start of the endpoint that was told. */
+	bornMs: number | undefined;
 	startedAt: number;
 	nextLookAt: number;
 };
@@ -175,7 +178,10 @@
 		const now = performance.now();
 		for (const endpoint of endpoints) {
 			const transition = this.#loading.get(endpoint.id);
-			if (transition && this.#holds(endpoint, transition)) {
+			if (transition && !isOfStart(transition.bornMs, endpoint)) {
+				this.#loading.delete(endpoint.id);
+				this.#notBefore.delete(endpoint.id);
+			} else if (transition && this.#holds(endpoint, transition)) {
 				this.#finish(endpoint, transition);
 			} else if (transition && now - transition.startedAt > orderMs) {
 				this.#loading.delete(endpoint.id);
@@ -218,6 +224,12 @@
 		const {client, directory, log} = this.#settings;
 		try {
 			const report = await client.report(endpoint);
+			const registered = directory.get(endpoint.id) ?? endpoint;
+			if (![endpoint.bornMs, report.bornMs].every(bornMs => isOfStart(bornMs, registered))) {
+				log.info('report_of_other_start', {endpoint: endpoint.id, registered: registered.bornMs, told: report.bornMs});
+				return undefined;
+			}
+
 			for (const {model, version} of report.models) {
 				directory.recordVersion(endpoint.id, model, version);
 			}
@@ -295,7 +307,7 @@
 		const startedAt = performance.now();
 		this.#orderedAt = startedAt;
 		this.#loading.set(endpoint.id, {
-			model, version, expectedOrders: report.orderCount, startedAt, nextLookAt: startedAt + reportMs,
+			model, version, expectedOrders: report.orderCount, bornMs: endpoint.bornMs, startedAt, nextLookAt: startedAt + reportMs,
 		});
 		directory.pause(endpoint.id, holdBackMs);
 		try {
--- a/packages/standins/src/memory-serving.ts
+++ b/packages/standins/src/memory-serving.ts
@@ -54,6 +54,8 @@
 	version = 1;
 	orderCount = 0;
 	isBusy = false;
+	/** Told in reports; undefined if it does not tell. */
+	bornMs: number | undefined;
 	/** Versions of other models that it was told to load. */
 	readonly #others = new Map<string, number>();
 	/** Reports as of the last changes, the newest last. */
@@ -98,7 +100,9 @@
 
 	#describe(): ServingReport {
 		const models = ['m', ...this.#others.keys()].map(model => ({model, version: this.#findVersion(model)}));
-		return {models, isBusy: this.isBusy, orderCount: this.orderCount};
+		return {
+			models, isBusy: this.isBusy, orderCount: this.orderCount, ...(this.bornMs === undefined ? {} : {bornMs: this.bornMs}),
+		};
 	}
 
 	#findVersion(model: string): number {
