Let rows of other writers name nothing and hold up nobody

A row that a handler threw on failed the whole round of its table: the host counted as cut off from the store, and with garbage written all the time it never read the table to its end. Such a row is now told once per version, at most five lines in ten seconds, and the others hold. A lease row that can't be read is taken over after a term under a fence above all that were used.

--- a/packages/batches/__tests__/host-registry.spec.ts
+++ b/packages/batches/__tests__/host-registry.spec.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {defaultPolicy} from '@wasabiusher/decisions';
@@ -28,6 +29,33 @@
 		clock.uninstall();
 	});
 
+	it('takes nothing from a row of absurd figures or of no form, and ignores fields of a newer release', () => {
+		const paces: Array<Record<string, number>> = [];
+		const registry = createRegistry('a', false, {
+			onPaces(told) {
+				paces.push(told);
+			},
+		});
+		const row = {
+			incarnation: 'x', beat: 1, isLeaving: false, paces: {i: 20}, ofNewerRelease: {any: true},
+		};
+		const apply = (value: string) => {
+			registry.apply({
+				table: hostTable, part: '', key: 'b', version: 1, value: Buffer.from(value),
+			});
+		};
+
+		for (const value of ['', '{', 'null', '[]', JSON.stringify({...row, paces: {i: -1}}), JSON.stringify({...row, cores: 1e9}), JSON.stringify({...row, beat: 'x'})]) {
+			expect(() => {
+				apply(value);
+			}).to.throw();
+		}
+
+		expect([registry.count, paces]).to.deep.equal([0, []]);
+		apply(JSON.stringify(row));
+		expect([registry.count, paces]).to.deep.equal([1, [{i: 20}]]);
+	});
+
 	function createRegistry(host: string, ownsWork: boolean, changes: Partial<HostRegistrySettings> = {}): HostRegistry {
 		const registry = new HostRegistry({
 			rows: store, host, log: createSilentLog(), ownsWork: () => ownsWork, ...changes,
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -69,6 +69,10 @@
 /** Most endpoints of which a heartbeat tells; they make a row 0.35 KB longer. */
 const maxToldPaces = 12;
 
+/** More cores than a host has, and a longer time than any unit of work takes, in milliseconds: rows of other writers must not decide what goes where. */
+const maxCores = 4096;
+const maxPaceMs = 3_600_000;
+
 const hostSchema = z.object({
 	incarnation: z.string(),
 	beat: z.int(),
@@ -77,7 +81,7 @@
 	isResting: z.boolean().default(false),
 	/** Where it is, and the cores that its process may use; 0 if it does not know. */
 	dataCentre: z.string().default(''),
-	cores: z.number().default(0),
+	cores: z.number().nonnegative().max(maxCores).default(0),
 	/** How late the process's timers were of late, in milliseconds. */
 	lateMs: z.number().default(0),
 	/** Where other hosts reach it, `ip:port`; empty if they can't. */
@@ -85,7 +89,7 @@
 	/** Time of day of its host less the store's clock, in milliseconds, as told when it was written. */
 	clockMs: z.number().optional(),
 	/** Best paces of endpoints that it has measured, in milliseconds; told now and then. */
-	paces: z.record(z.string(), z.number()).optional(),
+	paces: z.record(z.string(), z.number().positive().max(maxPaceMs)).optional(),
 });
 
 type HostRow = z.infer<typeof hostSchema>;
--- a/packages/direct/__tests__/weight-orders.spec.ts
+++ b/packages/direct/__tests__/weight-orders.spec.ts
@@ -49,6 +49,24 @@
 		expect(countOrders()).to.equal(6);
 	});
 
+	it('orders nothing of a service that the configuration does not name, nor again of an id that another server has', async () => {
+		const [template] = bench.directory.list();
+		bench.directory.put({
+			...template!, id: 'x', service: 'other', address: 'a9',
+		});
+		bench.directory.put({...template!, id: 'y', address: 'a8'});
+		bench.serving.add('a8', 'z');
+		const stranger = bench.serving.add('a9', 'x');
+		orders = new WeightOrders({
+			directory: bench.directory, client: bench.client, right, holder: 'a', log: bench.log, chooseMode: () => 'continue', isServed: service => service === 's',
+		});
+		orders.publish('m', 2);
+		await tickFor(6000);
+		expect(stranger.orders).to.have.length(0);
+		expect(bench.directory.get('y')).to.equal(undefined);
+		expect(bench.endpoints.map(({version}) => version)).to.deep.equal([2, 2, 2, 2, 2, 2]);
+	});
+
 	it('keeps an endpoint of each model that does not load, where several models share the endpoints', async () => {
 		bench = createBench(6, ['a', 'b', 'c']);
 		orders = new WeightOrders({
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -30,6 +30,8 @@
 	policy?: Policy;
 	/** How runs under way are treated at a service. */
 	chooseMode(service: string): LoadMode;
+	/** Whether the configuration names a service; others get no orders. All are by default. */
+	isServed?(service: string): boolean;
 	/** What the steps of each model ask for of late. */
 	findNeeds?(): ReadonlyMap<string, ModelNeed>;
 };
@@ -124,7 +126,8 @@
 			return;
 		}
 
-		const services = groupBy(directory.list(), ({service}) => service);
+		const {isServed = () => true} = this.#settings;
+		const services = groupBy(directory.list().filter(({service}) => isServed(service)), ({service}) => service);
 		for (const endpoints of services.values()) {
 			this.#look(endpoints);
 			this.#order(endpoints, this.#findPlaces(endpoints));
@@ -327,6 +330,11 @@
 	}
 
 	#noteOutcome({id}: RegisteredEndpoint, outcome: OrderOutcome): void {
+		if (outcome === 'misdirected') {
+			// Its registration names a server that is not there, so it would be asked again and again.
+			this.#settings.directory.recordMisdirected(id);
+		}
+
 		if (outcome !== 'accepted') {
 			this.#loading.delete(id);
 			this.#notBefore.set(id, performance.now() + (outcome === 'fenced' ? orderMs : retryMs));
--- a/packages/gateway/__tests__/catalog.spec.ts
+++ b/packages/gateway/__tests__/catalog.spec.ts
@@ -15,7 +15,7 @@
 		directory, client: new MemoryServing(), right: {fence: 1, holds: () => false}, holder: 'a', log, chooseMode: () => 'continue',
 	});
 	const catalog = new Catalog({
-		directory, orders, log, format: {
+		directory, orders, log, ownAddresses: new Set(['10.0.0.9:80']), format: {
 			operatorTable: 'op',
 			endpointTable: 'servers',
 			decodeOperatorRow: () => ({kind: 'other'}),
@@ -33,9 +33,9 @@
 	return {directory, lines, apply};
 }
 
-function createRow(id: string): string {
+function createRow(id: string, address = '10.0.0.1:80'): string {
 	return JSON.stringify({
-		id, service: 's', address: '10.0.0.1:80', dataCentre: 'd', slots: 4, isDraining: false, models: [], orderCount: 0, coldMs: 0,
+		id, service: 's', address, dataCentre: 'd', slots: 4, isDraining: false, models: [], orderCount: 0, coldMs: 0,
 	});
 }
 
@@ -47,6 +47,14 @@
 		expect(directory.list('s').map(({id}) => id)).to.deep.equal(['i-1']);
 	});
 
+	it('names no endpoint by an address of this host, which would call itself', () => {
+		const {directory, lines, apply} = createCatalog();
+		apply('i-1', createRow('i-1', '10.0.0.9:80'), 1);
+		apply('i-2', createRow('i-2'), 2);
+		expect(directory.list('s').map(({id}) => id)).to.deep.equal(['i-2']);
+		expect(lines.some(line => line.includes('endpoint_row_invalid'))).to.equal(true);
+	});
+
 	it('takes an endpoint away whose row has become unreadable, until it can be read again', () => {
 		const {directory, apply} = createCatalog();
 		apply('i-1', createRow('i-1'), 1);
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -5,8 +5,9 @@
  */
 import type {RowChange} from '@wasabiusher/backends';
 import type {EndpointDirectory, WeightOrders} from '@wasabiusher/direct';
-import {
-	describeError, type Deployment, type Log, type PublishedVersion, type RegisteredEndpoint,
+import {RowFaults} from '@wasabiusher/record';
+import type {
+	Deployment, Log, PublishedVersion, RegisteredEndpoint,
 } from '@wasabiusher/shared';
 import {CustomerKeys} from './customer-keys.js';
 
@@ -29,6 +30,8 @@
 	directory: EndpointDirectory;
 	orders: WeightOrders;
 	log: Log;
+	/** Addresses, `ip:port`, at which no endpoint can be: this host's own. */
+	ownAddresses?: ReadonlySet<string>;
 	onDeployment?(deployment: Deployment): void;
 };
 
@@ -36,12 +39,14 @@
 export class Catalog {
 	readonly keys = new CustomerKeys();
 	readonly #settings: CatalogSettings;
-	/** Versions of registrations that could not be read, so that each is told once. */
-	readonly #unreadable = new Map<string, number>();
+	readonly #endpointFaults: RowFaults;
+	readonly #operatorFaults: RowFaults;
 	#deployment: Deployment | undefined;
 
 	constructor(settings: CatalogSettings) {
 		this.#settings = settings;
+		this.#endpointFaults = new RowFaults(settings.log, 'endpoint_row_invalid');
+		this.#operatorFaults = new RowFaults(settings.log, 'operator_row_invalid');
 	}
 
 	get deployment(): Deployment | undefined {
@@ -49,7 +54,8 @@
 	}
 
 	/** Takes over a row of the operators' table. */
-	applyOperatorRow({key, value}: RowChange): void {
+	applyOperatorRow(change: RowChange): void {
+		const {key, value} = change;
 		if (value === undefined) {
 			return;
 		}
@@ -58,22 +64,26 @@
 			const row = this.#settings.format.decodeOperatorRow(key, value);
 			operatorHandlers[row.kind](this, row);
 		} catch (error) {
-			this.#settings.log.error('operator_row_invalid', {row: key, reason: describeError(error)});
+			this.#operatorFaults.note(change, error);
 		}
 	}
 
 	/** Takes over a registration, or its removal. A row that can't be read, as another writer may leave, names no endpoint; the others hold. */
-	applyEndpoint({key, value, version}: RowChange): void {
-		const {format, directory, log} = this.#settings;
+	applyEndpoint(change: RowChange): void {
+		const {key, value} = change;
+		const {format, directory, log, ownAddresses} = this.#settings;
 		if (value === undefined) {
 			log.info('endpoint_removed', {endpoint: key});
-			this.#unreadable.delete(key);
 			directory.remove(key);
 			return;
 		}
 
 		try {
 			const endpoint = format.decodeEndpoint(key, value);
+			if (ownAddresses?.has(endpoint.address)) {
+				throw new Error(`${endpoint.address} is this host's own address`);
+			}
+
 			const known = directory.get(key);
 			if (known?.isDraining !== endpoint.isDraining) {
 				log.info('endpoint_registered', {
@@ -82,13 +92,9 @@
 			}
 
 			directory.put(endpoint);
-			this.#unreadable.delete(key);
 		} catch (error) {
 			directory.remove(key);
-			if (this.#unreadable.get(key) !== version) {
-				this.#unreadable.set(key, version);
-				log.error('endpoint_row_invalid', {endpoint: key, version, reason: describeError(error)});
-			}
+			this.#endpointFaults.note(change, error);
 		}
 	}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -82,6 +82,8 @@
 	statusMs: number;
 	/** Where other hosts link to this one; undefined if they can't. */
 	peers?: {address: string; server: Server};
+	/** Addresses of this host, `ip:port`, at which no endpoint can be. */
+	ownAddresses?: ReadonlySet<string>;
 	/** How usage is reported; undefined if nobody wants to know it. */
 	usage?: {client: DutyClient; windowMs: number; dueMs: number};
 	/** Which mechanisms decide; all by default. */
@@ -142,10 +144,11 @@
 		this.#orders = new WeightOrders({
 			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
 			findNeeds: () => this.batches.listNeeds(),
+			isServed: service => this.#catalog.deployment?.services.some(({name}) => name === service) ?? false,
 			policy,
 		});
 		this.#catalog = new Catalog({
-			format, directory: this.#directory, orders: this.#orders, log, onDeployment: settings.onDeployment,
+			format, directory: this.#directory, orders: this.#orders, log, ownAddresses: settings.ownAddresses, onDeployment: settings.onDeployment,
 		});
 		this.#hosts = new HostRegistry({
 			rows, host, dataCentre, cores, address: settings.peers?.address, log, policy, findLateMs: () => this.#lateness.usualMs, ownsWork: () => this.batches.hasWork,
--- a/packages/record/__tests__/lease-holder.spec.ts
+++ b/packages/record/__tests__/lease-holder.spec.ts
@@ -37,6 +37,26 @@
 		expect(b.owner?.holder).to.equal('a');
 	});
 
+	it('takes over a row that can not be read after a term, under a higher fence than any that was used', async () => {
+		const a = createHolder(tables, 'a');
+		a.start();
+		await clock.tickAsync(10 * termMs);
+		const {fence} = a;
+		a.stop();
+		const row = await tables.read('leases', 'rollout');
+		const [version] = await tables.transact([{
+			table: 'leases', key: 'rollout', expect: row!.version, value: {holder: 7, fence: 'x'},
+		}]);
+		const b = createHolder(tables, 'b');
+		b.start();
+		await clock.tickAsync(termMs / 2);
+		expect(b.holds()).to.equal(false);
+		await clock.tickAsync(2 * termMs);
+		expect(b.holds()).to.equal(true);
+		expect(b.fence).to.be.greaterThan(Math.max(fence, version!));
+		b.stop();
+	});
+
 	it('does not count as held after a suspension that the monotonic clock has not counted', async () => {
 		const a = createHolder(tables, 'a');
 		a.start();
--- a/packages/record/__tests__/table-follower.spec.ts
+++ b/packages/record/__tests__/table-follower.spec.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {createSilentLog, Random} from '@wasabiusher/shared';
+import {createSilentLog, Log, Random} from '@wasabiusher/shared';
 import {MemoryRowStore} from '@wasabiusher/standins';
 import {TableFollower} from '../src/index.js';
 
@@ -49,6 +49,43 @@
 		clock.uninstall();
 	});
 
+	it('goes on past rows that can not be applied, tells each version once, and no more than some lines in ten seconds', async () => {
+		follower.stop();
+		const lines: string[] = [];
+		const log = new Log('test', 'info', line => {
+			lines.push(line);
+		});
+		const seen: string[] = [];
+		const strict = new TableFollower({
+			store: view, table: 't', parts: [''], log, waitMs: 1000, apply({key}) {
+				if (key.startsWith('bad')) {
+					throw new Error('no form');
+				}
+
+				seen.push(key);
+			},
+		});
+		await put('bad', 'x');
+		await put('z', '1');
+		void strict.run();
+		await clock.tickAsync(1);
+		expect([strict.isSynced, strict.isDown, ...seen]).to.deep.equal([true, false, 'a', 'z']);
+		for (let i = 0; i < 50; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await put(`bad${i}`, 'x');
+		}
+
+		await put('y', '1');
+		await clock.tickAsync(1);
+		expect(seen).to.include('y');
+		expect(lines.filter(line => line.includes('row_invalid'))).to.have.length(5);
+		await clock.tickAsync(10_000);
+		await put('bad', 'y');
+		await clock.tickAsync(1);
+		expect(lines.at(-1)).to.include('untold=46');
+		strict.stop();
+	});
+
 	it('reads what is there, then each change as it comes', async () => {
 		expect([...rows]).to.deep.equal([['a', '1']]);
 		await put('a', '2');
--- a/packages/record/src/index.ts
+++ b/packages/record/src/index.ts
@@ -9,4 +9,5 @@
 export * from './settled-write.js';
 export * from './take-over-pace.js';
 export * from './part-tables.js';
+export * from './row-faults.js';
 export * from './table-follower.js';
--- a/packages/record/src/lease-holder.ts
+++ b/packages/record/src/lease-holder.ts
@@ -14,7 +14,7 @@
 import {describeError, type Log, type Random} from '@wasabiusher/shared';
 import {RecordError} from './errors.js';
 import {
-	leaseSchema, leaseTable, type Lease, type LeaseOwner,
+	decodeLease, leaseTable, type Lease, type LeaseOwner,
 } from './lease.js';
 import {writeSettled} from './settled-write.js';
 import {TakeOverPace} from './take-over-pace.js';
@@ -208,7 +208,7 @@
 		}
 
 		this.#row = row;
-		this.#lease = row && leaseSchema.parse(row.value);
+		this.#lease = row && decodeLease(row, this.#termMs);
 		this.#isDoubtful = false;
 		this.#hasLiveRival ||= this.#isRenewalOf(before);
 		if (this.#lease?.incarnation !== this.#incarnation) {
--- a/packages/record/src/table-follower.ts
+++ b/packages/record/src/table-follower.ts
@@ -10,6 +10,7 @@
 	PlatformError, readPages, type RowChange, type RowStore,
 } from '@wasabiusher/backends';
 import {describeError, type Log} from '@wasabiusher/shared';
+import {RowFaults} from './row-faults.js';
 
 /**
  * Longest wait of one call for changes, in milliseconds, if none is set. A silent connection shows only at its end;
@@ -48,7 +49,7 @@
 	gatherMs?: number;
 	/** A number in [0, 1), to read the table anew at another time than other hosts; undefined to read it at once. */
 	chance?(): number;
-	/** Called for each row that is there, changed or gone, in the order of the changes. */
+	/** Called for each row that is there, changed or gone, in the order of the changes; one on which it throws is told in the log, and the others hold. */
 	apply(change: RowChange): void;
 	/** Called after each round in which the store has answered. */
 	onContact?(): void;
@@ -58,6 +59,7 @@
 export class TableFollower {
 	readonly #settings: FollowerSettings;
 	readonly #known = new Map<string, RowChange>();
+	readonly #faults: RowFaults;
 	#version = -1;
 	#isSynced = false;
 	#contactAt = Number.NEGATIVE_INFINITY;
@@ -71,6 +73,7 @@
 
 	constructor(settings: FollowerSettings) {
 		this.#settings = settings;
+		this.#faults = new RowFaults(settings.log, 'row_invalid');
 	}
 
 	/** Whether the table was read whole since the start; what is known holds on while it is read anew. */
@@ -258,7 +261,12 @@
 			this.#known.set(id, {...change, value: undefined});
 		}
 
-		this.#settings.apply(change);
+		try {
+			this.#settings.apply(change);
+		} catch (error) {
+			// Another writer's row must not hold up what the others say.
+			this.#faults.note(change, error);
+		}
 	}
 }
 
