Leave room for an order's own way in the lease where no fence is checked

Where endpoints don't check fences, an order or a report of usage that was sent at the end of a lease arrived under the next holder's. Both now go out only if the lease lasts as long as their clients wait (1 s and 1.5 s), and never under the fence 0 that a lease shows which lapses between two looks.

Ruled out: ending connections that are given up with a reset, to take back what a cut link holds. Node refuses a reset while its own shutdown of the socket is under way, so that the connection stays open; reverted. What a cut link delivers after it has healed is bounded by the expected count alone.

--- a/packages/direct/__tests__/weight-orders.spec.ts
+++ b/packages/direct/__tests__/weight-orders.spec.ts
@@ -67,6 +67,38 @@
 		expect(bench.endpoints.map(({version}) => version)).to.deep.equal([2, 2, 2, 2, 2, 2]);
 	});
 
+	it('sends no order that may arrive after its right has lapsed, where endpoints check no fence', async () => {
+		let leftMs = 700;
+		const lapsing = {fence: 5, holds: (roomMs = 0) => roomMs < leftMs};
+		orders = new WeightOrders({
+			directory: bench.directory, client: bench.client, right: lapsing, holder: 'a', log: bench.log, chooseMode: () => 'continue', orderRoomMs: 1000,
+		});
+		orders.publish('m', 2);
+		await tickFor(2000);
+		expect(countOrders()).to.equal(0);
+		leftMs = 2700;
+		await tickFor(6000);
+		expect(countOrders()).to.equal(6);
+	});
+
+	it('sends no order without a fence when the right lapses between two looks', async () => {
+		let looks = 0;
+		const flickering = {
+			get fence() {
+				looks += 1;
+				return looks % 2 === 0 ? 5 : 0;
+			},
+			holds: () => true,
+		};
+		orders = new WeightOrders({
+			directory: bench.directory, client: bench.client, right: flickering, holder: 'a', log: bench.log, chooseMode: () => 'continue',
+		});
+		orders.publish('m', 2);
+		await tickFor(8000);
+		expect(bench.endpoints.flatMap(endpoint => endpoint.orders.map(({fence}) => fence))).not.to.include(0);
+		expect(countOrders()).to.equal(6);
+	});
+
 	it('keeps an endpoint of each model that does not load, where several models share the endpoints', async () => {
 		bench = createBench(6, ['a', 'b', 'c']);
 		orders = new WeightOrders({
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -18,12 +18,14 @@
 import {isOfStart} from './restart-watch.js';
 
 /** The right to give orders; a `LeaseHolder` has this shape. */
-export type OrderRight = {readonly fence: number; holds(): boolean};
+export type OrderRight = {readonly fence: number; holds(roomMs?: number): boolean};
 
 export type WeightOrdersSettings = {
 	directory: EndpointDirectory;
 	client: ServingClient;
 	right: OrderRight;
+	/** Time for which the right must last beyond the send of an order, in milliseconds; 0 where endpoints refuse an old fence themselves. */
+	orderRoomMs?: number;
 	/** Name of this process, told with each order. */
 	holder: string;
 	log: Log;
@@ -294,7 +296,7 @@
 
 	/** Reads how many orders the endpoint has accepted, then gives the order on that condition. */
 	async #give(endpoint: RegisteredEndpoint, model: string, version: number): Promise<void> {
-		const {right, client, holder, directory, log, chooseMode} = this.#settings;
+		const {right, client, holder, directory, log, chooseMode, orderRoomMs} = this.#settings;
 		const report = await this.#askReport(endpoint);
 		const holdsIt = (directory.findVersion(endpoint.id, model) ?? 0) >= version;
 		if (!report || report.isBusy || holdsIt) {
@@ -302,8 +304,9 @@
 			return;
 		}
 
-		// The lease may have lapsed while the report was on its way.
-		if (!right.holds()) {
+		// The lease may have lapsed while the report was on its way, and must not lapse while the order is.
+		const {fence} = right;
+		if (fence === 0 || !right.holds(orderRoomMs)) {
 			return;
 		}
 
@@ -315,10 +318,10 @@
 		directory.pause(endpoint.id, holdBackMs);
 		try {
 			const outcome = await client.order(endpoint, {
-				model, version, mode: chooseMode(endpoint.service), expectedOrders: report.orderCount, holder, fence: right.fence,
+				model, version, mode: chooseMode(endpoint.service), expectedOrders: report.orderCount, holder, fence,
 			});
 			log.info('weights_ordered', {
-				endpoint: endpoint.id, model, version, outcome, fence: right.fence, expected: report.orderCount,
+				endpoint: endpoint.id, model, version, outcome, fence, expected: report.orderCount,
 			});
 			this.#noteOutcome(endpoint, outcome);
 		} catch (error) {
--- a/packages/duties/__tests__/fixtures.ts
+++ b/packages/duties/__tests__/fixtures.ts
@@ -11,7 +11,7 @@
 export const dueMs = 10_000;
 
 /** Who holds the duty; changed by tests. */
-export type Duty = {holder: string; fence: number};
+export type Duty = {holder: string; fence: number; /** Time that the right lasts, in milliseconds. */ leftMs: number};
 
 export type Host = {
 	store: MemoryRowStore;
@@ -33,7 +33,7 @@
 export function createWorld(): World {
 	const root = new MemoryRowStore();
 	const duties = new MemoryDuties();
-	const duty: Duty = {holder: '', fence: 0};
+	const duty: Duty = {holder: '', fence: 0, leftMs: 2700};
 	const log = createSilentLog();
 	const readTrueMs = () => Date.now();
 	let hostCount = 0;
@@ -54,13 +54,13 @@
 				store, host: name, incarnation: `${name}-${hostCount}`, windowMs, readTrueMs, countHosts: () => hostCount, chance: () => random.next(), log,
 			});
 			const right = {
-				holds: () => duty.holder === name,
+				holds: (roomMs = 0) => duty.holder === name && roomMs < duty.leftMs,
 				get fence() {
 					return duty.holder === name ? duty.fence : 0;
 				},
 			};
 			const reporter = new UsageReporter({
-				store, client: duties, right, holder: name, windowMs, dueMs, readTrueMs, log,
+				store, client: duties, right, holder: name, windowMs, dueMs, readTrueMs, log, sendRoomMs: 1500,
 			});
 			teller.start();
 			reporter.start();
--- a/packages/duties/__tests__/usage.spec.ts
+++ b/packages/duties/__tests__/usage.spec.ts
@@ -52,6 +52,16 @@
 		clock.uninstall();
 	});
 
+	it('sends no report that may arrive after the duty has passed on, and sends it once the duty lasts', async () => {
+		world.duty.leftMs = 1000;
+		call(0, 'x', 2);
+		await moveTo(windowMs + 4000);
+		expect(readCounts()).to.equal(undefined);
+		world.duty.leftMs = 2700;
+		await moveTo(windowMs + 6000);
+		expect(readCounts()).to.deep.equal({x: 2});
+	});
+
 	it('reports what all hosts have counted, soon after the window\'s end, also of a window without a request', async () => {
 		await moveTo(1000);
 		call(0, 'x', 2);
--- a/packages/duties/src/usage-reporter.ts
+++ b/packages/duties/src/usage-reporter.ts
@@ -27,13 +27,15 @@
 export type DutyHolding = {
 	/** Goes up with each change of the holder. */
 	readonly fence: number;
-	holds(): boolean;
+	holds(roomMs?: number): boolean;
 };
 
 export type UsageReporterSettings = {
 	store: UsageStore;
 	client: DutyClient;
 	right: DutyHolding;
+	/** Time for which the right must last beyond the send of a report, in milliseconds; 0 where the platform refuses an old fence itself. */
+	sendRoomMs?: number;
 	/** Name of the host. */
 	holder: string;
 	/** Length of a window, in milliseconds. */
@@ -212,8 +214,12 @@
 
 	/** Sends one report; false if it has to be sent again. */
 	async #send(report: StoredReport): Promise<boolean> {
-		const {client, right, holder, log} = this.#settings;
+		const {client, right, holder, log, sendRoomMs} = this.#settings;
 		const {fence} = right;
+		if (fence === 0 || !right.holds(sendRoomMs)) {
+			return false;
+		}
+
 		this.#actedAt = performance.now();
 		const outcome = await client.reportUsage(report, {holder, fence});
 		log.info('usage_reported', {window: report.window, fence, outcome});
--- a/packages/record/__tests__/lease-holder.spec.ts
+++ b/packages/record/__tests__/lease-holder.spec.ts
@@ -57,6 +57,13 @@
 		b.stop();
 	});
 
+	it('counts as held for an effect only if it lasts until the effect has arrived', async () => {
+		const a = createHolder(tables, 'a');
+		await a.attempt();
+		await clock.tickAsync(termMs * 0.9 / 2);
+		expect([a.holds(), a.holds(termMs * 0.9 / 2), a.holds(1000)]).to.deep.equal([true, false, true]);
+	});
+
 	it('does not count as held after a suspension that the monotonic clock has not counted', async () => {
 		const a = createHolder(tables, 'a');
 		a.start();
--- a/packages/record/src/lease-holder.ts
+++ b/packages/record/src/lease-holder.ts
@@ -92,9 +92,13 @@
 		this.#pace = settings.pace ?? new TakeOverPace();
 	}
 
-	/** Whether effects are allowed now. Ask right before each one, and never remember the answer. */
-	holds(): boolean {
-		return performance.now() < this.#heldUntil && Math.abs(readClockGap() - this.#clockGap) <= maxClockGapMs;
+	/**
+	 * Whether effects are allowed now. Ask right before each one, and never remember the answer.
+	 *
+	 * @param roomMs - time that the effect may take to arrive where nothing checks its fence, in milliseconds; it is allowed only if the lease lasts so long
+	 */
+	holds(roomMs = 0): boolean {
+		return performance.now() + roomMs < this.#heldUntil && Math.abs(readClockGap() - this.#clockGap) <= maxClockGapMs;
 	}
 
 	/** The number that goes with each effect; 0 while the lease is not held. */
