Refuse requests that have crashed three endpoints, on all hosts

Each retry and re-send of a request that crashes its endpoint took down one more. What broke without an answer counts as in flight at a crash once its endpoint is seen down; hosts write what they saw into rows that all follow in a table they read already, and refuse at three crashes, with 503 since nothing is sent. An answer anywhere clears it.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -5,6 +5,7 @@
 export * from './best-pace.js';
 export * from './burn.js';
 export * from './concurrency-limit.js';
+export * from './crash-evidence.js';
 export * from './demand-history.js';
 export * from './direct-choice.js';
 export * from './drain-rate.js';
--- a/packages/decisions/src/poison.ts
+++ b/packages/decisions/src/poison.ts
@@ -39,14 +39,18 @@
 
 type Row = {crashes: Set<string>; cleared: Set<string>; until: number; terms: number};
 
-/** Crashes of different runs at which a request must have been in flight to be quarantined. */
-const crashesToQuarantine = 2;
+export type PoisonLimits = {
+	/** Crashes of different runs at which a request must have been in flight to be quarantined. */
+	crashesToQuarantine: number;
+	/** How long a suspect is remembered, in milliseconds. */
+	suspicionMs: number;
+	/** First term of quarantine, in milliseconds, doubled by each that follows a further crash, up to a day. */
+	firstTermMs: number;
+};
 
-/** How long a suspect is remembered, in milliseconds: callers that send again do so within minutes. */
-const suspicionMs = 600_000;
+/** For requests that run alone once they are suspect; callers that send again do so within minutes. */
+const defaultLimits: PoisonLimits = {crashesToQuarantine: 2, suspicionMs: 600_000, firstTermMs: 600_000};
 
-/** First term of quarantine, in milliseconds, doubled by each that follows a further crash, up to a day. */
-const firstTermMs = 600_000;
 const maxTermMs = 86_400_000;
 
 /** Fingerprints remembered; an endpoint holds some hundred requests, so this covers a hundred crashes. 4.7 MB as measured. */
@@ -55,6 +59,22 @@
 /** Judges requests by what crashed. */
 export class PoisonGuard {
 	readonly #rows = new Map<string, Row>();
+	readonly #limits: PoisonLimits;
+
+	constructor(limits: Partial<PoisonLimits> = {}) {
+		this.#limits = {...defaultLimits, ...limits};
+	}
+
+	/** Requests that are or were suspect; while there are none, none needs a fingerprint. */
+	get size(): number {
+		return this.#rows.size;
+	}
+
+	/** Whether a request was in flight at a crash of late. */
+	isSuspect(fingerprint: string): boolean {
+		const row = this.#rows.get(fingerprint);
+		return row !== undefined && listActive(row).length > 0;
+	}
 
 	/** How a request may run now. */
 	judge(fingerprint: string, now: number): Verdict {
@@ -65,7 +85,7 @@
 		}
 
 		// After its term it is tried again, but alone.
-		return crashes.length >= crashesToQuarantine && now < row.until
+		return crashes.length >= this.#limits.crashesToQuarantine && now < row.until
 			? {kind: 'quarantined', retryAfterMs: row.until - now}
 			: {kind: 'isolate', avoid: crashes.map(crash => crash.slice(0, crash.lastIndexOf('@')))};
 	}
@@ -112,7 +132,7 @@
 		this.#rows.delete(fingerprint);
 		this.#rows.set(fingerprint, row);
 		if (isNew) {
-			extendTerm(row, now);
+			extendTerm(row, now, this.#limits);
 		}
 
 		if (this.#rows.size > maxRows) {
@@ -122,7 +142,7 @@
 	}
 }
 
-function extendTerm(row: Row, now: number): void {
+function extendTerm(row: Row, now: number, {crashesToQuarantine, suspicionMs, firstTermMs}: PoisonLimits): void {
 	if (listActive(row).length < crashesToQuarantine) {
 		row.until = Math.max(row.until, now + suspicionMs);
 		return;
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -8,6 +8,7 @@
 import {
 	describeError, type Log, type Random, type RegisteredEndpoint, type Route,
 } from '@wasabiusher/shared';
+import {noteBrokenAttempt, type CrashWatch} from './crash-watch.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import {BegunRuns, type RunMeter} from './run-meter.js';
 import {RestartWatch} from './restart-watch.js';
@@ -40,8 +41,13 @@
 	policy?: Policy;
 	/** Counts what begins to run; undefined if nobody wants to know. */
 	meter?: RunMeter;
+	/** Knows the requests that crash endpoints; undefined if nobody does. */
+	crashers?: CrashWatch;
 };
 
+/** What a caller is told whose request has crashed endpoints. */
+export const crasherReason = 'the request has crashed endpoints';
+
 /** Status of an endpoint that has run a request and failed. */
 const failedStatus = 500;
 
@@ -95,6 +101,11 @@
 
 	/** Calls until an answer has come, the time is up or nothing more may be tried. */
 	async run(): Promise<CallOutcome> {
+		const refusalMs = this.#settings.crashers?.findRefusalMs(this.#request);
+		if (refusalMs !== undefined) {
+			return {kind: 'not-run', reason: crasherReason, retryAfterMs: refusalMs};
+		}
+
 		const deadline = new AbortController();
 		const timer = setTimeout(() => {
 			deadline.abort();
@@ -219,6 +230,7 @@
 			}
 
 			directory.recordPace(id, performance.now() - startedAt);
+			this.#settings.crashers?.noteFinished(this.#request);
 			return {kind: 'answered', answer, endpoint: id};
 		} catch (error) {
 			return this.#noteError(id, error, signal, restart);
@@ -242,6 +254,9 @@
 			directory.recordFailure(id);
 		}
 
+		noteBrokenAttempt(this.#settings.crashers, {
+			endpoint: id, request: this.#request, isNotRun: isProvenNotRun(error), hasRestarted,
+		});
 		if (isProvenNotRun(error)) {
 			this.#mayHaveRun.delete(id);
 			return {kind: 'not-run', endpoint: id, reason};
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -7,8 +7,9 @@
 import type {ServingRequest, ServingStream} from '@wasabiusher/backends';
 import {describeError, type RegisteredEndpoint, type Route} from '@wasabiusher/shared';
 import {
-	chooseService, isProvenNotRun, type CallOutcome, type CallerRequest, type CallSettings,
+	chooseService, crasherReason, isProvenNotRun, type CallOutcome, type CallerRequest, type CallSettings,
 } from './call.js';
+import {noteBrokenAttempt} from './crash-watch.js';
 import {resumeStream} from './resumed-stream.js';
 import {BegunRuns} from './run-meter.js';
 import {RestartWatch} from './restart-watch.js';
@@ -49,6 +50,11 @@
 	}
 
 	async open(): Promise<StreamOutcome> {
+		const refusalMs = this.#settings.crashers?.findRefusalMs(this.#request);
+		if (refusalMs !== undefined) {
+			return {kind: 'not-run', reason: crasherReason, retryAfterMs: refusalMs};
+		}
+
 		const outcome = await this.#attemptAll(this.#request.resumeAfter);
 		if ('kind' in outcome) {
 			return outcome;
@@ -121,7 +127,8 @@
 			directory.recordHead(id, stream);
 			if (!stream.isNotRun) {
 				this.#begun += 1;
-				return {endpoint, stream: watch ? {...stream, body: watchBody(stream.body, watch)} : stream};
+				const body = this.#tellEnd(id, stream.body, restart);
+				return {endpoint, stream: {...stream, body: watch ? watchBody(body, watch) : body}};
 			}
 
 			watch?.end();
@@ -141,6 +148,7 @@
 				directory.recordFailure(id);
 			}
 
+			this.#noteBroken(id, error, restart);
 			if (isProvenNotRun(error)) {
 				this.#runs.delete(id);
 				return undefined;
@@ -156,6 +164,27 @@
 		}
 	}
 
+	#noteBroken(endpoint: string, error: unknown, {hasRestarted}: RestartWatch): void {
+		noteBrokenAttempt(this.#settings.crashers, {
+			endpoint, request: this.#request, isNotRun: isProvenNotRun(error), hasRestarted,
+		});
+	}
+
+	/** Hands a body on and tells how it ended: only a whole one shows that the request crashes nothing. */
+	async * #tellEnd(id: string, body: AsyncIterable<Uint8Array>, restart: RestartWatch): AsyncIterable<Uint8Array> {
+		try {
+			yield * body;
+		} catch (error) {
+			if (!this.#signal.aborted) {
+				this.#noteBroken(id, error, restart);
+			}
+
+			throw error;
+		}
+
+		this.#settings.crashers?.noteFinished(this.#request);
+	}
+
 	#release(): void {
 		this.#restart?.end();
 		if (this.#endpoint !== undefined) {
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -32,6 +32,8 @@
 	log: Log;
 	/** Addresses, `ip:port`, at which no endpoint can be: this host's own. */
 	ownAddresses?: ReadonlySet<string>;
+	/** Called when an endpoint is no longer registered. */
+	onDown?(endpoint: string): void;
 	onDeployment?(deployment: Deployment): void;
 };
 
@@ -75,6 +77,7 @@
 		if (value === undefined) {
 			log.info('endpoint_removed', {endpoint: key});
 			directory.remove(key);
+			this.#settings.onDown?.(key);
 			return;
 		}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 	decideAccess, identify, type Access, type AccessRequest, type Identity,
 } from './access.js';
 import {Catalog, type CatalogFormat} from './catalog.js';
+import {crasherPart, Crashers} from './crashers.js';
 import {readLinkKey} from './link-key.js';
 import {PeerLinks} from './peer-links.js';
 import {PeerServer} from './peer-server.js';
@@ -60,6 +61,13 @@
  */
 const gatherMs = 150;
 
+/**
+ * Time after which an order and a report of usage have arrived or were given up, in milliseconds: the longest wait of their clients for an answer. Where
+ * nobody checks fences, they are sent only under a lease that lasts so long.
+ */
+const orderRoomMs = 1000;
+const reportRoomMs = 1500;
+
 /** Pause before the key of links is asked for again, in milliseconds; nothing waits for it while the store serves this host. */
 const keyRetryMs = 1000;
 
@@ -78,6 +86,8 @@
 	log: Log;
 	/** Term of the lease under which orders are given, in milliseconds. */
 	leaseMs: number;
+	/** Whether endpoints and the platform refuse what comes under an older fence than they have seen; they do by default. */
+	checksFences?: boolean;
 	/** How long a batch is read after it was handed in, in milliseconds. */
 	statusMs: number;
 	/** Where other hosts link to this one; undefined if they can't. */
@@ -100,6 +110,7 @@
 	readonly #directory: EndpointDirectory;
 	readonly #catalog: Catalog;
 	readonly #hosts: HostRegistry;
+	readonly #crashers: Crashers;
 	readonly #lease: LeaseHolder;
 	readonly #orders: WeightOrders;
 	readonly #followers: TableFollower[];
@@ -138,17 +149,23 @@
 		});
 		this.#trueTime = new TrueTime(() => this.#gate.steadyStoreMs);
 		this.#directory = new EndpointDirectory(random, policy, this.#lateness);
+		this.#crashers = new Crashers({
+			rows, table: hostTable, host, directory: this.#directory, log, readStoreMs: () => this.#gate.storeMs,
+		});
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
 		});
 		this.#orders = new WeightOrders({
 			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
+			orderRoomMs: settings.checksFences === false ? orderRoomMs : 0,
 			findNeeds: () => this.batches.listNeeds(),
 			isServed: service => this.#catalog.deployment?.services.some(({name}) => name === service) ?? false,
 			policy,
 		});
 		this.#catalog = new Catalog({
-			format, directory: this.#directory, orders: this.#orders, log, ownAddresses: settings.ownAddresses, onDeployment: settings.onDeployment,
+			format, directory: this.#directory, orders: this.#orders, log, onDown: endpoint => {
+				this.#crashers.noteDown(endpoint);
+			}, ownAddresses: settings.ownAddresses, onDeployment: settings.onDeployment,
 		});
 		this.#hosts = new HostRegistry({
 			rows, host, dataCentre, cores, address: settings.peers?.address, log, policy, findLateMs: () => this.#lateness.usualMs, ownsWork: () => this.batches.hasWork,
@@ -192,9 +209,13 @@
 		this.#followers = [
 			...this.#neededFollowers,
 			new TableFollower({
-				store: rows.probing, table: hostTable, parts: [''], log, gatherMs, chance,
+				store: rows.probing, table: hostTable, parts: ['', crasherPart], log, gatherMs, chance,
 				apply: change => {
-					this.#hosts.apply(change);
+					if (change.part === crasherPart) {
+						this.#crashers.apply(change);
+					} else {
+						this.#hosts.apply(change);
+					}
 				},
 				onContact: () => {
 					this.#hosts.noteContact();
@@ -231,6 +252,7 @@
 		this.#sweepTimer = setInterval(() => {
 			// The holder of the lease does it for all; two at once do no harm.
 			if (this.#lease.holds()) {
+				void this.#crashers.sweep();
 				void this.batches.sweep(retentionFactor * this.#settings.statusMs);
 			}
 		}, sweepMs);
@@ -326,13 +348,14 @@
 	}
 
 	#createUsage(): Usage | undefined {
-		const {usage, host, random, log} = this.#settings;
+		const {usage, host, random, log, checksFences = true} = this.#settings;
 		return usage && new Usage({
 			...usage,
 			store: new UsageStore(this.#rows),
 			host,
 			incarnation: this.#hosts.incarnation,
 			right: this.#lease,
+			sendRoomMs: checksFences ? 0 : reportRoomMs,
 			log,
 			readTrueMs: () => this.#trueTime.read(),
 			countHosts: () => this.#hosts.count,
@@ -353,7 +376,7 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage,
+			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage, crashers: this.#policy.refusesCrashers ? this.#crashers : undefined,
 		};
 	}
 
--- a/packages/record/src/index.ts
+++ b/packages/record/src/index.ts
@@ -1,6 +1,7 @@
 /** What must last, kept in the platform's table service and object store. */
 export * from './claim-log.js';
 export * from './configuration-history.js';
+export * from './crash-rows.js';
 export * from './errors.js';
 export * from './group-commit.js';
 export {readLeaseOwner, type Lease, type LeaseOwner} from './lease.js';
