--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -8,7 +8,7 @@
 import {
 	describeError, type Log, type Random, type RegisteredEndpoint, type Route,
 } from '@wasabiusher/shared';
-import {noteBrokenAttempt, type CrashWatch} from './crash-watch.js';
+import {crasherReason, noteBrokenAttempt, type CrashWatch} from './crash-watch.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import {BegunRuns, type RunMeter} from './run-meter.js';
 import {RestartWatch} from './restart-watch.js';
@@ -45,9 +45,6 @@
 	crashers?: CrashWatch;
 };
 
-/** What a caller is told whose request has crashed endpoints. */
-export const crasherReason = 'the request has crashed endpoints';
-
 /** Status of an endpoint that has run a request and failed. */
 const failedStatus = 500;
 
--- a/packages/direct/src/crash-watch.ts
+++ b/packages/direct/src/crash-watch.ts
@@ -15,6 +15,9 @@
 	noteFinished(request: CallerRequest): void;
 };
 
+/** What a caller is told whose request has crashed endpoints. */
+export const crasherReason = 'the request has crashed endpoints';
+
 /** How an attempt at an endpoint has failed. */
 export type BrokenAttempt = {
 	endpoint: string;
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -7,9 +7,9 @@
 import type {ServingRequest, ServingStream} from '@wasabiusher/backends';
 import {describeError, type RegisteredEndpoint, type Route} from '@wasabiusher/shared';
 import {
-	chooseService, crasherReason, isProvenNotRun, type CallOutcome, type CallerRequest, type CallSettings,
+	chooseService, isProvenNotRun, type CallOutcome, type CallerRequest, type CallSettings,
 } from './call.js';
-import {noteBrokenAttempt} from './crash-watch.js';
+import {crasherReason, noteBrokenAttempt} from './crash-watch.js';
 import {resumeStream} from './resumed-stream.js';
 import {BegunRuns} from './run-meter.js';
 import {RestartWatch} from './restart-watch.js';
