Deal the fast endpoints among the models with long texts, and keep places that were given

Change: shareFast deals the fast class by work and the square of the longest texts, each model at most its share; the holder of the lease goes by the places that it gave last. Ruled out: exchanging single endpoints afterwards, which undid the dealing.

--- a/packages/decisions/__tests__/model-placement.spec.ts
+++ b/packages/decisions/__tests__/model-placement.spec.ts
@@ -110,6 +110,32 @@
 		expect(place(follow(holders, placed, published), published, needs)).to.deep.equal(placed);
 	});
 
+	it('deals the fast endpoints among all models with long texts, and leaves them where they are when paces are measured anew', () => {
+		const models = ['a', 'b', 'c', 'd'];
+		const published = Object.fromEntries(models.map(model => [model, 1]));
+		const unlike: Record<string, ModelNeed> = {
+			a: {work: 2350, longest: 152}, b: {work: 1930, longest: 145}, c: {work: 1390, longest: 125}, d: {work: 2250, longest: 145},
+		};
+		const holders = Array.from({length: 31}, (_, i) => createHolder(`e${i}`, published, i % 4 === 0 ? 26 : 55));
+		const countFast = (placed: ReadonlyMap<string, readonly string[]>) => models.map(model => holders.filter(({id, paceMs}) => paceMs === 26 && placed.get(id)![0] === model).length);
+		const placed = place(holders, published, unlike);
+		expect(Math.min(...countFast(placed))).to.be.at.least(1);
+		expect(Math.max(...countFast(placed))).to.be.at.most(3);
+		const last = new Map([...placed].map(([id, [model]]) => [id, model!]));
+		const measured = holders.map((holder, i) => ({...holder, paceMs: holder.paceMs! + (i % 3)}));
+		expect(placeModels({
+			holders: measured, published: new Map(Object.entries(published)), needs: new Map(Object.entries(unlike)), last,
+		})).to.deep.equal(placed);
+	});
+
+	it('keeps the places that were given though no endpoint shows yet which model it follows', () => {
+		const last = new Map(fresh.map(({id}, i) => [id, ['a', 'b', 'c'][i % 3]!]));
+		const placed = placeModels({
+			holders: fresh, published: new Map([['a', 2], ['b', 1], ['c', 1]]), needs: new Map(), last,
+		});
+		expect(fresh.map(({id}) => placed.get(id)![0])).to.deep.equal(['a', 'b', 'c', 'a', 'b', 'c']);
+	});
+
 	it('leaves endpoints alone that are slower only for what they have to do', () => {
 		const published = {a: 2, b: 2, c: 2};
 		const placed = place(fresh, published, needs);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
 export * from './ejection.js';
 export type * from './endpoint-speed.js';
 export * from './fair-queue.js';
+export * from './fast-shares.js';
 export * from './headroom.js';
 export * from './hedging.js';
 export * from './lagging-load.js';
--- a/packages/decisions/src/model-placement.ts
+++ b/packages/decisions/src/model-placement.ts
@@ -7,11 +7,12 @@
  *
  * The trainers' steps differ: one has texts of 70 events at most, two have texts of up to 181 and over twice the work. With two
  * endpoints each, those of the first stood idle while texts of the others waited up to 4 s for a slot and were made at the pace of a full
- * endpoint. So a model's share follows the work of its steps, and fast endpoints go to the models with the longest texts, which
+ * endpoint. So a model's share follows the work of its steps, and fast endpoints are dealt by who has the long texts, which
  * decide when a step is whole. An endpoint that changes its model loads once more, so shares and places change only for
  * a clear gain.
  */
 import {rankCandidate} from '@wasabiusher/shared';
+import {shareFast, splitBySpeed} from './fast-shares.js';
 import type {Policy} from './policy.js';
 
 /** An endpoint with the versions of the models that it holds. */
@@ -37,6 +38,8 @@
 	published: ReadonlyMap<string, number>;
 	/** Models without an entry are taken to need as little as possible, if any has one. */
 	needs: ReadonlyMap<string, ModelNeed>;
+	/** The model that each endpoint was given before, as far as known; what endpoints hold tells it for the others. */
+	last?: ReadonlyMap<string, string>;
 };
 
 /** How endpoints are shared among models; see `Policy`. */
@@ -48,12 +51,6 @@
  */
 const keepBonus = 0.3;
 
-/** How much slower an endpoint must be to be changed for another model's, as a factor: full ones are a fifth slower than idle ones. */
-const slowFactor = 1.22;
-
-/** How much longer a model's texts must be for it to get the faster endpoint, as a factor. */
-const longerFactor = 1.4;
-
 /**
  * Models that each endpoint is to follow.
  *
@@ -80,11 +77,10 @@
 		return placeEverywhere(holders);
 	}
 
-	const followed = new Map(holders.map(holder => [holder.id, findFollowed(holder, input)]));
+	const followed = new Map(holders.map(holder => [holder.id, input.last?.get(holder.id) ?? findFollowed(holder, input)]));
 	const shares = shareEndpoints(models, input, followed);
 	const places = fillShares(models, shares, input, followed);
-	exchangeSlow(places, input);
-	return new Map([...places].map(([{id}, model]) => [id, [model]]));
+	return new Map(holders.flatMap(holder => places.has(holder) ? [[holder.id, [places.get(holder)!]]] : []));
 }
 
 /** The model that an endpoint has followed so far: the only one that is least behind its newest version there. */
@@ -119,50 +115,33 @@
 	return [...shares.values()].reduce((total, share) => total + share, 0);
 }
 
-/** Gives each model the endpoints that have followed it, the fast ones first, then free ones; those with the longest texts choose first. */
+/** Gives each model its part of the fast endpoints, then of all others; of either first those that have followed it. */
 function fillShares(models: readonly string[], shares: ReadonlyMap<string, number>, {holders, needs}: PlacementInput, followed: ReadonlyMap<string, string | undefined>): Map<ModelHolder, string> {
 	const places = new Map<ModelHolder, string>();
-	const order = models.toSorted((a, b) => (needs.get(b)?.longest ?? 0) - (needs.get(a)?.longest ?? 0));
-	const place = (model: string, candidates: readonly ModelHolder[]) => {
-		const placed = [...places.values()].filter(other => other === model).length;
-		for (const holder of sortBySpeed(candidates, model).slice(0, shares.get(model)! - placed)) {
-			places.set(holder, model);
+	const {fast, others} = splitBySpeed(holders);
+	const held = new Map(models.map(model => [model, fast.filter(({id}) => followed.get(id) === model).length]));
+	const parts = shareFast(models, {
+		fast: fast.length, shares, needs, held,
+	});
+	const fill = (candidates: readonly ModelHolder[], countFree: (model: string) => number) => {
+		for (const isOwn of [true, false]) {
+			for (const model of models) {
+				const fit = candidates.filter(holder => !places.has(holder) && holder.versions.has(model) && (!isOwn || followed.get(holder.id) === model));
+				for (const holder of sortByRank(fit, model).slice(0, Math.max(0, countFree(model)))) {
+					places.set(holder, model);
+				}
+			}
 		}
 	};
 
-	for (const model of order) {
-		place(model, holders.filter(({id}) => followed.get(id) === model));
-	}
-
-	for (const model of order) {
-		place(model, holders.filter(holder => !places.has(holder) && holder.versions.has(model)));
-	}
-
+	const countPlaced = (model: string, among: readonly ModelHolder[]) => among.filter(holder => places.get(holder) === model).length;
+	fill(fast, model => parts.get(model)! - countPlaced(model, fast));
+	fill(others, model => shares.get(model)! - countPlaced(model, holders));
+	// What is left of the fast ones where a model holds too few of the others.
+	fill(holders, model => shares.get(model)! - countPlaced(model, holders));
 	return places;
 }
 
-/** The fast ones first; those of which nothing is known, and equals, by rank. */
-function sortBySpeed(holders: readonly ModelHolder[], model: string): ModelHolder[] {
-	const known = holders.flatMap(({paceMs}) => paceMs === undefined ? [] : [paceMs]);
-	const usual = known.length === 0 ? 0 : Math.min(...known);
-	return holders
-		.map(holder => ({holder, isSlow: Number(holder.paceMs !== undefined && holder.paceMs > usual * slowFactor), rank: rankCandidate(model, holder.id)}))
-		.toSorted((a, b) => a.isSlow - b.isSlow || b.rank - a.rank)
-		.map(({holder}) => holder);
-}
-
-/** Changes slow endpoints of models with long texts for fast ones of models with short texts. */
-function exchangeSlow(places: Map<ModelHolder, string>, {needs}: PlacementInput): void {
-	const findLongest = (holder: ModelHolder) => needs.get(places.get(holder)!)?.longest ?? 0;
-	const known = [...places.keys()].filter(({paceMs}) => paceMs !== undefined).toSorted((a, b) => b.paceMs! - a.paceMs! || a.id.localeCompare(b.id));
-	for (const slow of known) {
-		const fast = known
-			.filter(other => other.paceMs! * slowFactor < slow.paceMs! && findLongest(other) > 0 && findLongest(other) * longerFactor < findLongest(slow))
-			.toSorted((a, b) => findLongest(a) - findLongest(b) || a.paceMs! - b.paceMs!)[0];
-		if (fast) {
-			const model = places.get(slow)!;
-			places.set(slow, places.get(fast)!);
-			places.set(fast, model);
-		}
-	}
+function sortByRank(holders: readonly ModelHolder[], model: string): ModelHolder[] {
+	return holders.toSorted((a, b) => rankCandidate(model, b.id) - rankCandidate(model, a.id));
 }
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -153,6 +153,7 @@
 			})),
 			published: new Map([...this.#published].map(([model, {version}]) => [model, version])),
 			needs: findNeeds?.() ?? new Map<string, ModelNeed>(),
+			last: new Map([...this.#places.values()].flatMap(({placed}) => [...placed]).flatMap(([id, models]) => models.length === 1 ? [[id, models[0]!]] : [])),
 		}, this.#policy.placement);
 	}
 
