Load weights when no text waits to begin

Change: hosts tell in heartbeats how many texts of each model have not begun; the holder of the lease lets loads wait for them, as long as all end before the next publication. Versions, intervals and times of loads move from WeightOrders to LoadSchedule. Ruled out: a longer fixed delay, which is as wrong for steps that fit the slots.

--- a/packages/batches/__tests__/host-registry.spec.ts
+++ b/packages/batches/__tests__/host-registry.spec.ts
@@ -56,6 +56,16 @@
 		}
 	}
 
+	it('adds up the texts that wait at all hosts, and forgets those of a host that has told nothing for two heartbeats', async () => {
+		const own = createRegistry('a', true, {listWaiting: () => ({m: 3})});
+		const other = createRegistry('b', true, {listWaiting: () => ({m: 4, n: 1})});
+		await run(own, 500);
+		expect(['m', 'n', 'other'].map(model => own.countWaiting(model))).to.deep.equal([7, 1, 0]);
+		other.stop();
+		await run(own, 1200);
+		expect(own.countWaiting('m')).to.equal(3);
+	});
+
 	it('takes a process for gone that is silent while this one hears its own heartbeats', async () => {
 		const [owner, other] = [createRegistry('a', true), createRegistry('b', false)];
 		await run(other, 2000);
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -92,6 +92,24 @@
 		return this.#known.listNeeds(this.#settings.readStoreMs());
 	}
 
+	/** Texts that this process has not begun yet, by their model. */
+	listWaiting(): Record<string, number> {
+		const counts: Record<string, number> = {};
+		for (const {submission: {model}, unbegunCount} of this.#owners.values()) {
+			if (model !== undefined && unbegunCount > 0) {
+				counts[model] = (counts[model] ?? 0) + unbegunCount;
+			}
+		}
+
+		return counts;
+	}
+
+	/** Texts of a model that have not begun at any host: those of a step that was just handed in, and what hosts have told. */
+	countWaiting(model: string): number {
+		const {hosts, readStoreMs} = this.#settings;
+		return this.#known.countFresh(model, readStoreMs()) + hosts.countWaiting(model);
+	}
+
 	/** Begins to look for batches without a living owner. */
 	start(): void {
 		this.#takeOvers.start();
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -84,6 +84,8 @@
 	address: z.string().default(''),
 	/** Time of day of its host less the store's clock, in milliseconds, as told when it was written. */
 	clockMs: z.number().optional(),
+	/** Texts that it has not begun yet, by their model; left out if there are none. */
+	waiting: z.record(z.string(), z.int().nonnegative()).optional(),
 	/** Best paces of endpoints that it has measured, in milliseconds; told now and then. */
 	paces: z.record(z.string(), z.number()).optional(),
 });
@@ -108,6 +110,8 @@
 	onClock?(host: string, clockMs: number): void;
 	/** Whether this process owns work, so that its silence would mean something. */
 	ownsWork(): boolean;
+	/** Texts that this process has not begun yet, by their model. */
+	listWaiting?(): Record<string, number>;
 	/** Paces of endpoints to tell to the others; of so many at most. */
 	listPaces?(most: number): Record<string, number>;
 	/** Called with what another process has told of them. */
@@ -188,6 +192,12 @@
 		return [...this.#hosts].map(([host, {heardAt, ...row}]) => ({...row, host, silentMs: now - heardAt}));
 	}
 
+	/** Texts of a model that have not begun, as hosts have told within the time of two heartbeats. */
+	countWaiting(model: string): number {
+		const now = performance.now();
+		return [...this.#hosts.values()].filter(({heardAt}) => now - heardAt <= suspicionMs).reduce((sum, {waiting}) => sum + (waiting?.[model] ?? 0), 0);
+	}
+
 	stop(): void {
 		clearInterval(this.#timer);
 	}
@@ -314,10 +324,12 @@
 			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, readClockMs, log,
 		} = this.#settings;
 		const clockMs = readClockMs?.();
+		const waiting = this.#settings.listWaiting?.() ?? {};
 		this.#unanswered += 1;
 		this.#beat += 1;
 		const row: HostRow = {
 			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, isResting, dataCentre, cores, lateMs: Math.round(findLateMs?.() ?? 0), address, clockMs,
+			...(Object.keys(waiting).length > 0 ? {waiting} : {}),
 			...(this.#beat % pacesEvery === firstPacesBeat ? {paces: this.#settings.listPaces?.(maxToldPaces)} : {}),
 		};
 		try {
--- a/packages/batches/src/known-batches.ts
+++ b/packages/batches/src/known-batches.ts
@@ -12,6 +12,9 @@
 const needBatches = 4;
 export const needAgeMs = 20_000;
 
+/** Time until a host that has begun a batch has told of it in a heartbeat, and that was read, in milliseconds. */
+const freshMs = 700;
+
 /** A batch's row, and for each share when this process first saw it with its present owner, on the monotonic clock. */
 export type KnownBatch = StoredBatch & {seenAt: readonly number[]};
 
@@ -80,6 +83,11 @@
 		return counts;
 	}
 
+	/** Samples of a model's batches that were accepted so lately that no host can have told yet what waits of them, by the time on the store's clock. */
+	countFresh(model: string, storeMs: number): number {
+		return this.listOpen().filter(record => record.model === model && storeMs - record.acceptedMs < freshMs).reduce((sum, {total}) => sum + total, 0);
+	}
+
 	/** What the last steps of each model have asked for, by the time on the store's clock; the endpoints are shared by it. */
 	listNeeds(storeMs: number): Map<string, ModelNeed> {
 		const recent = [...this.#batches.values()].map(({record}) => record).filter(({model, acceptedMs}) => model !== '' && acceptedMs >= storeMs - needAgeMs);
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -161,6 +161,11 @@
 		return this.#results.all;
 	}
 
+	/** Samples of which nothing was made yet. */
+	get unbegunCount(): number {
+		return this.#isRetired ? 0 : this.samples.filter(({id}) => !this.#results.has(id) && !this.#texts.hasBegun(id)).length;
+	}
+
 	get submission(): Submission {
 		return this.#submission;
 	}
--- a/packages/batches/src/share-texts.ts
+++ b/packages/batches/src/share-texts.ts
@@ -39,6 +39,11 @@
 		return this.#left.kept.has(sample);
 	}
 
+	/** Whether there is anything of a sample's text. */
+	hasBegun(sample: string): boolean {
+		return this.whole.has(sample) || (this.runs.get(sample)?.text.events.length ?? 0) > 0;
+	}
+
 	/** Texts that are not whole yet. */
 	listPartials(): PartialTexts {
 		return new Map([...this.runs].filter(([, {text}]) => text.events.length > 0).map(([id, {text}]) => [id, toPartial(text)]));
--- /dev/null
+++ b/packages/decisions/__tests__/load-timing.spec.ts
@@ -0,0 +1,72 @@
+import {expect} from 'chai';
+import {shouldLoad, type LoadOccasion} from '../src/index.js';
+
+const loadMs = 1000;
+const textMs = 1000;
+const slotsEach = 6;
+
+function createOccasion(changed: Partial<LoadOccasion> = {}): LoadOccasion {
+	return {
+		sinceMs: 500, waiting: 0, endpoints: 8, width: 4, loadMs, intervalMs: 4000, ...changed,
+	};
+}
+
+/**
+ * Replays one step on eight endpoints that load four at a time; an endpoint that loads begins nothing.
+ *
+ * @returns when its last text begins and when the last endpoint has loaded, in milliseconds
+ */
+function replay(texts: number, decide: (occasion: LoadOccasion) => boolean): {begunMs: number; loadedMs: number} {
+	const endpoints = Array.from({length: 8}, () => ({loadsUntil: 0, isNew: false, ends: Array.from({length: slotsEach}, () => 0)}));
+	let waiting = texts;
+	let begunMs = 0;
+	let loadedMs = 0;
+	for (let now = 0; now < 10_000; now += 50) {
+		const loading = endpoints.filter(({loadsUntil}) => loadsUntil > now).length;
+		const old = endpoints.filter(({isNew}) => !isNew);
+		if (old.length > 0 && decide(createOccasion({sinceMs: now, waiting, endpoints: old.length}))) {
+			for (const endpoint of old.slice(0, 4 - loading)) {
+				endpoint.isNew = true;
+				endpoint.loadsUntil = now + loadMs;
+				loadedMs = endpoint.loadsUntil;
+			}
+		}
+
+		for (const {ends} of endpoints.filter(({loadsUntil}) => loadsUntil <= now)) {
+			for (const [i, end] of ends.entries()) {
+				if (end <= now && waiting > 0) {
+					ends[i] = now + textMs;
+					waiting -= 1;
+					begunMs = now;
+				}
+			}
+		}
+	}
+
+	return {begunMs, loadedMs};
+}
+
+describe('shouldLoad', () => {
+	it('leaves the step that follows a publication the time to come', () => {
+		expect(shouldLoad(createOccasion({sinceMs: 250}), 300)).to.equal(false);
+		expect(shouldLoad(createOccasion({sinceMs: 300}), 300)).to.equal(true);
+	});
+
+	it('waits for texts that have not begun, as long as all loads end before the next publication', () => {
+		expect(shouldLoad(createOccasion({waiting: 20, sinceMs: 1300}), 300)).to.equal(false);
+		expect(shouldLoad(createOccasion({waiting: 20, sinceMs: 1400}), 300)).to.equal(true);
+		expect(shouldLoad(createOccasion({waiting: 20, sinceMs: 1400, endpoints: 4}), 300)).to.equal(false);
+	});
+
+	it('does not wait where nobody tells what waits, or how often versions come', () => {
+		expect(shouldLoad(createOccasion({waiting: undefined}), 300)).to.equal(true);
+		expect(shouldLoad(createOccasion({waiting: 20, intervalMs: undefined}), 300)).to.equal(true);
+	});
+
+	it('has all texts of a step begun earlier than at a fixed time, and all endpoints loaded before the next publication', () => {
+		const fixed = replay(96, ({sinceMs}) => sinceMs >= 300);
+		const timed = replay(96, occasion => shouldLoad(occasion, 300));
+		expect(timed.begunMs).to.be.at.most(fixed.begunMs - 300);
+		expect(timed.loadedMs).to.be.lessThan(4000);
+	});
+});
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -17,6 +17,7 @@
 export * from './lagging-load.js';
 export * from './lateness.js';
 export * from './length-prediction.js';
+export * from './load-timing.js';
 export * from './model-placement.js';
 export * from './pace.js';
 export * from './placement.js';
--- a/packages/direct/__tests__/weight-orders.spec.ts
+++ b/packages/direct/__tests__/weight-orders.spec.ts
@@ -96,6 +96,28 @@
 		expect(countOrders()).to.equal(2);
 	});
 
+	it('lets no endpoint load while texts wait to begin, but for what must be loaded before the next version', async () => {
+		let waiting = 0;
+		orders = new WeightOrders({
+			directory: bench.directory, client: bench.client, right, holder: 'a', log: bench.log, chooseMode: () => 'continue', findWaiting: () => waiting,
+		});
+		orders.publish('m', 2);
+		await tickFor(8000);
+		const before = countOrders();
+		orders.publish('m', 3);
+		waiting = 10;
+		await tickFor(1500);
+		expect(countOrders()).to.equal(before);
+		waiting = 0;
+		await tickFor(100);
+		expect(countOrders()).to.be.greaterThan(before);
+		await tickFor(6000);
+		waiting = 10;
+		orders.publish('m', 4);
+		await tickFor(8000);
+		expect(bench.endpoints.map(({version}) => version)).to.deep.equal([4, 4, 4, 4, 4, 4]);
+	});
+
 	it('orders at once and everywhere where the policy says so', async () => {
 		bench = createBench(6, ['a', 'b', 'c']);
 		orders = new WeightOrders({
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -15,6 +15,7 @@
 	describeError, groupBy, type Log, type RegisteredEndpoint,
 } from '@wasabiusher/shared';
 import type {EndpointDirectory} from './endpoint-directory.js';
+import {LoadSchedule} from './load-schedule.js';
 
 /** The right to give orders; a `LeaseHolder` has this shape. */
 export type OrderRight = {readonly fence: number; holds(): boolean};
@@ -31,6 +32,8 @@
 	chooseMode(service: string): LoadMode;
 	/** What the steps of each model ask for of late. */
 	findNeeds?(): ReadonlyMap<string, ModelNeed>;
+	/** Texts of a model that have not begun, at all hosts; undefined if nobody tells. */
+	findWaiting?(model: string): number | undefined;
 };
 
 /** Part of a service's endpoints that load at once: a store of weights slows down beyond it, and the others must carry the load. */
@@ -82,7 +85,7 @@
 export class WeightOrders {
 	readonly #settings: WeightOrdersSettings;
 	readonly #policy: Policy;
-	readonly #published = new Map<string, {version: number; learntAt: number}>();
+	readonly #schedule: LoadSchedule;
 	readonly #loading = new Map<string, Transition>();
 	readonly #notBefore = new Map<string, number>();
 	/** Models that endpoints are just being told to load. */
@@ -94,6 +97,7 @@
 	constructor(settings: WeightOrdersSettings) {
 		this.#settings = settings;
 		this.#policy = settings.policy ?? defaultPolicy;
+		this.#schedule = new LoadSchedule(this.#policy, settings.findWaiting);
 	}
 
 	/** Milliseconds since this process last sent an order; infinite if it never did. */
@@ -103,14 +107,12 @@
 
 	/** Learns of a published version; an older one than known is ignored. */
 	publish(model: string, version: number): void {
-		if (version > (this.findPublished(model) ?? 0)) {
-			this.#published.set(model, {version, learntAt: performance.now()});
-		}
+		this.#schedule.publish(model, version);
 	}
 
 	/** The newest published version of a model. */
 	findPublished(model: string): number | undefined {
-		return this.#published.get(model)?.version;
+		return this.#schedule.findVersion(model);
 	}
 
 	/** Gives what orders are due and looks after those under way; to be called some times a second. */
@@ -132,7 +134,7 @@
 	#findPlaces(endpoints: readonly RegisteredEndpoint[]): ReadonlyMap<string, readonly string[]> {
 		const {service} = endpoints[0]!;
 		const serving = endpoints.filter(({isDraining}) => !isDraining);
-		const basis = [serving.length, ...[...this.#published.values()].map(({version}) => version)].join(' ');
+		const basis = [serving.length, ...this.#schedule.versions.values()].join(' ');
 		const known = this.#places.get(service);
 		const now = performance.now();
 		if (known?.basis === basis && now - known.madeAt < placesMs) {
@@ -151,7 +153,7 @@
 			holders: endpoints.map(({id, models}) => ({
 				id, versions: new Map(models.map(({model}) => [model, directory.findVersion(id, model) ?? 0])), paceMs: directory.findBestPace(id),
 			})),
-			published: new Map([...this.#published].map(([model, {version}]) => [model, version])),
+			published: this.#schedule.versions,
 			needs: findNeeds?.() ?? new Map<string, ModelNeed>(),
 			last: new Map([...this.#places.values()].flatMap(({placed}) => [...placed]).flatMap(([id, models]) => models.length === 1 ? [[id, models[0]!]] : [])),
 		}, this.#policy.placement);
@@ -192,9 +194,11 @@
 	}
 
 	#finish({id}: RegisteredEndpoint, {model, version, startedAt}: Transition): void {
+		const elapsedMs = Math.round(performance.now() - startedAt);
 		this.#loading.delete(id);
+		this.#schedule.recordLoad(elapsedMs);
 		this.#settings.log.info('weights_loaded', {
-			endpoint: id, model, version, elapsedMs: Math.round(performance.now() - startedAt),
+			endpoint: id, model, version, elapsedMs,
 		});
 	}
 
@@ -234,10 +238,11 @@
 		const most = Math.max(1, Math.round(endpoints.length * loadingFraction));
 		let free = most - endpoints.filter(({id}) => this.#loading.has(id) || this.#busy.has(id)).length;
 		const now = performance.now();
+		const dueModels = this.#listDue(endpoints, placed, most);
 		const due = endpoints
 			.filter(({id, isDraining}) => !isDraining && !this.#loading.has(id) && !this.#busy.has(id) && (this.#notBefore.get(id) ?? 0) <= now)
 			.flatMap(endpoint => {
-				const wanted = this.#findWanted(endpoint, placed.get(endpoint.id) ?? []);
+				const wanted = this.#findWanted(endpoint, (placed.get(endpoint.id) ?? []).filter(model => dueModels.has(model)));
 				return wanted ? [{endpoint, wanted}] : [];
 			})
 			// The oldest weights first: they hold up the most; then the least busy.
@@ -259,18 +264,34 @@
 		}
 	}
 
+	/** Models whose endpoints should load now. */
+	#listDue(endpoints: readonly RegisteredEndpoint[], placed: ReadonlyMap<string, readonly string[]>, most: number): Set<string> {
+		return new Set([...this.#schedule.versions].filter(([model, version]) => {
+			const followers = listFollowers(placed, model);
+			const left = followers.filter(id => (this.#settings.directory.findVersion(id, model) ?? 0) < version).length;
+			// Of what the service may load at once a model has its part.
+			const part = Math.round(most * followers.length / Math.max(1, endpoints.length));
+			return left > 0 && this.#schedule.isDue({model, endpoints: left, width: Math.min(part, this.#findWidth(followers.length))});
+		}).map(([model]) => model));
+	}
+
+	/** How many of the endpoints that follow a model may load it at once. */
+	#findWidth(followers: number): number {
+		return this.#policy.staggersLoads ? Math.max(1, Math.floor(followers * modelFraction)) : followers;
+	}
+
 	/** Whether one more of the endpoints that follow a model may load it. */
 	#mayLoad(model: string, placed: ReadonlyMap<string, readonly string[]>): boolean {
-		const followers = [...placed].filter(([, models]) => models.includes(model)).map(([id]) => id);
+		const followers = listFollowers(placed, model);
 		const loading = followers.filter(id => this.#loading.get(id)?.model === model || this.#busy.get(id) === model).length;
-		return !this.#policy.staggersLoads || loading < Math.max(1, Math.floor(followers.length * modelFraction));
+		return loading < this.#findWidth(followers.length);
 	}
 
 	#findWanted({id}: RegisteredEndpoint, models: readonly string[]): {model: string; version: number; from: number} | undefined {
 		for (const model of models) {
-			const {version, learntAt} = this.#published.get(model) ?? {version: 0, learntAt: 0};
+			const version = this.#schedule.findVersion(model) ?? 0;
 			const from = this.#settings.directory.findVersion(id, model) ?? 0;
-			if (version > from && performance.now() - learntAt >= this.#policy.loadDelayMs) {
+			if (version > from) {
 				return {model, version, from};
 			}
 		}
@@ -322,3 +343,7 @@
 		}
 	}
 }
+
+function listFollowers(placed: ReadonlyMap<string, readonly string[]>, model: string): string[] {
+	return [...placed].filter(([, models]) => models.includes(model)).map(([id]) => id);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,6 +142,7 @@
 		this.#orders = new WeightOrders({
 			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
 			findNeeds: () => this.batches.listNeeds(),
+			findWaiting: model => this.batches.countWaiting(model),
 			policy,
 		});
 		this.#catalog = new Catalog({
@@ -153,6 +154,7 @@
 			onClock: (other, clockMs) => {
 				this.#trueTime.learn(other, clockMs);
 			},
+			listWaiting: () => this.batches.listWaiting(),
 			listPaces: most => this.#directory.listOwnPaces(most),
 			onPaces: paces => {
 				this.#directory.learnPaces(paces);
