Let gateways tell their metrics and status, and show them with wasabiusher gateways

Cause: the gateway had no metrics; what it knows of endpoints, who waits and its way to the store could be read from logs only. The layers for imports name slots.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -11,6 +11,7 @@
 import {formatDifference, listDifferences, type Difference} from './differences.js';
 import {formatProblem, readDocument} from './document.js';
 import {CliError} from './errors.js';
+import {gatewaysCommand} from './gateways-command.js';
 import {formatTable, formatTime} from './layout.js';
 import {OperatorClient} from './operator-client.js';
 import {formatStatus, joinStatuses} from './status.js';
@@ -168,5 +169,5 @@
 
 /** All commands. */
 export const commands: Readonly<Record<string, Command>> = {
-	validate, diff, apply, history, status, burn: burnCommand, steps: stepsCommand,
+	validate, diff, apply, history, status, burn: burnCommand, gateways: gatewaysCommand, steps: stepsCommand,
 };
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -93,6 +93,11 @@
 			.map(({endpoint}) => endpoint);
 	}
 
+	/** All endpoints with what this process has seen of them, for operators. */
+	listStandings(): readonly EndpointStanding[] {
+		return [...this.#standings.values()].filter(({vanishedAt}) => vanishedAt === undefined);
+	}
+
 	/** Newest version of a model that an endpoint is known to hold; undefined if it does not hold it. */
 	findVersion(id: string, model: string): number | undefined {
 		return this.#standings.get(id)?.findVersion(model);
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -100,6 +100,16 @@
 		return this.#versions.get(model);
 	}
 
+	/** Newest version known of each model. */
+	get versions(): ReadonlyMap<string, number> {
+		return this.#versions;
+	}
+
+	/** Time for a unit of work of late, in milliseconds; undefined until measured. */
+	get paceMs(): number | undefined {
+		return this.#pace.unitMs;
+	}
+
 	/** Learns of a version; returns whether it is newer than what was known. */
 	recordVersion(model: string, version: number): boolean {
 		if (version <= (this.#versions.get(model) ?? 0)) {
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -1,6 +1,7 @@
 /** Calls, runs and orders that go to endpoints directly, without an agent beside them. */
 export * from './call.js';
 export * from './endpoint-directory.js';
+export type {EndpointStanding} from './endpoint-standing.js';
 export * from './sample-run.js';
 export * from './weight-orders.js';
 export * from './stream-call.js';
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -115,6 +115,11 @@
 		return this.#schedule.findVersion(model);
 	}
 
+	/** The newest published version of each model. */
+	get published(): ReadonlyMap<string, number> {
+		return this.#schedule.versions;
+	}
+
 	/** Gives what orders are due and looks after those under way; to be called some times a second. */
 	tick(): void {
 		const {right, directory} = this.#settings;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,12 +15,14 @@
 import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
 import {
-	describeError, type Deployment, type Log, type Random, type Route,
+	describeError, type Deployment, type GatewayStatus, type Log, type Random, type Route,
 } from '@wasabiusher/shared';
 import {
 	decideAccess, identify, type Access, type AccessRequest, type Identity,
 } from './access.js';
 import {Catalog, type CatalogFormat} from './catalog.js';
+import {toEndpointView} from './endpoint-view.js';
+import type {PartCounts} from './gateway-metrics.js';
 import {readLinkKey} from './link-key.js';
 import {PeerLinks} from './peer-links.js';
 import {PeerServer} from './peer-server.js';
@@ -212,6 +214,31 @@
 		return this.#catalog.deployment;
 	}
 
+	/** What operators are told of this host. */
+	get status(): GatewayStatus {
+		const {host, dataCentre = ''} = this.#settings;
+		return {
+			host,
+			dataCentre,
+			isReady: this.isReady,
+			configuration: this.#catalog.deployment?.version,
+			configurationAgeMs: Number.isFinite(this.#operatorFollower.ageMs) ? Math.round(this.#operatorFollower.ageMs) : undefined,
+			storeWay: this.#rows.way,
+			lateMs: Math.round(this.#lateness.usualMs),
+			isHolder: this.#lease.holds(),
+			shares: this.batches.ownedCount,
+			waiting: this.batches.listWaiting(),
+			published: Object.fromEntries(this.#orders.published),
+			turns: [],
+			endpoints: this.#directory.listStandings().map(standing => toEndpointView(standing)),
+		};
+	}
+
+	/** What the parts have counted since the start. */
+	get counts(): PartCounts {
+		return {};
+	}
+
 	start(): void {
 		for (const follower of this.#followers) {
 			void follower.run();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,3 +2,4 @@
 export * from './access.js';
 export * from './catalog.js';
 export * from './gateway.js';
+export * from './gateway-metrics.js';
--- a/packages/gateway/src/routed-store.ts
+++ b/packages/gateway/src/routed-store.ts
@@ -45,6 +45,15 @@
 		return gate.isLost && peers.isUsable;
 	}
 
+	/** The way by which calls go at present. */
+	get way(): 'direct' | 'relayed' | 'lost' {
+		if (!this.#settings.gate.isLost) {
+			return 'direct';
+		}
+
+		return this.isRelayed ? 'relayed' : 'lost';
+	}
+
 	/** The store for those who ask on while no way is open, so that the first answer is noticed. */
 	get probing(): RowStore {
 		const direct = this.#settings.gate.probing;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -3,6 +3,7 @@
 export * from './configuration-delta.js';
 export * from './deployment.js';
 export * from './errors.js';
+export * from './gateway-status.js';
 export * from './generation.js';
 export * from './grouping.js';
 export * from './hashing.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -8,6 +8,7 @@
 	['standins'],
 	['systems', 'batches'],
 	['direct', 'duties'],
+	['slots'],
 	['decisions'],
 	['record'],
 	['link'],
