Explain an id from the logs of any number of hosts

Cause: what became of a request, sample, batch or endpoint could be read from logs only by eye, over dozens of hosts whose clocks differ.

--- a/packages/cli/__tests__/steps-command.spec.ts
+++ b/packages/cli/__tests__/steps-command.spec.ts
@@ -47,6 +47,23 @@
 		expect(text.out).to.include('1 steps');
 	});
 
+	it('explains an id that is named without a flag, and says in one line that there is none', async () => {
+		const file = write('a.log', ['time=2026-03-25T09:00:00.000Z level=info program=p event=call_ended request=q outcome=timeout']);
+		const printed = {out: '', error: ''};
+		const explain = async (...argv: string[]) => runProgram({
+			argv: ['explain', ...argv], environment: {}, writeOut(text) {
+				printed.out += text;
+			}, writeError(text) {
+				printed.error += text;
+			},
+		});
+		expect(await explain('q', '--logs', file)).to.equal(0);
+		expect(printed.out).to.include('decided by: call_ended').and.to.match(/^> 09:00:00\.000 - call_ended request=q outcome=timeout$/mv);
+		expect(await explain('absent', '--logs', file)).to.equal(1);
+		expect(printed.error).to.equal(`nothing names absent in 1 lines of ${file}`);
+		expect(await explain('--logs', file)).to.equal(2);
+	});
+
 	it('says in one line which file can not be read, or that there is no step in it', async () => {
 		const missing = await run('--logs', path.join(directory, 'absent.log'));
 		expect([missing.status, missing.error.split('\n').length]).to.deep.equal([1, 1]);
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -10,6 +10,8 @@
 	/** One line for the help. */
 	summary: string;
 	schema: z.ZodObject<Shape>;
+	/** The setting that a word without a flag, right after the command, gives. */
+	positional?: string;
 	/** Throws `CliError`. */
 	run(settings: z.infer<z.ZodObject<Shape>>): Promise<CommandResult>;
 };
@@ -47,6 +49,9 @@
 	...timeoutShape,
 };
 
+/** `a,b` as a list of log files. */
+export const logsSchema = z.string().min(1).transform(text => text.split(',').filter(Boolean)).describe('log files of any number of hosts, comma-separated');
+
 export const jsonShape = {
 	json: z.stringbool().default(false).describe('print one line of JSON'),
 };
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -11,6 +11,7 @@
 import {formatDifference, listDifferences, type Difference} from './differences.js';
 import {formatProblem, readDocument} from './document.js';
 import {CliError} from './errors.js';
+import {explainCommand} from './explain-command.js';
 import {gatewaysCommand} from './gateways-command.js';
 import {formatTable, formatTime} from './layout.js';
 import {OperatorClient} from './operator-client.js';
@@ -169,5 +170,5 @@
 
 /** All commands. */
 export const commands: Readonly<Record<string, Command>> = {
-	validate, diff, apply, history, status, burn: burnCommand, gateways: gatewaysCommand, steps: stepsCommand,
+	validate, diff, apply, history, status, burn: burnCommand, explain: explainCommand, gateways: gatewaysCommand, steps: stepsCommand,
 };
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,13 @@
 import process from 'node:process';
 import {runProgram} from './program.js';
 
+// A reader that has seen enough, such as a pager, is no failure.
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+	if (error.code !== 'EPIPE') {
+		throw error;
+	}
+});
+
 process.exitCode = await runProgram({
 	argv: process.argv.slice(2),
 	environment: process.env,
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,6 +3,7 @@
  */
 import {cac} from 'cac';
 import {parseSettings, SettingsError, usageStatus} from '@wasabiusher/daemon';
+import type {Command} from './command.js';
 import {commands} from './commands.js';
 import {CliError, exitStatuses} from './errors.js';
 
@@ -59,7 +60,7 @@
 
 	try {
 		const settings = parseSettings(command.schema, {
-			program: `${program} ${name}`, version, argv: rest, environment, description: command.summary,
+			program: `${program} ${name}`, version, argv: nameFirst(command, rest), environment, description: command.summary,
 		});
 		if (settings) {
 			const {json, text} = await command.run(settings);
@@ -72,6 +73,12 @@
 	}
 }
 
+/** Gives a first word without a flag the name of the setting that it is. */
+function nameFirst({positional}: Command, argv: readonly string[]): readonly string[] {
+	const [first] = argv;
+	return positional === undefined || first === undefined || first.startsWith('-') ? argv : [`--${positional}`, ...argv];
+}
+
 function report(error: unknown, isJson: boolean, {writeOut, writeError}: Pick<ProgramIo, 'writeOut' | 'writeError'>): number {
 	if (error instanceof SettingsError) {
 		writeError(`${program}: ${error.message}`);
--- a/packages/cli/src/steps-command.ts
+++ b/packages/cli/src/steps-command.ts
@@ -6,12 +6,10 @@
 	chainLinks, LogFileError, plotSlots, plotSteps, readLines, reportSteps, stepEvents, StepHistories, type ReadingCount, type ReportedStep, type StepsReport,
 	type TrainerSum,
 } from '@wasabiusher/logs';
-import {defineCommand, jsonShape} from './command.js';
+import {defineCommand, jsonShape, logsSchema} from './command.js';
 import {CliError} from './errors.js';
 import {formatTable} from './layout.js';
 
-const filesSchema = z.string().min(1).transform(text => text.split(',').filter(Boolean));
-
 function formatSeconds(ms: number | undefined): string {
 	return ms === undefined ? '-' : (ms / 1000).toFixed(2);
 }
@@ -63,7 +61,7 @@
 export const stepsCommand = defineCommand({
 	summary: 'Shows what the steps of trainers waited for, from log files',
 	schema: z.object({
-		logs: filesSchema.describe('log files of any number of hosts, comma-separated'),
+		logs: logsSchema,
 		...jsonShape,
 	}),
 	async run({logs}) {
--- a/packages/logs/src/index.ts
+++ b/packages/logs/src/index.ts
@@ -1,4 +1,6 @@
 /** What the logs of any number of hosts tell afterwards: of steps, and where their time went. */
+export * from './explain.js';
+export * from './host-clocks.js';
 export * from './line.js';
 export * from './read-lines.js';
 export * from './slot-use.js';
