--- a/scripts/metrics.ts
+++ b/scripts/metrics.ts
@@ -1,8 +1,11 @@
 /**
- * `npm run metrics`: writes docs/METRICS.md from the metrics that a running entry and agent have.
+ * `npm run metrics`: writes docs/METRICS.md from the metrics that a running entry and agent have, and from a gateway's code.
  */
 import {writeFile} from 'node:fs/promises';
+import {Registry} from 'prom-client';
 import {z} from 'zod';
+import {GatewayMetrics} from '@wasabiusher/gateway';
+import type {GatewayStatus} from '@wasabiusher/shared';
 import {startDeployment} from './bench/deployment.js';
 import {Processes, waitFor} from './bench/processes.js';
 import {Traffic} from './bench/traffic.js';
@@ -10,7 +13,7 @@
 const file = 'docs/METRICS.md';
 
 const introduction = [
-	'Made by `npm run metrics` from a running entry and agent.',
+	'Made by `npm run metrics` from a running entry and agent, and from the code of the gateway, which tells them at the address that `WASABIUSHER_METRICS` names.',
 	'They are at `/metrics`, in the text format of Prometheus, or in JSON with `Accept: application/json`.',
 	'A metric shows its labels once it has counted something.',
 	'Those of the runtime and the process, `nodejs_…` and `process_…`, come with prom-client.',
@@ -45,6 +48,23 @@
 	return ['| name | type | labels seen | what it is |', '| --- | --- | --- | --- |', ...rows].join('\n');
 }
 
+/** The metrics of a gateway, as it would tell them; it needs no store for that. */
+async function listGatewayMetrics(): Promise<Metric[]> {
+	const registry = new Registry();
+	const status: GatewayStatus = {
+		host: 'a', dataCentre: 'a', isReady: true, storeWay: 'direct', lateMs: 0, isHolder: false, shares: 0, waiting: {a: 1}, published: {a: 1},
+		turns: [{
+			turn: 'a', urgency: 1, waiting: 1, oldestMs: 0,
+		}],
+		endpoints: [{
+			id: 'a', service: 'a', dataCentre: 'a', slots: 1, open: 0, others: 0, isDraining: false, isAvailable: true, versions: {},
+		}],
+	};
+	const metrics = new GatewayMetrics(registry, () => status, () => ({droppedLines: 0}));
+	metrics.recordCall('a', 'answered', 0);
+	return metricsSchema.parse(await registry.getMetricsAsJSON());
+}
+
 await import('./build.js');
 const processes = new Processes();
 try {
@@ -62,6 +82,8 @@
 		formatTable(await readMetrics(through.origin)),
 		'## Agent',
 		formatTable(await readMetrics(agentOrigin)),
+		'## Gateway',
+		formatTable(await listGatewayMetrics()),
 	];
 	await writeFile(file, `${sections.join('\n\n')}\n`);
 } finally {
