Ask a store that is back anew at once

A store that left all calls without an answer for 7 s was heard again by each host 0 to 1.4 s after its return: followers waited out calls that nobody would answer, and so did the only probe. The gate tells of the first answer; followers give up what they asked before (`hurry`), and four probes may be on their way. Ruled out: shorter waits for all calls, which fail calls to a slow store.

--- a/packages/gateway/__tests__/store-gate.spec.ts
+++ b/packages/gateway/__tests__/store-gate.spec.ts
@@ -89,6 +89,21 @@
 		expect(mixed.isLost).to.equal(true);
 	});
 
+	it('tells once that the store answers again, and of no answer before', async () => {
+		let told = 0;
+		gate.watchRegained(() => {
+			told += 1;
+		});
+		await catchCode(gate.commit(nothing));
+		store.switches.silentMs = 700;
+		await catchCode(gate.commit(nothing), 700);
+		store.switches.silentMs = 0;
+		expect(told).to.equal(0);
+		await catchCode(gate.follow('t', 0, 0));
+		await catchCode(gate.commit(nothing));
+		expect(told).to.equal(1);
+	});
+
 	it('takes a conflict for an answer', async () => {
 		for (let i = 0; i < 6; i += 1) {
 			// eslint-disable-next-line no-await-in-loop
--- a/packages/gateway/src/routed-store.ts
+++ b/packages/gateway/src/routed-store.ts
@@ -17,6 +17,9 @@
 /** Time between tries of the direct way while it is lost, in milliseconds. */
 const probeMs = 300;
 
+/** Tries on their way at a time: one that was sent while the store was silent is left without an answer for its whole time, and must not hold up the next. */
+const maxProbes = 4;
+
 /** Time for which links stay open once the direct way is open again, in milliseconds: the longest call that is under way on them. */
 const lingerMs = 3500;
 
@@ -33,7 +36,8 @@
 	readonly #settings: RoutedStoreSettings;
 	#probe: NodeJS.Timeout | undefined;
 	#linger: NodeJS.Timeout | undefined;
-	#isProbing = false;
+	/** Tries that are not answered yet. */
+	#probes = 0;
 
 	constructor(settings: RoutedStoreSettings) {
 		this.#settings = settings;
@@ -114,13 +118,17 @@
 
 	async #try(): Promise<void> {
 		const {gate, peers, log} = this.#settings;
-		if (this.#isProbing) {
+		if (this.#probes >= maxProbes) {
 			return;
 		}
 
-		this.#isProbing = true;
+		this.#probes += 1;
 		try {
 			await gate.probing.read(probeRange);
+			if (this.#probe === undefined) {
+				return;
+			}
+
 			this.#stopProbing();
 			// A write that is under way on a link would be of unknown fate if it were ended now.
 			this.#linger = setTimeout(() => {
@@ -130,7 +138,7 @@
 		} catch (error) {
 			log.debug('store_way_closed', {reason: describeError(error)});
 		} finally {
-			this.#isProbing = false;
+			this.#probes -= 1;
 		}
 	}
 }
--- a/packages/gateway/src/store-gate.ts
+++ b/packages/gateway/src/store-gate.ts
@@ -41,6 +41,7 @@
 	/** When a call was last answered, on the monotonic clock. */
 	#answeredAt = Number.NEGATIVE_INFINITY;
 	#isVerifying = false;
+	#onRegained: (() => void) | undefined;
 
 	constructor(store: RowStore) {
 		this.#store = store;
@@ -61,6 +62,11 @@
 		return this.#isSilent || (this.#failures >= maxFailures && performance.now() - this.#failingSince >= failingMs);
 	}
 
+	/** Has a listener called at the first answer after the store was lost: calls that were sent meanwhile may never be answered. */
+	watchRegained(listener: () => void): void {
+		this.#onRegained = listener;
+	}
+
 	/** The store for those who ask on while it is silent, so that its first answer is noticed. */
 	get probing(): RowStore {
 		return {
@@ -166,6 +172,7 @@
 
 	#noteAnswer<Answer extends {storeMs: number}>(answer: Answer): Answer {
 		const now = performance.now();
+		const wasLost = this.isLost;
 		// Before the first answer both are infinite.
 		const driftMs = Number.isFinite(this.#answeredAt) ? (now - this.#answeredAt) * maxDrift : 0;
 		this.#answeredAt = now;
@@ -173,6 +180,10 @@
 		this.#steadyOffsetMs = Math.max(this.#steadyOffsetMs - driftMs, this.#offsetMs);
 		this.#isSilent = false;
 		this.#failures = 0;
+		if (wasLost) {
+			this.#onRegained?.();
+		}
+
 		return answer;
 	}
 
--- a/packages/record/__tests__/table-follower.spec.ts
+++ b/packages/record/__tests__/table-follower.spec.ts
@@ -49,6 +49,22 @@
 		clock.uninstall();
 	});
 
+	it('asks anew at once when it is told that a silent store is back, and heeds no answer to what it asked before', async () => {
+		view.switches.silentMs = 1500;
+		await put('a', '2');
+		await clock.tickAsync(1100);
+		await put('b', '3');
+		view.switches.silentMs = 0;
+		await clock.tickAsync(200);
+		expect([...rows]).to.deep.equal([['a', '2']]);
+		follower.hurry();
+		await clock.tickAsync(1);
+		expect([...rows]).to.deep.equal([['a', '2'], ['b', '3']]);
+		await drop('b');
+		await clock.tickAsync(3000);
+		expect([...rows]).to.deep.equal([['a', '2']]);
+	});
+
 	it('reads what is there, then each change as it comes', async () => {
 		expect([...rows]).to.deep.equal([['a', '1']]);
 		await put('a', '2');
--- a/packages/record/src/table-follower.ts
+++ b/packages/record/src/table-follower.ts
@@ -7,7 +7,7 @@
  * rows that are missing then count as removed.
  */
 import {
-	PlatformError, readPages, type RowChange, type RowStore,
+	PlatformError, readPages, type RowChange, type RowRange, type RowStore,
 } from '@wasabiusher/backends';
 import {describeError, type Log} from '@wasabiusher/shared';
 
@@ -30,6 +30,9 @@
 /** Least time between two questions for news, in milliseconds: callers decide how often `refresh` is called. */
 const refreshGapMs = 100;
 
+/** Ends a round whose call was given up. */
+const abandoned = new Error('the call was given up');
+
 /** Rows asked for in one call; the store gives 500 at most. */
 const pageRows = 500;
 
@@ -65,6 +68,8 @@
 	#pauseMs = firstPauseMs;
 	#isDown = false;
 	#wake: (() => void) | undefined;
+	/** Gives up the call that is under way. */
+	#abandon: (() => void) | undefined;
 	/** The question for news that is under way, and the one that follows it. */
 	#question: Promise<boolean> | undefined;
 	#nextQuestion: Promise<boolean> | undefined;
@@ -102,6 +107,15 @@
 		this.#wake?.();
 	}
 
+	/**
+	 * Asks the store anew at once, and heeds no answer to what was asked before: a call that was sent to a store that was silent then
+	 * would be waited for in vain for its whole time.
+	 */
+	hurry(): void {
+		this.#abandon?.();
+		this.#wake?.();
+	}
+
 	/**
 	 * Takes over all changes that were made before this call. Calls at the same time share a question; never rejects.
 	 *
@@ -165,6 +179,10 @@
 
 			onContact?.();
 		} catch (error) {
+			if (error === abandoned) {
+				return;
+			}
+
 			if (error instanceof PlatformError && error.code === 'missing') {
 				log.warn('history_lost', {table, version: this.#version});
 				this.#version = -1;
@@ -197,7 +215,7 @@
 	async #follow(): Promise<void> {
 		const {store, table, waitMs = defaultWaitMs, gatherMs = 0} = this.#settings;
 		// After a failure the answer itself is what matters, not a change.
-		const page = await store.follow(table, this.#version, this.#isDown ? 0 : waitMs);
+		const page = await this.#unlessAbandoned(store.follow(table, this.#version, this.#isDown ? 0 : waitMs));
 		for (const change of page.changes) {
 			this.#take(change);
 		}
@@ -233,7 +251,8 @@
 	async #readPart(part: string, seen: Set<string>): Promise<number> {
 		const {store, table} = this.#settings;
 		let first: number | undefined;
-		for await (const page of readPages(store, {table, part, limit: pageRows})) {
+		const reading = {read: async (range: RowRange) => this.#unlessAbandoned(store.read(range))};
+		for await (const page of readPages(reading, {table, part, limit: pageRows})) {
 			first ??= page.version;
 			for (const row of page.rows) {
 				seen.add(nameRow(row));
@@ -244,6 +263,20 @@
 		return first!;
 	}
 
+	/** The answer to a call; throws `abandoned` if it is given up before. */
+	async #unlessAbandoned<Answer>(call: Promise<Answer>): Promise<Answer> {
+		const whenAbandoned = new Promise<never>((_resolve, reject) => {
+			this.#abandon = () => {
+				reject(abandoned);
+			};
+		});
+		try {
+			return await Promise.race([call, whenAbandoned]);
+		} finally {
+			this.#abandon = undefined;
+		}
+	}
+
 	#take(change: RowChange): void {
 		const id = nameRow(change);
 		const known = this.#known.get(id);
