--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -9,5 +9,6 @@
 export * from './log.js';
 export * from './problem.js';
 export * from './random.js';
+export * from './repeated-failures.js';
 export * from './sample.js';
 export * from './table.js';
