Commit first what a step needs most, at one place of a process

One desk lets lists write: groups that become whole first, then the more urgent route, then the step that is nearly whole; a quarter of the turns goes to the oldest. Nothing is tried while there is no way to the store, the first answer releases all, refusals beyond its rates are answered by growing pauses with chance in them, and two lists of a batch never race each other within a process. With `commitsByWorth` off each list writes as it comes, as before.

--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -12,6 +12,7 @@
 } from './batch.js';
 import {BatchReader} from './batch-reader.js';
 import {decodeRecord, type BatchStore} from './batch-store.js';
+import {CommitDesk} from './commit-desk.js';
 import {isOfCustomer} from './customers.js';
 import {BatchError} from './errors.js';
 import type {HostRegistry} from './host-registry.js';
@@ -30,18 +31,21 @@
 /** Time within which the lost answer of an end is settled, in milliseconds. */
 const settleMs = 2500;
 
-export type BatchesSettings = Omit<ShareOwnerSettings, 'countEarlierOpen' | 'onConflict' | 'findHomes'> & {
+export type BatchesSettings = Omit<ShareOwnerSettings, 'countEarlierOpen' | 'desk' | 'onConflict' | 'findHomes'> & {
 	store: BatchStore;
 	keptTexts: KeptTexts;
 	hosts: HostRegistry;
 	host: string;
 	dataCentre?: string;
+	/** Whether there is a way to the store at present; always by default. */
+	isStoreOpen?(): boolean;
 };
 
 /** The batches. */
 export class Batches {
 	readonly #settings: BatchesSettings;
 	readonly #known = new KnownBatches();
+	readonly #desk: CommitDesk | undefined;
 	/** What this process works on, by the name of the share. */
 	readonly #owners = new Map<string, ShareOwner>();
 	/** Shares that this process is about to work on, by name and term. */
@@ -56,7 +60,10 @@
 
 	constructor(settings: BatchesSettings) {
 		this.#settings = settings;
-		const {keptTexts, dataCentre = '', log} = settings;
+		const {
+			keptTexts, dataCentre = '', log, random, policy = defaultPolicy, isStoreOpen = () => true,
+		} = settings;
+		this.#desk = policy.commitsByWorth ? new CommitDesk({isOpen: isStoreOpen, chance: () => random.next()}) : undefined;
 		const known = this.#known;
 		this.#submissions = new Submissions(settings.store);
 		this.#reader = new BatchReader({
@@ -127,6 +134,11 @@
 		}
 	}
 
+	/** Writes what has waited for the store, which answers again. */
+	releaseCommits(): void {
+		this.#desk?.release();
+	}
+
 	/** Takes over a change of the table of batches. */
 	apply(change: RowChange): void {
 		if (change.value === undefined) {
@@ -222,6 +234,8 @@
 		for (const owner of this.#owners.values()) {
 			this.#drop(owner);
 		}
+
+		this.#desk?.stop();
 	}
 
 	/** Leaves a share without an owner, with its unfinished texts; the row may be changed by hosts that hand over other shares meanwhile. */
@@ -390,6 +404,7 @@
 			}, share);
 			const owner = new ShareOwner({
 				...this.#settings,
+				desk: this.#desk,
 				countEarlierOpen: () => this.#known.countEarlierOpen(record),
 				findHomes: () => homes.find(),
 				onConflict: found => {
--- /dev/null
+++ b/packages/batches/src/pending-results.ts
@@ -0,0 +1,90 @@
+/**
+ * Results of one share that wait for the store, and what each of its groups still lacks.
+ */
+import {
+	countCompleted, planCommit, type CommitDemand, type WaitingResult,
+} from '@wasabiusher/decisions';
+import type {LogValue} from '@wasabiusher/shared';
+import type {Sample, SampleResult} from './batch.js';
+import {maxWriteBytes} from './batch-store.js';
+
+/** What one transaction takes: with the rows of the batch and its end, conditions and writes stay under 100 entries. */
+const commitLimits = {results: 20, bytes: maxWriteBytes};
+
+/** A result that is not written yet. */
+export type PendingResult = WaitingResult & {
+	result: SampleResult;
+	/** What the log says of it once it is listed. */
+	values: Readonly<Record<string, LogValue>>;
+};
+
+/** The results that wait. */
+export class PendingResults {
+	/** Group of each sample of the share; one without a group counts alone. */
+	readonly #groups: ReadonlyMap<string, string>;
+	/** Samples of each group that are not listed, as far as there are any. */
+	readonly #lacking = new Map<string, number>();
+	readonly #waiting = new Map<string, PendingResult>();
+	readonly #isByWorth: boolean;
+
+	/**
+	 * @param samples - those of the share
+	 * @param isByWorth - whether what the step needs most goes first; otherwise the oldest does
+	 */
+	constructor(samples: readonly Sample[], isByWorth: boolean) {
+		this.#isByWorth = isByWorth;
+		this.#groups = new Map(samples.map(({id, group}) => [id, group ?? id]));
+		for (const group of this.#groups.values()) {
+			this.#lacking.set(group, (this.#lacking.get(group) ?? 0) + 1);
+		}
+	}
+
+	get size(): number {
+		return this.#waiting.size;
+	}
+
+	/** Whether a sample is one of the share. */
+	isOwn(sample: string): boolean {
+		return this.#groups.has(sample);
+	}
+
+	add(result: SampleResult, values: Readonly<Record<string, LogValue>>): void {
+		const {id, text} = result;
+		this.#waiting.set(id, {
+			id, group: this.#groups.get(id) ?? id, bytes: text.length, addedAt: performance.now(), result, values,
+		});
+	}
+
+	/** Takes note that the store has a sample's result; returns what has waited of it. */
+	settle(sample: string): PendingResult | undefined {
+		const group = this.#groups.get(sample) ?? sample;
+		const left = (this.#lacking.get(group) ?? 0) - 1;
+		if (left > 0) {
+			this.#lacking.set(group, left);
+		} else {
+			this.#lacking.delete(group);
+		}
+
+		const pending = this.#waiting.get(sample);
+		this.#waiting.delete(sample);
+		return pending;
+	}
+
+	/** What goes with the next transaction. */
+	plan(): PendingResult[] {
+		return planCommit([...this.#waiting.values()], this.#isByWorth ? this.#lacking : new Map(), commitLimits);
+	}
+
+	/** What the next transaction would gain; undefined if nothing waits. */
+	findDemand(priority: number): CommitDemand | undefined {
+		const oldest = this.#waiting.values().next().value;
+		if (!oldest) {
+			return undefined;
+		}
+
+		const completes = countCompleted(this.plan(), this.#lacking);
+		return {
+			completes, openGroups: this.#lacking.size - completes, priority, addedAt: oldest.addedAt,
+		};
+	}
+}
--- a/packages/batches/src/result-list.ts
+++ b/packages/batches/src/result-list.ts
@@ -6,11 +6,17 @@
  * known here, as after a lost answer, nothing more is written before the missing ones are found.
  */
 import PQueue from 'p-queue';
-import {describeError, type Log, type LogValue} from '@wasabiusher/shared';
-import type {SampleResult, StoredBatch} from './batch.js';
-import {maxWriteBytes, type BatchStore, type ResultEnd} from './batch-store.js';
+import {PlatformError} from '@wasabiusher/backends';
+import type {CommitDemand} from '@wasabiusher/decisions';
+import {
+	describeError, RepeatedFailures, type Log, type LogValue,
+} from '@wasabiusher/shared';
+import type {Sample, SampleResult, StoredBatch} from './batch.js';
+import type {BatchStore, ResultEnd} from './batch-store.js';
+import type {CommitDesk, CommitOutcome, Committer} from './commit-desk.js';
 import {BatchError} from './errors.js';
 import {pause} from './pause.js';
+import {PendingResults} from './pending-results.js';
 import type {PositionedResult} from './result-rows.js';
 
 /** Least pause between transactions of one batch, in milliseconds: results that come together go together. */
@@ -19,9 +25,6 @@
 /** Pause after a commit that could not be made, in milliseconds. */
 const commitRetryMs = 100;
 
-/** Most results of one transaction: with the rows of the batch and its end, conditions and writes stay under 100 entries. */
-const maxCommitResults = 20;
-
 export type ResultListSettings = {
 	store: BatchStore;
 	log: Log;
@@ -30,10 +33,14 @@
 	share: number;
 	/** Whether other processes append to the batch's results as well. */
 	isShared: boolean;
-	/** Ids of the samples of this share. */
-	samples: ReadonlySet<string>;
+	/** Samples of this share. */
+	samples: readonly Sample[];
+	/** Where the process's results go to the store; without it each list writes as it comes. */
+	desk?: CommitDesk;
 	/** Aborts when the share stops here; nothing is written after that. */
 	signal: AbortSignal;
+	/** How urgent the batch's route is; a lower number is more urgent. */
+	findPriority?(): number;
 	/** The version of the batch's row as last known. */
 	findVersion(): number;
 	/** Called with the batch's row, which has perhaps changed; undefined if it is gone. */
@@ -43,14 +50,14 @@
 };
 
 /** The results of one share. */
-export class ResultList {
+export class ResultList implements Committer {
+	readonly batch: string;
 	readonly #settings: ResultListSettings;
 	/** Results of this share that the store has, in the order of their positions. */
 	readonly #results: SampleResult[] = [];
 	readonly #listed = new Set<string>();
-	#waiting: SampleResult[] = [];
-	/** What the log says of results once they are listed. */
-	readonly #notes = new Map<string, {addedAt: number; values: Readonly<Record<string, LogValue>>}>();
+	readonly #pending: PendingResults;
+	readonly #failures: RepeatedFailures;
 	readonly #commits = new PQueue({concurrency: 1});
 	readonly #watchers = new Set<() => void>();
 	/** Where the results end, as far as nobody else can have moved it. */
@@ -60,6 +67,9 @@
 	/** @param results - those of this share that the store has already */
 	constructor(settings: ResultListSettings, results: readonly PositionedResult[]) {
 		this.#settings = settings;
+		this.batch = settings.batch;
+		this.#pending = new PendingResults(settings.samples, settings.desk !== undefined);
+		this.#failures = new RepeatedFailures({log: settings.log, event: 'commit_failed', overEvent: 'commits_resumed'});
 		for (const {position, result} of results) {
 			this.#list(result, position);
 		}
@@ -85,9 +95,31 @@
 			return;
 		}
 
-		this.#waiting.push(result);
-		this.#notes.set(result.id, {addedAt: performance.now(), values});
-		void this.#commits.add(async () => this.#commit());
+		this.#pending.add(result, values);
+		if (this.#settings.desk) {
+			this.#settings.desk.ask(this);
+		} else {
+			void this.#commits.add(async () => this.#commitAll());
+		}
+	}
+
+	/** What the next transaction would gain; undefined if nothing waits or nothing may be written any more. */
+	findDemand(): CommitDemand | undefined {
+		return this.#isOver ? undefined : this.#pending.findDemand(this.#settings.findPriority?.() ?? 0);
+	}
+
+	/** Writes what is worth most of what waits, in one transaction; never rejects. */
+	async commit(): Promise<CommitOutcome> {
+		try {
+			const end = await this.#findEnd();
+			const taken = this.#pending.plan();
+			const isWritten = taken.length === 0 || this.#isOver || await this.#append(end, taken.map(({result}) => result));
+			this.#failures.recover();
+			return isWritten ? 'written' : 'raced';
+		} catch (error) {
+			this.#failures.record({batch: this.batch, results: this.#pending.size, reason: describeError(error)});
+			return isLimited(error) ? 'limited' : 'failed';
+		}
 	}
 
 	/** Resolves when results come after a position, when the batch stops here, or after a time. */
@@ -111,6 +143,7 @@
 	/** Writes nothing more. */
 	close(): void {
 		this.#isClosed = true;
+		this.#settings.desk?.leave(this);
 	}
 
 	/** Answers all who wait. */
@@ -120,13 +153,17 @@
 		}
 	}
 
-	async #commit(): Promise<void> {
-		while (this.#waiting.length > 0 && !this.#isOver) {
+	async #commitAll(): Promise<void> {
+		while (this.#pending.size > 0 && !this.#isOver) {
 			// One transaction after the other, so that positions follow one another.
 			// eslint-disable-next-line no-await-in-loop
 			await pause(commitPauseMs);
 			// eslint-disable-next-line no-await-in-loop
-			await this.#commitOnce();
+			const outcome = await this.commit();
+			if (outcome === 'limited' || outcome === 'failed') {
+				// eslint-disable-next-line no-await-in-loop
+				await pause(commitRetryMs);
+			}
 		}
 	}
 
@@ -134,20 +171,6 @@
 		return this.#isClosed || this.#settings.signal.aborted;
 	}
 
-	async #commitOnce(): Promise<void> {
-		const {log, batch} = this.#settings;
-		try {
-			const end = await this.#findEnd();
-			const taken = this.#takeCommit();
-			if (taken.length > 0 && !this.#isOver) {
-				await this.#append(end, taken);
-			}
-		} catch (error) {
-			log.warn('commit_failed', {batch, results: this.#waiting.length, reason: describeError(error)});
-			await pause(commitRetryMs);
-		}
-	}
-
 	/**
 	 * Where the results end, once all that this share has listed is known here. A transaction whose answer was lost has either moved the end, and
 	 * its results are found, or it expects the same end as the next one, and only one of both can take effect.
@@ -168,9 +191,9 @@
 
 	/** Finds results of this share that were listed without this process's knowledge. */
 	async #findMissing({listed, next}: ResultEnd): Promise<void> {
-		const {store, batch, share, samples} = this.#settings;
+		const {store, batch, share} = this.#settings;
 		for (const {position, result} of await store.readAllResults(batch)) {
-			if (samples.has(result.id) && !this.#listed.has(result.id)) {
+			if (this.#pending.isOwn(result.id) && !this.#listed.has(result.id)) {
 				this.#list(result, position);
 			}
 		}
@@ -181,7 +204,8 @@
 		}
 	}
 
-	async #append(end: ResultEnd, results: readonly SampleResult[]): Promise<void> {
+	/** Returns whether they were written; otherwise something has changed that was expected. */
+	async #append(end: ResultEnd, results: readonly SampleResult[]): Promise<boolean> {
 		const {store, batch, share, findVersion, onConflict} = this.#settings;
 		this.#end = undefined;
 		const written = await store.appendResults({
@@ -190,7 +214,7 @@
 		if (!written) {
 			// The row or the end has changed; a row that was ended or given to another process closes this list.
 			onConflict(await store.find(batch));
-			return;
+			return false;
 		}
 
 		this.#end = written;
@@ -199,41 +223,24 @@
 		}
 
 		this.#settle();
-	}
-
-	/** The oldest results that fit into one transaction. */
-	#takeCommit(): SampleResult[] {
-		const taken: SampleResult[] = [];
-		let bytes = 0;
-		for (const result of this.#waiting) {
-			bytes += result.text.length;
-			if (taken.length > 0 && (taken.length >= maxCommitResults || bytes > maxWriteBytes)) {
-				break;
-			}
-
-			taken.push(result);
-		}
-
-		return taken;
+		return true;
 	}
 
 	#list(result: SampleResult, position: number): void {
 		this.#results.push(result);
 		this.#listed.add(result.id);
-		const note = this.#notes.get(result.id);
-		if (note) {
-			this.#notes.delete(result.id);
+		const pending = this.#pending.settle(result.id);
+		if (pending) {
 			this.#settings.log.info('result_listed', {
-				batch: this.#settings.batch, sample: result.id, position, state: result.state, ...note.values,
-				committedMs: Math.round(performance.now() - note.addedAt),
+				batch: this.batch, sample: result.id, position, state: result.state, ...pending.values,
+				committedMs: Math.round(performance.now() - pending.addedAt),
 			});
 		}
 	}
 
-	/** Forgets what is listed by now, and tells those who wait. */
+	/** Tells those who wait that more is listed. */
 	#settle(): void {
-		const {log, batch, samples: {size: total}, onWhole} = this.#settings;
-		this.#waiting = this.#waiting.filter(result => !this.#listed.has(result.id));
+		const {log, batch, samples: {length: total}, onWhole} = this.#settings;
 		if (this.#results.length === total) {
 			log.info('share_whole', {batch, total});
 			onWhole();
@@ -242,3 +249,8 @@
 		this.notify();
 	}
 }
+
+/** Whether the store has refused a call beyond its rates. */
+function isLimited(error: unknown): boolean {
+	return error instanceof BatchError && error.cause instanceof PlatformError && error.cause.code === 'limited';
+}
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -20,6 +20,7 @@
 	Sample, SampleResult, StoredBatch, Submission,
 } from './batch.js';
 import type {BatchStore, PartialTexts} from './batch-store.js';
+import type {CommitDesk} from './commit-desk.js';
 import {nameForCustomer} from './customers.js';
 import type {GroupedText} from './kept-texts.js';
 import {Renewals} from './renewals.js';
@@ -46,6 +47,8 @@
 
 export type ShareOwnerSettings = ScoringSettings & {
 	store: BatchStore;
+	/** Where the process's results go to the store; undefined if each list writes as it comes. */
+	desk?: CommitDesk;
 	/** The newest published version of a model. */
 	findPublished(model: string): number | undefined;
 	/** Milliseconds on the store's steady clock. */
@@ -86,7 +89,6 @@
 	readonly share: number;
 	/** Samples of this share. */
 	readonly samples: readonly Sample[];
-	readonly #ids: ReadonlySet<string>;
 	readonly #settings: ShareOwnerSettings;
 	readonly #policy: Policy;
 	#stored: StoredBatch;
@@ -107,7 +109,6 @@
 		const {shares} = stored.record;
 		this.share = share;
 		this.samples = listShareSamples(submission, share, shares.length);
-		this.#ids = new Set(this.samples.map(({id}) => id));
 		this.#settings = settings;
 		this.#policy = settings.policy ?? defaultPolicy;
 		this.#stored = stored;
@@ -122,7 +123,9 @@
 			batch: stored.record.id,
 			share,
 			isShared: shares.length > 1,
-			samples: this.#ids,
+			samples: this.samples,
+			desk: settings.desk,
+			findPriority: () => this.#findRoute()?.priority ?? 0,
 			findVersion: () => this.#stored.version,
 			signal: this.#stop.signal,
 			onConflict: settings.onConflict,
@@ -203,6 +206,7 @@
 	/** Stops all runs; nothing is written after that. */
 	stop(): void {
 		this.#stop.abort();
+		this.#results.close();
 		this.#renewals.stop();
 		this.#clearTimers();
 		this.#results.notify();
@@ -266,7 +270,8 @@
 
 	/** The results of this share among those of the batch. */
 	#selectOwn(results: readonly PositionedResult[]): PositionedResult[] {
-		return results.filter(({result}) => this.#ids.has(result.id));
+		const ids = new Set(this.samples.map(({id}) => id));
+		return results.filter(({result}) => ids.has(result.id));
 	}
 
 	/** What there is of a sample's text to go on with, if its versions fit this batch. */
--- /dev/null
+++ b/packages/decisions/__tests__/commit-order.spec.ts
@@ -0,0 +1,58 @@
+import {expect} from 'chai';
+import {
+	chooseCommit, countCompleted, planCommit, type CommitDemand, type WaitingResult,
+} from '../src/index.js';
+
+function createResults(...groups: string[]): WaitingResult[] {
+	return groups.map((group, i) => ({
+		id: `${group}${i}`, group, bytes: 100, addedAt: i,
+	}));
+}
+
+function createList(name: string, changes: Partial<CommitDemand> = {}) {
+	return {
+		name, demand: {
+			completes: 0, openGroups: 4, priority: 5, addedAt: 0, ...changes,
+		},
+	};
+}
+
+describe('Order of commits', () => {
+	const lacking = new Map([['a', 3], ['b', 2], ['c', 4]]);
+
+	it('writes groups that become whole before older results of groups that lack others', () => {
+		const waiting = createResults('a', 'c', 'b', 'a', 'b');
+		const planned = planCommit(waiting, lacking, {results: 2, bytes: 1000});
+		expect(planned.map(({group}) => group)).to.deep.equal(['b', 'b']);
+		expect(countCompleted(planned, lacking)).to.equal(1);
+		expect(planCommit(waiting, lacking, {results: 9, bytes: 1000}).map(({group}) => group)).to.deep.equal(['b', 'b', 'a', 'a', 'c']);
+	});
+
+	it('keeps to the bytes of a transaction, and takes one result however great it is', () => {
+		expect(planCommit(createResults('a', 'a', 'a'), lacking, {results: 9, bytes: 250})).to.have.length(2);
+		expect(planCommit(createResults('a', 'a', 'a'), lacking, {results: 9, bytes: 50})).to.have.length(1);
+	});
+
+	it('lets the list go first that completes a group, then the more urgent one, then the step that is nearly whole, then the oldest', () => {
+		const lists = [
+			createList('old'),
+			createList('near', {openGroups: 1, addedAt: 9}),
+			createList('urgent', {priority: 1, addedAt: 9}),
+			createList('whole', {completes: 1, addedAt: 9}),
+		];
+		const order: string[] = [];
+		for (let left = lists; left.length > 0;) {
+			const chosen = chooseCommit(left, 0)!;
+			order.push(chosen.name);
+			left = left.filter(list => list !== chosen);
+		}
+
+		expect(order).to.deep.equal(['whole', 'urgent', 'near', 'old']);
+	});
+
+	it('gives a quarter of the turns to the oldest, though others always complete groups', () => {
+		const lists = [createList('old'), createList('whole', {completes: 1, addedAt: 9})];
+		const names = Array.from({length: 8}, (_, turn) => chooseCommit(lists, turn)!.name);
+		expect(names.filter(name => name === 'old')).to.have.length(2);
+	});
+});
--- /dev/null
+++ b/packages/decisions/src/commit-order.ts
@@ -0,0 +1,117 @@
+/**
+ * Which results are written first when more wait than one transaction takes, and which list of them goes first.
+ *
+ * Load pattern: a store that was silent for seconds answers again while each host holds dozens of whole texts of several steps. A trainer goes on
+ * when enough groups are whole, so a result whose group lacks others is worth nothing yet, and one list's old results must not hold up
+ * those that another step waits for.
+ */
+
+/** A result that waits to be written. */
+export type WaitingResult = {
+	id: string;
+	group: string;
+	/** Size of its row, in bytes. */
+	bytes: number;
+	/** When it began to wait, in milliseconds on any steady clock. */
+	addedAt: number;
+};
+
+/** What one transaction takes. */
+export type CommitLimits = {results: number; bytes: number};
+
+/** What a list of results that wait would gain by its next transaction. */
+export type CommitDemand = {
+	/** Groups that become whole by it. */
+	completes: number;
+	/** Groups of the list that are not whole after it. */
+	openGroups: number;
+	/** Of the route; a lower one is more urgent. */
+	priority: number;
+	/** When its oldest result began to wait, in milliseconds. */
+	addedAt: number;
+};
+
+/** One turn in so many goes to the list that has waited longest, so that no list waits for ever. */
+const oldestTurns = 4;
+
+/**
+ * The results of the next transaction: those of groups that become whole by it first, then of groups that lack the fewest, then the oldest.
+ * There is at least one if any waits, however great it is.
+ *
+ * @param lacking - samples of each group that have no written result
+ */
+export function planCommit<Result extends WaitingResult>(waiting: readonly Result[], lacking: ReadonlyMap<string, number>, limits: CommitLimits): Result[] {
+	const taken: Result[] = [];
+	let bytes = 0;
+	for (const result of orderResults(waiting, lacking)) {
+		bytes += result.bytes;
+		if (taken.length > 0 && (taken.length >= limits.results || bytes > limits.bytes)) {
+			break;
+		}
+
+		taken.push(result);
+	}
+
+	return taken;
+}
+
+/** Groups that become whole by writing some results. */
+export function countCompleted(written: readonly WaitingResult[], lacking: ReadonlyMap<string, number>): number {
+	const counts = countGroups(written);
+	return [...counts].filter(([group, count]) => count >= (lacking.get(group) ?? 0)).length;
+}
+
+/**
+ * The list that writes next; undefined if there is none.
+ *
+ * @param turn - counts up by one with each choice
+ */
+export function chooseCommit<List extends {demand: CommitDemand}>(lists: readonly List[], turn: number): List | undefined {
+	const compare = turn % oldestTurns === oldestTurns - 1 ? compareAges : compareDemands;
+	let best: List | undefined;
+	for (const list of lists) {
+		if (!best || compare(list.demand, best.demand) < 0) {
+			best = list;
+		}
+	}
+
+	return best;
+}
+
+function orderResults<Result extends WaitingResult>(waiting: readonly Result[], lacking: ReadonlyMap<string, number>): Result[] {
+	const counts = countGroups(waiting);
+	const lacksThen = (group: string) => Math.max(0, (lacking.get(group) ?? 0) - (counts.get(group) ?? 0));
+	const oldest = new Map<string, number>();
+	for (const {group, addedAt} of waiting) {
+		oldest.set(group, Math.min(addedAt, oldest.get(group) ?? Number.POSITIVE_INFINITY));
+	}
+
+	return waiting.toSorted((a, b) => lacksThen(a.group) - lacksThen(b.group)
+		|| oldest.get(a.group)! - oldest.get(b.group)!
+		|| compareTexts(a.group, b.group)
+		|| a.addedAt - b.addedAt);
+}
+
+function countGroups(results: readonly WaitingResult[]): Map<string, number> {
+	const counts = new Map<string, number>();
+	for (const {group} of results) {
+		counts.set(group, (counts.get(group) ?? 0) + 1);
+	}
+
+	return counts;
+}
+
+function compareTexts(a: string, b: string): number {
+	return a < b ? -1 : Number(a > b);
+}
+
+function compareAges(a: CommitDemand, b: CommitDemand): number {
+	return a.addedAt - b.addedAt;
+}
+
+function compareDemands(a: CommitDemand, b: CommitDemand): number {
+	return Number(b.completes > 0) - Number(a.completes > 0)
+		|| a.priority - b.priority
+		|| a.openGroups - b.openGroups
+		|| compareAges(a, b);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import {PeerServer} from './peer-server.js';
 import {RoutedStore} from './routed-store.js';
 import {StoreGate} from './store-gate.js';
+import {StoreReturn} from './store-return.js';
 
 /** How often what nobody reads any more is removed, in milliseconds. */
 const sweepMs = 10_000;
@@ -106,6 +107,7 @@
 	readonly #neededFollowers: TableFollower[];
 	readonly #gate: StoreGate;
 	readonly #rows: RoutedStore;
+	readonly #storeReturn: StoreReturn;
 	readonly #peerServer: PeerServer | undefined;
 	readonly #trueTime: TrueTime;
 	readonly #usage: Usage | undefined;
@@ -165,6 +167,7 @@
 			findDeployment: () => this.#catalog.deployment,
 			findPublished: model => this.#orders.findPublished(model),
 			readStoreMs: () => this.#gate.storeMs,
+			isStoreOpen: () => !this.#gate.isLost || rows.isRelayed,
 		});
 		this.#usage = this.#createUsage();
 		const chance = () => random.next();
@@ -198,6 +201,16 @@
 				},
 			}),
 		];
+		this.#storeReturn = new StoreReturn({
+			followers: this.#followers, chance, countHosts: () => this.#hosts.count,
+			beat: async () => this.#hosts.beat(),
+			release: () => {
+				this.batches.releaseCommits();
+			},
+		});
+		this.#gate.watchRegained(() => {
+			this.#storeReturn.begin();
+		});
 	}
 
 	/** Whether new work should come here. The heartbeats of others need not be known: a part of the store may be down at a start. */
@@ -281,6 +294,7 @@
 		this.#hosts.stop();
 		this.batches.stop();
 		this.#rows.stop();
+		this.#storeReturn.stop();
 		this.#peerServer?.close();
 		this.#isStopped = true;
 		for (const follower of this.#followers) {
