Write the texts down first whose loss would cost most, and count only what was written

A checkpoint that was refused since the batch's row had changed counted as written, and so did texts that did not fit into the transaction: neither was written again before it had grown by six events more. Now the store's answer decides, and a changed row is read.

--- a/packages/batches/src/batch-store.ts
+++ b/packages/batches/src/batch-store.ts
@@ -47,6 +47,9 @@
 /** A row to be written in the transaction of a batch's row. */
 export type RowWrite = RowAddress & {value: Uint8Array};
 
+/** The row of an unfinished text. */
+export type PartialRow = RowWrite & {sample: string};
+
 /** A submission that is ready to be accepted. */
 export type PreparedSubmission = {object: string; rows: RowWrite[]};
 
@@ -128,7 +131,7 @@
 		try {
 			const receipt = await this.#rows.commit({
 				conditions: [{...address, version}],
-				puts: [{...address, value: encode(record)}, ...more],
+				puts: [{...address, value: encode(record)}, ...toWrites(more)],
 				deletes: [],
 			});
 			return receipt.version;
@@ -202,9 +205,9 @@
 		}
 	}
 
-	/** Rows of unfinished texts, to be written with the batch's own. */
-	preparePartials(batch: string, partials: PartialTexts): RowWrite[] {
-		return encodePartials(batch, partials);
+	/** Rows of unfinished texts, the first ones that fit into one transaction and into so many bytes. */
+	preparePartials(batch: string, partials: PartialTexts, maxBytes = maxWriteBytes): PartialRow[] {
+		return encodePartials(batch, partials, Math.min(maxBytes, maxWriteBytes));
 	}
 
 	/** Reads what an owner has left of unfinished texts. */
@@ -219,9 +222,9 @@
 	}
 
 	/** Keeps unfinished texts, on the condition that the batch's row is unchanged; false if it was not. */
-	async keepPartials(batch: string, version: number, partials: PartialTexts): Promise<boolean> {
+	async keepPartials(batch: string, version: number, rows: readonly PartialRow[]): Promise<boolean> {
 		try {
-			await this.#rows.commit({conditions: [{...locate(batch), version}], puts: encodePartials(batch, partials), deletes: []});
+			await this.#rows.commit({conditions: [{...locate(batch), version}], puts: toWrites(rows), deletes: []});
 			return true;
 		} catch (error) {
 			if (error instanceof PlatformError && error.code === 'conflict') {
@@ -295,15 +298,15 @@
 }
 
 /** Rows of unfinished texts; those that fit into one transaction, so that keeping them is one write. */
-function encodePartials(batch: string, partials: PartialTexts): RowWrite[] {
-	const rows: RowWrite[] = [];
+function encodePartials(batch: string, partials: PartialTexts, maxBytes: number): PartialRow[] {
+	const rows: PartialRow[] = [];
 	let bytes = 0;
 	for (const [sample, partial] of partials) {
 		const value = encode(partial);
-		if (value.length <= maxPartialBytes && bytes + value.length <= maxWriteBytes && rows.length < maxWriteRows) {
+		if (value.length <= maxPartialBytes && bytes + value.length <= maxBytes && rows.length < maxWriteRows) {
 			bytes += value.length;
 			rows.push({
-				table: textTable, part: findPart(batch), key: `${batch}/${sample}`, value,
+				table: textTable, part: findPart(batch), key: `${batch}/${sample}`, value, sample,
 			});
 		}
 	}
@@ -311,6 +314,13 @@
 	return rows;
 }
 
+/** Only what the store is told of rows. */
+function toWrites(rows: readonly RowWrite[]): RowWrite[] {
+	return rows.map(({table, part, key, value}) => ({
+		table, part, key, value,
+	}));
+}
+
 async function guard<Result>(work: Promise<Result>): Promise<Result> {
 	try {
 		return await work;
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -12,6 +12,7 @@
 } from './batch.js';
 import {BatchReader} from './batch-reader.js';
 import {decodeRecord, type BatchStore} from './batch-store.js';
+import {CheckpointBudget} from './checkpoint-budget.js';
 import {CommitDesk} from './commit-desk.js';
 import {isOfCustomer} from './customers.js';
 import {BatchError} from './errors.js';
@@ -31,7 +32,7 @@
 /** Time within which the lost answer of an end is settled, in milliseconds. */
 const settleMs = 2500;
 
-export type BatchesSettings = Omit<ShareOwnerSettings, 'countEarlierOpen' | 'desk' | 'onConflict' | 'findHomes'> & {
+export type BatchesSettings = Omit<ShareOwnerSettings, 'checkpointBudget' | 'countEarlierOpen' | 'desk' | 'onConflict' | 'findHomes'> & {
 	store: BatchStore;
 	keptTexts: KeptTexts;
 	hosts: HostRegistry;
@@ -46,6 +47,7 @@
 	readonly #settings: BatchesSettings;
 	readonly #known = new KnownBatches();
 	readonly #desk: CommitDesk | undefined;
+	readonly #checkpointBudget = new CheckpointBudget();
 	/** What this process works on, by the name of the share. */
 	readonly #owners = new Map<string, ShareOwner>();
 	/** Shares that this process is about to work on, by name and term. */
@@ -405,6 +407,7 @@
 			const owner = new ShareOwner({
 				...this.#settings,
 				desk: this.#desk,
+				checkpointBudget: this.#checkpointBudget,
 				countEarlierOpen: () => this.#known.countEarlierOpen(record),
 				findHomes: () => homes.find(),
 				onConflict: found => {
--- a/packages/batches/src/pending-results.ts
+++ b/packages/batches/src/pending-results.ts
@@ -48,6 +48,11 @@
 		return this.#groups.has(sample);
 	}
 
+	/** Samples of a sample's group that are not listed. */
+	countLacking(sample: string): number {
+		return this.#lacking.get(this.#groups.get(sample) ?? sample) ?? 0;
+	}
+
 	add(result: SampleResult, values: Readonly<Record<string, LogValue>>): void {
 		const {id, text} = result;
 		this.#waiting.set(id, {
--- a/packages/batches/src/result-list.ts
+++ b/packages/batches/src/result-list.ts
@@ -85,6 +85,11 @@
 		return this.#listed.has(sample);
 	}
 
+	/** Samples of a sample's group that the store has no result of. */
+	countLacking(sample: string): number {
+		return this.#pending.countLacking(sample);
+	}
+
 	/**
 	 * Lists a result as soon as the store takes it.
 	 *
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -20,6 +20,8 @@
 	Sample, SampleResult, StoredBatch, Submission,
 } from './batch.js';
 import type {BatchStore, PartialTexts} from './batch-store.js';
+import type {CheckpointBudget} from './checkpoint-budget.js';
+import {Checkpoints} from './checkpoints.js';
 import type {CommitDesk} from './commit-desk.js';
 import {nameForCustomer} from './customers.js';
 import type {GroupedText} from './kept-texts.js';
@@ -36,12 +38,6 @@
 /** Samples begun at once when no endpoint is registered, so that the first one is not waited for. */
 const leastConcurrency = 8;
 
-/** Time between writes of unfinished texts, in milliseconds; so much work is lost with an owner. */
-const checkpointMs = 700;
-
-/** Events that a text must have grown by to be written again; fewer are made anew in a quarter of a second. */
-const checkpointEvents = 6;
-
 /** Time between looks for texts that should be begun a second time, in milliseconds; a text grows by seven events in it. */
 const renewalMs = 250;
 
@@ -49,6 +45,8 @@
 	store: BatchStore;
 	/** Where the process's results go to the store; undefined if each list writes as it comes. */
 	desk?: CommitDesk;
+	/** What the process may write of unfinished texts. */
+	checkpointBudget: CheckpointBudget;
 	/** The newest published version of a model. */
 	findPublished(model: string): number | undefined;
 	/** Milliseconds on the store's steady clock. */
@@ -96,11 +94,10 @@
 	readonly #results: ResultList;
 	readonly #texts: ShareTexts;
 	#isRetired = false;
-	readonly #checkpointed = new Map<string, number>();
 	readonly #stop = createStop();
 	readonly #renewals: Renewals;
 	readonly #queue: PQueue;
-	#checkpointTimer: NodeJS.Timeout | undefined;
+	readonly #checkpoints: Checkpoints;
 	#renewalTimer: NodeJS.Timeout | undefined;
 	/** Version from which on second texts are begun: each earlier batch that is still open brings one more before this one ends. */
 	#renewFrom: number | undefined;
@@ -134,6 +131,16 @@
 				this.#renewals.stop();
 			},
 		}, this.#selectOwn(results));
+		this.#checkpoints = new Checkpoints({
+			store,
+			log,
+			batch: stored.record.id,
+			budget: settings.checkpointBudget,
+			findVersion: () => this.#stored.version,
+			listPartials: () => this.partials,
+			countLacking: sample => this.#results.countLacking(sample),
+			onConflict: settings.onConflict,
+		});
 	}
 
 	get id(): string {
@@ -189,9 +196,10 @@
 			void this.#queue.add(async () => this.#make(open.get(id)!));
 		}
 
-		this.#checkpointTimer = setInterval(() => {
-			void this.#checkpoint();
-		}, checkpointMs);
+		if (this.#policy.keepsCheckpoints) {
+			this.#checkpoints.start();
+		}
+
 		this.#renewalTimer = setInterval(() => {
 			this.#renew();
 		}, renewalMs);
@@ -324,7 +332,7 @@
 	}
 
 	#clearTimers(): void {
-		clearInterval(this.#checkpointTimer);
+		this.#checkpoints.stop();
 		clearInterval(this.#renewalTimer);
 	}
 
@@ -411,23 +419,6 @@
 			},
 		}, signal, text);
 	}
-
-	/** Keeps texts that have grown, so that a next owner goes on from there. */
-	async #checkpoint(): Promise<void> {
-		const grown = new Map([...this.partials].filter(([id, {events}]) => events.length >= (this.#checkpointed.get(id) ?? 0) + checkpointEvents));
-		if (!this.#policy.keepsCheckpoints || grown.size === 0 || this.#stop.signal.aborted) {
-			return;
-		}
-
-		try {
-			await this.#settings.store.keepPartials(this.id, this.#stored.version, grown);
-			for (const [id, {events}] of grown) {
-				this.#checkpointed.set(id, events.length);
-			}
-		} catch (error) {
-			this.#settings.log.info('checkpoint_failed', {batch: this.id, texts: grown.size, reason: describeError(error)});
-		}
-	}
 }
 
 /** Each sample of a batch listens for its end. */
--- a/packages/batches/src/share-texts.ts
+++ b/packages/batches/src/share-texts.ts
@@ -39,9 +39,10 @@
 		return this.#left.kept.has(sample);
 	}
 
-	/** Texts that are not whole yet. */
+	/** Texts that are not whole yet, the longest first: not all may fit into one write. */
 	listPartials(): PartialTexts {
-		return new Map([...this.runs].filter(([, {text}]) => text.events.length > 0).map(([id, {text}]) => [id, toPartial(text)]));
+		const begun = [...this.runs].filter(([, {text}]) => text.events.length > 0).toSorted(([, a], [, b]) => b.text.events.length - a.text.events.length);
+		return new Map(begun.map(([id, {text}]) => [id, toPartial(text)]));
 	}
 
 	/** The longest of what was left of a sample's text, if its versions fit; undefined if nothing was. */
--- /dev/null
+++ b/packages/decisions/__tests__/checkpoint-order.spec.ts
@@ -0,0 +1,24 @@
+import {expect} from 'chai';
+import {orderCheckpoint, type OpenText} from '../src/index.js';
+
+function createText(id: string, changes: Partial<OpenText> = {}): OpenText {
+	return {
+		id, events: 40, writtenEvents: 20, lacking: 4, ...changes,
+	};
+}
+
+describe('Order of checkpoints', () => {
+	it('puts long texts first, then those of which much is unwritten, and those that alone keep their group from being whole', () => {
+		const texts = [
+			createText('usual'),
+			createText('long', {events: 140, writtenEvents: 120}),
+			createText('unwritten', {writtenEvents: 0}),
+			createText('alone', {lacking: 1}),
+		];
+		expect(orderCheckpoint(texts)).to.deep.equal(['alone', 'long', 'unwritten', 'usual']);
+	});
+
+	it('leaves out what has hardly grown', () => {
+		expect(orderCheckpoint([createText('a', {writtenEvents: 35}), createText('b', {writtenEvents: 34})])).to.deep.equal(['b']);
+	});
+});
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
 export * from './batch-shares.js';
 export * from './best-pace.js';
 export * from './burn.js';
+export * from './checkpoint-order.js';
 export * from './commit-order.js';
 export * from './concurrency-limit.js';
 export * from './demand-history.js';
