--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -11,7 +11,9 @@
 import {randomUUID} from 'node:crypto';
 import type {RowChange, RowStore} from '@wasabiusher/backends';
 import {defaultPolicy, type Policy} from '@wasabiusher/decisions';
-import {describeError, rankCandidate, type Log} from '@wasabiusher/shared';
+import {
+	describeError, rankCandidate, RepeatedFailures, type Log,
+} from '@wasabiusher/shared';
 import {z} from 'zod';
 
 export const hostTable = 'hosts';
@@ -122,6 +124,7 @@
 	/** Differs for each start of the process. */
 	readonly incarnation = randomUUID();
 	readonly #settings: HostRegistrySettings;
+	readonly #failures: RepeatedFailures;
 	readonly #hosts = new Map<string, HostRow & {heardAt: number}>();
 	readonly #gone = new Set<string>();
 	#contactAt = Number.NEGATIVE_INFINITY;
@@ -146,6 +149,7 @@
 
 	constructor(settings: HostRegistrySettings) {
 		this.#settings = settings;
+		this.#failures = new RepeatedFailures({log: settings.log, event: 'heartbeat_failed', overEvent: 'heartbeats_resumed'});
 	}
 
 	/** Announces this process, and goes on with heartbeats while it owns work. */
@@ -311,7 +315,7 @@
 
 	async #write(isResting: boolean): Promise<void> {
 		const {
-			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, readClockMs, log,
+			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, readClockMs,
 		} = this.#settings;
 		const clockMs = readClockMs?.();
 		this.#unanswered += 1;
@@ -328,11 +332,12 @@
 				}],
 				deletes: [],
 			});
+			this.#failures.recover();
 			this.#hasAnnounced = true;
 			this.#hasToldClock ||= clockMs !== undefined;
 			this.#hasRested = isResting;
 		} catch (error) {
-			log.warn('heartbeat_failed', {beat: this.#beat, reason: describeError(error)});
+			this.#failures.record({beat: this.#beat, reason: describeError(error)});
 		} finally {
 			this.#unanswered -= 1;
 		}
--- a/packages/duties/src/usage-teller.ts
+++ b/packages/duties/src/usage-teller.ts
@@ -5,7 +5,7 @@
  * a host that is killed loses a fraction of a second of them; and once more when the window can't change any more, so that whoever reports
  * it waits for nobody else.
  */
-import {describeError, type Log} from '@wasabiusher/shared';
+import {describeError, RepeatedFailures, type Log} from '@wasabiusher/shared';
 import {UsageCounts, type UsageMark} from './usage-counts.js';
 import type {HostUsage, UsageStore} from './usage-store.js';
 
@@ -41,6 +41,7 @@
 export class UsageTeller {
 	readonly #settings: UsageTellerSettings;
 	readonly #counts: UsageCounts;
+	readonly #failures: RepeatedFailures;
 	/** The last window that was told as final. */
 	#finalWindow: number;
 	/** Windows that were over and must be told as final. */
@@ -55,6 +56,7 @@
 
 	constructor(settings: UsageTellerSettings) {
 		this.#settings = settings;
+		this.#failures = new RepeatedFailures({log: settings.log, event: 'usage_not_told', overEvent: 'usage_told_again'});
 		this.#counts = new UsageCounts(settings.windowMs, settings.readTrueMs, () => {
 			this.#planWrite();
 		});
@@ -148,7 +150,7 @@
 
 	/** Tells the counts of some windows as they are now; never rejects. */
 	async #tell(windows: readonly number[]): Promise<void> {
-		const {store, log} = this.#settings;
+		const {store} = this.#settings;
 		const usages = windows.map(window => this.#toUsage(window));
 		for (const window of windows) {
 			this.#counts.markTold(window);
@@ -156,6 +158,7 @@
 
 		try {
 			await store.tell(usages);
+			this.#failures.recover();
 			for (const window of windows) {
 				this.#over.delete(window);
 			}
@@ -165,7 +168,7 @@
 				this.#counts.markUntold(window);
 			}
 
-			log.info('usage_not_told', {windows: windows.join(','), reason: describeError(error)});
+			this.#failures.record({windows: windows.join(','), reason: describeError(error)});
 			this.#planWrite(retryMs);
 		}
 	}
--- a/packages/gateway/src/peer-links.ts
+++ b/packages/gateway/src/peer-links.ts
@@ -9,7 +9,7 @@
 import {
 	LinkClient, type LinkKeys, type Message, type StoreAnswer, type StoreWork,
 } from '@wasabiusher/link';
-import type {Log, Random} from '@wasabiusher/shared';
+import {RepeatedFailures, type Log, type Random} from '@wasabiusher/shared';
 
 /** Hosts that are asked at a time: one may be as lost as this one. */
 const maxLinks = 2;
@@ -126,9 +126,12 @@
 	readonly #settings: PeerLinksSettings;
 	#links: PeerLink[] = [];
 	#roundAt = Number.NEGATIVE_INFINITY;
+	/** Each host that is asked is one more sign that the store does not serve this one. */
+	readonly #asked: RepeatedFailures;
 
 	constructor(settings: PeerLinksSettings) {
 		this.#settings = settings;
+		this.#asked = new RepeatedFailures({log: settings.log, event: 'peer_asked', overEvent: 'peers_left'});
 	}
 
 	/** Whether a call can be made now. */
@@ -138,7 +141,7 @@
 
 	/** Opens links as far as they are missing; to be called while the store does not serve this host. */
 	open(): void {
-		const {listPeers, findKey, random, log} = this.#settings;
+		const {listPeers, findKey, random} = this.#settings;
 		const key = findKey();
 		const now = performance.now();
 		if (key === undefined || now - this.#roundAt < roundMs) {
@@ -154,7 +157,7 @@
 		const free = listPeers().filter(address => !linked.has(address));
 		while (this.#links.length < maxLinks && free.length > 0) {
 			const [address] = free.splice(Math.floor(random.next() * free.length), 1);
-			log.info('peer_asked', {peer: address});
+			this.#asked.record({peer: address});
 			this.#links.push(new PeerLink(address!, this.#settings, [key]));
 		}
 	}
@@ -166,6 +169,7 @@
 		}
 
 		this.#links = [];
+		this.#asked.recover();
 		this.#roundAt = Number.NEGATIVE_INFINITY;
 	}
 
--- a/packages/record/src/lease-holder.ts
+++ b/packages/record/src/lease-holder.ts
@@ -11,7 +11,9 @@
  */
 import {randomUUID} from 'node:crypto';
 import type {StoredRow, TableService} from '@wasabiusher/backends';
-import {describeError, type Log, type Random} from '@wasabiusher/shared';
+import {
+	describeError, RepeatedFailures, type Log, type Random,
+} from '@wasabiusher/shared';
 import {RecordError} from './errors.js';
 import {
 	leaseSchema, leaseTable, type Lease, type LeaseOwner,
@@ -68,6 +70,7 @@
 	readonly #settings: LeaseSettings;
 	readonly #termMs: number;
 	readonly #pace: TakeOverPace;
+	readonly #failures: RepeatedFailures;
 	readonly #incarnation = randomUUID();
 	#row: StoredRow | undefined;
 	#lease: Lease | undefined;
@@ -90,6 +93,7 @@
 		this.#settings = settings;
 		this.#termMs = settings.termMs ?? defaultTermMs;
 		this.#pace = settings.pace ?? new TakeOverPace();
+		this.#failures = new RepeatedFailures({log: settings.log, event: 'lease_store_unreachable', overEvent: 'lease_store_reached'});
 	}
 
 	/** Whether effects are allowed now. Ask right before each one, and never remember the answer. */
@@ -184,8 +188,10 @@
 			if (this.holds() || this.#mayTake()) {
 				await this.#take();
 			}
+
+			this.#failures.recover();
 		} catch (error) {
-			this.#settings.log.warn('lease_store_unreachable', {shard: this.#settings.shard, reason: describeError(error)});
+			this.#failures.record({shard: this.#settings.shard, reason: describeError(error)});
 		}
 
 		this.#reportChange();
