--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -11,11 +11,13 @@
 	BatchRecord, ResultPage, StoredBatch, Submission,
 } from './batch.js';
 import {BatchReader} from './batch-reader.js';
+import {sweepBefore} from './batch-sweep.js';
 import {decodeRecord, type BatchStore} from './batch-store.js';
 import {CheckpointBudget} from './checkpoint-budget.js';
 import {CommitDesk} from './commit-desk.js';
 import {isOfCustomer} from './customers.js';
 import {BatchError} from './errors.js';
+import {handOverShare} from './hand-over.js';
 import type {HostRegistry} from './host-registry.js';
 import {KeptFinder} from './kept-finder.js';
 import type {KeptTexts} from './kept-texts.js';
@@ -198,24 +200,7 @@
 	 * To be called now and then by one process. Never rejects.
 	 */
 	async sweep(retentionMs: number): Promise<void> {
-		const {store, keptTexts, log, readStoreMs} = this.#settings;
-		const before = readStoreMs() - retentionMs;
-		const old = [...this.#known.values()].filter(({record}) => record.isEnded && record.acceptedMs < before);
-		try {
-			const texts = await keptTexts.forgetBefore(before);
-			for (const {record, version} of old) {
-				// One after the other: nothing waits for it.
-				// eslint-disable-next-line no-await-in-loop
-				await store.remove({record, version});
-			}
-
-			if (old.length > 0 || texts > 0) {
-				log.info('swept', {batches: old.length, texts});
-			}
-		} catch (error) {
-			// What is left is found again at the next sweep.
-			log.info('sweep_failed', {reason: describeError(error)});
-		}
+		await sweepBefore({...this.#settings, known: this.#known}, this.#settings.readStoreMs() - retentionMs);
 	}
 
 	/** Hands all batches over: stops their runs, keeps their unfinished texts and leaves them without an owner. */
@@ -240,34 +225,11 @@
 		this.#desk?.stop();
 	}
 
-	/** Leaves a share without an owner, with its unfinished texts; the row may be changed by hosts that hand over other shares meanwhile. */
 	async #handOver(owner: ShareOwner): Promise<void> {
-		const {store, log} = this.#settings;
-		const {id, share, partials} = owner;
+		const {stored, share, partials, isWhole} = owner;
 		this.#drop(owner);
-		if (owner.isWhole) {
-			return;
-		}
-
-		try {
-			let found: StoredBatch | undefined = owner.stored;
-			while (found && this.#isOurs(found.record, share)) {
-				const {record, version}: StoredBatch = found;
-				const shares = record.shares.with(share, {...record.shares[share]!, owner: '', ownerHost: ''});
-				// Each try depends on what the one before has found.
-				// eslint-disable-next-line no-await-in-loop
-				const written = await store.write({...record, shares}, version, store.preparePartials(id, partials));
-				if (written !== undefined) {
-					log.info('share_handed_over', {batch: id, share, texts: partials.size});
-					return;
-				}
-
-				// eslint-disable-next-line no-await-in-loop
-				found = await store.find(id);
-			}
-		} catch (error) {
-			// Others take it over once this process is seen to have left.
-			log.warn('hand_over_failed', {batch: id, share, reason: describeError(error)});
+		if (!isWhole) {
+			await handOverShare({...this.#settings, isOurs: (record, other) => this.#isOurs(record, other)}, stored, share, partials);
 		}
 	}
 
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -87,6 +87,7 @@
 	readonly share: number;
 	/** Samples of this share. */
 	readonly samples: readonly Sample[];
+	readonly #ids: ReadonlySet<string>;
 	readonly #settings: ShareOwnerSettings;
 	readonly #policy: Policy;
 	#stored: StoredBatch;
@@ -106,6 +107,7 @@
 		const {shares} = stored.record;
 		this.share = share;
 		this.samples = listShareSamples(submission, share, shares.length);
+		this.#ids = new Set(this.samples.map(({id}) => id));
 		this.#settings = settings;
 		this.#policy = settings.policy ?? defaultPolicy;
 		this.#stored = stored;
@@ -278,8 +280,7 @@
 
 	/** The results of this share among those of the batch. */
 	#selectOwn(results: readonly PositionedResult[]): PositionedResult[] {
-		const ids = new Set(this.samples.map(({id}) => id));
-		return results.filter(({result}) => ids.has(result.id));
+		return results.filter(({result}) => this.#ids.has(result.id));
 	}
 
 	/** What there is of a sample's text to go on with, if its versions fit this batch. */
