--- a/packages/batches/src/share-texts.ts
+++ b/packages/batches/src/share-texts.ts
@@ -39,6 +39,11 @@
 		return this.#left.kept.has(sample);
 	}
 
+	/** Whether there is anything of a sample's text. */
+	hasBegun(sample: string): boolean {
+		return this.whole.has(sample) || (this.runs.get(sample)?.text.events.length ?? 0) > 0;
+	}
+
 	/** Texts that are not whole yet, the longest first: not all may fit into one write. */
 	listPartials(): PartialTexts {
 		const begun = [...this.runs].filter(([, {text}]) => text.events.length > 0).toSorted(([, a], [, b]) => b.text.events.length - a.text.events.length);
