Take nobody for gone while the store refuses heartbeats, and find help sooner

A host whose own heartbeat was refused within the limit judges nobody. Ruled out: more silence for all, which makes every real loss dearer; heartbeats in parts of their own (rows of older hosts lie elsewhere).

--- a/packages/batches/__tests__/host-registry.spec.ts
+++ b/packages/batches/__tests__/host-registry.spec.ts
@@ -56,6 +56,24 @@
 		}
 	}
 
+	it('takes nobody for gone while the store refuses some heartbeats of its own, and does once it takes them all', async () => {
+		const views = [store.createView(), store.createView()];
+		const other = createRegistry('a', true, {rows: views[0]});
+		const own = createRegistry('b', true, {rows: views[1]});
+		await run(own, 2000);
+		views[0]!.switches.isDown = true;
+		for (let i = 0; i < 12; i += 1) {
+			views[1]!.switches.isDown = i % 2 === 0;
+			// eslint-disable-next-line no-await-in-loop
+			await run(own, 400);
+			expect(own.isGone(other.incarnation, 0)).to.equal(false);
+		}
+
+		views[1]!.switches.isDown = false;
+		await run(own, 2500);
+		expect(own.isGone(other.incarnation, 0)).to.equal(true);
+	});
+
 	it('adds up the texts that wait at all hosts, and forgets those of a host that has told nothing for two heartbeats', async () => {
 		const own = createRegistry('a', true, {listWaiting: () => ({m: 3})});
 		const other = createRegistry('b', true, {listWaiting: () => ({m: 4, n: 1})});
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -9,7 +9,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
-import type {RowChange, RowStore} from '@wasabiusher/backends';
+import {PlatformError, type RowChange, type RowStore} from '@wasabiusher/backends';
 import {defaultPolicy, type Policy} from '@wasabiusher/decisions';
 import {
 	describeError, rankCandidate, RepeatedFailures, type Log,
@@ -145,6 +145,8 @@
 	/** When this process last heard a heartbeat of its own, and since when it hears each one. */
 	#ownHeardAt = Number.NEGATIVE_INFINITY;
 	#soundFrom = Number.POSITIVE_INFINITY;
+	/** When the store last refused a heartbeat of this process. */
+	#refusedAt = Number.NEGATIVE_INFINITY;
 	/** When this process last owned work. */
 	#ownedAt = Number.NEGATIVE_INFINITY;
 	/** Whether the others were told that this process has no work. */
@@ -299,7 +301,9 @@
 			this.#suspect(now);
 		}
 
-		return silentMs > limitMs && now - this.#ownHeardAt < proofMs && now - this.#soundFrom >= soundMs;
+		const isSound = now - this.#ownHeardAt < proofMs && now - this.#soundFrom >= soundMs;
+		// A store that takes some heartbeats and refuses others has perhaps refused those of the one who is silent.
+		return silentMs > limitMs && isSound && now - this.#refusedAt > limitMs;
 	}
 
 	#isResting(now: number): boolean {
@@ -349,9 +353,18 @@
 			this.#hasToldClock ||= clockMs !== undefined;
 			this.#hasRested = isResting;
 		} catch (error) {
+			if (wasRefused(error)) {
+				this.#refusedAt = performance.now();
+			}
+
 			this.#failures.record({beat: this.#beat, reason: describeError(error)});
 		} finally {
 			this.#unanswered -= 1;
 		}
 	}
 }
+
+/** Whether nothing was written, so that nobody has heard it. */
+function wasRefused(error: unknown): boolean {
+	return error instanceof PlatformError && (error.code === 'limited' || error.code === 'unavailable');
+}
--- a/packages/gateway/src/peer-links.ts
+++ b/packages/gateway/src/peer-links.ts
@@ -17,8 +17,12 @@
 /** Time for a link to come up before another host is tried, in milliseconds; hosts are milliseconds away. */
 const openMs = 500;
 
-/** Least time between two rounds of opening links, in milliseconds: while the store serves nobody all hosts look for help. */
-const roundMs = 1000;
+/**
+ * Least time between two rounds of opening links, in milliseconds; doubled with each round up to the longest. Where the store turns a third of
+ * the hosts away, one of the first few others can help; while it serves nobody all hosts look for help.
+ */
+const firstRoundMs = 200;
+const longestRoundMs = 1000;
 
 /** Longest wait for an answer beyond what the store was asked to wait, in milliseconds: that of a slow store. */
 const answerMs = 1500;
@@ -126,6 +130,7 @@
 	readonly #settings: PeerLinksSettings;
 	#links: PeerLink[] = [];
 	#roundAt = Number.NEGATIVE_INFINITY;
+	#roundMs = firstRoundMs;
 	/** Each host that is asked is one more sign that the store does not serve this one. */
 	readonly #asked: RepeatedFailures;
 
@@ -144,10 +149,12 @@
 		const {listPeers, findKey, random} = this.#settings;
 		const key = findKey();
 		const now = performance.now();
-		if (key === undefined || now - this.#roundAt < roundMs) {
+		if (key === undefined || now - this.#roundAt < this.#roundMs) {
 			return;
 		}
 
+		const isFirst = !Number.isFinite(this.#roundAt);
+		this.#roundMs = isFirst ? firstRoundMs : Math.min(longestRoundMs, 2 * this.#roundMs);
 		this.#roundAt = now;
 		for (const link of this.#links.filter(({hasFailed, restsUntil}) => hasFailed || now < restsUntil)) {
 			this.#close(link);
