--- a/packages/batches/__tests__/commit-desk.spec.ts
+++ b/packages/batches/__tests__/commit-desk.spec.ts
@@ -89,6 +89,9 @@
 		desk.ask(list);
 		await clock.tickAsync(2000);
 		expect(list.startedAt.length).to.be.within(4, 6);
+		expect(desk.counts).to.deep.equal({
+			written: 0, raced: 0, limited: list.startedAt.length, failed: 0,
+		});
 		list.outcome = 'written';
 		await clock.tickAsync(800);
 		expect(list.left).to.equal(0);
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -156,6 +156,12 @@
 		}
 	}
 
+	/** What this process has written of its batches since the start, by what came of it. */
+	get counts(): Readonly<Record<string, number>> {
+		const commits = Object.entries(this.#desk?.counts ?? {}).map(([outcome, count]): [string, number] => [`commits-${outcome}`, count]);
+		return {...Object.fromEntries(commits), checkpoints: this.#checkpointBudget.writes};
+	}
+
 	/** Writes what has waited for the store, which answers again. */
 	releaseCommits(): void {
 		this.#desk?.release();
--- a/packages/batches/src/checkpoint-budget.ts
+++ b/packages/batches/src/checkpoint-budget.ts
@@ -14,6 +14,12 @@
 	#bytes = bytesPerS * burstS;
 	#writes = writesPerS * burstS;
 	#filledAt = performance.now();
+	#count = 0;
+
+	/** Transactions that were sent. */
+	get writes(): number {
+		return this.#count;
+	}
 
 	/** Bytes that may be written in one transaction now; 0 if no further transaction may be made. */
 	get bytes(): number {
@@ -26,6 +32,7 @@
 		this.#fill();
 		this.#bytes -= bytes;
 		this.#writes -= 1;
+		this.#count += 1;
 	}
 
 	#fill(): void {
--- a/packages/batches/src/commit-desk.ts
+++ b/packages/batches/src/commit-desk.ts
@@ -37,6 +37,9 @@
 	commit(): Promise<CommitOutcome>;
 };
 
+/** Transactions by their outcome, since the start. */
+export type CommitCounts = Record<CommitOutcome, number>;
+
 export type CommitDeskSettings = {
 	/** Whether there is a way to the store at present. */
 	isOpen(): boolean;
@@ -51,6 +54,10 @@
 	readonly #waiting = new Map<Committer, number>();
 	/** Batches of which a list is writing. */
 	readonly #busy = new Set<string>();
+	readonly #counts: CommitCounts = {
+		written: 0, raced: 0, limited: 0, failed: 0,
+	};
+
 	#pausedUntil = Number.NEGATIVE_INFINITY;
 	#refusals = 0;
 	#turn = 0;
@@ -60,6 +67,10 @@
 		this.#settings = settings;
 	}
 
+	get counts(): Readonly<CommitCounts> {
+		return this.#counts;
+	}
+
 	/** Lets a list write soon; asked again it keeps its time. */
 	ask(committer: Committer): void {
 		if (!this.#waiting.has(committer)) {
@@ -137,6 +148,7 @@
 	}
 
 	#note(outcome: CommitOutcome): void {
+		this.#counts[outcome] += 1;
 		if (outcome === 'written' || outcome === 'raced') {
 			this.#refusals = 0;
 			return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -249,7 +249,7 @@
 
 	/** What the parts have counted since the start. */
 	get counts(): PartCounts {
-		return {};
+		return {...this.batches.counts};
 	}
 
 	start(): void {
