--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -9,9 +9,11 @@
  */
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
-import type {RowChange, RowStore} from '@wasabiusher/backends';
+import {PlatformError, type RowChange, type RowStore} from '@wasabiusher/backends';
 import {defaultPolicy, type Policy} from '@wasabiusher/decisions';
-import {describeError, rankCandidate, type Log} from '@wasabiusher/shared';
+import {
+	describeError, rankCandidate, RepeatedFailures, type Log,
+} from '@wasabiusher/shared';
 import {z} from 'zod';
 
 export const hostTable = 'hosts';
@@ -126,6 +128,7 @@
 	/** Differs for each start of the process. */
 	readonly incarnation = randomUUID();
 	readonly #settings: HostRegistrySettings;
+	readonly #failures: RepeatedFailures;
 	readonly #hosts = new Map<string, HostRow & {heardAt: number}>();
 	readonly #gone = new Set<string>();
 	#contactAt = Number.NEGATIVE_INFINITY;
@@ -142,6 +145,8 @@
 	/** When this process last heard a heartbeat of its own, and since when it hears each one. */
 	#ownHeardAt = Number.NEGATIVE_INFINITY;
 	#soundFrom = Number.POSITIVE_INFINITY;
+	/** When the store last refused a heartbeat of this process. */
+	#refusedAt = Number.NEGATIVE_INFINITY;
 	/** When this process last owned work. */
 	#ownedAt = Number.NEGATIVE_INFINITY;
 	/** Whether the others were told that this process has no work. */
@@ -150,6 +155,7 @@
 
 	constructor(settings: HostRegistrySettings) {
 		this.#settings = settings;
+		this.#failures = new RepeatedFailures({log: settings.log, event: 'heartbeat_failed', overEvent: 'heartbeats_resumed'});
 	}
 
 	/** Announces this process, and goes on with heartbeats while it owns work. */
@@ -295,7 +301,9 @@
 			this.#suspect(now);
 		}
 
-		return silentMs > limitMs && now - this.#ownHeardAt < proofMs && now - this.#soundFrom >= soundMs;
+		const isSound = now - this.#ownHeardAt < proofMs && now - this.#soundFrom >= soundMs;
+		// A store that takes some heartbeats and refuses others has perhaps refused those of the one who is silent.
+		return silentMs > limitMs && isSound && now - this.#refusedAt > limitMs;
 	}
 
 	#isResting(now: number): boolean {
@@ -321,7 +329,7 @@
 
 	async #write(isResting: boolean): Promise<void> {
 		const {
-			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, readClockMs, log,
+			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, readClockMs,
 		} = this.#settings;
 		const clockMs = readClockMs?.();
 		const waiting = this.#settings.listWaiting?.() ?? {};
@@ -340,13 +348,23 @@
 				}],
 				deletes: [],
 			});
+			this.#failures.recover();
 			this.#hasAnnounced = true;
 			this.#hasToldClock ||= clockMs !== undefined;
 			this.#hasRested = isResting;
 		} catch (error) {
-			log.warn('heartbeat_failed', {beat: this.#beat, reason: describeError(error)});
+			if (wasRefused(error)) {
+				this.#refusedAt = performance.now();
+			}
+
+			this.#failures.record({beat: this.#beat, reason: describeError(error)});
 		} finally {
 			this.#unanswered -= 1;
 		}
 	}
 }
+
+/** Whether nothing was written, so that nobody has heard it. */
+function wasRefused(error: unknown): boolean {
+	return error instanceof PlatformError && (error.code === 'limited' || error.code === 'unavailable');
+}
--- a/packages/gateway/src/routed-store.ts
+++ b/packages/gateway/src/routed-store.ts
@@ -14,8 +14,12 @@
 import {probeRange, type StoreGate} from './store-gate.js';
 import {expectOutcome} from './store-work.js';
 
-/** Time between tries of the direct way while it is lost, in milliseconds. */
-const probeMs = 300;
+/** Time between tries of the direct way while it is lost, in milliseconds, and that by which it grows with each host: a silent store must bear the tries of all. */
+const probeMs = 150;
+const probeMsPerHost = 0.4;
+
+/** Tries on their way at a time: one that was sent while the store was silent is left without an answer for its whole time, and must not hold up the next. */
+const maxProbes = 10;
 
 /** Time for which links stay open once the direct way is open again, in milliseconds: the longest call that is under way on them. */
 const lingerMs = 3500;
@@ -26,6 +30,8 @@
 	log: Log;
 	/** Whether other hosts are asked at all. */
 	isRelaying?: boolean;
+	/** Hosts that ask the same store, as far as known. */
+	countHosts?(): number;
 };
 
 /** Passes calls on by the way that is open. */
@@ -33,7 +39,8 @@
 	readonly #settings: RoutedStoreSettings;
 	#probe: NodeJS.Timeout | undefined;
 	#linger: NodeJS.Timeout | undefined;
-	#isProbing = false;
+	/** Tries that are not answered yet. */
+	#probes = 0;
 
 	constructor(settings: RoutedStoreSettings) {
 		this.#settings = settings;
@@ -118,18 +125,22 @@
 		this.#settings.log.warn('store_way_lost', {});
 		this.#probe = setInterval(() => {
 			void this.#try();
-		}, probeMs);
+		}, Math.max(probeMs, probeMsPerHost * (this.#settings.countHosts?.() ?? 1)));
 	}
 
 	async #try(): Promise<void> {
 		const {gate, peers, log} = this.#settings;
-		if (this.#isProbing) {
+		if (this.#probes >= maxProbes) {
 			return;
 		}
 
-		this.#isProbing = true;
+		this.#probes += 1;
 		try {
 			await gate.probing.read(probeRange);
+			if (this.#probe === undefined) {
+				return;
+			}
+
 			this.#stopProbing();
 			// A write that is under way on a link would be of unknown fate if it were ended now.
 			this.#linger = setTimeout(() => {
@@ -139,7 +150,7 @@
 		} catch (error) {
 			log.debug('store_way_closed', {reason: describeError(error)});
 		} finally {
-			this.#isProbing = false;
+			this.#probes -= 1;
 		}
 	}
 }
