--- a/packages/batches/__tests__/host-registry.spec.ts
+++ b/packages/batches/__tests__/host-registry.spec.ts
@@ -84,6 +84,34 @@
 		}
 	}
 
+	it('takes nobody for gone while the store refuses some heartbeats of its own, and does once it takes them all', async () => {
+		const views = [store.createView(), store.createView()];
+		const other = createRegistry('a', true, {rows: views[0]});
+		const own = createRegistry('b', true, {rows: views[1]});
+		await run(own, 2000);
+		views[0]!.switches.isDown = true;
+		for (let i = 0; i < 12; i += 1) {
+			views[1]!.switches.isDown = i % 2 === 0;
+			// eslint-disable-next-line no-await-in-loop
+			await run(own, 400);
+			expect(own.isGone(other.incarnation, 0)).to.equal(false);
+		}
+
+		views[1]!.switches.isDown = false;
+		await run(own, 2500);
+		expect(own.isGone(other.incarnation, 0)).to.equal(true);
+	});
+
+	it('adds up the texts that wait at all hosts, and forgets those of a host that has told nothing for two heartbeats', async () => {
+		const own = createRegistry('a', true, {listWaiting: () => ({m: 3})});
+		const other = createRegistry('b', true, {listWaiting: () => ({m: 4, n: 1})});
+		await run(own, 500);
+		expect(['m', 'n', 'other'].map(model => own.countWaiting(model))).to.deep.equal([7, 1, 0]);
+		other.stop();
+		await run(own, 1200);
+		expect(own.countWaiting('m')).to.equal(3);
+	});
+
 	it('takes a process for gone that is silent while this one hears its own heartbeats', async () => {
 		const [owner, other] = [createRegistry('a', true), createRegistry('b', false)];
 		await run(other, 2000);
--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -11,9 +11,13 @@
 	BatchRecord, ResultPage, StoredBatch, Submission,
 } from './batch.js';
 import {BatchReader} from './batch-reader.js';
+import {sweepBefore} from './batch-sweep.js';
 import {decodeRecord, type BatchStore} from './batch-store.js';
+import {CheckpointBudget} from './checkpoint-budget.js';
+import {CommitDesk} from './commit-desk.js';
 import {isOfCustomer} from './customers.js';
 import {BatchError} from './errors.js';
+import {handOverShare} from './hand-over.js';
 import type {HostRegistry} from './host-registry.js';
 import {KeptFinder} from './kept-finder.js';
 import type {KeptTexts} from './kept-texts.js';
@@ -30,18 +34,22 @@
 /** Time within which the lost answer of an end is settled, in milliseconds. */
 const settleMs = 2500;
 
-export type BatchesSettings = Omit<ShareOwnerSettings, 'countEarlierOpen' | 'onConflict' | 'findHomes'> & {
+export type BatchesSettings = Omit<ShareOwnerSettings, 'checkpointBudget' | 'countEarlierOpen' | 'desk' | 'onConflict' | 'findHomes'> & {
 	store: BatchStore;
 	keptTexts: KeptTexts;
 	hosts: HostRegistry;
 	host: string;
 	dataCentre?: string;
+	/** Whether there is a way to the store at present; always by default. */
+	isStoreOpen?(): boolean;
 };
 
 /** The batches. */
 export class Batches {
 	readonly #settings: BatchesSettings;
 	readonly #known = new KnownBatches();
+	readonly #desk: CommitDesk | undefined;
+	readonly #checkpointBudget = new CheckpointBudget();
 	/** What this process works on, by the name of the share. */
 	readonly #owners = new Map<string, ShareOwner>();
 	/** Shares that this process is about to work on, by name and term. */
@@ -56,7 +64,10 @@
 
 	constructor(settings: BatchesSettings) {
 		this.#settings = settings;
-		const {keptTexts, dataCentre = '', log} = settings;
+		const {
+			keptTexts, dataCentre = '', log, random, policy = defaultPolicy, isStoreOpen = () => true,
+		} = settings;
+		this.#desk = policy.commitsByWorth ? new CommitDesk({isOpen: isStoreOpen, chance: () => random.next()}) : undefined;
 		const known = this.#known;
 		this.#submissions = new Submissions(settings.store);
 		this.#reader = new BatchReader({
@@ -92,6 +103,24 @@
 		return this.#known.listNeeds(this.#settings.readStoreMs());
 	}
 
+	/** Texts that this process has not begun yet, by their model. */
+	listWaiting(): Record<string, number> {
+		const counts: Record<string, number> = {};
+		for (const {submission: {model}, unbegunCount} of this.#owners.values()) {
+			if (model !== undefined && unbegunCount > 0) {
+				counts[model] = (counts[model] ?? 0) + unbegunCount;
+			}
+		}
+
+		return counts;
+	}
+
+	/** Texts of a model that have not begun at any host: those of a step that was just handed in, and what hosts have told. */
+	countWaiting(model: string): number {
+		const {hosts, readStoreMs} = this.#settings;
+		return this.#known.countFresh(model, readStoreMs()) + hosts.countWaiting(model);
+	}
+
 	/** Begins to look for batches without a living owner. */
 	start(): void {
 		this.#takeOvers.start();
@@ -127,6 +156,17 @@
 		}
 	}
 
+	/** What this process has written of its batches since the start, by what came of it. */
+	get counts(): Readonly<Record<string, number>> {
+		const commits = Object.entries(this.#desk?.counts ?? {}).map(([outcome, count]): [string, number] => [`commits-${outcome}`, count]);
+		return {...Object.fromEntries(commits), checkpoints: this.#checkpointBudget.writes};
+	}
+
+	/** Writes what has waited for the store, which answers again. */
+	releaseCommits(): void {
+		this.#desk?.release();
+	}
+
 	/** Takes over a change of the table of batches. */
 	apply(change: RowChange): void {
 		if (change.value === undefined) {
@@ -184,24 +224,7 @@
 	 * To be called now and then by one process. Never rejects.
 	 */
 	async sweep(retentionMs: number): Promise<void> {
-		const {store, keptTexts, log, readStoreMs} = this.#settings;
-		const before = readStoreMs() - retentionMs;
-		const old = [...this.#known.values()].filter(({record}) => record.isEnded && record.acceptedMs < before);
-		try {
-			const texts = await keptTexts.forgetBefore(before);
-			for (const {record, version} of old) {
-				// One after the other: nothing waits for it.
-				// eslint-disable-next-line no-await-in-loop
-				await store.remove({record, version});
-			}
-
-			if (old.length > 0 || texts > 0) {
-				log.info('swept', {batches: old.length, texts});
-			}
-		} catch (error) {
-			// What is left is found again at the next sweep.
-			log.info('sweep_failed', {reason: describeError(error)});
-		}
+		await sweepBefore({...this.#settings, known: this.#known}, this.#settings.readStoreMs() - retentionMs);
 	}
 
 	/** Hands all batches over: stops their runs, keeps their unfinished texts and leaves them without an owner. */
@@ -222,36 +245,15 @@
 		for (const owner of this.#owners.values()) {
 			this.#drop(owner);
 		}
+
+		this.#desk?.stop();
 	}
 
-	/** Leaves a share without an owner, with its unfinished texts; the row may be changed by hosts that hand over other shares meanwhile. */
 	async #handOver(owner: ShareOwner): Promise<void> {
-		const {store, log} = this.#settings;
-		const {id, share, partials} = owner;
+		const {stored, share, partials, isWhole} = owner;
 		this.#drop(owner);
-		if (owner.isWhole) {
-			return;
-		}
-
-		try {
-			let found: StoredBatch | undefined = owner.stored;
-			while (found && this.#isOurs(found.record, share)) {
-				const {record, version}: StoredBatch = found;
-				const shares = record.shares.with(share, {...record.shares[share]!, owner: '', ownerHost: ''});
-				// Each try depends on what the one before has found.
-				// eslint-disable-next-line no-await-in-loop
-				const written = await store.write({...record, shares}, version, store.preparePartials(id, partials));
-				if (written !== undefined) {
-					log.info('share_handed_over', {batch: id, share, texts: partials.size});
-					return;
-				}
-
-				// eslint-disable-next-line no-await-in-loop
-				found = await store.find(id);
-			}
-		} catch (error) {
-			// Others take it over once this process is seen to have left.
-			log.warn('hand_over_failed', {batch: id, share, reason: describeError(error)});
+		if (!isWhole) {
+			await handOverShare({...this.#settings, isOurs: (record, other) => this.#isOurs(record, other)}, stored, share, partials);
 		}
 	}
 
@@ -390,6 +392,8 @@
 			}, share);
 			const owner = new ShareOwner({
 				...this.#settings,
+				desk: this.#desk,
+				checkpointBudget: this.#checkpointBudget,
 				countEarlierOpen: () => this.#known.countEarlierOpen(record),
 				findHomes: () => homes.find(),
 				onConflict: found => {
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -2,6 +2,7 @@
 export * from './call.js';
 export type {CrashWatch} from './crash-watch.js';
 export * from './endpoint-directory.js';
+export type {EndpointStanding} from './endpoint-standing.js';
 export * from './sample-run.js';
 export * from './weight-orders.js';
 export * from './stream-call.js';
