Keep the lasting speed of endpoints apart from spells and moments

Cause: a pace of late is forgotten after two seconds, and a step begins every four, so nothing was known of any endpoint just when texts were dealt out; the fourth figure of the load header was dropped.

Change: SpeedModel (class, spell, moment) takes the place of Pace in an endpoint's standing; the directory tells findClassMs and keeps classes by address; a route has dueMs. With plansTexts off the pace of late counts as before.

--- /dev/null
+++ b/packages/decisions/__tests__/speed-model.spec.ts
@@ -0,0 +1,65 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {SpeedModel} from '../src/index.js';
+
+describe('SpeedModel', () => {
+	let clock: Clock;
+	let model: SpeedModel;
+
+	beforeEach(() => {
+		clock = install();
+		model = new SpeedModel();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	function recordUnits(unitMs: number): void {
+		for (let i = 0; i < 20; i += 1) {
+			clock.tick(unitMs);
+			model.recordUnit(unitMs);
+		}
+	}
+
+	it('knows the class between two steps, when nothing was measured for seconds', () => {
+		recordUnits(26);
+		model.recordRun(26);
+		clock.tick(4000);
+		expect(model.expectedMs).to.equal(26);
+	});
+
+	it('tells a spell of some seconds from the class, and forgets it after', () => {
+		model.recordRun(26);
+		recordUnits(78);
+		model.recordRun(78);
+		expect(model.speed).to.deep.equal({classMs: 26, spell: 3, moment: 1});
+		clock.tick(2000);
+		expect(model.expectedMs).to.equal(26);
+	});
+
+	it('lets what an endpoint tells of the present fade within a second', () => {
+		model.guessClass(40);
+		model.recordMoment(2.5);
+		expect(model.expectedMs).to.equal(100);
+		clock.tick(300);
+		expect(model.expectedMs).to.equal(70);
+		clock.tick(300);
+		expect(model.expectedMs).to.equal(40);
+	});
+
+	it('forgets a wrong guess, whether too fast or too slow', () => {
+		model.guessClass(20);
+		model.recordRun(56);
+		expect(model.classMs).to.equal(20);
+		for (let i = 0; i < 8; i += 1) {
+			model.recordRun(56);
+		}
+
+		expect(model.classMs).to.equal(56);
+		const slow = new SpeedModel();
+		slow.guessClass(56);
+		slow.recordRun(26);
+		expect(slow.classMs).to.equal(26);
+	});
+});
--- /dev/null
+++ b/packages/decisions/src/text-moves.ts
@@ -0,0 +1,55 @@
+/**
+ * Whether a text leaves its endpoint in its middle.
+ *
+ * Load pattern: of a step's 64 to 112 texts few have over 60 events, and those decide when it is whole. On endpoints that differ by a factor of two
+ * nearly every text finds a faster one with a free slot a second after the step has begun; if all moved, each would close a connection and few of the moves
+ * would end the step earlier.
+ */
+import type {EndpointSpeed} from './endpoint-speed.js';
+
+/** A text that is being made. */
+export type MovableText = {
+	/** Events that it has made at its present endpoint. */
+	madeHere: number;
+	/** Events that it is expected to need still. */
+	unitsLeft: number;
+	/** Time until it should be whole, in milliseconds; undefined if nobody told. */
+	dueInMs: number | undefined;
+};
+
+/** Events at an endpoint before a text leaves it, unless the endpoint has turned slow. */
+const settledEvents = 5;
+
+/** Factor of a spell from which an endpoint has turned slow; full ones are a fifth slower than idle ones. */
+const slowSpell = 1.8;
+
+/** Time that a move takes, in milliseconds: the prompt and what was made are read again. */
+const moveMs = 50;
+
+/** Least time that a move must save, in milliseconds: less is within what lengths are off by. */
+const leastGainMs = 500;
+
+/** How much faster the other endpoint must be, as a factor. */
+const leastFactor = 1.3;
+
+/** Expected time for a unit there, in milliseconds; undefined while nothing is known. */
+export function expectUnitMs({classMs, spell, moment}: EndpointSpeed): number | undefined {
+	return classMs === undefined ? undefined : classMs * Math.max(spell, moment);
+}
+
+/** Whether a text may be saved by another endpoint; nothing needs to be known of others for that. */
+export function isAtRisk({madeHere, unitsLeft, dueInMs}: MovableText, here: EndpointSpeed): boolean {
+	const unitMs = expectUnitMs(here);
+	if (unitMs === undefined || (madeHere < settledEvents && here.spell < slowSpell)) {
+		return false;
+	}
+
+	const finishMs = unitsLeft * unitMs;
+	return finishMs >= leastGainMs && finishMs > (dueInMs ?? 0);
+}
+
+/** Whether a text at risk gains enough by an endpoint that takes so long for a unit. */
+export function gainsBy({unitsLeft}: MovableText, here: EndpointSpeed, thereMs: number | undefined): boolean {
+	const hereMs = expectUnitMs(here);
+	return hereMs !== undefined && thereMs !== undefined && thereMs * leastFactor < hereMs && (unitsLeft * (hereMs - thereMs)) - moveMs >= leastGainMs;
+}
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -6,6 +6,7 @@
 } from '@wasabiusher/decisions';
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
+import {EndpointClasses} from './endpoint-classes.js';
 import {EndpointStanding} from './endpoint-standing.js';
 
 /**
@@ -43,6 +44,8 @@
 
 /** Registered endpoints and their standing. */
 export class EndpointDirectory {
+	/** Lasting speeds, also of endpoints that are gone. */
+	readonly classes = new EndpointClasses();
 	readonly #standings = new Map<string, EndpointStanding>();
 	readonly #random: Random;
 	readonly #policy: Policy;
@@ -64,6 +67,7 @@
 		const standing = known && endpoint.orderCount >= known.endpoint.orderCount ? known : new EndpointStanding(endpoint, this.#policy);
 		standing.endpoint = endpoint;
 		standing.vanishedAt = undefined;
+		this.#guessClass(standing);
 		for (const {model, version} of endpoint.models) {
 			standing.recordVersion(model, version);
 		}
@@ -178,7 +182,24 @@
 	 * models 150 times in half a minute by that.
 	 */
 	recordRunPace(id: string, unitMs: number): void {
-		this.#standings.get(id)?.recordRunPace(unitMs);
+		const standing = this.#standings.get(id);
+		standing?.recordRunPace(unitMs);
+		if (standing?.ownClassMs !== undefined) {
+			const {service, address} = standing.endpoint;
+			this.classes.record({service, address, classMs: standing.ownClassMs});
+		}
+	}
+
+	/** The lasting speed of an endpoint as measured by any process, in milliseconds for a unit of work; undefined until known. */
+	findClassMs(id: string): number | undefined {
+		return this.#standings.get(id)?.speed.classMs;
+	}
+
+	/** Takes over lasting speeds that others have told; call it once they are in `classes`. */
+	guessClasses(): void {
+		for (const standing of this.#standings.values()) {
+			this.#guessClass(standing);
+		}
 	}
 
 	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most. */
@@ -231,6 +252,13 @@
 		this.#standings.get(id)?.pause(pauseMs);
 	}
 
+	#guessClass(standing: EndpointStanding): void {
+		const classMs = this.classes.find(standing.endpoint);
+		if (classMs !== undefined && standing.ownClassMs === undefined) {
+			standing.guessClass(classMs);
+		}
+	}
+
 	/** Endpoints that can be asked now. */
 	#listFits(need: EndpointNeed): EndpointStanding[] {
 		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need));
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -2,7 +2,7 @@
  * What one process has seen of an endpoint: its load, pace, versions, refusals and failures.
  */
 import {
-	AttemptPause, BestPace, defaultPolicy, Pace, type DirectCandidate, type EndpointRoom, type Policy,
+	AttemptPause, BestPace, defaultPolicy, SpeedModel, type DirectCandidate, type EndpointRoom, type EndpointSpeed, type Policy,
 } from '@wasabiusher/decisions';
 import type {EndpointLoad, ServingHead} from '@wasabiusher/backends';
 import type {RegisteredEndpoint} from '@wasabiusher/shared';
@@ -34,7 +34,7 @@
 	endpoint: RegisteredEndpoint;
 	/** When its registration vanished, on the monotonic clock. */
 	vanishedAt: number | undefined;
-	readonly #pace = new Pace();
+	readonly #model = new SpeedModel();
 	/** As measured here, and by any process. */
 	readonly #ownBest = new BestPace();
 	readonly #best = new BestPace();
@@ -146,6 +146,7 @@
 			this.#load = load;
 			this.#loadAt = performance.now();
 			this.#openAtLoad = this.#open;
+			this.#model.recordMoment(load.slowness ?? 1);
 		}
 
 		if (!isNotRun) {
@@ -179,15 +180,31 @@
 	/** Learns how long a unit of work took, in milliseconds. */
 	recordPace(unitMs: number): void {
 		this.noteHeard();
-		this.#pace.record(unitMs);
+		this.#model.recordUnit(unitMs);
 	}
 
 	/** Learns how long a unit of work took on average over a whole run so far, in milliseconds. */
 	recordRunPace(unitMs: number): void {
+		this.#model.recordRun(unitMs);
 		this.#ownBest.record(unitMs);
 		this.#best.record(unitMs);
 	}
 
+	/** Takes over a lasting class that was measured elsewhere or earlier, in milliseconds for a unit. */
+	guessClass(unitMs: number): void {
+		this.#model.guessClass(unitMs);
+	}
+
+	/** How fast it is. */
+	get speed(): EndpointSpeed {
+		return this.#model.speed;
+	}
+
+	/** Its lasting class, if this process has measured it well enough to tell others, in milliseconds for a unit. */
+	get ownClassMs(): number | undefined {
+		return this.#model.ownClassMs;
+	}
+
 	/** Learns what another process has measured as its best pace, in milliseconds. */
 	learnPace(unitMs: number): void {
 		this.#best.record(unitMs);
@@ -208,10 +225,15 @@
 		const {slots} = this.endpoint;
 		const occupied = this.#open + this.others;
 		return {
-			slots, running: Math.min(slots, occupied), waiting: Math.max(0, occupied - slots), workMs: this.#pace.unitMs,
+			slots, running: Math.min(slots, occupied), waiting: Math.max(0, occupied - slots), workMs: this.#model.recentMs,
 		};
 	}
 
+	/** Time for a unit of work that counts in a choice, in milliseconds. */
+	get #paceMs(): number | undefined {
+		return this.#policy.plansTexts ? this.#model.expectedMs : this.#model.recentMs;
+	}
+
 	/** What the choice between endpoints needs to know. */
 	toCandidate(warmKey: string | undefined, homes?: ReadonlySet<string>): DirectCandidate {
 		const now = performance.now();
@@ -222,7 +244,7 @@
 			slots,
 			open: this.#open,
 			others: this.others,
-			paceMs: weighsPaces ? this.#pace.unitMs : undefined,
+			paceMs: weighsPaces ? this.#paceMs : undefined,
 			isWarm: prefersWarm && warmKey !== undefined && this.#warmKeys.has(warmKey),
 			isHome: homes?.has(id) ?? false,
 			isConnected: prefersConnected && now - this.#usedAt < connectedMs,
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -1,5 +1,6 @@
 /** Calls, runs and orders that go to endpoints directly, without an agent beside them. */
 export * from './call.js';
+export * from './endpoint-classes.js';
 export * from './endpoint-directory.js';
 export * from './sample-run.js';
 export * from './weight-orders.js';
--- a/packages/shared/src/deployment.ts
+++ b/packages/shared/src/deployment.ts
@@ -33,6 +33,8 @@
 	maxAttempts: number;
 	/** Time from a batch's submission after which its samples may be given up, in milliseconds. */
 	sampleTtlMs: number;
+	/** Time from a batch's submission within which all of its results are due, in milliseconds; undefined if the configuration does not tell. */
+	dueMs?: number;
 	/** Whether all of a sample's text must come from one version of the weights. */
 	isSingleVersion: boolean;
 	/** Whether requests need no key. */
