Choose endpoints for texts by their expected lengths, and move only texts that would be late

Cause: texts went to whichever endpoint was faster by a second's measurements: of 2,973 texts of the untouched sources 1,042 moved, 391 of the moves within five events, and texts of 125 to 152 events moved from engines of 56 ms to others of 56 ms.

Change: TextLengths expects what is left of a text by its hint and by those that came as far; a text whose step is not at risk stays; one that is moves to a clearly faster endpoint with a free slot, in its first five events only if its endpoint has turned slow. Lasting speeds lie in rows of endpoint-speeds, keyed by service and address, read by each process that starts. A host tells of all endpoints that it has measured by turns, not of the first twelve alone.

Replays (uneven-endpoints.spec): a step on two classes ends in under two thirds of the time with moves of under a tenth of the texts; a spell of three times for six seconds.

--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -2,7 +2,7 @@
  * All batches as one process sees them: accepts them, works on shares of them, hands shares over and ends them.
  */
 import type {RowChange} from '@wasabiusher/backends';
-import {defaultPolicy, type ModelNeed} from '@wasabiusher/decisions';
+import {defaultPolicy, TextLengths, type ModelNeed} from '@wasabiusher/decisions';
 import {describeError} from '@wasabiusher/shared';
 import {
 	findSeries, measureWork, prepareSubmission, settlePauseMs, writeAccepted,
@@ -30,7 +30,7 @@
 /** Time within which the lost answer of an end is settled, in milliseconds. */
 const settleMs = 2500;
 
-export type BatchesSettings = Omit<ShareOwnerSettings, 'countEarlierOpen' | 'onConflict' | 'findHomes'> & {
+export type BatchesSettings = Omit<ShareOwnerSettings, 'countEarlierOpen' | 'onConflict' | 'findHomes' | 'lengths'> & {
 	store: BatchStore;
 	keptTexts: KeptTexts;
 	hosts: HostRegistry;
@@ -42,6 +42,7 @@
 export class Batches {
 	readonly #settings: BatchesSettings;
 	readonly #known = new KnownBatches();
+	readonly #lengths = new TextLengths();
 	/** What this process works on, by the name of the share. */
 	readonly #owners = new Map<string, ShareOwner>();
 	/** Shares that this process is about to work on, by name and term. */
@@ -390,6 +391,7 @@
 			}, share);
 			const owner = new ShareOwner({
 				...this.#settings,
+				lengths: this.#lengths,
 				countEarlierOpen: () => this.#known.countEarlierOpen(record),
 				findHomes: () => homes.find(),
 				onConflict: found => {
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -6,3 +6,4 @@
 export {HostRegistry, hostTable, type HostRegistrySettings} from './host-registry.js';
 export {KeptTexts} from './kept-texts.js';
 export {batchParts} from './parts.js';
+export * from './speed-rows.js';
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -8,10 +8,10 @@
 import {setMaxListeners} from 'node:events';
 import PQueue from 'p-queue';
 import {
-	chooseRenewals, defaultPolicy, type Policy,
+	chooseRenewals, defaultPolicy, type Policy, type TextLengths,
 } from '@wasabiusher/decisions';
 import {
-	SampleRun, type SampleOutcome, type SampleText,
+	SampleRun, type SampleOutcome, type SampleRequest, type SampleText,
 } from '@wasabiusher/direct';
 import {
 	applyCustomer, describeError, findRoute, type Route,
@@ -44,8 +44,13 @@
 /** Time between looks for texts that should be begun a second time, in milliseconds; a text grows by seven events in it. */
 const renewalMs = 250;
 
+/** Part of the time in which results are due by which texts should be whole: the rest is for scores, for listing, and for beginning again after a loss. */
+const wantedPart = 0.5;
+
 export type ShareOwnerSettings = ScoringSettings & {
 	store: BatchStore;
+	/** What is known of the lengths of texts. */
+	lengths: TextLengths;
 	/** The newest published version of a model. */
 	findPublished(model: string): number | undefined;
 	/** Milliseconds on the store's steady clock. */
@@ -217,6 +222,7 @@
 	async finish(sample: Sample, text: SampleText): Promise<void> {
 		const wholeAt = performance.now();
 		this.#texts.whole.set(sample.id, text);
+		this.#settings.lengths.record(this.#nameLengths(sample), sample.expectedTokens, text.events.length);
 		const score = sample.score ? await scoreSample(this.#settings, sample, this.#stop.signal) : undefined;
 		if (this.#stop.signal.aborted) {
 			return;
@@ -336,11 +342,30 @@
 		return route && applyCustomer(route, deployment.customers?.get(customer ?? ''));
 	}
 
+	/** When the batch was accepted, on the monotonic clock. */
+	get #acceptedAt(): number {
+		return performance.now() - (this.#settings.readStoreMs() - this.#stored.record.acceptedMs);
+	}
+
 	/** When samples may be given up, on the monotonic clock. */
 	#findDeadline(): number {
-		const ttlMs = this.#findRoute()?.sampleTtlMs ?? 0;
-		const ageMs = this.#settings.readStoreMs() - this.#stored.record.acceptedMs;
-		return performance.now() + ttlMs - ageMs;
+		return this.#acceptedAt + (this.#findRoute()?.sampleTtlMs ?? 0);
+	}
+
+	/** What is expected of a text, so that endpoints can be chosen by it; nobody waits for a second text. */
+	#expectText(sample: Sample, isSecond: boolean): Pick<SampleRequest, 'dueAt' | 'expectLeft'> {
+		const dueMs = this.#findRoute()?.dueMs;
+		return this.#policy.plansTexts && !isSecond
+			? {
+				dueAt: dueMs === undefined ? undefined : this.#acceptedAt + (wantedPart * dueMs),
+				expectLeft: made => this.#settings.lengths.expectLeft(this.#nameLengths(sample), sample.expectedTokens, made),
+			}
+			: {};
+	}
+
+	/** Names the texts whose lengths can be compared: those of one trainer, with hints or without. */
+	#nameLengths({expectedTokens}: Sample): string {
+		return `${this.#stored.record.series}/${expectedTokens === undefined ? '' : 'hinted'}`;
 	}
 
 	async #make(sample: Sample): Promise<void> {
@@ -401,6 +426,7 @@
 			group: sample.group,
 			deadlineAt: this.#findDeadline(),
 			avoidsFull,
+			...this.#expectText(sample, avoidsFull ?? false),
 			request: {
 				method: 'POST', path: sample.path, host, headers: sample.headers, body: Buffer.from(sample.body, 'base64'), customer,
 			},
--- /dev/null
+++ b/packages/decisions/__tests__/uneven-endpoints.spec.ts
@@ -0,0 +1,146 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {Random} from '@wasabiusher/shared';
+import {
+	chooseDirect, gainsBy, isAtRisk, SpeedModel, TextLengths, type DirectCandidate,
+} from '../src/index.js';
+
+type Text = {made: number; madeHere: number; length: number; hint: number; at: number};
+
+const tickMs = 50;
+const slots = 6;
+const dueMs = 3750;
+
+describe('texts on endpoints of two speeds', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	/** Lengths as a trainer's: a mean of 20 events, few of over 100; hints right at the median and off by a factor of two. */
+	function createTexts(random: Random, count: number): Text[] {
+		return Array.from({length: count}, () => {
+			const length = Math.min(152, Math.ceil(5 / (Math.max(0.001, random.next()) ** 0.75)));
+			return {
+				made: 0, madeHere: 0, length, hint: length * (2 ** ((2 * random.next()) - 1)), at: -1,
+			};
+		}).toSorted((a, b) => b.hint - a.hint);
+	}
+
+	function learnLengths(random: Random): TextLengths {
+		const lengths = new TextLengths();
+		for (const {hint, length} of createTexts(random, 120)) {
+			lengths.record('t', hint, length);
+		}
+
+		return lengths;
+	}
+
+	/**
+	 * Replays a step whose texts begin at once.
+	 *
+	 * @param findUnitMs - time for an event at an endpoint, by the time since the step's begin
+	 * @returns when nine of ten texts and when all are whole, in milliseconds, and how many moved
+	 */
+	function replay(seed: number, paces: readonly number[], {isPlanned, findUnitMs = endpoint => paces[endpoint]!}: {isPlanned: boolean; findUnitMs?: (endpoint: number, ms: number) => number}) {
+		const random = new Random(seed);
+		const lengths = learnLengths(random);
+		const models = paces.map(paceMs => {
+			const model = new SpeedModel();
+			model.guessClass(paceMs);
+			return model;
+		});
+		const texts = createTexts(random, paces.length * slots * 0.9);
+		const list = (): DirectCandidate[] => paces.map((_, i) => ({
+			id: String(i), slots, open: texts.filter(({at}) => at === i).length, others: 0, paceMs: isPlanned ? models[i]!.expectedMs : undefined, isWarm: false, isHome: true, isConnected: true,
+		}));
+		for (const text of texts) {
+			const units = isPlanned ? lengths.expectLeft('t', text.hint, 0)! : undefined;
+			text.at = Number(chooseDirect(list().filter(({open}) => open < slots), random.next(), units === undefined ? undefined : {units, dueInMs: dueMs})!.id);
+		}
+
+		let moves = 0;
+		let ms = 0;
+		const move = (text: Text) => {
+			const movable = {madeHere: text.madeHere, unitsLeft: lengths.expectLeft('t', text.hint, text.made)!, dueInMs: dueMs - ms};
+			const here = models[text.at]!.speed;
+			const better = isPlanned && isAtRisk(movable, here) ? list().filter(({open, paceMs}) => open < slots && gainsBy(movable, here, paceMs)) : [];
+			const chosen = chooseDirect(better, random.next());
+			if (chosen) {
+				text.at = Number(chosen.id);
+				text.madeHere = 0;
+				moves += 1;
+			}
+		};
+
+		for (; texts.some(({at}) => at >= 0); ms += tickMs) {
+			clock.tick(tickMs);
+			for (const text of texts.filter(({at}) => at >= 0)) {
+				const unitMs = findUnitMs(text.at, ms);
+				models[text.at]!.recordUnit(unitMs);
+				text.made += tickMs / unitMs;
+				text.madeHere += tickMs / unitMs;
+				if (text.made >= text.length) {
+					text.at = -1;
+				} else {
+					move(text);
+				}
+			}
+		}
+
+		return {endMs: ms, moves: moves / texts.length};
+	}
+
+	function average(seeds: number, play: (seed: number) => {endMs: number; moves: number}) {
+		const played = Array.from({length: seeds}, (_, i) => play(i + 1));
+		const mean = (values: number[]) => values.reduce((sum, value) => sum + value, 0) / values.length;
+		return {endMs: mean(played.map(({endMs}) => endMs)), moves: mean(played.map(({moves}) => moves))};
+	}
+
+	const uneven = [26, 26, 56, 56, 56, 56, 56, 56, 56, 56];
+
+	it('ends a step in two thirds of the time by its longest texts at the fast ones, with moves of fewer than a tenth of its texts', () => {
+		const before = average(10, seed => replay(seed, uneven, {isPlanned: false}));
+		const after = average(10, seed => replay(seed, uneven, {isPlanned: true}));
+		expect(after.endMs).to.be.below(0.67 * before.endMs);
+		expect(after.moves).to.be.below(0.1);
+	});
+
+	it('saves the long texts of an endpoint that turns three times slower for six seconds, and leaves the short ones', () => {
+		const paces = uneven.map(() => 40);
+		const findUnitMs = (endpoint: number, ms: number) => endpoint === 0 && ms >= 300 && ms < 6300 ? 120 : 40;
+		const before = average(10, seed => replay(seed, paces, {isPlanned: false, findUnitMs}));
+		const after = average(10, seed => replay(seed, paces, {isPlanned: true, findUnitMs}));
+		expect(after.endMs).to.be.below(0.9 * before.endMs);
+		expect(after.moves).to.be.below(0.1);
+	});
+
+	it('never moves a text in its first five events, unless its endpoint has turned slow', () => {
+		const text = {madeHere: 3, unitsLeft: 100, dueInMs: 2000};
+		expect([1, 3].map(spell => isAtRisk(text, {classMs: 56, spell, moment: 1}))).to.deep.equal([false, true]);
+		expect(isAtRisk({...text, madeHere: 5}, {classMs: 56, spell: 1, moment: 1})).to.equal(true);
+	});
+});
+
+describe('TextLengths', () => {
+	it('expects a text that has come far to go on, and more of one with a longer hint', () => {
+		const lengths = new TextLengths();
+		for (const events of [5, 8, 10, 12, 14, 16, 20, 60, 120]) {
+			lengths.record('t', undefined, events);
+		}
+
+		const left = [0, 40, 100].map(made => lengths.expectLeft('t', undefined, made));
+		expect(left).to.deep.equal([265 / 9, 50, 20]);
+		expect(lengths.expectLeft('t', undefined, 150)).to.equal(75);
+		expect(lengths.expectLeft('t', 2, 0)).to.equal(2 * 265 / 9);
+	});
+
+	it('goes by what a text has made while it knows no others', () => {
+		expect([0, 40].map(made => new TextLengths().expectLeft('t', undefined, made))).to.deep.equal([undefined, 20]);
+	});
+});
--- a/packages/decisions/src/direct-choice.ts
+++ b/packages/decisions/src/direct-choice.ts
@@ -49,15 +49,46 @@
  */
 const crowdingFactor = 0.15;
 
+/** By how much endpoints are preferred. */
+export type ChoiceWeights = {
+	/** Least factor by which a fast endpoint is preferred. */
+	fastest: number;
+	/** Part of a request's time by which an endpoint that is this process's own is preferred. */
+	home: number;
+};
+
+const usualWeights: ChoiceWeights = {fastest: fastestFactor, home: homeAllowance};
+
+/** Least factor where lasting speeds are known, which may differ by any factor. */
+const plannedFastest = 0.1;
+
+/** Preference of an own endpoint over a faster one by texts that are done in time at any. */
+const shortHomeAllowance = 0.6;
+
+/** Part of the time in which a text should be whole; one that takes longer at a usual endpoint may decide when its step is whole. */
+const decidingPart = 0.5;
+
+/**
+ * How a text weighs endpoints: one that may decide when its step is whole goes to the fastest, also to one that others fill; a short one stays at
+ * the own endpoints of its host.
+ *
+ * @param units - events that it is expected to need
+ * @param dueInMs - time until it should be whole, in milliseconds; undefined if nobody told
+ */
+export function findTextWeights(units: number, dueInMs: number | undefined, typicalPaceMs: number | undefined): ChoiceWeights {
+	const isDeciding = dueInMs === undefined || typicalPaceMs === undefined || units * typicalPaceMs > decidingPart * dueInMs;
+	return {fastest: plannedFastest, home: isDeciding ? homeAllowance : shortHomeAllowance};
+}
+
 /** Expected time until a new attempt is done there, in typical requests; the least is the best. */
-export function weighCandidate(candidate: DirectCandidate, typicalPaceMs: number | undefined): number {
+export function weighCandidate(candidate: DirectCandidate, typicalPaceMs: number | undefined, weights = usualWeights): number {
 	const {slots, open, others, paceMs, isWarm, isHome, isConnected} = candidate;
 	const occupied = (open + others) / Math.max(1, slots);
-	const factor = paceMs === undefined || !typicalPaceMs ? 1 : Math.max(fastestFactor, paceMs / typicalPaceMs);
+	const factor = paceMs === undefined || !typicalPaceMs ? 1 : Math.max(weights.fastest, paceMs / typicalPaceMs);
 	const crowding = crowdingFactor * Math.min(1, occupied);
 	// What is beyond the slots waits for as long as a request takes.
 	const waiting = Math.max(0, occupied - 1);
-	const saved = (isWarm ? warmAllowance : 0) + (isHome ? homeAllowance : 0) + (isConnected ? connectedAllowance : 0);
+	const saved = (isWarm ? warmAllowance : 0) + (isHome ? weights.home : 0) + (isConnected ? connectedAllowance : 0);
 	return (1 + crowding + waiting) * factor * (1 - saved);
 }
 
@@ -102,14 +133,16 @@
  * Chooses an endpoint.
  *
  * @param chance - a number in [0, 1) that decides between equals, so that processes don't all choose the same one
+ * @param text - what is expected of a text; undefined for other work
  * @returns undefined if there are no candidates
  */
-export function chooseDirect(candidates: readonly DirectCandidate[], chance: number): DirectCandidate | undefined {
+export function chooseDirect(candidates: readonly DirectCandidate[], chance: number, text?: {units: number; dueInMs: number | undefined}): DirectCandidate | undefined {
 	const typical = findTypicalPace(candidates);
+	const weights = text ? findTextWeights(text.units, text.dueInMs, typical) : usualWeights;
 	let best: DirectCandidate[] = [];
 	let bestWeight = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		const weight = weighCandidate(candidate, typical);
+		const weight = weighCandidate(candidate, typical, weights);
 		if (weight < bestWeight - 1e-9) {
 			best = [candidate];
 			bestWeight = weight;
--- a/packages/decisions/src/text-lengths.ts
+++ b/packages/decisions/src/text-lengths.ts
@@ -61,8 +61,8 @@
 		let count = 0;
 		for (const ratio of ratios) {
 			const excess = (ratio * scale) - made;
-			sum += excess > 0 ? excess : 0;
-			count += excess > 0 ? 1 : 0;
+			sum += Math.max(0, excess);
+			count += Number(excess > 0);
 		}
 
 		return count === 0 ? tailFactor * made : sum / count;
--- a/packages/decisions/src/text-moves.ts
+++ b/packages/decisions/src/text-moves.ts
@@ -32,9 +32,9 @@
 /** How much faster the other endpoint must be, as a factor. */
 const leastFactor = 1.3;
 
-/** Expected time for a unit there, in milliseconds; undefined while nothing is known. */
-export function expectUnitMs({classMs, spell, moment}: EndpointSpeed): number | undefined {
-	return classMs === undefined ? undefined : classMs * Math.max(spell, moment);
+/** Expected time for a unit over the next seconds, in milliseconds; a moment is over before a text is. */
+function expectUnitMs({classMs, spell}: EndpointSpeed): number | undefined {
+	return classMs === undefined ? undefined : classMs * spell;
 }
 
 /** Whether a text may be saved by another endpoint; nothing needs to be known of others for that. */
--- a/packages/direct/src/endpoint-classes.ts
+++ b/packages/direct/src/endpoint-classes.ts
@@ -4,7 +4,7 @@
  * Load pattern: hosts and endpoints are replaced one after the other all day. A host that has just started deals out a step's texts before it has
  * measured anything; what others have measured tells it which endpoints are fast. A guess is given up by the endpoint's own runs.
  */
-import type {RegisteredEndpoint} from '@wasabiusher/shared';
+import type {EndpointStanding} from './endpoint-standing.js';
 
 /** Change of a class that is worth telling, as a factor: full endpoints are a fifth slower than idle ones. */
 const newsFactor = 1.25;
@@ -18,29 +18,27 @@
 /** What is known of lasting speeds, by service and address. */
 export class EndpointClasses {
 	readonly #classes = new Map<string, EndpointClass>();
-	/** What was last told or heard, by the same keys. */
+	/** What the store holds or others have told, by the same keys. */
 	readonly #told = new Map<string, number>();
 
-	/** The class of the endpoint that was last at an address, in milliseconds for a unit; undefined if unknown. */
-	find({service, address}: Pick<RegisteredEndpoint, 'service' | 'address'>): number | undefined {
-		return this.#classes.get(name({service, address}))?.classMs;
+	/** Guesses the class of an endpoint by the one that was last at its address, unless it was measured here. */
+	guess(standing: EndpointStanding): void {
+		const known = this.#classes.get(name(standing.endpoint));
+		if (known && standing.ownClassMs === undefined) {
+			standing.guessClass(known.classMs);
+		}
 	}
 
-	/** Learns what this process has measured. */
-	record(entry: EndpointClass): void {
-		const key = name(entry);
-		this.#classes.delete(key);
-		this.#classes.set(key, entry);
-		if (this.#classes.size > maxClasses) {
-			const [oldest] = this.#classes.keys();
-			this.#classes.delete(oldest!);
-			this.#told.delete(oldest!);
+	/** Learns what this process has measured of an endpoint. */
+	record({endpoint: {service, address}, ownClassMs}: EndpointStanding): void {
+		if (ownClassMs !== undefined) {
+			this.#keep({service, address, classMs: ownClassMs});
 		}
 	}
 
 	/** Learns what others have told. */
 	learn(entry: EndpointClass): void {
-		this.record(entry);
+		this.#keep(entry);
 		this.#told.set(name(entry), entry.classMs);
 	}
 
@@ -49,12 +47,23 @@
 		return [...this.#classes.values()].filter(entry => isNews(entry.classMs, this.#told.get(name(entry))));
 	}
 
-	/** Notes that others have been told. */
+	/** Notes that the store holds them. */
 	noteTold(entries: readonly EndpointClass[]): void {
 		for (const entry of entries) {
 			this.#told.set(name(entry), entry.classMs);
 		}
 	}
+
+	#keep(entry: EndpointClass): void {
+		const key = name(entry);
+		this.#classes.delete(key);
+		this.#classes.set(key, entry);
+		if (this.#classes.size > maxClasses) {
+			const [oldest] = this.#classes.keys();
+			this.#classes.delete(oldest!);
+			this.#told.delete(oldest!);
+		}
+	}
 }
 
 function name({service, address}: {service: string; address: string}): string {
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -7,6 +7,7 @@
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
 import {EndpointClasses} from './endpoint-classes.js';
+import {chooseMove} from './endpoint-moves.js';
 import {EndpointStanding} from './endpoint-standing.js';
 
 /**
@@ -51,6 +52,8 @@
 	readonly #policy: Policy;
 	readonly #lateness: Lateness;
 	readonly #listeners = new Set<() => void>();
+	/** Paces told so far, over all times. */
+	#toldPaces = 0;
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
@@ -67,7 +70,7 @@
 		const standing = known && endpoint.orderCount >= known.endpoint.orderCount ? known : new EndpointStanding(endpoint, this.#policy);
 		standing.endpoint = endpoint;
 		standing.vanishedAt = undefined;
-		this.#guessClass(standing);
+		this.classes.guess(standing);
 		for (const {model, version} of endpoint.models) {
 			standing.recordVersion(model, version);
 		}
@@ -184,9 +187,8 @@
 	recordRunPace(id: string, unitMs: number): void {
 		const standing = this.#standings.get(id);
 		standing?.recordRunPace(unitMs);
-		if (standing?.ownClassMs !== undefined) {
-			const {service, address} = standing.endpoint;
-			this.classes.record({service, address, classMs: standing.ownClassMs});
+		if (standing) {
+			this.classes.record(standing);
 		}
 	}
 
@@ -195,23 +197,32 @@
 		return this.#standings.get(id)?.speed.classMs;
 	}
 
-	/** Takes over lasting speeds that others have told; call it once they are in `classes`. */
+	/** Guesses lasting speeds by `classes`, once others have told some. */
 	guessClasses(): void {
 		for (const standing of this.#standings.values()) {
-			this.#guessClass(standing);
+			this.classes.guess(standing);
 		}
 	}
 
 	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most. */
 	listOwnPaces(most: number): Record<string, number> {
 		const known = [...this.#standings].flatMap(([id, {ownBestMs}]) => ownBestMs === undefined ? [] : [[id, Math.round(ownBestMs * 10) / 10] as const]);
-		return Object.fromEntries(known.slice(0, most));
+		// Who has measured more than that tells of the others next.
+		const from = known.length > most ? this.#toldPaces % known.length : 0;
+		this.#toldPaces = from + most;
+		return Object.fromEntries([...known, ...known].slice(from, from + Math.min(most, known.length)));
 	}
 
 	/** Learns what other processes have measured. */
 	learnPaces(paces: Readonly<Record<string, number>>): void {
 		for (const [id, unitMs] of Object.entries(paces)) {
-			this.#standings.get(id)?.learnPace(unitMs);
+			const standing = this.#standings.get(id);
+			if (standing) {
+				const {service, address} = standing.endpoint;
+				standing.learnPace(unitMs);
+				this.classes.learn({service, address, classMs: unitMs});
+				this.classes.guess(standing);
+			}
 		}
 	}
 
@@ -240,6 +251,25 @@
 		return standing?.endpoint;
 	}
 
+	/**
+	 * Chooses an endpoint at which a text had better go on that its own would finish too late, and counts it as open there; undefined if it stays.
+	 *
+	 * @param madeHere - events that it has made at its present endpoint
+	 */
+	takeFaster(id: string, need: EndpointNeed & {units: number}, madeHere: number): RegisteredEndpoint | undefined {
+		const current = this.#standings.get(id);
+		if (!this.#policy.movesRuns || !current || this.#lateness.isLate) {
+			return undefined;
+		}
+
+		const {units: unitsLeft, dueInMs, warmKey, homes} = need;
+		const standing = chooseMove({
+			text: {madeHere, unitsLeft, dueInMs}, current, listOthers: () => this.#listFits(need).filter(({vanishedAt}) => vanishedAt === undefined), warmKey, homes, chance: this.#random.next(),
+		});
+		standing?.begin(warmKey);
+		return standing?.endpoint;
+	}
+
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
 		if (this.#standings.get(id)?.recordVersion(model, version)) {
@@ -252,13 +282,6 @@
 		this.#standings.get(id)?.pause(pauseMs);
 	}
 
-	#guessClass(standing: EndpointStanding): void {
-		const classMs = this.classes.find(standing.endpoint);
-		if (classMs !== undefined && standing.ownClassMs === undefined) {
-			standing.guessClass(classMs);
-		}
-	}
-
 	/** Endpoints that can be asked now. */
 	#listFits(need: EndpointNeed): EndpointStanding[] {
 		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need));
@@ -272,7 +295,9 @@
 	}
 
 	#choose(standings: readonly EndpointStanding[], need: EndpointNeed): EndpointStanding | undefined {
-		const chosen = chooseDirect(standings.map(standing => standing.toCandidate(need.warmKey, need.homes)), this.#random.next());
+		const {units, dueInMs} = need;
+		const text = units === undefined || !this.#policy.plansTexts ? undefined : {units, dueInMs};
+		const chosen = chooseDirect(standings.map(standing => standing.toCandidate(need.warmKey, need.homes)), this.#random.next(), text);
 		return chosen && this.#standings.get(chosen.id);
 	}
 
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -33,6 +33,10 @@
 	deadlineAt: number;
 	/** Whether its runs keep away from endpoints whose slots are all taken by what is known, so that they hold up nothing. */
 	avoidsFull?: boolean;
+	/** When it should be whole, on the monotonic clock; undefined if nobody told. */
+	dueAt?: number;
+	/** Events that are expected still once it has so many; undefined if nobody knows. */
+	expectLeft?(made: number): number | undefined;
 };
 
 /** Text made so far, with the versions that made it. */
@@ -105,6 +109,8 @@
 	readonly #keptEvents: number;
 	#failures = 0;
 	#runs = 0;
+	/** Events that were expected of the text when it came here; undefined if nobody knew. */
+	#expectedEvents: number | undefined;
 	/** What the present attempt was chosen by. */
 	#need: EndpointNeed | undefined;
 	/** The endpoint that broke last; another is preferred. */
@@ -172,8 +178,10 @@
 			openLimit,
 			avoidsFull,
 			homes: findHomes?.(),
+			...this.#expect(),
 		};
 		this.#need = need;
+		this.#expectedEvents ??= need.units;
 		const elsewhere = this.#avoided === undefined ? undefined : directory.take({...need, excluded: new Set([this.#avoided])});
 		if (elsewhere) {
 			return elsewhere;
@@ -314,7 +322,8 @@
 
 		log.info('text_made', {
 			batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, events: this.#text.events.length, kept: this.#keptEvents, runs: this.#runs,
-			versions: [...this.#text.versions].join(','), tookMs: Math.round(performance.now() - this.#startedAt), ...this.#times.toValues(),
+			expected: this.#expectedEvents && Math.round(this.#expectedEvents), versions: [...this.#text.versions].join(','),
+			tookMs: Math.round(performance.now() - this.#startedAt), ...this.#times.toValues(),
 		});
 		return {kind: 'made', text: this.#text};
 	}
@@ -348,7 +357,7 @@
 				directory.recordRunPace(id, (now - firstAt) / (count - 1));
 			}
 
-			this.#better = this.#need && directory.takeBetter(id, this.#need, count >= longRunEvents);
+			this.#better = this.#takeBetter(id, count);
 			if (this.#better) {
 				log.info('run_moved', {
 					batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, to: this.#better.id, events: this.#text.events.length,
@@ -361,6 +370,24 @@
 		return true;
 	}
 
+	/** What is expected of the text from now on. */
+	#expect(): Pick<EndpointNeed, 'units' | 'dueInMs'> {
+		const {expectLeft, dueAt} = this.#sample;
+		return {units: expectLeft?.(this.#text.events.length), dueInMs: dueAt === undefined ? undefined : dueAt - performance.now()};
+	}
+
+	#takeBetter(id: string, madeHere: number): RegisteredEndpoint | undefined {
+		const {directory} = this.#settings;
+		if (!this.#need) {
+			return undefined;
+		}
+
+		const {units, dueInMs} = this.#expect();
+		return units === undefined
+			? directory.takeBetter(id, this.#need, madeHere >= longRunEvents)
+			: directory.takeFaster(id, {...this.#need, units, dueInMs}, madeHere);
+	}
+
 	#takeEvent({id, data, version}: RunEvent): void {
 		const {leastVersion, isSingleVersion} = this.#sample;
 		const {events, versions} = this.#text;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  */
 import type {Server} from 'node:http';
 import {
-	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts,
+	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts, SpeedRows,
 } from '@wasabiusher/batches';
 import {defaultPolicy, Lateness, type Policy} from '@wasabiusher/decisions';
 import type {
@@ -109,6 +109,7 @@
 	readonly #peerServer: PeerServer | undefined;
 	readonly #trueTime: TrueTime;
 	readonly #usage: Usage | undefined;
+	readonly #speedRows: SpeedRows | undefined;
 	#linkKey: string | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	/** When the next tick is due, on the monotonic clock. */
@@ -167,6 +168,7 @@
 			readStoreMs: () => this.#gate.storeMs,
 		});
 		this.#usage = this.#createUsage();
+		this.#speedRows = policy.plansTexts ? new SpeedRows({rows, directory: this.#directory, log}) : undefined;
 		const chance = () => random.next();
 		this.#operatorFollower = new TableFollower({
 			store: rows.probing, table: format.operatorTable, parts: [''], log, waitMs: operatorWaitMs, apply: change => {
@@ -220,6 +222,7 @@
 		this.batches.start();
 		this.#lease.start();
 		this.#usage?.start();
+		this.#speedRows?.start();
 		this.#dueAt = performance.now() + ordersMs;
 		this.#timer = setInterval(() => {
 			this.#noteLateness();
@@ -278,6 +281,7 @@
 		clearInterval(this.#sweepTimer);
 		this.#lease.stop();
 		this.#usage?.stop();
+		this.#speedRows?.stop();
 		this.#hosts.stop();
 		this.batches.stop();
 		this.#rows.stop();
