Weigh plain endpoints by their present moment, and bound second attempts

Cause: a slow call went a second time without a bound, so that a service that is slow as a whole was sent twice as much; what an endpoint tells of the present was not read.

Change: the moment an endpoint tells counts in the choice until it has faded (0.6 s), also where no pace is known; second attempts beside a slow first one come out of a RetryBudget for each service (a tenth of first tries). Both only with plansTexts. Not done: two choices at random; open connections decide between equals already.

--- a/packages/decisions/src/direct-choice.ts
+++ b/packages/decisions/src/direct-choice.ts
@@ -17,6 +17,8 @@
 	others: number;
 	/** Time for a unit of work of late, in milliseconds; undefined until measured. */
 	paceMs: number | undefined;
+	/** Factor by which it is slower at this moment, where its pace is not known; 1 as usual. */
+	moment?: number;
 	/** Whether it holds a part of the prompt, from a request before. */
 	isWarm: boolean;
 	/** Whether nobody else fills it with work of this kind. */
@@ -82,9 +84,9 @@
 
 /** Expected time until a new attempt is done there, in typical requests; the least is the best. */
 export function weighCandidate(candidate: DirectCandidate, typicalPaceMs: number | undefined, weights = usualWeights): number {
-	const {slots, open, others, paceMs, isWarm, isHome, isConnected} = candidate;
+	const {slots, open, others, paceMs, moment = 1, isWarm, isHome, isConnected} = candidate;
 	const occupied = (open + others) / Math.max(1, slots);
-	const factor = paceMs === undefined || !typicalPaceMs ? 1 : Math.max(weights.fastest, paceMs / typicalPaceMs);
+	const factor = paceMs === undefined || !typicalPaceMs ? moment : Math.max(weights.fastest, paceMs / typicalPaceMs);
 	const crowding = crowdingFactor * Math.min(1, occupied);
 	// What is beyond the slots waits for as long as a request takes.
 	const waiting = Math.max(0, occupied - 1);
--- a/packages/direct/__tests__/call.spec.ts
+++ b/packages/direct/__tests__/call.spec.ts
@@ -1,5 +1,6 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import {RetryBudget} from '@wasabiusher/decisions';
 import {DirectCall, type CallOutcome} from '../src/index.js';
 import {
 	createBench, createRequest, createRoute, type Bench,
@@ -47,6 +48,24 @@
 		expect(await Promise.all(outcomes.map(async outcome => readKind(outcome)))).to.deep.equal(['answered', 'answered', 'answered']);
 	});
 
+	it('sends few requests a second time while a whole service is slow, and never one that must not run twice', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.callMs = 400;
+		}
+
+		const hedges = new RetryBudget();
+		const call = async (kind: 'idempotent' | 'non-idempotent') => {
+			const outcomes = Array.from({length: 30}, async () => new DirectCall({...bench, hedges}, createRoute({kind}), createRequest(), new AbortController().signal).run());
+			await clock.tickAsync(1000);
+			await Promise.all(outcomes);
+			return countRuns();
+		};
+
+		expect([await call('non-idempotent'), await call('idempotent')]).to.deep.equal([30, 63]);
+		// Thirty more first tries have earned three second ones.
+		expect(await call('idempotent')).to.equal(96);
+	});
+
 	it('says that nothing has run only if that is so, and at once', async () => {
 		for (const {switches} of bench.endpoints) {
 			switches.isFull = true;
--- a/packages/direct/__tests__/endpoint-directory.spec.ts
+++ b/packages/direct/__tests__/endpoint-directory.spec.ts
@@ -84,6 +84,30 @@
 		expect(directory.planReturn('other')).to.equal(100);
 	});
 
+	it('keeps away from a plain endpoint whose machine is disturbed, for as long as the disturbance lasts', () => {
+		directory = new EndpointDirectory(new Random(1), {...defaultPolicy, prefersConnected: false});
+		for (const id of ['a', 'b', 'c']) {
+			directory.put(createEndpoint({id}));
+		}
+
+		const choose = () => new Set(Array.from({length: 30}, () => {
+			const {id} = directory.take({service: 's'})!;
+			directory.release(id);
+			clock.tick(5);
+			return id;
+		}));
+		choose();
+		directory.recordHead('a', {
+			status: 200, headers: {}, isNotRun: false, stamp: 's', weightVersion: undefined, isFramed: true, isClosing: false,
+			load: {
+				running: 0, waiting: 0, slots: 4, slowness: 2.5,
+			},
+		});
+		expect([...choose()]).to.not.include('a');
+		clock.tick(600);
+		expect([...choose()]).to.include('a');
+	});
+
 	it('keeps what it knows of an endpoint that registers again without having started again', () => {
 		directory.put(createEndpoint({orderCount: 3, models: [{model: 'm', version: 4}]}));
 		directory.put(createEndpoint({orderCount: 3, models: [{model: 'm', version: 3}]}));
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -1,7 +1,7 @@
 /**
  * A caller's request on the direct way: attempts, retries, second attempts and the proof of "not run".
  */
-import {defaultPolicy, type Policy} from '@wasabiusher/decisions';
+import {defaultPolicy, type Policy, type RetryBudget} from '@wasabiusher/decisions';
 import {
 	PlatformError, type ServingAnswer, type ServingClient, type ServingRequest,
 } from '@wasabiusher/backends';
@@ -39,6 +39,8 @@
 	policy?: Policy;
 	/** Counts what begins to run; undefined if nobody wants to know. */
 	meter?: RunMeter;
+	/** Second attempts beside a slow first one, by service; undefined for no bound. */
+	hedges?: RetryBudget;
 };
 
 /** Status of an endpoint that has run a request and failed. */
@@ -122,6 +124,7 @@
 		// The caller is answered in time, however long an attempt takes to notice that it is cut.
 		const ended = waitForAbort(signal);
 		let hedgeAt = Number.POSITIVE_INFINITY;
+		this.#settings.hedges?.recordFirstTry(this.#service);
 		for (;;) {
 			if (this.#signal.aborted) {
 				return {kind: 'stopped'};
@@ -164,7 +167,12 @@
 			return false;
 		}
 
-		return this.#mayHaveRun.size < this.#route.maxAttempts;
+		if (this.#mayHaveRun.size >= this.#route.maxAttempts) {
+			return false;
+		}
+
+		// Without a bound a service that is slow as a whole is sent twice as much.
+		return openAttempts === 0 || (this.#settings.hedges?.tryTake(this.#service) ?? true);
 	}
 
 	/** What to tell the caller when nothing is under way and nothing more may be tried. */
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -238,13 +238,14 @@
 	toCandidate(warmKey: string | undefined, homes?: ReadonlySet<string>): DirectCandidate {
 		const now = performance.now();
 		const {id, slots} = this.endpoint;
-		const {weighsPaces, prefersWarm, prefersConnected} = this.#policy;
+		const {weighsPaces, plansTexts, prefersWarm, prefersConnected} = this.#policy;
 		return {
 			id,
 			slots,
 			open: this.#open,
 			others: this.others,
 			paceMs: weighsPaces ? this.#paceMs : undefined,
+			moment: weighsPaces && plansTexts ? this.speed.moment : 1,
 			isWarm: prefersWarm && warmKey !== undefined && this.#warmKeys.has(warmKey),
 			isHome: homes?.has(id) ?? false,
 			isConnected: prefersConnected && now - this.#usedAt < connectedMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,9 @@
 import {
 	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts, SpeedRows,
 } from '@wasabiusher/batches';
-import {defaultPolicy, Lateness, type Policy} from '@wasabiusher/decisions';
+import {
+	defaultPolicy, Lateness, RetryBudget, type Policy,
+} from '@wasabiusher/decisions';
 import type {
 	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
@@ -95,6 +97,8 @@
 	readonly #settings: GatewaySettings;
 	readonly #policy: Policy;
 	readonly #lateness = new Lateness();
+	/** Second attempts of calls and scores, by service. */
+	readonly #hedges: RetryBudget | undefined;
 	readonly #directory: EndpointDirectory;
 	readonly #catalog: Catalog;
 	readonly #hosts: HostRegistry;
@@ -124,6 +128,7 @@
 			host, dataCentre, cores, client, format, random, log, leaseMs, policy = defaultPolicy,
 		} = settings;
 		this.#policy = policy;
+		this.#hedges = policy.plansTexts ? new RetryBudget() : undefined;
 		this.#gate = new StoreGate(settings.rows);
 		const findKey = () => this.#linkKey;
 		const rows = new RoutedStore({
@@ -160,7 +165,7 @@
 			},
 		});
 		this.batches = new Batches({
-			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts,
+			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts, hedges: this.#hedges,
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
@@ -354,7 +359,7 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage,
+			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
 		};
 	}
 
