--- a/packages/decisions/__tests__/uneven-endpoints.spec.ts
+++ b/packages/decisions/__tests__/uneven-endpoints.spec.ts
@@ -125,6 +125,11 @@
 		expect([1, 3].map(spell => isAtRisk(text, {classMs: 56, spell, moment: 1}))).to.deep.equal([false, true]);
 		expect(isAtRisk({...text, madeHere: 5}, {classMs: 56, spell: 1, moment: 1})).to.equal(true);
 	});
+
+	it('stays at an endpoint that is merely full, where an idle one is of the same class', () => {
+		const text = {madeHere: 20, unitsLeft: 100, dueInMs: 2000};
+		expect([1.5, 2].map(spell => gainsBy(text, {classMs: 56, spell, moment: 1}, 56))).to.deep.equal([false, true]);
+	});
 });
 
 describe('TextLengths', () => {
--- a/packages/decisions/src/text-moves.ts
+++ b/packages/decisions/src/text-moves.ts
@@ -32,9 +32,12 @@
 /** How much faster the other endpoint must be, as a factor. */
 const leastFactor = 1.3;
 
-/** Expected time for a unit over the next seconds, in milliseconds; a moment is over before a text is. */
+/**
+ * Expected time for a unit over the next seconds, in milliseconds. A moment is over before a text is; and an endpoint that is merely full becomes
+ * faster as other texts end, so that a text that left it for an idle one of the same class would have gained nothing.
+ */
 function expectUnitMs({classMs, spell}: EndpointSpeed): number | undefined {
-	return classMs === undefined ? undefined : classMs * spell;
+	return classMs === undefined ? undefined : classMs * (spell < slowSpell ? 1 : spell);
 }
 
 /** Whether a text may be saved by another endpoint; nothing needs to be known of others for that. */
