--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -194,7 +194,8 @@
 
 	/** The lasting speed of an endpoint as measured by any process, in milliseconds for a unit of work; undefined until known. */
 	findClassMs(id: string): number | undefined {
-		return this.#standings.get(id)?.speed.classMs;
+		const standing = this.#standings.get(id);
+		return this.#policy.plansTexts ? standing?.speed.classMs : standing?.bestMs;
 	}
 
 	/** Guesses lasting speeds by `classes`, once others have told some. */
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -151,7 +151,7 @@
 		const {directory, findNeeds} = this.#settings;
 		return placeModels({
 			holders: endpoints.map(({id, models}) => ({
-				id, versions: new Map(models.map(({model}) => [model, directory.findVersion(id, model) ?? 0])), paceMs: directory.findBestPace(id),
+				id, versions: new Map(models.map(({model}) => [model, directory.findVersion(id, model) ?? 0])), paceMs: directory.findClassMs(id),
 			})),
 			published: this.#schedule.versions,
 			needs: findNeeds?.() ?? new Map<string, ModelNeed>(),
@@ -167,7 +167,7 @@
 			const from = before?.get(endpoint)?.join(',');
 			if (models.length === 1 && models[0] !== from) {
 				log.info('endpoint_placed', {
-					endpoint, model: models[0], from, work: needs?.get(models[0]!)?.work, longest: needs?.get(models[0]!)?.longest, bestPaceMs: directory.findBestPace(endpoint),
+					endpoint, model: models[0], from, work: needs?.get(models[0]!)?.work, longest: needs?.get(models[0]!)?.longest, classMs: directory.findClassMs(endpoint),
 				});
 			}
 		}
