Tell of measured endpoints by turns, from a module of their own

The plan of whole steps (text-plan) has no user: each text is weighed by itself when it looks for an endpoint, longest first, so its empty interface goes.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -36,6 +36,5 @@
 export * from './subsetting.js';
 export * from './text-lengths.js';
 export * from './text-moves.js';
-export type * from './text-plan.js';
 export * from './trainer-shares.js';
 export * from './weight-waves.js';
--- a/packages/direct/__tests__/endpoint-directory.spec.ts
+++ b/packages/direct/__tests__/endpoint-directory.spec.ts
@@ -123,6 +123,17 @@
 		expect(directory.findBestPace('i')).to.equal(undefined);
 	});
 
+	it('tells of all endpoints that it has measured, by turns where they are too many for once', () => {
+		const ids = ['a', 'b', 'c', 'd', 'e'];
+		for (const [i, id] of ids.entries()) {
+			directory.put(createEndpoint({id}));
+			directory.recordRunPace(id, 40 + i);
+		}
+
+		expect([...new Set([2, 2, 2].flatMap(most => Object.keys(directory.listOwnPaces(most))))].toSorted()).to.deep.equal(ids);
+		expect(Object.keys(directory.listOwnPaces(9))).to.have.length(5);
+	});
+
 	it('tells the best of its own paces, not one of a slow spell', async () => {
 		directory.put(createEndpoint());
 		for (const paceMs of [40, 150]) {
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -9,6 +9,7 @@
 import {EndpointClasses} from './endpoint-classes.js';
 import {chooseMove} from './endpoint-moves.js';
 import {EndpointStanding} from './endpoint-standing.js';
+import {ToldPaces} from './told-paces.js';
 
 /**
  * How long an endpoint whose registration has vanished is still asked if nothing else can be, in milliseconds.
@@ -52,8 +53,7 @@
 	readonly #policy: Policy;
 	readonly #lateness: Lateness;
 	readonly #listeners = new Set<() => void>();
-	/** Paces told so far, over all times. */
-	#toldPaces = 0;
+	readonly #paces = new ToldPaces(this.classes);
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
@@ -205,26 +205,14 @@
 		}
 	}
 
-	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most. */
+	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most, by turns. */
 	listOwnPaces(most: number): Record<string, number> {
-		const known = [...this.#standings].flatMap(([id, {ownBestMs}]) => ownBestMs === undefined ? [] : [[id, Math.round(ownBestMs * 10) / 10] as const]);
-		// Who has measured more than that tells of the others next.
-		const from = known.length > most ? this.#toldPaces % known.length : 0;
-		this.#toldPaces = from + most;
-		return Object.fromEntries([...known, ...known].slice(from, from + Math.min(most, known.length)));
+		return this.#paces.list([...this.#standings.values()], most);
 	}
 
 	/** Learns what other processes have measured. */
 	learnPaces(paces: Readonly<Record<string, number>>): void {
-		for (const [id, unitMs] of Object.entries(paces)) {
-			const standing = this.#standings.get(id);
-			if (standing) {
-				const {service, address} = standing.endpoint;
-				standing.learnPace(unitMs);
-				this.classes.learn({service, address, classMs: unitMs});
-				this.classes.guess(standing);
-			}
-		}
+		this.#paces.learn(paces, id => this.#standings.get(id));
 	}
 
 	/** The best pace of late of an endpoint as measured by any process, in milliseconds. */
