--- a/packages/decisions/src/speed-model.ts
+++ b/packages/decisions/src/speed-model.ts
@@ -28,6 +28,8 @@
 	readonly #pace = new Pace();
 	/** Mean paces of whole runs, the oldest first. */
 	readonly #runs: number[] = [];
+	/** The least of them; asked for far more often than a run ends. */
+	#bestRunMs = Number.POSITIVE_INFINITY;
 	#guessMs: number | undefined;
 	#slowness = 1;
 	#slownessAt = Number.NEGATIVE_INFINITY;
@@ -43,6 +45,8 @@
 		if (this.#runs.length > maxRuns) {
 			this.#runs.shift();
 		}
+
+		this.#bestRunMs = Math.min(...this.#runs);
 	}
 
 	/** Takes over a class that was measured by others or earlier, in milliseconds for a unit. */
@@ -58,13 +62,13 @@
 
 	/** Time for a unit when nothing is wrong, in milliseconds: the best of the last runs, since no run is faster than its endpoint. */
 	get classMs(): number | undefined {
-		const known = this.#guessMs === undefined || this.#runs.length >= ownRuns ? this.#runs : [...this.#runs, this.#guessMs];
-		return known.length === 0 ? undefined : Math.min(...known);
+		const bestMs = this.#runs.length >= ownRuns ? this.#bestRunMs : Math.min(this.#bestRunMs, this.#guessMs ?? Number.POSITIVE_INFINITY);
+		return Number.isFinite(bestMs) ? bestMs : undefined;
 	}
 
 	/** The class, if this process has measured it well enough to tell others. */
 	get ownClassMs(): number | undefined {
-		return this.#runs.length >= toldRuns ? Math.min(...this.#runs) : undefined;
+		return this.#runs.length >= toldRuns ? this.#bestRunMs : undefined;
 	}
 
 	/** Mean time for a unit of late, in milliseconds; undefined unless enough was measured lately. */
@@ -72,11 +76,16 @@
 		return this.#pace.unitMs;
 	}
 
+	/** Factor by which it is slower at this moment; 1 as usual. */
+	get moment(): number {
+		const ageMs = performance.now() - this.#slownessAt;
+		return ageMs < momentMs ? 1 + ((this.#slowness - 1) * (1 - (ageMs / momentMs))) : 1;
+	}
+
 	get speed(): EndpointSpeed {
-		const {classMs, recentMs} = this;
+		const {classMs, recentMs, moment} = this;
 		const spell = classMs === undefined || recentMs === undefined ? 1 : Math.min(maxFactor, Math.max(1, recentMs / classMs));
-		const ageMs = performance.now() - this.#slownessAt;
-		return {classMs, spell, moment: 1 + ((this.#slowness - 1) * Math.max(0, 1 - (ageMs / momentMs)))};
+		return {classMs, spell, moment};
 	}
 
 	/** Expected time for the next units, in milliseconds; undefined while nothing is known. */
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -245,7 +245,7 @@
 			open: this.#open,
 			others: this.others,
 			paceMs: weighsPaces ? this.#paceMs : undefined,
-			moment: weighsPaces && plansTexts ? this.speed.moment : 1,
+			moment: weighsPaces && plansTexts ? this.#model.moment : 1,
 			isWarm: prefersWarm && warmKey !== undefined && this.#warmKeys.has(warmKey),
 			isHome: homes?.has(id) ?? false,
 			isConnected: prefersConnected && now - this.#usedAt < connectedMs,
