Give each share its part of the fast endpoints, and take no full endpoint for a slow one

Change: a spell counts from 2.4 times the class; divideEndpoints deals fast endpoints evenly first, then the others.

--- a/packages/batches/src/share-homes.ts
+++ b/packages/batches/src/share-homes.ts
@@ -1,7 +1,7 @@
 /**
  * The endpoints that a share has for its own, so that hosts that work on one batch don't fill the same slots.
  */
-import {divideEndpoints} from '@wasabiusher/decisions';
+import {divideEndpoints, splitBySpeed} from '@wasabiusher/decisions';
 import type {EndpointDirectory} from '@wasabiusher/direct';
 import type {BatchRecord} from './batch.js';
 
@@ -54,7 +54,10 @@
 		// By what endpoints have registered, which all hosts read alike; each host has seen other answers, and by those three of them filled one endpoint.
 		const endpoints = directory.list().filter(({service, isDraining, models}) => services.has(service) && !isDraining
 			&& (model === '' || models.some(held => held.model === model && held.version >= least)));
-		const ids = divideEndpoints(endpoints, shares.map(({dataCentre}) => dataCentre))[this.#share] ?? [];
+		// Lasting speeds are told to all hosts; while one does not know them yet, it may fill endpoints of another share as far as these tell room.
+		const {fast} = splitBySpeed(endpoints.map(({id}) => ({id, versions: new Map(), paceMs: directory.findClassMs(id)})));
+		const fastIds = new Set(fast.map(({id}) => id));
+		const ids = divideEndpoints(endpoints.map(({id, dataCentre}) => ({id, dataCentre, isFast: fastIds.has(id)})), shares.map(({dataCentre}) => dataCentre))[this.#share] ?? [];
 		return ids.length === 0 ? undefined : new Set(ids);
 	}
 }
--- a/packages/decisions/__tests__/batch-shares.spec.ts
+++ b/packages/decisions/__tests__/batch-shares.spec.ts
@@ -106,6 +106,14 @@
 		expect(divideEndpoints(endpoints.slice(0, 1), ['d2', 'd1'])).to.deep.equal([[], ['a']]);
 	});
 
+	it('gives each worker its part of the fast endpoints, wherever they are, and forgets none', () => {
+		const uneven = endpoints.map(endpoint => ({...endpoint, isFast: ['a', 'b', 'c'].includes(endpoint.id)}));
+		const shares = divideEndpoints(uneven, ['d1', 'd2', 'd3']);
+		expect(shares.map(ids => ids.filter(id => ['a', 'b', 'c'].includes(id)).length)).to.deep.equal([1, 1, 1]);
+		expect(shares.flat().toSorted()).to.deep.equal(endpoints.map(({id}) => id));
+		expect(Math.max(...shares.map(ids => ids.length))).to.equal(3);
+	});
+
 	it('changes little for the others when an endpoint goes', () => {
 		const many = Array.from({length: 24}, (_, i) => ({id: `i${i}`, dataCentre: 'd9'}));
 		const find = (shares: string[][], id: string) => shares.findIndex(ids => ids.includes(id));
--- a/packages/decisions/src/batch-shares.ts
+++ b/packages/decisions/src/batch-shares.ts
@@ -164,31 +164,43 @@
 }
 
 /** An endpoint that may be given to a share. */
-export type SharedEndpoint = {id: string; dataCentre: string};
+export type SharedEndpoint = {
+	id: string;
+	dataCentre: string;
+	/** Whether it is much faster than others; such ones are divided evenly by themselves. */
+	isFast?: boolean;
+};
 
 /**
  * Divides endpoints among the shares of a batch, as evenly as their number lets, each to a worker in its own data centre as far as there is one.
  * Among workers alike a hash decides for each endpoint, so that one more or less changes little for the others.
  *
  * Load pattern: five hosts fill the same 80 slots, each knowing of the others only what answers told up to a second before; an endpoint
- * refuses what is beyond its queue. With endpoints of its own, a worker knows what is open there.
+ * refuses what is beyond its queue. With endpoints of its own, a worker knows what is open there. Each share has as many long texts as the others, so
+ * each gets its part of the fast endpoints.
  *
  * @param places - data centre of the worker of each share
  * @returns ids by the share; with fewer endpoints than shares some have none
  */
 export function divideEndpoints(endpoints: readonly SharedEndpoint[], places: readonly string[]): string[][] {
 	const shares = places.map((dataCentre, share) => ({dataCentre, name: String(share), ids: [] as string[]}));
-	const most = Math.ceil(endpoints.length / Math.max(1, places.length));
-	const take = (endpoint: SharedEndpoint, from: typeof shares) => {
+	const count = Math.max(1, places.length);
+	const take = (endpoint: SharedEndpoint, from: typeof shares, most: number) => {
 		const [best] = from.filter(({ids}) => ids.length < most).toSorted((a, b) => rankCandidate(endpoint.id, b.name) - rankCandidate(endpoint.id, a.name));
 		best?.ids.push(endpoint.id);
 		return best !== undefined;
 	};
 
-	const far = endpoints.toSorted((a, b) => a.id < b.id ? -1 : 1).filter(endpoint => !take(endpoint, shares.filter(({dataCentre}) => dataCentre === endpoint.dataCentre)));
-	for (const endpoint of far) {
-		take(endpoint, shares);
-	}
+	const divide = (some: readonly SharedEndpoint[], most: number) => {
+		const far = some.toSorted((a, b) => a.id < b.id ? -1 : 1)
+			.filter(endpoint => !take(endpoint, shares.filter(({dataCentre}) => dataCentre === endpoint.dataCentre), most));
+		for (const endpoint of far) {
+			take(endpoint, shares, most);
+		}
+	};
 
+	const fast = endpoints.filter(({isFast}) => isFast);
+	divide(fast, Math.ceil(fast.length / count));
+	divide(endpoints.filter(({isFast}) => !isFast), Math.ceil(endpoints.length / count));
 	return shares.map(({ids}) => ids);
 }
--- a/packages/decisions/src/text-moves.ts
+++ b/packages/decisions/src/text-moves.ts
@@ -20,8 +20,8 @@
 /** Events at an endpoint before a text leaves it, unless the endpoint has turned slow. */
 const settledEvents = 5;
 
-/** Factor of a spell from which an endpoint has turned slow; full ones are a fifth slower than idle ones. */
-const slowSpell = 1.8;
+/** Factor of a spell from which an endpoint has turned slow; fast ones take up to twice as long when all of their slots are taken. */
+const slowSpell = 2.4;
 
 /** Time that a move takes, in milliseconds: the prompt and what was made are read again. */
 const moveMs = 50;
