--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -2,7 +2,7 @@
  * All batches as one process sees them: accepts them, works on shares of them, hands shares over and ends them.
  */
 import type {RowChange} from '@wasabiusher/backends';
-import {defaultPolicy, type ModelNeed} from '@wasabiusher/decisions';
+import {defaultPolicy, TextLengths, type ModelNeed} from '@wasabiusher/decisions';
 import {describeError} from '@wasabiusher/shared';
 import {
 	findSeries, measureWork, prepareSubmission, settlePauseMs, writeAccepted,
@@ -34,7 +34,7 @@
 /** Time within which the lost answer of an end is settled, in milliseconds. */
 const settleMs = 2500;
 
-export type BatchesSettings = Omit<ShareOwnerSettings, 'checkpointBudget' | 'countEarlierOpen' | 'desk' | 'onConflict' | 'findHomes'> & {
+export type BatchesSettings = Omit<ShareOwnerSettings, 'checkpointBudget' | 'countEarlierOpen' | 'desk' | 'onConflict' | 'findHomes' | 'lengths'> & {
 	store: BatchStore;
 	keptTexts: KeptTexts;
 	hosts: HostRegistry;
@@ -50,6 +50,7 @@
 	readonly #known = new KnownBatches();
 	readonly #desk: CommitDesk | undefined;
 	readonly #checkpointBudget = new CheckpointBudget();
+	readonly #lengths = new TextLengths();
 	/** What this process works on, by the name of the share. */
 	readonly #owners = new Map<string, ShareOwner>();
 	/** Shares that this process is about to work on, by name and term. */
@@ -394,6 +395,7 @@
 				...this.#settings,
 				desk: this.#desk,
 				checkpointBudget: this.#checkpointBudget,
+				lengths: this.#lengths,
 				countEarlierOpen: () => this.#known.countEarlierOpen(record),
 				findHomes: () => homes.find(),
 				onConflict: found => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,9 +3,11 @@
  */
 import type {Server} from 'node:http';
 import {
-	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts,
+	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts, SpeedRows,
 } from '@wasabiusher/batches';
-import {defaultPolicy, Lateness, type Policy} from '@wasabiusher/decisions';
+import {
+	defaultPolicy, Lateness, RetryBudget, type Policy,
+} from '@wasabiusher/decisions';
 import type {
 	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
@@ -98,6 +100,8 @@
 	readonly #settings: GatewaySettings;
 	readonly #policy: Policy;
 	readonly #lateness = new Lateness();
+	/** Second attempts of calls and scores, by service. */
+	readonly #hedges: RetryBudget | undefined;
 	readonly #directory: EndpointDirectory;
 	readonly #catalog: Catalog;
 	readonly #hosts: HostRegistry;
@@ -113,6 +117,7 @@
 	readonly #peerServer: PeerServer | undefined;
 	readonly #trueTime: TrueTime;
 	readonly #usage: Usage | undefined;
+	readonly #speedRows: SpeedRows | undefined;
 	#linkKey: string | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	/** When the next tick is due, on the monotonic clock. */
@@ -127,6 +132,7 @@
 			host, dataCentre, cores, client, format, random, log, leaseMs, policy = defaultPolicy,
 		} = settings;
 		this.#policy = policy;
+		this.#hedges = policy.plansTexts ? new RetryBudget() : undefined;
 		this.#gate = new StoreGate(settings.rows);
 		const findKey = () => this.#linkKey;
 		const rows = new RoutedStore({
@@ -165,7 +171,7 @@
 			},
 		});
 		this.batches = new Batches({
-			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts,
+			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts, hedges: this.#hedges,
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
@@ -174,6 +180,7 @@
 			isStoreOpen: () => !this.#gate.isLost || rows.isRelayed,
 		});
 		this.#usage = this.#createUsage();
+		this.#speedRows = policy.plansTexts ? new SpeedRows({rows, directory: this.#directory, log}) : undefined;
 		const chance = () => random.next();
 		this.#operatorFollower = new TableFollower({
 			store: rows.probing, table: format.operatorTable, parts: [''], log, waitMs: operatorWaitMs, apply: change => {
@@ -262,6 +269,7 @@
 		this.batches.start();
 		this.#lease.start();
 		this.#usage?.start();
+		this.#speedRows?.start();
 		this.#dueAt = performance.now() + ordersMs;
 		this.#timer = setInterval(() => {
 			this.#noteLateness();
@@ -320,6 +328,7 @@
 		clearInterval(this.#sweepTimer);
 		this.#lease.stop();
 		this.#usage?.stop();
+		this.#speedRows?.stop();
 		this.#hosts.stop();
 		this.batches.stop();
 		this.#rows.stop();
@@ -393,7 +402,7 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage,
+			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
 		};
 	}
 
