--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -6,8 +6,11 @@
 } from '@wasabiusher/decisions';
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
+import {EndpointClasses} from './endpoint-classes.js';
+import {chooseMove} from './endpoint-moves.js';
 import {EndpointStanding} from './endpoint-standing.js';
 import {compareStarts} from './restart-watch.js';
+import {ToldPaces} from './told-paces.js';
 
 /**
  * How long an endpoint whose registration has vanished is still asked if nothing else can be, in milliseconds.
@@ -44,6 +47,8 @@
 
 /** Registered endpoints and their standing. */
 export class EndpointDirectory {
+	/** Lasting speeds, also of endpoints that are gone. */
+	readonly classes = new EndpointClasses();
 	readonly #standings = new Map<string, EndpointStanding>();
 	readonly #random: Random;
 	readonly #policy: Policy;
@@ -51,6 +56,7 @@
 	readonly #listeners = new Set<() => void>();
 	/** By endpoint; called when it has started again. */
 	readonly #restartListeners = new Map<string, Set<() => void>>();
+	readonly #paces = new ToldPaces(this.classes);
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
@@ -71,6 +77,7 @@
 
 		const standing = known && relation === 'same' ? known : new EndpointStanding(endpoint, this.#policy, known?.countEnds());
 		standing.register(endpoint);
+		this.classes.guess(standing);
 		for (const {model, version} of endpoint.models) {
 			standing.recordVersion(model, version);
 		}
@@ -208,20 +215,34 @@
 	 * models 150 times in half a minute by that.
 	 */
 	recordRunPace(id: string, unitMs: number): void {
-		this.#standings.get(id)?.recordRunPace(unitMs);
+		const standing = this.#standings.get(id);
+		standing?.recordRunPace(unitMs);
+		if (standing) {
+			this.classes.record(standing);
+		}
+	}
+
+	/** The lasting speed of an endpoint as measured by any process, in milliseconds for a unit of work; undefined until known. */
+	findClassMs(id: string): number | undefined {
+		const standing = this.#standings.get(id);
+		return this.#policy.plansTexts ? standing?.speed.classMs : standing?.bestMs;
 	}
 
-	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most. */
+	/** Guesses lasting speeds by `classes`, once others have told some. */
+	guessClasses(): void {
+		for (const standing of this.#standings.values()) {
+			this.classes.guess(standing);
+		}
+	}
+
+	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most, by turns. */
 	listOwnPaces(most: number): Record<string, number> {
-		const known = [...this.#standings].flatMap(([id, {ownBestMs}]) => ownBestMs === undefined ? [] : [[id, Math.round(ownBestMs * 10) / 10] as const]);
-		return Object.fromEntries(known.slice(0, most));
+		return this.#paces.list([...this.#standings.values()], most);
 	}
 
 	/** Learns what other processes have measured. */
 	learnPaces(paces: Readonly<Record<string, number>>): void {
-		for (const [id, unitMs] of Object.entries(paces)) {
-			this.#standings.get(id)?.learnPace(unitMs);
-		}
+		this.#paces.learn(paces, id => this.#standings.get(id));
 	}
 
 	/** The best pace of late of an endpoint as measured by any process, in milliseconds. */
@@ -249,6 +270,25 @@
 		return standing?.endpoint;
 	}
 
+	/**
+	 * Chooses an endpoint at which a text had better go on that its own would finish too late, and counts it as open there; undefined if it stays.
+	 *
+	 * @param madeHere - events that it has made at its present endpoint
+	 */
+	takeFaster(id: string, need: EndpointNeed & {units: number}, madeHere: number): RegisteredEndpoint | undefined {
+		const current = this.#standings.get(id);
+		if (!this.#policy.movesRuns || !current || this.#lateness.isLate) {
+			return undefined;
+		}
+
+		const {units: unitsLeft, dueInMs, warmKey, homes} = need;
+		const standing = chooseMove({
+			text: {madeHere, unitsLeft, dueInMs}, current, listOthers: () => this.#listFits(need).filter(({vanishedAt}) => vanishedAt === undefined), warmKey, homes, chance: this.#random.next(),
+		});
+		standing?.begin(warmKey);
+		return standing?.endpoint;
+	}
+
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
 		if (this.#standings.get(id)?.recordVersion(model, version)) {
@@ -274,7 +314,9 @@
 	}
 
 	#choose(standings: readonly EndpointStanding[], need: EndpointNeed): EndpointStanding | undefined {
-		const chosen = chooseDirect(standings.map(standing => standing.toCandidate(need.warmKey, need.homes)), this.#random.next());
+		const {units, dueInMs} = need;
+		const text = units === undefined || !this.#policy.plansTexts ? undefined : {units, dueInMs};
+		const chosen = chooseDirect(standings.map(standing => standing.toCandidate(need.warmKey, need.homes)), this.#random.next(), text);
 		return chosen && this.#standings.get(chosen.id);
 	}
 
