--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,6 +7,7 @@
 export * from './checkpoint-order.js';
 export * from './commit-order.js';
 export * from './concurrency-limit.js';
+export * from './crash-evidence.js';
 export * from './demand-history.js';
 export * from './direct-choice.js';
 export * from './drain-rate.js';
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -8,8 +8,10 @@
 import {
 	describeError, type Log, type Random, type RegisteredEndpoint, type Route,
 } from '@wasabiusher/shared';
+import {crasherReason, noteBrokenAttempt, type CrashWatch} from './crash-watch.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import {BegunRuns, type RunMeter} from './run-meter.js';
+import {RestartWatch} from './restart-watch.js';
 
 /** A request as a caller has sent it. */
 export type CallerRequest = Omit<ServingRequest, 'remainingMs'> & {
@@ -39,6 +41,8 @@
 	policy?: Policy;
 	/** Counts what begins to run; undefined if nobody wants to know. */
 	meter?: RunMeter;
+	/** Knows the requests that crash endpoints; undefined if nobody does. */
+	crashers?: CrashWatch;
 	/** Second attempts beside a slow first one, by service; undefined for no bound. */
 	hedges?: RetryBudget;
 };
@@ -96,6 +100,11 @@
 
 	/** Calls until an answer has come, the time is up or nothing more may be tried. */
 	async run(): Promise<CallOutcome> {
+		const refusalMs = this.#settings.crashers?.findRefusalMs(this.#request);
+		if (refusalMs !== undefined) {
+			return {kind: 'not-run', reason: crasherReason, retryAfterMs: refusalMs};
+		}
+
 		const deadline = new AbortController();
 		const timer = setTimeout(() => {
 			deadline.abort();
@@ -210,10 +219,11 @@
 		const {client, directory} = this.#settings;
 		const {id} = endpoint;
 		const startedAt = performance.now();
+		const restart = new RestartWatch(directory, id);
 		this.#excluded.add(id);
 		this.#mayHaveRun.add(id);
 		try {
-			const answer = await client.call(endpoint, this.#toServing(), signal);
+			const answer = await client.call(endpoint, this.#toServing(), AbortSignal.any([signal, restart.signal]));
 			directory.recordHead(id, answer);
 			if (answer.isNotRun) {
 				this.#mayHaveRun.delete(id);
@@ -225,15 +235,17 @@
 			}
 
 			directory.recordPace(id, performance.now() - startedAt);
+			this.#settings.crashers?.noteFinished(this.#request);
 			return {kind: 'answered', answer, endpoint: id};
 		} catch (error) {
-			return this.#noteError(id, error, signal);
+			return this.#noteError(id, error, signal, restart);
 		} finally {
+			restart.end();
 			directory.release(id);
 		}
 	}
 
-	#noteError(id: string, error: unknown, signal: AbortSignal): AttemptOutcome {
+	#noteError(id: string, error: unknown, signal: AbortSignal, {hasRestarted}: RestartWatch): AttemptOutcome {
 		const {directory, log} = this.#settings;
 		const reason = `${id}: ${describeError(error)}`;
 		this.#lastReason = reason;
@@ -243,7 +255,13 @@
 		}
 
 		log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
-		directory.recordFailure(id);
+		if (!hasRestarted) {
+			directory.recordFailure(id);
+		}
+
+		noteBrokenAttempt(this.#settings.crashers, {
+			endpoint: id, request: this.#request, isNotRun: isProvenNotRun(error), hasRestarted,
+		});
 		if (isProvenNotRun(error)) {
 			this.#mayHaveRun.delete(id);
 			return {kind: 'not-run', endpoint: id, reason};
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -15,21 +15,26 @@
 	describeError, groupBy, type Log, type RegisteredEndpoint,
 } from '@wasabiusher/shared';
 import type {EndpointDirectory} from './endpoint-directory.js';
+import {isOfStart} from './restart-watch.js';
 import {LoadSchedule} from './load-schedule.js';
 
 /** The right to give orders; a `LeaseHolder` has this shape. */
-export type OrderRight = {readonly fence: number; holds(): boolean};
+export type OrderRight = {readonly fence: number; holds(roomMs?: number): boolean};
 
 export type WeightOrdersSettings = {
 	directory: EndpointDirectory;
 	client: ServingClient;
 	right: OrderRight;
+	/** Time for which the right must last beyond the send of an order, in milliseconds; 0 where endpoints refuse an old fence themselves. */
+	orderRoomMs?: number;
 	/** Name of this process, told with each order. */
 	holder: string;
 	log: Log;
 	policy?: Policy;
 	/** How runs under way are treated at a service. */
 	chooseMode(service: string): LoadMode;
+	/** Whether the configuration names a service; others get no orders. All are by default. */
+	isServed?(service: string): boolean;
 	/** What the steps of each model ask for of late. */
 	findNeeds?(): ReadonlyMap<string, ModelNeed>;
 	/** Texts of a model that have not begun, at all hosts; undefined if nobody tells. */
@@ -77,6 +82,8 @@
 	version: number;
 	/** Orders that the endpoint had accepted before. */
 	expectedOrders: number;
+	/** The start of the endpoint that was told. */
+	bornMs: number | undefined;
 	startedAt: number;
 	nextLookAt: number;
 };
@@ -128,7 +135,8 @@
 			return;
 		}
 
-		const services = groupBy(directory.list(), ({service}) => service);
+		const {isServed = () => true} = this.#settings;
+		const services = groupBy(directory.list().filter(({service}) => isServed(service)), ({service}) => service);
 		for (const endpoints of services.values()) {
 			this.#look(endpoints);
 			this.#order(endpoints, this.#findPlaces(endpoints));
@@ -183,7 +191,10 @@
 		const now = performance.now();
 		for (const endpoint of endpoints) {
 			const transition = this.#loading.get(endpoint.id);
-			if (transition && this.#holds(endpoint, transition)) {
+			if (transition && !isOfStart(transition.bornMs, endpoint)) {
+				this.#loading.delete(endpoint.id);
+				this.#notBefore.delete(endpoint.id);
+			} else if (transition && this.#holds(endpoint, transition)) {
 				this.#finish(endpoint, transition);
 			} else if (transition && now - transition.startedAt > orderMs) {
 				this.#loading.delete(endpoint.id);
@@ -228,6 +239,12 @@
 		const {client, directory, log} = this.#settings;
 		try {
 			const report = await client.report(endpoint);
+			const registered = directory.get(endpoint.id) ?? endpoint;
+			if (![endpoint.bornMs, report.bornMs].every(bornMs => isOfStart(bornMs, registered))) {
+				log.info('report_of_other_start', {endpoint: endpoint.id, registered: registered.bornMs, told: report.bornMs});
+				return undefined;
+			}
+
 			for (const {model, version} of report.models) {
 				directory.recordVersion(endpoint.id, model, version);
 			}
@@ -306,7 +323,7 @@
 
 	/** Reads how many orders the endpoint has accepted, then gives the order on that condition. */
 	async #give(endpoint: RegisteredEndpoint, model: string, version: number): Promise<void> {
-		const {right, client, holder, directory, log, chooseMode} = this.#settings;
+		const {right, client, holder, directory, log, chooseMode, orderRoomMs} = this.#settings;
 		const report = await this.#askReport(endpoint);
 		const holdsIt = (directory.findVersion(endpoint.id, model) ?? 0) >= version;
 		if (!report || report.isBusy || holdsIt) {
@@ -314,23 +331,24 @@
 			return;
 		}
 
-		// The lease may have lapsed while the report was on its way.
-		if (!right.holds()) {
+		// The lease may have lapsed while the report was on its way, and must not lapse while the order is.
+		const {fence} = right;
+		if (fence === 0 || !right.holds(orderRoomMs)) {
 			return;
 		}
 
 		const startedAt = performance.now();
 		this.#orderedAt = startedAt;
 		this.#loading.set(endpoint.id, {
-			model, version, expectedOrders: report.orderCount, startedAt, nextLookAt: startedAt + reportMs,
+			model, version, expectedOrders: report.orderCount, bornMs: endpoint.bornMs, startedAt, nextLookAt: startedAt + reportMs,
 		});
 		directory.pause(endpoint.id, holdBackMs);
 		try {
 			const outcome = await client.order(endpoint, {
-				model, version, mode: chooseMode(endpoint.service), expectedOrders: report.orderCount, holder, fence: right.fence,
+				model, version, mode: chooseMode(endpoint.service), expectedOrders: report.orderCount, holder, fence,
 			});
 			log.info('weights_ordered', {
-				endpoint: endpoint.id, model, version, outcome, fence: right.fence, expected: report.orderCount,
+				endpoint: endpoint.id, model, version, outcome, fence, expected: report.orderCount,
 			});
 			this.#noteOutcome(endpoint, outcome);
 		} catch (error) {
@@ -342,6 +360,11 @@
 	}
 
 	#noteOutcome({id}: RegisteredEndpoint, outcome: OrderOutcome): void {
+		if (outcome === 'misdirected') {
+			// Its registration names a server that is not there, so it would be asked again and again.
+			this.#settings.directory.recordMisdirected(id);
+		}
+
 		if (outcome !== 'accepted') {
 			this.#loading.delete(id);
 			this.#notBefore.set(id, performance.now() + (outcome === 'fenced' ? orderMs : retryMs));
--- a/packages/record/src/lease-holder.ts
+++ b/packages/record/src/lease-holder.ts
@@ -16,7 +16,7 @@
 } from '@wasabiusher/shared';
 import {RecordError} from './errors.js';
 import {
-	leaseSchema, leaseTable, type Lease, type LeaseOwner,
+	decodeLease, leaseTable, type Lease, type LeaseOwner,
 } from './lease.js';
 import {writeSettled} from './settled-write.js';
 import {TakeOverPace} from './take-over-pace.js';
@@ -96,9 +96,13 @@
 		this.#failures = new RepeatedFailures({log: settings.log, event: 'lease_store_unreachable', overEvent: 'lease_store_reached'});
 	}
 
-	/** Whether effects are allowed now. Ask right before each one, and never remember the answer. */
-	holds(): boolean {
-		return performance.now() < this.#heldUntil && Math.abs(readClockGap() - this.#clockGap) <= maxClockGapMs;
+	/**
+	 * Whether effects are allowed now. Ask right before each one, and never remember the answer.
+	 *
+	 * @param roomMs - time that the effect may take to arrive where nothing checks its fence, in milliseconds; it is allowed only if the lease lasts so long
+	 */
+	holds(roomMs = 0): boolean {
+		return performance.now() + roomMs < this.#heldUntil && Math.abs(readClockGap() - this.#clockGap) <= maxClockGapMs;
 	}
 
 	/** The number that goes with each effect; 0 while the lease is not held. */
@@ -214,7 +218,7 @@
 		}
 
 		this.#row = row;
-		this.#lease = row && leaseSchema.parse(row.value);
+		this.#lease = row && decodeLease(row, this.#termMs);
 		this.#isDoubtful = false;
 		this.#hasLiveRival ||= this.#isRenewalOf(before);
 		if (this.#lease?.incarnation !== this.#incarnation) {
