--- a/packages/batches/src/pending-results.ts
+++ b/packages/batches/src/pending-results.ts
@@ -24,8 +24,10 @@
 	readonly #groups: ReadonlyMap<string, string>;
 	/** Samples of each group that are not listed, as far as there are any. */
 	readonly #lacking = new Map<string, number>();
-	readonly #waiting = new Map<string, PendingResult>();
+	/** What waits of each group, the oldest first. */
+	readonly #waiting = new Map<string, PendingResult[]>();
 	readonly #isByWorth: boolean;
+	#size = 0;
 
 	/**
 	 * @param samples - those of the share
@@ -40,7 +42,7 @@
 	}
 
 	get size(): number {
-		return this.#waiting.size;
+		return this.#size;
 	}
 
 	/** Whether a sample is one of the share. */
@@ -55,9 +57,16 @@
 
 	add(result: SampleResult, values: Readonly<Record<string, LogValue>>): void {
 		const {id, text} = result;
-		this.#waiting.set(id, {
+		const key = this.#findKey(id);
+		const others = this.#waiting.get(key) ?? [];
+		if (others.some(other => other.id === id)) {
+			return;
+		}
+
+		this.#size += 1;
+		this.#waiting.set(key, [...others, {
 			id, group: this.#groups.get(id) ?? id, bytes: text.length, addedAt: performance.now(), result, values,
-		});
+		}]);
 	}
 
 	/** Takes note that the store has a sample's result; returns what has waited of it. */
@@ -70,26 +79,46 @@
 			this.#lacking.delete(group);
 		}
 
-		const pending = this.#waiting.get(sample);
-		this.#waiting.delete(sample);
-		return pending;
+		return this.#remove(sample);
 	}
 
 	/** What goes with the next transaction. */
 	plan(): PendingResult[] {
-		return planCommit([...this.#waiting.values()], this.#isByWorth ? this.#lacking : new Map(), commitLimits);
+		return planCommit(this.#waiting, this.#isByWorth ? this.#lacking : new Map(), commitLimits);
 	}
 
 	/** What the next transaction would gain; undefined if nothing waits. */
 	findDemand(priority: number): CommitDemand | undefined {
-		const oldest = this.#waiting.values().next().value;
-		if (!oldest) {
+		if (this.#size === 0) {
 			return undefined;
 		}
 
 		const completes = countCompleted(this.plan(), this.#lacking);
 		return {
-			completes, openGroups: this.#lacking.size - completes, priority, addedAt: oldest.addedAt,
+			completes, openGroups: this.#lacking.size - completes, priority, addedAt: Math.min(...[...this.#waiting.values()].map(([oldest]) => oldest!.addedAt)),
 		};
 	}
+
+	/** Results are planned by their groups; in the order in which they have come each is planned by itself. */
+	#findKey(sample: string): string {
+		return this.#isByWorth ? this.#groups.get(sample) ?? sample : sample;
+	}
+
+	#remove(sample: string): PendingResult | undefined {
+		const key = this.#findKey(sample);
+		const waiting = this.#waiting.get(key) ?? [];
+		const pending = waiting.find(({id}) => id === sample);
+		if (!pending) {
+			return undefined;
+		}
+
+		this.#size -= 1;
+		if (waiting.length === 1) {
+			this.#waiting.delete(key);
+		} else {
+			this.#waiting.set(key, waiting.filter(other => other !== pending));
+		}
+
+		return pending;
+	}
 }
--- a/packages/decisions/__tests__/commit-order.spec.ts
+++ b/packages/decisions/__tests__/commit-order.spec.ts
@@ -1,12 +1,13 @@
 import {expect} from 'chai';
+import {groupBy} from '@wasabiusher/shared';
 import {
 	chooseCommit, countCompleted, planCommit, type CommitDemand, type WaitingResult,
 } from '../src/index.js';
 
-function createResults(...groups: string[]): WaitingResult[] {
-	return groups.map((group, i) => ({
+function createResults(...groups: string[]): Map<string, WaitingResult[]> {
+	return groupBy(groups.map((group, i) => ({
 		id: `${group}${i}`, group, bytes: 100, addedAt: i,
-	}));
+	})), ({group}) => group);
 }
 
 function createList(name: string, changes: Partial<CommitDemand> = {}) {
--- a/packages/decisions/src/commit-order.ts
+++ b/packages/decisions/src/commit-order.ts
@@ -38,18 +38,21 @@
  * The results of the next transaction: those of groups that become whole by it first, then of groups that lack the fewest, then the oldest.
  * There is at least one if any waits, however great it is.
  *
+ * @param waiting - the results of each group that wait, the oldest first
  * @param lacking - samples of each group that have no written result
  */
-export function planCommit<Result extends WaitingResult>(waiting: readonly Result[], lacking: ReadonlyMap<string, number>, limits: CommitLimits): Result[] {
+export function planCommit<Result extends WaitingResult>(waiting: ReadonlyMap<string, readonly Result[]>, lacking: ReadonlyMap<string, number>, limits: CommitLimits): Result[] {
 	const taken: Result[] = [];
 	let bytes = 0;
-	for (const result of orderResults(waiting, lacking)) {
-		bytes += result.bytes;
-		if (taken.length > 0 && (taken.length >= limits.results || bytes > limits.bytes)) {
-			break;
+	for (const {results} of orderGroups(waiting, lacking)) {
+		for (const result of results) {
+			bytes += result.bytes;
+			if (taken.length > 0 && (taken.length >= limits.results || bytes > limits.bytes)) {
+				return taken;
+			}
+
+			taken.push(result);
 		}
-
-		taken.push(result);
 	}
 
 	return taken;
@@ -57,7 +60,11 @@
 
 /** Groups that become whole by writing some results. */
 export function countCompleted(written: readonly WaitingResult[], lacking: ReadonlyMap<string, number>): number {
-	const counts = countGroups(written);
+	const counts = new Map<string, number>();
+	for (const {group} of written) {
+		counts.set(group, (counts.get(group) ?? 0) + 1);
+	}
+
 	return [...counts].filter(([group, count]) => count >= (lacking.get(group) ?? 0)).length;
 }
 
@@ -78,31 +85,12 @@
 	return best;
 }
 
-function orderResults<Result extends WaitingResult>(waiting: readonly Result[], lacking: ReadonlyMap<string, number>): Result[] {
-	const counts = countGroups(waiting);
-	const lacksThen = (group: string) => Math.max(0, (lacking.get(group) ?? 0) - (counts.get(group) ?? 0));
-	const oldest = new Map<string, number>();
-	for (const {group, addedAt} of waiting) {
-		oldest.set(group, Math.min(addedAt, oldest.get(group) ?? Number.POSITIVE_INFINITY));
-	}
-
-	return waiting.toSorted((a, b) => lacksThen(a.group) - lacksThen(b.group)
-		|| oldest.get(a.group)! - oldest.get(b.group)!
-		|| compareTexts(a.group, b.group)
-		|| a.addedAt - b.addedAt);
-}
-
-function countGroups(results: readonly WaitingResult[]): Map<string, number> {
-	const counts = new Map<string, number>();
-	for (const {group} of results) {
-		counts.set(group, (counts.get(group) ?? 0) + 1);
-	}
-
-	return counts;
-}
+type WaitingGroup<Result> = {results: readonly Result[]; lacks: number; addedAt: number};
 
-function compareTexts(a: string, b: string): number {
-	return a < b ? -1 : Number(a > b);
+function orderGroups<Result extends WaitingResult>(waiting: ReadonlyMap<string, readonly Result[]>, lacking: ReadonlyMap<string, number>): Array<WaitingGroup<Result>> {
+	return [...waiting]
+		.map(([group, results]) => ({results, lacks: Math.max(0, (lacking.get(group) ?? 0) - results.length), addedAt: results[0]?.addedAt ?? 0}))
+		.toSorted((a, b) => a.lacks - b.lacks || a.addedAt - b.addedAt);
 }
 
 function compareAges(a: CommitDemand, b: CommitDemand): number {
