--- a/packages/direct/__tests__/endpoint-directory.spec.ts
+++ b/packages/direct/__tests__/endpoint-directory.spec.ts
@@ -84,6 +84,30 @@
 		expect(directory.planReturn('other')).to.equal(100);
 	});
 
+	it('keeps away from a plain endpoint whose machine is disturbed, for as long as the disturbance lasts', () => {
+		directory = new EndpointDirectory(new Random(1), {...defaultPolicy, prefersConnected: false});
+		for (const id of ['a', 'b', 'c']) {
+			directory.put(createEndpoint({id}));
+		}
+
+		const choose = () => new Set(Array.from({length: 30}, () => {
+			const {id} = directory.take({service: 's'})!;
+			directory.release(id);
+			clock.tick(5);
+			return id;
+		}));
+		choose();
+		directory.recordHead('a', {
+			status: 200, headers: {}, isNotRun: false, stamp: 's', weightVersion: undefined, isFramed: true, isClosing: false,
+			load: {
+				running: 0, waiting: 0, slots: 4, slowness: 2.5,
+			},
+		});
+		expect([...choose()]).to.not.include('a');
+		clock.tick(600);
+		expect([...choose()]).to.include('a');
+	});
+
 	it('keeps what it knows of an endpoint that registers again without having started again', () => {
 		directory.put(createEndpoint({orderCount: 3, models: [{model: 'm', version: 4}]}));
 		directory.put(createEndpoint({orderCount: 3, models: [{model: 'm', version: 3}]}));
@@ -99,6 +123,17 @@
 		expect(directory.findBestPace('i')).to.equal(undefined);
 	});
 
+	it('tells of all endpoints that it has measured, by turns where they are too many for once', () => {
+		const ids = ['a', 'b', 'c', 'd', 'e'];
+		for (const [i, id] of ids.entries()) {
+			directory.put(createEndpoint({id}));
+			directory.recordRunPace(id, 40 + i);
+		}
+
+		expect([...new Set([2, 2, 2].flatMap(most => Object.keys(directory.listOwnPaces(most))))].toSorted()).to.deep.equal(ids);
+		expect(Object.keys(directory.listOwnPaces(9))).to.have.length(5);
+	});
+
 	it('tells the best of its own paces, not one of a slow spell', async () => {
 		directory.put(createEndpoint());
 		for (const paceMs of [40, 150]) {
