Hand out slots of a host in one order

Cause: on the path without agents what waits has no order and no bound: each text looks for an endpoint by itself at each change.

Change: WaitOrder (classes of urgency with a floor of a quarter, turns by weight and by what is asked for, what is due first) and HostLine, which looks once for each kind of need when endpoints have changed. TurnClock holds what caller-line had of virtual time, so that both ways use one. Nothing uses the line yet.

--- a/packages/decisions/src/caller-line.ts
+++ b/packages/decisions/src/caller-line.ts
@@ -9,6 +9,7 @@
  */
 import type {PriorityClass} from '@wasabiusher/shared';
 import {IndexedHeap, type HeapItem} from './indexed-heap.js';
+import {TurnClock} from './turn-clock.js';
 
 /** What the order is decided by. */
 export type Ticket = {
@@ -54,21 +55,14 @@
 /** The priority at which the weight is the profile's share. */
 const middlePriority = 5;
 
-/**
- * Idle callers whose last turn is remembered. Beyond it all are forgotten, which gives
- * each at most one job too early; 10,000 callers take about 1 MB.
- */
-const maxIdleFlows = 10_000;
-
 /** Least work charged for a job, so that jobs stated to cost nothing still take turns. */
 const minCost = 1e-3;
 
 /** Jobs of one class in fair order. */
 export class CallerLine<Job> {
 	readonly #flows = new Map<string, Flow<Job>>();
-	readonly #idleTags = new Map<string, number>();
+	readonly #clock = new TurnClock();
 	readonly #heap = new IndexedHeap<Flow<Job>>((a, b) => a.start < b.start || (a.start === b.start && a.order < b.order));
-	#virtualTime = 0;
 	#arrivals = 0;
 
 	get isEmpty(): boolean {
@@ -98,7 +92,7 @@
 		const entry = this.first;
 		if (entry) {
 			const flow = entry.flow!;
-			this.#virtualTime = Math.max(this.#virtualTime, flow.start);
+			this.#clock.advance(flow.start);
 			flow.start += Math.max(minCost, entry.ticket.cost) / weigh(entry.ticket);
 			this.#unlink(entry);
 		}
@@ -115,12 +109,10 @@
 		const key = `${priority}/${caller}`;
 		let flow = this.#flows.get(key);
 		if (!flow) {
-			const start = Math.max(this.#virtualTime, this.#idleTags.get(key) ?? 0);
 			this.#arrivals += 1;
 			flow = {
-				key, start, order: this.#arrivals, heapIndex: -1,
+				key, start: this.#clock.enter(key), order: this.#arrivals, heapIndex: -1,
 			};
-			this.#idleTags.delete(key);
 			this.#flows.set(key, flow);
 			this.#heap.add(flow);
 		}
@@ -152,13 +144,7 @@
 	#retire(flow: Flow<Job>): void {
 		this.#heap.remove(flow);
 		this.#flows.delete(flow.key);
-		if (this.#idleTags.size >= maxIdleFlows) {
-			this.#idleTags.clear();
-		}
-
-		if (flow.start > this.#virtualTime) {
-			this.#idleTags.set(flow.key, flow.start);
-		}
+		this.#clock.leave(flow.key, flow.start);
 	}
 }
 
--- /dev/null
+++ b/packages/slots/__tests__/host-line.spec.ts
@@ -0,0 +1,168 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {HostLine, type SlotAnswer, type Waiter} from '../src/index.js';
+
+/** A service with some slots, each of which takes the same time. */
+type Need = {pool: string; lane: string};
+
+describe('HostLine', () => {
+	let clock: Clock;
+	let free: number;
+	let takes: number;
+	let blocked: string;
+	let notify: () => void;
+	let line: HostLine<Need, string>;
+	let ids: number;
+
+	beforeEach(() => {
+		clock = install();
+		free = 0;
+		takes = 0;
+		blocked = '';
+		ids = 0;
+		const listeners = new Set<() => void>();
+		notify = () => {
+			for (const listener of listeners) {
+				listener();
+			}
+		};
+
+		line = new HostLine({
+			namePool: ({pool}) => pool,
+			nameLane: ({lane}) => lane,
+			take({lane}) {
+				takes += 1;
+				if (free === 0 || lane === blocked) {
+					return undefined;
+				}
+
+				free -= 1;
+				return 'e';
+			},
+			planReturn: () => 40,
+			onChange(listener) {
+				listeners.add(listener);
+				return () => {
+					listeners.delete(listener);
+				};
+			},
+		});
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	function createWaiter(changes: Partial<Waiter<Need>> = {}): Waiter<Need> {
+		ids += 1;
+		return {
+			id: `w${ids}`, kind: 'call', need: {pool: 's', lane: 'l'}, urgency: 0, turn: 'a', weight: 1, dueAt: performance.now() + 100,
+			deadlineAt: performance.now() + 50, workMs: 20, ...changes,
+		};
+	}
+
+	/** Waits, and notes the answer under a name. */
+	function wait(answers: Record<string, SlotAnswer<string>['kind']>, name: string, changes: Partial<Waiter<Need>> = {}, signal = new AbortController().signal): void {
+		void (async () => {
+			const {kind} = await line.wait(createWaiter(changes), signal);
+			answers[name] = kind;
+		})();
+	}
+
+	async function setFree(slots: number): Promise<void> {
+		free = slots;
+		notify();
+		await clock.tickAsync(1);
+	}
+
+	it('gives a free slot at once', async () => {
+		free = 1;
+		expect(await line.wait(createWaiter(), new AbortController().signal)).to.deep.equal({kind: 'granted', endpoint: 'e'});
+	});
+
+	it('looks once for all that wait alike when something changes, and hands out in order', async () => {
+		const answers: Record<string, SlotAnswer<string>['kind']> = {};
+		for (let i = 0; i < 1000; i++) {
+			wait(answers, `w${i}`, {urgency: i === 999 ? 0 : 1});
+		}
+
+		await clock.tickAsync(1);
+		const before = takes;
+		await setFree(1);
+		expect([answers, takes - before]).to.deep.equal([{w999: 'granted'}, 2]);
+	});
+
+	it('serves another need while nothing fits the first', async () => {
+		const answers: Record<string, SlotAnswer<string>['kind']> = {};
+		blocked = 'b';
+		wait(answers, 'first', {need: {pool: 's', lane: 'b'}});
+		wait(answers, 'second', {urgency: 3});
+		await setFree(2);
+		expect(answers).to.deep.equal({second: 'granted'});
+	});
+
+	it('finds what has become free without a word, as when a pause ends', async () => {
+		const answers: Record<string, SlotAnswer<string>['kind']> = {};
+		wait(answers, 'w');
+		free = 1;
+		await clock.tickAsync(25);
+		expect(answers).to.deep.equal({w: 'granted'});
+	});
+
+	it('gives up at the deadline and when whoever waits has left, and takes no slot for them', async () => {
+		const answers: Record<string, SlotAnswer<string>['kind']> = {};
+		const leave = new AbortController();
+		wait(answers, 'left', {}, leave.signal);
+		wait(answers, 'expired');
+		leave.abort();
+		await clock.tickAsync(60);
+		await setFree(2);
+		expect([answers, free, line.size]).to.deep.equal([{left: 'left', expired: 'expired'}, 2, 0]);
+	});
+
+	it('refuses at once what can not be served in time, with the time to come back, and lets others wait', async () => {
+		const answers: Record<string, SlotAnswer<string>['kind']> = {};
+		for (let i = 0; i < 40; i++) {
+			wait(answers, `w${i}`, {isRefusable: true, turn: 'large'});
+		}
+
+		wait(answers, 'small', {isRefusable: true, turn: 'small'});
+		wait(answers, 'score', {turn: 'large'});
+		await clock.tickAsync(1);
+		const refused = Object.values(answers);
+		expect(new Set(refused)).to.deep.equal(new Set(['refused']));
+		expect(refused.length).to.be.within(25, 39);
+		expect([answers.small, answers.score]).to.deep.equal([undefined, undefined]);
+	});
+
+	it('lets fewer wait as the line is served more slowly', async () => {
+		const answers: Record<string, SlotAnswer<string>['kind']> = {};
+		for (let i = 0; i < 100; i++) {
+			wait(answers, `w${i}`, {deadlineAt: performance.now() + 10_000});
+		}
+
+		for (let i = 0; i < 10; i++) {
+			// eslint-disable-next-line no-await-in-loop
+			await setFree(1);
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(100);
+		}
+
+		wait(answers, 'refused', {isRefusable: true, deadlineAt: performance.now() + 400});
+		await clock.tickAsync(1);
+		expect(answers.refused).to.equal('refused');
+	});
+
+	it('tells who waits, for how long, and what became of the others', async () => {
+		const answers: Record<string, SlotAnswer<string>['kind']> = {};
+		wait(answers, 'a');
+		await clock.tickAsync(10);
+		wait(answers, 'b', {kind: 'text'});
+		await clock.tickAsync(5);
+		expect(line.listTurns()).to.deep.equal([{
+			turn: 'a', urgency: 0, waiting: 2, oldestMs: 15,
+		}]);
+		await setFree(2);
+		expect(line.counts).to.deep.equal([{kind: 'call', answer: 'granted', count: 1}, {kind: 'text', answer: 'granted', count: 1}]);
+	});
+});
--- /dev/null
+++ b/packages/slots/src/line-bound.ts
@@ -0,0 +1,38 @@
+/**
+ * Who is refused at once instead of waiting.
+ *
+ * Load pattern: eight times as many calls come as can be served. If all wait, each is answered when its caller has gone. One that would still wait at its
+ * deadline is refused while it can come back in time; with nothing before it, it waits for the next slot in any case.
+ */
+import {DrainRate} from '@wasabiusher/decisions';
+
+/** Time that a request is taken for while none was measured, in milliseconds. */
+const usualWorkMs = 100;
+
+/** Slots that are taken for free at first: too many, so that nobody is refused before it is known how fast the line moves. */
+const firstSlots = 4;
+
+/** How fast one line moves, and who can wait in it. */
+export class LineBound {
+	#rate: DrainRate | undefined;
+
+	/** Notes that one has got its slot. */
+	recordGrant(now: number, hasMore: boolean): void {
+		this.#rate?.record(1, now, hasMore);
+	}
+
+	/** Notes that nobody waits any more; how long that lasts says nothing of the rate. */
+	recordIdle(now: number): void {
+		this.#rate?.record(0, now, false);
+	}
+
+	/**
+	 * Time that a new one would wait, in milliseconds.
+	 *
+	 * @param ahead - how many go before it
+	 */
+	estimateWait(ahead: number, workMs: number): number {
+		this.#rate ??= new DrainRate(firstSlots / (workMs || usualWorkMs));
+		return ahead / Math.max(this.#rate.perMs, Number.EPSILON);
+	}
+}
--- /dev/null
+++ b/packages/slots/src/line-counts.ts
@@ -0,0 +1,17 @@
+/** Counts the answers of a line, for metrics. */
+import type {AnswerCount} from './slot-line.js';
+
+/** The counts. */
+export class LineCounts {
+	readonly #counts = new Map<string, AnswerCount>();
+
+	record(kind: AnswerCount['kind'], answer: AnswerCount['answer']): void {
+		const key = `${kind}/${answer}`;
+		const known = this.#counts.get(key) ?? {kind, answer, count: 0};
+		this.#counts.set(key, {...known, count: known.count + 1});
+	}
+
+	list(): AnswerCount[] {
+		return [...this.#counts.values()];
+	}
+}
--- a/packages/slots/src/waiter.ts
+++ b/packages/slots/src/waiter.ts
@@ -20,16 +20,21 @@
 	dueAt: number;
 	/** When it is given up, on the monotonic clock. */
 	deadlineAt: number;
-	/** Time that it takes at a usual endpoint, in milliseconds. */
+	/** Time that it takes at a usual endpoint, in milliseconds; 0 if nobody knows. */
 	workMs: number;
+	/** Goes before others of the same turn that are due at the same time; the least first, 0 by default. */
+	rank?: number;
+	/** Whether it is refused at once when it can't be served by its deadline; otherwise it waits until then. */
+	isRefusable?: boolean;
 };
 
 /**
  * - `granted`: a slot of the endpoint is counted as taken
  * - `refused`: it can't be served in its time; nothing has run
+ * - `expired`: its deadline has passed while it waited; nothing has run
  * - `left`: whoever waited has left
  */
 export type SlotAnswer<Endpoint>
 	= | {kind: 'granted'; endpoint: Endpoint}
 		| {kind: 'refused'; reason: string; retryAfterMs: number}
-		| {kind: 'left'};
+		| {kind: 'expired' | 'left'};
