Let texts, calls and scores wait in the line of their host

Cause: texts woke all at each change and looked by themselves; calls went to full endpoints or were refused without knowing; scores went as they came.

Change: with the policy queuesAtHost the gateway has an EndpointLine. SampleSearch (out of sample-run) waits there with the place that the step's plan gives; a call waits a fifth of its objective at most and is then offered all the same; a score waits its objective, with the step's urgency once the step is nearly whole. Whether an endpoint has room for a call is told by its load and the age of that (isRoomExpected). Without a line all is as before.

--- a/packages/batches/src/scoring.ts
+++ b/packages/batches/src/scoring.ts
@@ -5,8 +5,8 @@
  * that is slow is made a second time at another endpoint, within the attempts that its route allows.
  */
 import {Buffer} from 'node:buffer';
-import {DirectCall, type CallSettings} from '@wasabiusher/direct';
-import {findRoute, type Deployment} from '@wasabiusher/shared';
+import {DirectCall, type CallPlace, type CallSettings} from '@wasabiusher/direct';
+import {findRoute, type Deployment, type Route} from '@wasabiusher/shared';
 import type {Sample} from './batch.js';
 import {pause} from './pause.js';
 
@@ -28,9 +28,10 @@
  * Calls the scorer until it answers.
  *
  * @param signal - aborts when the score is no longer wanted
+ * @param findPlace - how it waits at the host; as its route says if undefined
  * @returns the scorer's mark; undefined once it has failed as often as its route allows, or the signal has aborted
  */
-export async function scoreSample(settings: ScoringSettings, {id: sample, score}: Sample, signal: AbortSignal): Promise<string | undefined> {
+export async function scoreSample(settings: ScoringSettings, {id: sample, score}: Sample, signal: AbortSignal, findPlace?: (route: Route) => CallPlace): Promise<string | undefined> {
 	const {id, host, path, body} = score!;
 	const {log} = settings;
 	let failures = 0;
@@ -40,7 +41,7 @@
 		if (route) {
 			const call = new DirectCall(settings, {...route, kind: 'idempotent', maxAttempts: Math.min(maxOpenCalls, route.maxAttempts - failures)}, {
 				method: 'POST', path, host, headers: {}, body: Buffer.from(body, 'base64'), attemptId: id,
-				deadlineAt: performance.now() + Math.min(maxScoreMs, route.timeoutMs),
+				deadlineAt: performance.now() + Math.min(maxScoreMs, route.timeoutMs), place: findPlace?.(route),
 			}, signal);
 			// Calls follow one another, so that each attempt is counted.
 			// eslint-disable-next-line no-await-in-loop
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -11,7 +11,7 @@
 	chooseRenewals, defaultPolicy, type Policy,
 } from '@wasabiusher/decisions';
 import {
-	SampleRun, type SampleOutcome, type SampleText,
+	SampleRun, type CallPlace, type SampleOutcome, type SampleText,
 } from '@wasabiusher/direct';
 import {
 	applyCustomer, describeError, findRoute, type Route,
@@ -27,6 +27,7 @@
 import type {PositionedResult} from './result-rows.js';
 import {toText, type UsableText} from './sample-texts.js';
 import {scoreSample, type ScoringSettings} from './scoring.js';
+import {SharePlaces} from './share-places.js';
 import {ShareTexts, type LeftTexts} from './share-texts.js';
 import {
 	listGroups, listShareSamples, nameShare, sampleOrders, toOrdered,
@@ -98,6 +99,7 @@
 	readonly #stop = createStop();
 	readonly #renewals: Renewals;
 	readonly #queue: PQueue;
+	readonly #places: SharePlaces;
 	#checkpointTimer: NodeJS.Timeout | undefined;
 	#renewalTimer: NodeJS.Timeout | undefined;
 	/** Version from which on second texts are begun: each earlier batch that is still open brings one more before this one ends. */
@@ -113,7 +115,9 @@
 		this.#stored = stored;
 		this.#submission = submission;
 		this.#texts = new ShareTexts(left);
-		this.#queue = new PQueue({concurrency: this.#countSlots()});
+		// In the line of the host all may wait; without it the queue bounds how many look for endpoints.
+		this.#queue = new PQueue({concurrency: settings.line ? Number.POSITIVE_INFINITY : this.#countSlots()});
+		this.#places = new SharePlaces(stored.record.series, this.#findDeadline(this.#findRoute()?.timeoutMs), this.#planOrder());
 		this.#renewals = new Renewals((sample, leastVersion, signal) => this.#createRun(this.#getSample(sample), {leastVersion, signal, avoidsFull: true}));
 		const {store, log} = settings;
 		this.#results = new ResultList({
@@ -179,9 +183,7 @@
 	start(): void {
 		const {samples, wantedGroups, step, model} = this.#submission;
 		const open = new Map(this.samples.filter(({id}) => !this.#results.has(id)).map(sample => [sample.id, sample]));
-		// What the trainer need not wait for is told by the batch as a whole.
-		const planned = sampleOrders[this.#policy.sampleOrder](toOrdered(samples, id => this.#texts.isCarried(id)), wantedGroups);
-		const order = planned.filter(id => open.has(id));
+		const order = this.#planOrder().filter(id => open.has(id));
 		for (const id of order) {
 			void this.#queue.add(async () => this.#make(open.get(id)!));
 		}
@@ -217,7 +219,7 @@
 	async finish(sample: Sample, text: SampleText): Promise<void> {
 		const wholeAt = performance.now();
 		this.#texts.whole.set(sample.id, text);
-		const score = sample.score ? await scoreSample(this.#settings, sample, this.#stop.signal) : undefined;
+		const score = sample.score ? await scoreSample(this.#settings, sample, this.#stop.signal, route => this.#findScorePlace(sample, route)) : undefined;
 		if (this.#stop.signal.aborted) {
 			return;
 		}
@@ -289,7 +291,7 @@
 
 		this.#renewFrom ??= published + this.#settings.countEarlierOpen();
 		// While samples wait to begin no slot is free, and where all groups are waited for none is handed in again.
-		if (published < this.#renewFrom || this.#queue.size > 0 || groups.size <= wantedGroups) {
+		if (published < this.#renewFrom || this.#hasWaiting || groups.size <= wantedGroups) {
 			return;
 		}
 
@@ -318,6 +320,23 @@
 		}
 	}
 
+	/** What the trainer need not wait for is told by the batch as a whole. */
+	#planOrder(): string[] {
+		const {samples, wantedGroups} = this.#submission;
+		return sampleOrders[this.#policy.sampleOrder](toOrdered(samples, id => this.#texts.isCarried(id)), wantedGroups).filter(id => this.#ids.has(id));
+	}
+
+	#findScorePlace({group, id}: Sample, route: Route): CallPlace {
+		const missing = this.samples.filter(other => (group === undefined ? other.id === id : other.group === group) && !this.#results.has(other.id)).length;
+		const done = this.samples.filter(other => this.#results.has(other.id) || this.#texts.whole.has(other.id)).length;
+		return this.#places.findScore(this.#findRoute(), route, missing, done / this.samples.length);
+	}
+
+	/** Whether samples wait to begin. */
+	get #hasWaiting(): boolean {
+		return this.#queue.size > 0 || [...this.#texts.runs.values()].some(({isWaiting}) => isWaiting);
+	}
+
 	#clearTimers(): void {
 		clearInterval(this.#checkpointTimer);
 		clearInterval(this.#renewalTimer);
@@ -336,9 +355,8 @@
 		return route && applyCustomer(route, deployment.customers?.get(customer ?? ''));
 	}
 
-	/** When samples may be given up, on the monotonic clock. */
-	#findDeadline(): number {
-		const ttlMs = this.#findRoute()?.sampleTtlMs ?? 0;
+	/** When a time after the batch's submission has passed, on the monotonic clock; by default that after which samples may be given up. */
+	#findDeadline(ttlMs = this.#findRoute()?.sampleTtlMs ?? 0): number {
 		const ageMs = this.#settings.readStoreMs() - this.#stored.record.acceptedMs;
 		return performance.now() + ttlMs - ageMs;
 	}
@@ -388,10 +406,10 @@
 	#createRun(sample: Sample, {
 		leastVersion, signal, text, avoidsFull,
 	}: RunPlan): SampleRun {
-		const {directory, client, log, random, findHomes} = this.#settings;
+		const {directory, client, log, random, findHomes, line} = this.#settings;
 		const {host, model, customer} = this.#submission;
 		return new SampleRun({
-			directory, client, log, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findHomes,
+			directory, client, log, line, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findHomes,
 		}, {
 			id: sample.id,
 			batch: this.id,
@@ -401,6 +419,7 @@
 			group: sample.group,
 			deadlineAt: this.#findDeadline(),
 			avoidsFull,
+			place: this.#places.findText(sample.id),
 			request: {
 				method: 'POST', path: sample.path, host, headers: sample.headers, body: Buffer.from(sample.body, 'base64'), customer,
 			},
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
 export * from './drain-rate.js';
 export * from './ejection.js';
 export type * from './endpoint-speed.js';
+export * from './expected-room.js';
 export * from './fair-queue.js';
 export * from './headroom.js';
 export * from './hedging.js';
--- /dev/null
+++ b/packages/direct/src/call-turn.ts
@@ -0,0 +1,99 @@
+/**
+ * The turn of one call in the line of its host: it waits shortly for a slot, or is refused at once.
+ *
+ * Load pattern: a burst meets endpoints that let a few requests wait and refuse the rest. Sent on as it comes, it fills their queues with what is late in
+ * any case, and others find no place. A call waits here for a part of the time that it has; then it is offered to an endpoint all the same, since
+ * what is known of endpoints may be wrong.
+ */
+import type {WorkKind} from '@wasabiusher/slots';
+import type {RegisteredEndpoint, Route} from '@wasabiusher/shared';
+import type {EndpointDirectory} from './endpoint-directory.js';
+import type {EndpointLine} from './endpoint-line.js';
+
+/** Part of its objective for which a call waits: one that is refused within a quarter can still be served elsewhere in time. */
+const patience = 0.2;
+
+/** How a request waits, where that differs from a caller's. */
+export type CallPlace = {
+	kind: WorkKind;
+	urgency: number;
+	turn: string;
+	/** When it should be done, on the monotonic clock. */
+	dueAt: number;
+	rank?: number;
+	/** How long it waits for a slot before it is offered to any endpoint, in milliseconds. */
+	patienceMs: number;
+};
+
+export type CallTurnSettings = {
+	directory: EndpointDirectory;
+	/** Where it waits; undefined if it is sent at once. */
+	line?: EndpointLine;
+};
+
+/** What a call is, for the line. */
+export type TurnRequest = {attemptId: string; customer?: string; deadlineAt: number; place?: CallPlace};
+
+export type TurnAnswer = {kind: 'granted'; endpoint: RegisteredEndpoint} | {kind: 'refused'; reason: string; retryAfterMs: number} | {kind: 'none'};
+
+/** The turn of one call. */
+export class CallTurn {
+	readonly #settings: CallTurnSettings;
+	readonly #route: Route;
+	readonly #request: TurnRequest;
+	readonly #service: string;
+
+	constructor(settings: CallTurnSettings, route: Route, request: TurnRequest, service: string) {
+		this.#settings = settings;
+		this.#route = route;
+		this.#request = request;
+		this.#service = service;
+	}
+
+	/** Waits for the first endpoint of a call. */
+	async wait(signal: AbortSignal): Promise<TurnAnswer> {
+		const {line} = this.#settings;
+		if (!line) {
+			return this.#takeAny();
+		}
+
+		const {objectiveMs, priority, name} = this.#route;
+		const {attemptId, customer, deadlineAt, place} = this.#request;
+		const now = performance.now();
+		const answer = await line.wait({
+			id: attemptId,
+			kind: place?.kind ?? 'call',
+			need: {service: this.#service, needsRoom: true},
+			urgency: place?.urgency ?? priority,
+			turn: place?.turn ?? customer ?? name,
+			weight: 1,
+			dueAt: place?.dueAt ?? now + objectiveMs,
+			deadlineAt: Math.min(deadlineAt, now + (place?.patienceMs ?? patience * objectiveMs)),
+			workMs: line.findWorkMs(this.#service),
+			rank: place?.rank,
+			isRefusable: place === undefined,
+		}, signal);
+		if (answer.kind === 'left') {
+			return {kind: 'none'};
+		}
+
+		return answer.kind === 'expired' ? this.#takeAny() : answer;
+	}
+
+	/** An endpoint for a further attempt, at once: one that has room if there is any. */
+	take(excluded: ReadonlySet<string>): RegisteredEndpoint | undefined {
+		const {directory, line} = this.#settings;
+		const withRoom = line && directory.take({service: this.#service, excluded, needsRoom: true});
+		return withRoom ?? directory.take({service: this.#service, excluded});
+	}
+
+	/** Learns how long an attempt took, in milliseconds. */
+	recordWork(workMs: number): void {
+		this.#settings.line?.recordWork(this.#service, workMs);
+	}
+
+	#takeAny(): TurnAnswer {
+		const endpoint = this.take(new Set());
+		return endpoint ? {kind: 'granted', endpoint} : {kind: 'none'};
+	}
+}
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -8,13 +8,17 @@
 import {
 	describeError, type Log, type Random, type RegisteredEndpoint, type Route,
 } from '@wasabiusher/shared';
+import {CallTurn, type CallPlace} from './call-turn.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
+import type {EndpointLine} from './endpoint-line.js';
 import {BegunRuns, type RunMeter} from './run-meter.js';
 
 /** A request as a caller has sent it. */
 export type CallerRequest = Omit<ServingRequest, 'remainingMs'> & {
 	/** When the caller stops waiting, on the monotonic clock. */
 	deadlineAt: number;
+	/** How it waits at the host; as its route says if undefined. */
+	place?: CallPlace;
 };
 
 /**
@@ -39,6 +43,8 @@
 	policy?: Policy;
 	/** Counts what begins to run; undefined if nobody wants to know. */
 	meter?: RunMeter;
+	/** Where it waits for a slot; undefined if it is sent at once. */
+	line?: EndpointLine;
 };
 
 /** Status of an endpoint that has run a request and failed. */
@@ -81,6 +87,10 @@
 	#failure: {answer: ServingAnswer; endpoint: string} | undefined;
 	#failureCount = 0;
 	#lastReason = 'no endpoint is registered';
+	readonly #turn: CallTurn;
+	#hasWaited = false;
+	/** Why it was not let in; undefined if it was. */
+	#refusal: {reason: string; retryAfterMs: number} | undefined;
 
 	/** @param signal - aborts when the caller has left */
 	constructor(settings: CallSettings, route: Route, request: CallerRequest, signal: AbortSignal) {
@@ -90,6 +100,7 @@
 		this.#signal = signal;
 		this.#service = chooseService(route, settings.random.next());
 		this.#mayHaveRun = new BegunRuns(request.customer, settings.meter);
+		this.#turn = new CallTurn(settings, route, request, this.#service);
 	}
 
 	/** Calls until an answer has come, the time is up or nothing more may be tried. */
@@ -132,7 +143,9 @@
 			}
 
 			const shouldStart = pending.size === 0 || performance.now() >= hedgeAt;
-			const endpoint = shouldStart && this.#mayStart(pending.size) ? this.#take() : undefined;
+			// Only the first attempt waits, while nothing else is under way.
+			// eslint-disable-next-line no-await-in-loop
+			const endpoint = shouldStart && this.#mayStart(pending.size) ? await this.#take(signal) : undefined;
 			if (endpoint) {
 				const attempt = this.#attempt(endpoint, signal);
 				pending.add(attempt);
@@ -144,7 +157,7 @@
 				hedgeAt = Number.POSITIVE_INFINITY;
 			}
 
-			if (pending.size === 0) {
+			if (pending.size === 0 && !signal.aborted) {
 				return this.#conclude();
 			}
 
@@ -175,7 +188,7 @@
 
 		return this.#mayHaveRun.size > 0
 			? {kind: 'unknown', reason: this.#lastReason}
-			: {kind: 'not-run', reason: this.#lastReason, retryAfterMs: this.#settings.directory.planReturn(this.#service)};
+			: {kind: 'not-run', ...(this.#refusal ?? {reason: this.#lastReason, retryAfterMs: this.#settings.directory.planReturn(this.#service)})};
 	}
 
 	/** Learns from an attempt; returns what to tell the caller if it is final. */
@@ -194,8 +207,15 @@
 		return undefined;
 	}
 
-	#take(): RegisteredEndpoint | undefined {
-		return this.#settings.directory.take({service: this.#service, excluded: this.#excluded});
+	async #take(signal: AbortSignal): Promise<RegisteredEndpoint | undefined> {
+		if (this.#hasWaited) {
+			return this.#turn.take(this.#excluded);
+		}
+
+		this.#hasWaited = true;
+		const answer = await this.#turn.wait(signal);
+		this.#refusal = answer.kind === 'refused' ? answer : undefined;
+		return answer.kind === 'granted' ? answer.endpoint : undefined;
 	}
 
 	async #attempt(endpoint: RegisteredEndpoint, signal: AbortSignal): Promise<AttemptOutcome> {
@@ -217,6 +237,7 @@
 			}
 
 			directory.recordPace(id, performance.now() - startedAt);
+			this.#turn.recordWork(performance.now() - startedAt);
 			return {kind: 'answered', answer, endpoint: id};
 		} catch (error) {
 			return this.#noteError(id, error, signal);
@@ -245,7 +266,7 @@
 	}
 
 	#toServing(): ServingRequest {
-		const {deadlineAt, ...request} = this.#request;
+		const {deadlineAt, place, ...request} = this.#request;
 		return {...request, remainingMs: Math.max(1, Math.round(deadlineAt - performance.now()))};
 	}
 }
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -30,6 +30,8 @@
 	openLimit?: number;
 	/** Whether endpoints whose slots are all taken are left out, as far as their load is known. */
 	avoidsFull?: boolean;
+	/** Whether endpoints are left out that have probably no room now, by their load and its age. */
+	needsRoom?: boolean;
 	/**
 	 * Endpoints that nobody else fills with work of this kind. Others are asked only as far as they are known to have room, and by
 	 * one attempt at a time to find that out; undefined if all are alike.
@@ -47,7 +49,7 @@
 	readonly #random: Random;
 	readonly #policy: Policy;
 	readonly #lateness: Lateness;
-	readonly #listeners = new Set<() => void>();
+	readonly #listeners = new Set<(service: string) => void>();
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
@@ -69,7 +71,7 @@
 		}
 
 		this.#standings.set(endpoint.id, standing);
-		this.#notify();
+		this.#notify(standing);
 	}
 
 	/** Notes that a registration is gone; the endpoint is a last resort for a moment. */
@@ -111,8 +113,8 @@
 		return plan.plan(serving.map(standing => standing.toRoom()));
 	}
 
-	/** Calls back whenever an endpoint may have become free or fit; returns how to end that. */
-	onChange(listener: () => void): () => void {
+	/** Calls back with the service whenever an endpoint may have become free or fit; returns how to end that. */
+	onChange(listener: (service: string) => void): () => void {
 		this.#listeners.add(listener);
 		return () => {
 			this.#listeners.delete(listener);
@@ -133,7 +135,7 @@
 		const standing = this.#standings.get(id);
 		if (standing) {
 			standing.end();
-			this.#notify();
+			this.#notify(standing);
 		}
 	}
 
@@ -221,8 +223,9 @@
 
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
-		if (this.#standings.get(id)?.recordVersion(model, version)) {
-			this.#notify();
+		const standing = this.#standings.get(id);
+		if (standing?.recordVersion(model, version)) {
+			this.#notify(standing);
 		}
 	}
 
@@ -257,9 +260,9 @@
 		}
 	}
 
-	#notify(): void {
+	#notify({endpoint: {service}}: EndpointStanding): void {
 		for (const listener of this.#listeners) {
-			listener();
+			listener(service);
 		}
 	}
 }
@@ -269,13 +272,14 @@
 	return open < Math.max(1, Math.floor((endpoint.slots - others) / 2)) && open + others < endpoint.slots;
 }
 
-function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit, avoidsFull}: EndpointNeed): boolean {
+function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit, avoidsFull, needsRoom}: EndpointNeed): boolean {
 	const {endpoint, open, others} = standing;
 	return endpoint.service === service
 		&& !endpoint.isDraining
 		&& !excluded?.has(endpoint.id)
 		&& (openLimit === undefined || open < openLimit * endpoint.slots)
 		&& (!avoidsFull || open + others < endpoint.slots)
+		&& (!needsRoom || standing.hasExpectedRoom)
 		&& (!least || (standing.findVersion(least.model) ?? 0) >= least.version)
 		&& (!exact || standing.findVersion(exact.model) === exact.version);
 }
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -2,7 +2,7 @@
  * What one process has seen of an endpoint: its load, pace, versions, refusals and failures.
  */
 import {
-	AttemptPause, BestPace, defaultPolicy, Pace, type DirectCandidate, type EndpointRoom, type Policy,
+	AttemptPause, BestPace, defaultPolicy, isRoomExpected, Pace, type DirectCandidate, type EndpointRoom, type Policy,
 } from '@wasabiusher/decisions';
 import type {EndpointLoad, ServingHead} from '@wasabiusher/backends';
 import type {RegisteredEndpoint} from '@wasabiusher/shared';
@@ -89,6 +89,13 @@
 		return load ? Math.max(0, load.running + load.waiting - this.#openAtLoad) : 0;
 	}
 
+	/** Whether it has probably room for one more request now. */
+	get hasExpectedRoom(): boolean {
+		return isRoomExpected({
+			slots: this.endpoint.slots, open: this.#open, others: this.others, ageMs: performance.now() - this.#loadAt, workMs: this.#pace.unitMs,
+		});
+	}
+
 	/** Whether an attempt may be made now, as far as pauses go. */
 	get isAvailable(): boolean {
 		const {pausesAfterRefusals, pausesAfterSilences} = this.#policy;
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -1,6 +1,8 @@
 /** Calls, runs and orders that go to endpoints directly, without an agent beside them. */
 export * from './call.js';
 export * from './endpoint-directory.js';
+export * from './endpoint-line.js';
+export type {CallPlace} from './call-turn.js';
 export * from './sample-run.js';
 export * from './weight-orders.js';
 export * from './stream-call.js';
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -11,9 +11,10 @@
 import {
 	describeError, type Log, type RegisteredEndpoint, type Route,
 } from '@wasabiusher/shared';
-import {chooseService} from './call.js';
 import type {EndpointDirectory, EndpointNeed} from './endpoint-directory.js';
+import type {EndpointLine} from './endpoint-line.js';
 import {PhaseTimes, type RunPhase} from './phase-times.js';
+import {findUrgency, SampleSearch} from './sample-search.js';
 import {SilenceWatch} from './silence-watch.js';
 
 /** What a sample asks of the endpoints. */
@@ -33,6 +34,8 @@
 	deadlineAt: number;
 	/** Whether its runs keep away from endpoints whose slots are all taken by what is known, so that they hold up nothing. */
 	avoidsFull?: boolean;
+	/** Its place in the line: whose turn it uses, when it should be done on the monotonic clock, and its place among those due at the same time. */
+	place?: {turn: string; dueAt: number; rank: number};
 };
 
 /** Text made so far, with the versions that made it. */
@@ -55,6 +58,8 @@
 	directory: EndpointDirectory;
 	client: ServingClient;
 	log: Log;
+	/** Where it waits for an endpoint; undefined if it looks for one by itself. */
+	line?: EndpointLine;
 	/** The route in force for the sample's batch; undefined once it was removed. */
 	findRoute(): Route | undefined;
 	/** Endpoints to be used before others; undefined if all are alike. */
@@ -63,22 +68,9 @@
 	chance(): number;
 };
 
-/** Most requests of one process at an endpoint, as a multiple of its slots: what is beyond waits here, where it can still be sent elsewhere. */
-const openLimit = 1;
-
 /** Events of a run from which, and after which again, its mean pace is told: it differs by less than a twentieth then. */
 const paceEvents = 20;
 
-/** Longest wait until endpoints are looked at again though none has changed, in milliseconds. */
-const lookMs = 100;
-
-/**
- * Urgency of runs that nobody waits for, and the last one before it: endpoints take ten classes. Without a class all runs count alike there, so
- * that at an endpoint which two trainers fill the one whose route goes first waited behind the other.
- */
-const spareUrgency = 9;
-const lastUrgency = 8;
-
 /** Pause after an endpoint refused or broke, in milliseconds, so that a failing one is not asked in a tight loop. */
 const pauseMs = 20;
 
@@ -105,6 +97,7 @@
 	readonly #keptEvents: number;
 	#failures = 0;
 	#runs = 0;
+	readonly #search: SampleSearch;
 	/** What the present attempt was chosen by. */
 	#need: EndpointNeed | undefined;
 	/** The endpoint that broke last; another is preferred. */
@@ -120,6 +113,7 @@
 		this.#settings = settings;
 		this.#sample = sample;
 		this.#signal = signal;
+		this.#search = new SampleSearch(settings, sample, signal);
 		this.#text = text ?? {events: [], versions: new Set()};
 		this.#keptEvents = this.#text.events.length;
 	}
@@ -147,11 +141,12 @@
 				return {kind: 'failed'};
 			}
 
-			const endpoint = this.#better ?? this.#take(route);
+			// eslint-disable-next-line no-await-in-loop
+			const endpoint = this.#better ?? await this.#findEndpoint(route);
 			this.#better = undefined;
 			// Each run goes on where the one before has broken.
 			// eslint-disable-next-line no-await-in-loop
-			const step = endpoint ? await this.#runAt(endpoint, route) : await this.#waitForEndpoint();
+			const step = endpoint ? await this.#runAt(endpoint, route) : 'again';
 			if (step !== 'again') {
 				return step;
 			}
@@ -160,28 +155,17 @@
 		return {kind: 'stopped'};
 	}
 
-	#take(route: Route): RegisteredEndpoint | undefined {
-		const {directory, chance, findHomes} = this.#settings;
-		const {model, leastVersion, isSingleVersion, group, avoidsFull} = this.#sample;
+	/** Whether it waits for an endpoint. */
+	get isWaiting(): boolean {
+		return this.#search.isWaiting;
+	}
+
+	async #findEndpoint(route: Route): Promise<RegisteredEndpoint | undefined> {
 		const [begun] = this.#text.versions;
-		const need: EndpointNeed = {
-			service: chooseService(route, chance()),
-			least: model === undefined ? undefined : {model, version: leastVersion},
-			exact: isSingleVersion && begun !== undefined && model !== undefined ? {model, version: begun} : undefined,
-			warmKey: group,
-			openLimit,
-			avoidsFull,
-			homes: findHomes?.(),
-		};
+		const {need, endpoint, isVersionLost} = await this.#search.find(route, begun, this.#avoided);
 		this.#need = need;
-		const elsewhere = this.#avoided === undefined ? undefined : directory.take({...need, excluded: new Set([this.#avoided])});
-		if (elsewhere) {
-			return elsewhere;
-		}
-
-		const endpoint = directory.take(need);
-		if (!endpoint && need.exact && !directory.list(need.service).some(({id}) => directory.findVersion(id, need.exact!.model) === need.exact!.version)) {
-			// No endpoint has the version any more that the text was begun with.
+		this.#times.mark('waited');
+		if (isVersionLost) {
 			this.#beginAnew();
 		}
 
@@ -209,23 +193,6 @@
 		this.#text.versions.clear();
 	}
 
-	async #waitForEndpoint(): Promise<RunStep> {
-		await new Promise<void>(resolve => {
-			const finish = () => {
-				clearTimeout(timer);
-				unsubscribe();
-				this.#signal.removeEventListener('abort', finish);
-				resolve();
-			};
-
-			const timer = setTimeout(finish, lookMs);
-			const unsubscribe = this.#settings.directory.onChange(finish);
-			this.#signal.addEventListener('abort', finish);
-		});
-		this.#times.mark('waited');
-		return 'again';
-	}
-
 	async #runAt(endpoint: RegisteredEndpoint, route: Route): Promise<RunStep> {
 		const {directory, client, log} = this.#settings;
 		const {id} = endpoint;
@@ -381,14 +348,14 @@
 		versions.add(version);
 	}
 
-	#toServing({priority}: Route): ServingRequest {
-		const {id, request, deadlineAt, avoidsFull} = this.#sample;
+	#toServing(route: Route): ServingRequest {
+		const {id, request, deadlineAt} = this.#sample;
 		const {events} = this.#text;
 		return {
 			...request,
 			attemptId: id,
 			remainingMs: Math.max(1, Math.round(deadlineAt - performance.now())),
-			urgency: avoidsFull ? spareUrgency : Math.min(lastUrgency, priority),
+			urgency: findUrgency(this.#sample, route),
 			...(events.length > 0 ? {resumeAfter: events.length} : {}),
 		};
 	}
--- /dev/null
+++ b/packages/direct/src/sample-search.ts
@@ -0,0 +1,142 @@
+/**
+ * Finds an endpoint for the next run of a sample: in the line of the host, or by itself.
+ */
+import type {RegisteredEndpoint, Route} from '@wasabiusher/shared';
+import {chooseService} from './call.js';
+import type {EndpointNeed} from './endpoint-directory.js';
+import type {EndpointLine, LineNeed} from './endpoint-line.js';
+import type {SampleRequest, SampleRunSettings} from './sample-run.js';
+
+/** Most requests of one process at an endpoint, as a multiple of its slots: what is beyond waits here, where it can still be sent elsewhere. */
+const openLimit = 1;
+
+/** Time after which one that waits in the line looks again at its route and its homes, in milliseconds. */
+const recheckMs = 1000;
+
+/** Longest wait until endpoints are looked at again though none has changed, in milliseconds. */
+const lookMs = 100;
+
+/**
+ * Urgency of runs that nobody waits for, and the last one before it: endpoints take ten classes. Without a class all runs count alike there, so
+ * that at an endpoint which two trainers fill the one whose route goes first waited behind the other.
+ */
+const spareUrgency = 9;
+const lastUrgency = 8;
+
+/** What was found. */
+export type Found = {
+	/** What was looked for. */
+	need: EndpointNeed;
+	/** Counted as open there; undefined if there is none yet. */
+	endpoint: RegisteredEndpoint | undefined;
+	/** Whether no endpoint has the version any more that the text was begun with. */
+	isVersionLost: boolean;
+};
+
+/** Class of a sample's runs; 0 goes first. */
+export function findUrgency({avoidsFull}: SampleRequest, {priority}: Route): number {
+	return avoidsFull ? spareUrgency : Math.min(lastUrgency, priority);
+}
+
+/** Looks for endpoints for one sample. */
+export class SampleSearch {
+	readonly #settings: SampleRunSettings;
+	readonly #sample: SampleRequest;
+	readonly #signal: AbortSignal;
+	#isWaiting = false;
+
+	constructor(settings: SampleRunSettings, sample: SampleRequest, signal: AbortSignal) {
+		this.#settings = settings;
+		this.#sample = sample;
+		this.#signal = signal;
+	}
+
+	/** Whether it waits for an endpoint. */
+	get isWaiting(): boolean {
+		return this.#isWaiting;
+	}
+
+	/**
+	 * Takes an endpoint; waits for one for a time if there is none.
+	 *
+	 * @param begun - version of the text made so far
+	 * @param avoided - endpoint that is asked only if no other fits
+	 */
+	async find(route: Route, begun: number | undefined, avoided: string | undefined): Promise<Found> {
+		const need = this.#toNeed(route, begun);
+		const {line} = this.#settings;
+		const taken = line ? undefined : this.#take(need, avoided);
+		if (taken) {
+			return {need, endpoint: taken, isVersionLost: false};
+		}
+
+		// Without a line the text that has lost its version begins anew at once, and waits after that.
+		const isLostNow = !line && this.#isVersionLost(need);
+		this.#isWaiting = true;
+		const endpoint = await (line ? this.#waitInLine(line, route, {...need, avoided}) : this.#waitForChange());
+		this.#isWaiting = false;
+		return {need, endpoint, isVersionLost: isLostNow || (!endpoint && this.#isVersionLost(need))};
+	}
+
+	#toNeed(route: Route, begun: number | undefined): EndpointNeed {
+		const {chance, findHomes} = this.#settings;
+		const {model, leastVersion, isSingleVersion, group, avoidsFull} = this.#sample;
+		return {
+			service: chooseService(route, chance()),
+			least: model === undefined ? undefined : {model, version: leastVersion},
+			exact: isSingleVersion && begun !== undefined && model !== undefined ? {model, version: begun} : undefined,
+			warmKey: group,
+			openLimit,
+			avoidsFull,
+			homes: findHomes?.(),
+		};
+	}
+
+	#take(need: EndpointNeed, avoided: string | undefined): RegisteredEndpoint | undefined {
+		const {directory} = this.#settings;
+		const elsewhere = avoided === undefined ? undefined : directory.take({...need, excluded: new Set([avoided])});
+		return elsewhere ?? directory.take(need);
+	}
+
+	#isVersionLost({service, exact}: EndpointNeed): boolean {
+		const {directory} = this.#settings;
+		return exact !== undefined && !directory.list(service).some(({id}) => directory.findVersion(id, exact.model) === exact.version);
+	}
+
+	async #waitInLine(line: EndpointLine, route: Route, need: LineNeed): Promise<RegisteredEndpoint | undefined> {
+		const {directory, findRoute} = this.#settings;
+		const {
+			id, model = '', deadlineAt, place = {turn: model, dueAt: deadlineAt, rank: 0},
+		} = this.#sample;
+		const answer = await line.wait({
+			id, kind: 'text', need, urgency: findUrgency(this.#sample, route), weight: 1, workMs: 0, ...place,
+			deadlineAt: Math.min(deadlineAt, performance.now() + recheckMs),
+		}, this.#signal);
+		if (answer.kind !== 'granted') {
+			return undefined;
+		}
+
+		// The route may have changed meanwhile.
+		const isAllowed = findRoute()?.targets.some(({service}) => service === need.service);
+		if (!isAllowed) {
+			directory.release(answer.endpoint.id);
+		}
+
+		return isAllowed ? answer.endpoint : undefined;
+	}
+
+	async #waitForChange(): Promise<undefined> {
+		return new Promise(resolve => {
+			const finish = () => {
+				clearTimeout(timer);
+				unsubscribe();
+				this.#signal.removeEventListener('abort', finish);
+				resolve(undefined);
+			};
+
+			const timer = setTimeout(finish, lookMs);
+			const unsubscribe = this.#settings.directory.onChange(finish);
+			this.#signal.addEventListener('abort', finish);
+		});
+	}
+}
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -9,6 +9,7 @@
 import {
 	chooseService, isProvenNotRun, type CallOutcome, type CallerRequest, type CallSettings,
 } from './call.js';
+import {CallTurn, type TurnAnswer} from './call-turn.js';
 import {resumeStream} from './resumed-stream.js';
 import {BegunRuns} from './run-meter.js';
 import {SilenceWatch} from './silence-watch.js';
@@ -35,6 +36,8 @@
 	/** Where it runs at present. */
 	#endpoint: string | undefined;
 	#lastReason = 'no endpoint is registered';
+	readonly #turn: CallTurn;
+	#hasWaited = false;
 
 	/** @param signal - aborts when the caller has left */
 	constructor(settings: CallSettings, route: Route, request: CallerRequest, signal: AbortSignal) {
@@ -44,6 +47,7 @@
 		this.#signal = signal;
 		this.#service = chooseService(route, settings.random.next());
 		this.#runs = new BegunRuns(request.customer, settings.meter);
+		this.#turn = new CallTurn(settings, route, request, this.#service);
 	}
 
 	async open(): Promise<StreamOutcome> {
@@ -85,11 +89,13 @@
 	/** Asks one endpoint after the other until one begins. */
 	async #attemptAll(after: number | undefined): Promise<OpenAttempt | Exclude<StreamOutcome, {kind: 'opened'}>> {
 		while (!this.#signal.aborted) {
-			const endpoint = this.#settings.directory.take({service: this.#service, excluded: this.#excluded});
-			if (!endpoint) {
-				return {kind: 'not-run', reason: this.#lastReason, retryAfterMs: this.#settings.directory.planReturn(this.#service)};
+			// eslint-disable-next-line no-await-in-loop
+			const turn = await this.#take();
+			if (turn.kind !== 'granted') {
+				return this.#refuse(turn);
 			}
 
+			const {endpoint} = turn;
 			this.#endpoint = endpoint.id;
 			this.#excluded.add(endpoint.id);
 			// An attempt depends on what became of the one before.
@@ -105,6 +111,27 @@
 		return {kind: 'stopped'};
 	}
 
+	/** Only the first attempt waits for its turn. */
+	async #take(): Promise<TurnAnswer> {
+		if (!this.#hasWaited) {
+			this.#hasWaited = true;
+			return this.#turn.wait(this.#signal);
+		}
+
+		const endpoint = this.#turn.take(this.#excluded);
+		return endpoint ? {kind: 'granted', endpoint} : {kind: 'none'};
+	}
+
+	#refuse(turn: Exclude<TurnAnswer, {kind: 'granted'}>): Exclude<StreamOutcome, {kind: 'opened'}> {
+		if (this.#signal.aborted) {
+			return {kind: 'stopped'};
+		}
+
+		return turn.kind === 'refused'
+			? {kind: 'not-run', reason: turn.reason, retryAfterMs: turn.retryAfterMs}
+			: {kind: 'not-run', reason: this.#lastReason, retryAfterMs: this.#settings.directory.planReturn(this.#service)};
+	}
+
 	/** Asks one endpoint; undefined if it has proven that nothing has run there. */
 	async #attempt(endpoint: RegisteredEndpoint, after: number | undefined): Promise<OpenAttempt | Exclude<StreamOutcome, {kind: 'opened'}> | undefined> {
 		const {client, directory, log} = this.#settings;
@@ -157,7 +184,7 @@
 	}
 
 	#toServing(after: number | undefined): ServingRequest {
-		const {deadlineAt, ...request} = this.#request;
+		const {deadlineAt, place, ...request} = this.#request;
 		return {...request, remainingMs: Math.max(1, Math.round(deadlineAt - performance.now())), ...(after === undefined ? {} : {resumeAfter: after})};
 	}
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
 import {
-	DirectCall, EndpointDirectory, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
+	DirectCall, EndpointDirectory, EndpointLine, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
 import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
@@ -96,6 +96,7 @@
 	readonly #policy: Policy;
 	readonly #lateness = new Lateness();
 	readonly #directory: EndpointDirectory;
+	readonly #line: EndpointLine | undefined;
 	readonly #catalog: Catalog;
 	readonly #hosts: HostRegistry;
 	readonly #lease: LeaseHolder;
@@ -136,6 +137,7 @@
 		});
 		this.#trueTime = new TrueTime(() => this.#gate.steadyStoreMs);
 		this.#directory = new EndpointDirectory(random, policy, this.#lateness);
+		this.#line = policy.queuesAtHost ? new EndpointLine(this.#directory) : undefined;
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
 		});
@@ -159,7 +161,7 @@
 			},
 		});
 		this.batches = new Batches({
-			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts,
+			directory: this.#directory, line: this.#line, client, random, log, policy, host, dataCentre, hosts: this.#hosts,
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
@@ -210,6 +212,11 @@
 		return this.#catalog.deployment;
 	}
 
+	/** What waits at this host; undefined if nothing does. */
+	get line(): EndpointLine | undefined {
+		return this.#line;
+	}
+
 	start(): void {
 		for (const follower of this.#followers) {
 			void follower.run();
@@ -350,7 +357,7 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage,
+			directory: this.#directory, line: this.#line, client, random, log, policy: this.#policy, meter: this.#usage,
 		};
 	}
 
--- a/packages/slots/src/waiter.ts
+++ b/packages/slots/src/waiter.ts
@@ -37,4 +37,5 @@
 export type SlotAnswer<Endpoint>
 	= | {kind: 'granted'; endpoint: Endpoint}
 		| {kind: 'refused'; reason: string; retryAfterMs: number}
-		| {kind: 'expired' | 'left'};
+		| {kind: 'expired'}
+		| {kind: 'left'};
