Give calls that come back their turn

Cause: a call that was refused met the same bound again when it came back, and a burst's newcomers were served before it.

Hosts don't tell each other: a caller that comes back to another host is a newcomer there.

--- a/packages/direct/__tests__/call-line.spec.ts
+++ b/packages/direct/__tests__/call-line.spec.ts
@@ -97,6 +97,52 @@
 		return ended.filter(call => call.route === route && call.kind === kind).map(({tookMs}) => tookMs);
 	}
 
+	/** Endpoints whose slots are all taken for a long time, and a line that has timed some calls. */
+	async function createFull(): Promise<{bench: Bench; call(path: string): Promise<CallOutcome>}> {
+		const bench = createBench(1);
+		const line = new EndpointLine(bench.directory);
+		const settings = {...bench, client: createClient(bench, () => 10_000), line};
+		const call = async (path: string) => new DirectCall(settings, createRoute({objectiveMs}), {...createRequest(60_000), path}, new AbortController().signal).run();
+		for (let i = 0; i < 20; i++) {
+			line.recordWork('s', 25);
+		}
+
+		for (let i = 0; i <= slots; i++) {
+			void call(`/open${i}`);
+		}
+
+		await clock.tickAsync(1);
+		return {bench, call};
+	}
+
+	it('refuses within a quarter of the objective while all slots are taken, and runs nothing', async () => {
+		const {bench, call} = await createFull();
+		const outcome = call('/x');
+		await clock.tickAsync(objectiveMs / 4);
+		const {kind} = await outcome;
+		expect([kind, bench.directory.countOpen('i0')]).to.deep.equal(['not-run', slots + 1]);
+	});
+
+	it('gives one that comes back the next slot, before newcomers', async () => {
+		const {bench, call} = await createFull();
+		const ended: string[] = [];
+		const note = async (name: string) => {
+			const {kind} = await call('/' + name);
+			ended.push(`${name} ${kind}`);
+		};
+
+		void note('back');
+		await clock.tickAsync(objectiveMs / 4);
+		void note('new');
+		await clock.tickAsync(1);
+		void note('back');
+		await clock.tickAsync(1);
+		bench.directory.release('i0');
+		await clock.tickAsync(objectiveMs / 4);
+		// The second try of the first has the slot and runs.
+		expect(ended).to.deep.equal(['back not-run', 'new not-run']);
+	});
+
 	it('keeps the others as quick as usual in a burst of eight times on one route, with a quarter of the endpoints three times slower', async () => {
 		const quiet = await replay(quietRate);
 		const loud = await replay(8 * quietRate);
--- a/packages/direct/src/call-turn.ts
+++ b/packages/direct/src/call-turn.ts
@@ -13,6 +13,9 @@
 /** Part of its objective for which a call waits: one that is refused within a quarter can still be served elsewhere in time. */
 const patience = 0.2;
 
+/** Part of its objective after which a call that comes back is due: sooner than newcomers. */
+const returnDue = 0.5;
+
 /** How a request waits, where that differs from a caller's. */
 export type CallPlace = {
 	kind: WorkKind;
@@ -32,7 +35,7 @@
 };
 
 /** What a call is, for the line. */
-export type TurnRequest = {attemptId: string; customer?: string; deadlineAt: number; place?: CallPlace};
+export type TurnRequest = {attemptId: string; method: string; path: string; customer?: string; deadlineAt: number; place?: CallPlace};
 
 export type TurnAnswer = {kind: 'granted'; endpoint: RegisteredEndpoint} | {kind: 'refused'; reason: string; retryAfterMs: number} | {kind: 'none'};
 
@@ -57,27 +60,27 @@
 			return this.#takeAny();
 		}
 
-		const {objectiveMs, priority, name} = this.#route;
-		const {attemptId, customer, deadlineAt, place} = this.#request;
+		const {attemptId, deadlineAt, place} = this.#request;
 		const now = performance.now();
+		const {patienceMs, ...placed} = place ?? this.#findPlace(line, now);
 		const answer = await line.wait({
+			...placed,
 			id: attemptId,
-			kind: place?.kind ?? 'call',
 			need: {service: this.#service, needsRoom: true},
-			urgency: place?.urgency ?? priority,
-			turn: place?.turn ?? customer ?? name,
 			weight: 1,
-			dueAt: place?.dueAt ?? now + objectiveMs,
-			deadlineAt: Math.min(deadlineAt, now + (place?.patienceMs ?? patience * objectiveMs)),
+			deadlineAt: Math.min(deadlineAt, now + patienceMs),
 			workMs: line.findWorkMs(this.#service),
-			rank: place?.rank,
-			isRefusable: place === undefined,
 		}, signal);
 		if (answer.kind === 'left') {
 			return {kind: 'none'};
 		}
 
-		return answer.kind === 'expired' ? this.#takeLast() : answer;
+		const final = answer.kind === 'expired' ? this.#takeLast() : answer;
+		if (final.kind === 'refused') {
+			line.returns.note(this.#key);
+		}
+
+		return final;
 	}
 
 	/** An endpoint for a further attempt, at once; a caller's needs one that has room. */
@@ -92,6 +95,22 @@
 		this.#settings.line?.recordWork(this.#service, workMs);
 	}
 
+	/** How a caller's request waits; one that was refused here before goes before newcomers, and is not refused again at once. */
+	#findPlace(line: EndpointLine, now: number): CallPlace & {isRefusable: boolean} {
+		const {objectiveMs, priority, name} = this.#route;
+		const isBack = line.returns.take(this.#key);
+		return {
+			kind: 'call', urgency: priority, turn: this.#request.customer ?? name, isRefusable: !isBack, patienceMs: patience * objectiveMs,
+			dueAt: now + ((isBack ? returnDue : 1) * objectiveMs),
+		};
+	}
+
+	/** Names the request in all attempts of its caller. */
+	get #key(): string {
+		const {customer, method, path} = this.#request;
+		return [customer, method, path].join(' ');
+	}
+
 	#takeAny(): TurnAnswer {
 		const endpoint = this.take(new Set());
 		return endpoint ? {kind: 'granted', endpoint} : {kind: 'none'};
--- a/packages/direct/src/endpoint-line.ts
+++ b/packages/direct/src/endpoint-line.ts
@@ -2,7 +2,7 @@
  * The line of this process for slots of endpoints, as its directory knows them.
  */
 import {Pace} from '@wasabiusher/decisions';
-import {HostLine} from '@wasabiusher/slots';
+import {HostLine, ReturnTurns} from '@wasabiusher/slots';
 import type {RegisteredEndpoint} from '@wasabiusher/shared';
 import type {EndpointDirectory, EndpointNeed} from './endpoint-directory.js';
 
@@ -14,6 +14,8 @@
  * longer takes any, so that a large customer's calls fill the slow ones.
  */
 export class EndpointLine extends HostLine<LineNeed, RegisteredEndpoint> {
+	/** Calls that were refused here. */
+	readonly returns = new ReturnTurns();
 	/** Time of a call, by service. */
 	readonly #paces = new Map<string, Pace>();
 
