--- /dev/null
+++ b/packages/decisions/__tests__/expected-room.spec.ts
@@ -0,0 +1,30 @@
+import {expect} from 'chai';
+import {findSlowPace, isRoomExpected, type KnownRoom} from '../src/index.js';
+
+function createRoom(changes: Partial<KnownRoom> = {}): KnownRoom {
+	return {
+		slots: 4, open: 0, others: 0, ageMs: 0, workMs: 40, ...changes,
+	};
+}
+
+describe('isRoomExpected', () => {
+	it('lets one request more than slots be open, so that none is idle for a round trip', () => {
+		expect([4, 5].map(open => isRoomExpected(createRoom({open})))).to.deep.equal([true, false]);
+	});
+
+	it('believes what was told of others for the time in which they end', () => {
+		const rooms = [0, 19, 20].map(ageMs => createRoom({open: 1, others: 5, ageMs}));
+		expect(rooms.map(room => isRoomExpected(room))).to.deep.equal([false, false, true]);
+	});
+
+	it('does not forget what this process itself has open', () => {
+		expect(isRoomExpected(createRoom({open: 5, ageMs: 1000}))).to.equal(false);
+	});
+});
+
+describe('findSlowPace', () => {
+	it('is above what sound endpoints differ by, and unknown until some were measured', () => {
+		expect(findSlowPace([undefined, 30, 25, 75])).to.be.within(40, 74);
+		expect(findSlowPace([undefined])).to.equal(undefined);
+	});
+});
--- /dev/null
+++ b/packages/direct/__tests__/sample-search.spec.ts
@@ -0,0 +1,76 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import type {Route} from '@wasabiusher/shared';
+import {EndpointLine, SampleRun, type SampleOutcome} from '../src/index.js';
+import {
+	createBench, createRoute, createSample, type Bench,
+} from './fixtures.js';
+
+describe('SampleSearch in the line of a host', () => {
+	let clock: Clock;
+	let bench: Bench;
+	let line: EndpointLine;
+	let route: Route | undefined;
+	let stop: AbortController;
+	let outcomes: Record<string, SampleOutcome['kind']>;
+
+	beforeEach(() => {
+		clock = install();
+		bench = createBench(1);
+		bench.endpoints[0]!.switches.eventMs = 40;
+		line = new EndpointLine(bench.directory);
+		route = createRoute({kind: 'batch'});
+		stop = new AbortController();
+		outcomes = {};
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	/** Starts samples that are planned to begin in the order of their ranks; the endpoint has four slots. */
+	function start(ranks: readonly number[]): void {
+		for (const rank of ranks) {
+			void run(rank);
+		}
+	}
+
+	async function run(rank: number): Promise<void> {
+		const {directory, client, log} = bench;
+		const id = `s${rank}`;
+		const sample = createSample({id, place: {turn: 't', dueAt: 10_000, rank}});
+		const {kind} = await new SampleRun({
+			directory, client, log, line, findRoute: () => route, chance: () => 0,
+		}, sample, stop.signal).run();
+		outcomes[id] = kind;
+	}
+
+	function listBegun(): string[] {
+		return bench.endpoints[0]!.runs.map(({attemptId}) => attemptId);
+	}
+
+	it('begins samples in their planned order, as many as there are slots', async () => {
+		start([0, 1, 2, 3, 6, 5, 4, 7]);
+		await clock.tickAsync(20);
+		expect([listBegun(), line.size]).to.deep.equal([['s0', 's1', 's2', 's3'], 4]);
+		await clock.tickAsync(5000);
+		expect(listBegun().slice(4)).to.deep.equal(['s4', 's5', 's6', 's7']);
+		expect(new Set(Object.values(outcomes))).to.deep.equal(new Set(['made']));
+	});
+
+	it('runs nothing more of a route that was removed while it waited', async () => {
+		start([0, 1, 2, 3, 4, 5]);
+		await clock.tickAsync(20);
+		route = undefined;
+		await clock.tickAsync(5000);
+		expect([outcomes.s4, outcomes.s5, listBegun().length]).to.deep.equal(['failed', 'failed', 4]);
+	});
+
+	it('leaves the line when its batch stops, and keeps no slot', async () => {
+		start([0, 1, 2, 3, 4, 5]);
+		await clock.tickAsync(20);
+		stop.abort();
+		await clock.tickAsync(100);
+		expect([new Set(Object.values(outcomes)), line.size, bench.directory.countOpen('i0')]).to.deep.equal([new Set(['stopped']), 0, 0]);
+	});
+});
--- a/packages/slots/__tests__/wait-order.spec.ts
+++ b/packages/slots/__tests__/wait-order.spec.ts
@@ -75,6 +75,12 @@
 		expect(count(serve(order, 44), 'short')).to.be.at.least(30);
 	});
 
+	it('serves short calls beside long texts of the same class', () => {
+		addMany(order, 100, {turn: 'trainer', cost: 2000}, 'text');
+		addMany(order, 20, {turn: 'customer', cost: 20}, 'call');
+		expect(count(serve(order, 22), 'call')).to.equal(20);
+	});
+
 	it('serves two steps of one trainer by what is due first, across lanes', () => {
 		addMany(order, 5, {beginBy: 2000, lane: 'newer'}, 'second');
 		addMany(order, 5, {beginBy: 1000, lane: 'older'}, 'first');
--- a/scripts/bench/decisions.ts
+++ b/scripts/bench/decisions.ts
@@ -5,6 +5,7 @@
 	chooseEndpoint, FairQueue, findSubset, type Candidate,
 } from '@wasabiusher/decisions';
 import {Random} from '@wasabiusher/shared';
+import {WaitOrder} from '@wasabiusher/slots';
 import {createSlope, type Figure} from './figure.js';
 import {measureUs} from './measure.js';
 
@@ -55,6 +56,29 @@
 	});
 }
 
+/** One in and one served, at a line of so many of a hundred customers, three classes and eight kinds of need, of which one has no endpoint. */
+function measureGrant(length: number): number {
+	const order = new WaitOrder<number>();
+	const random = new Random(seed);
+	let next = 0;
+	const add = (lane = random.integer(1, 7)) => {
+		next += 1;
+		order.add({
+			urgency: random.integer(0, 2), turn: `customer-${random.integer(0, 99)}`, weight: 1, lane: `lane-${lane}`, beginBy: next + random.integer(0, 1000),
+			rank: 0, cost: random.integer(1, 256),
+		}, next);
+	};
+
+	for (let i = 0; i < length; i += 1) {
+		add(i % 8);
+	}
+
+	return measureUs(() => {
+		add();
+		order.serve(order.findFirst(next, lane => lane === 'lane-0')!);
+	});
+}
+
 function measureSubset(endpoints: number): number {
 	const listNames = (prefix: string, count: number) => Array.from({length: count}, (_, index) => `${prefix}-${index}`);
 	const entries = listNames('entry', countEntries(endpoints));
@@ -67,6 +91,7 @@
 	return [
 		createSlope('routing decision CPU', 'us/candidate', measure(candidateCounts, measureRouting)),
 		createSlope('queue push and pop CPU', 'us/waiting job', measure(queueLengths, measureQueue)),
+		createSlope('grant in the line of a host CPU', 'us/waiting job', measure(queueLengths, measureGrant)),
 		// Each pair of an entry and an endpoint is ranked, so it grows with the square of a data centre.
 		createSlope('subset CPU', 'us/pair', endpointCounts.map(count => ({n: count * countEntries(count), value: measureSubset(count)}))),
 	];
