--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -8,10 +8,10 @@
 import {setMaxListeners} from 'node:events';
 import PQueue from 'p-queue';
 import {
-	chooseRenewals, defaultPolicy, type Policy,
+	chooseRenewals, defaultPolicy, type Policy, type TextLengths,
 } from '@wasabiusher/decisions';
 import {
-	SampleRun, type CallPlace, type SampleOutcome, type SampleText,
+	SampleRun, type CallPlace, type SampleOutcome, type SampleRequest, type SampleText,
 } from '@wasabiusher/direct';
 import {
 	applyCustomer, describeError, findRoute, type Route,
@@ -20,6 +20,9 @@
 	Sample, SampleResult, StoredBatch, Submission,
 } from './batch.js';
 import type {BatchStore, PartialTexts} from './batch-store.js';
+import type {CheckpointBudget} from './checkpoint-budget.js';
+import {Checkpoints} from './checkpoints.js';
+import type {CommitDesk} from './commit-desk.js';
 import {nameForCustomer} from './customers.js';
 import type {GroupedText} from './kept-texts.js';
 import {Renewals} from './renewals.js';
@@ -36,17 +39,20 @@
 /** Samples begun at once when no endpoint is registered, so that the first one is not waited for. */
 const leastConcurrency = 8;
 
-/** Time between writes of unfinished texts, in milliseconds; so much work is lost with an owner. */
-const checkpointMs = 700;
-
-/** Events that a text must have grown by to be written again; fewer are made anew in a quarter of a second. */
-const checkpointEvents = 6;
-
 /** Time between looks for texts that should be begun a second time, in milliseconds; a text grows by seven events in it. */
 const renewalMs = 250;
 
+/** Part of the time in which results are due by which texts should be whole: the rest is for scores, for listing, and for beginning again after a loss. */
+const wantedPart = 0.5;
+
 export type ShareOwnerSettings = ScoringSettings & {
 	store: BatchStore;
+	/** Where the process's results go to the store; undefined if each list writes as it comes. */
+	desk?: CommitDesk;
+	/** What the process may write of unfinished texts. */
+	checkpointBudget: CheckpointBudget;
+	/** What is known of the lengths of texts. */
+	lengths: TextLengths;
 	/** The newest published version of a model. */
 	findPublished(model: string): number | undefined;
 	/** Milliseconds on the store's steady clock. */
@@ -95,12 +101,11 @@
 	readonly #results: ResultList;
 	readonly #texts: ShareTexts;
 	#isRetired = false;
-	readonly #checkpointed = new Map<string, number>();
 	readonly #stop = createStop();
 	readonly #renewals: Renewals;
 	readonly #queue: PQueue;
 	readonly #places: SharePlaces;
-	#checkpointTimer: NodeJS.Timeout | undefined;
+	readonly #checkpoints: Checkpoints;
 	#renewalTimer: NodeJS.Timeout | undefined;
 	/** Version from which on second texts are begun: each earlier batch that is still open brings one more before this one ends. */
 	#renewFrom: number | undefined;
@@ -117,7 +122,8 @@
 		this.#texts = new ShareTexts(left);
 		// In the line of the host all may wait; without it the queue bounds how many look for endpoints.
 		this.#queue = new PQueue({concurrency: settings.line ? Number.POSITIVE_INFINITY : this.#countSlots()});
-		this.#places = new SharePlaces(stored.record.series, this.#findDeadline(this.#findRoute()?.timeoutMs), this.#planOrder());
+		const {dueMs, timeoutMs = 0} = this.#findRoute() ?? {};
+		this.#places = new SharePlaces(stored.record.series, this.#acceptedAt + (dueMs ?? timeoutMs), this.#planOrder());
 		this.#renewals = new Renewals((sample, leastVersion, signal) => this.#createRun(this.#getSample(sample), {leastVersion, signal, avoidsFull: true}));
 		const {store, log} = settings;
 		this.#results = new ResultList({
@@ -126,7 +132,9 @@
 			batch: stored.record.id,
 			share,
 			isShared: shares.length > 1,
-			samples: this.#ids,
+			samples: this.samples,
+			desk: settings.desk,
+			findPriority: () => this.#findRoute()?.priority ?? 0,
 			findVersion: () => this.#stored.version,
 			signal: this.#stop.signal,
 			onConflict: settings.onConflict,
@@ -135,6 +143,16 @@
 				this.#renewals.stop();
 			},
 		}, this.#selectOwn(results));
+		this.#checkpoints = new Checkpoints({
+			store,
+			log,
+			batch: stored.record.id,
+			budget: settings.checkpointBudget,
+			findVersion: () => this.#stored.version,
+			listPartials: () => this.partials,
+			countLacking: sample => this.#results.countLacking(sample),
+			onConflict: settings.onConflict,
+		});
 	}
 
 	get id(): string {
@@ -165,6 +183,11 @@
 		return this.#results.all;
 	}
 
+	/** Samples of which nothing was made yet. */
+	get unbegunCount(): number {
+		return this.#isRetired ? 0 : this.samples.filter(({id}) => !this.#results.has(id) && !this.#texts.hasBegun(id)).length;
+	}
+
 	get submission(): Submission {
 		return this.#submission;
 	}
@@ -188,9 +211,10 @@
 			void this.#queue.add(async () => this.#make(open.get(id)!));
 		}
 
-		this.#checkpointTimer = setInterval(() => {
-			void this.#checkpoint();
-		}, checkpointMs);
+		if (this.#policy.keepsCheckpoints) {
+			this.#checkpoints.start();
+		}
+
 		this.#renewalTimer = setInterval(() => {
 			this.#renew();
 		}, renewalMs);
@@ -205,6 +229,7 @@
 	/** Stops all runs; nothing is written after that. */
 	stop(): void {
 		this.#stop.abort();
+		this.#results.close();
 		this.#renewals.stop();
 		this.#clearTimers();
 		this.#results.notify();
@@ -219,6 +244,7 @@
 	async finish(sample: Sample, text: SampleText): Promise<void> {
 		const wholeAt = performance.now();
 		this.#texts.whole.set(sample.id, text);
+		this.#settings.lengths.record(this.#nameLengths(sample), sample.expectedTokens, text.events.length);
 		const score = sample.score ? await scoreSample(this.#settings, sample, this.#stop.signal, route => this.#findScorePlace(sample, route)) : undefined;
 		if (this.#stop.signal.aborted) {
 			return;
@@ -338,7 +364,7 @@
 	}
 
 	#clearTimers(): void {
-		clearInterval(this.#checkpointTimer);
+		this.#checkpoints.stop();
 		clearInterval(this.#renewalTimer);
 	}
 
@@ -355,10 +381,30 @@
 		return route && applyCustomer(route, deployment.customers?.get(customer ?? ''));
 	}
 
-	/** When a time after the batch's submission has passed, on the monotonic clock; by default that after which samples may be given up. */
-	#findDeadline(ttlMs = this.#findRoute()?.sampleTtlMs ?? 0): number {
-		const ageMs = this.#settings.readStoreMs() - this.#stored.record.acceptedMs;
-		return performance.now() + ttlMs - ageMs;
+	/** When the batch was accepted, on the monotonic clock. */
+	get #acceptedAt(): number {
+		return performance.now() - (this.#settings.readStoreMs() - this.#stored.record.acceptedMs);
+	}
+
+	/** When samples may be given up, on the monotonic clock. */
+	#findDeadline(): number {
+		return this.#acceptedAt + (this.#findRoute()?.sampleTtlMs ?? 0);
+	}
+
+	/** What is expected of a text, so that endpoints can be chosen by it; nobody waits for a second text. */
+	#expectText(sample: Sample, isSecond: boolean): Pick<SampleRequest, 'dueAt' | 'expectLeft'> {
+		const dueMs = this.#findRoute()?.dueMs;
+		return this.#policy.plansTexts && !isSecond
+			? {
+				dueAt: dueMs === undefined ? undefined : this.#acceptedAt + (wantedPart * dueMs),
+				expectLeft: made => this.#settings.lengths.expectLeft(this.#nameLengths(sample), sample.expectedTokens, made),
+			}
+			: {};
+	}
+
+	/** Names the texts whose lengths can be compared: those of one trainer, with hints or without. */
+	#nameLengths({expectedTokens}: Sample): string {
+		return `${this.#stored.record.series}/${expectedTokens === undefined ? '' : 'hinted'}`;
 	}
 
 	async #make(sample: Sample): Promise<void> {
@@ -420,28 +466,12 @@
 			deadlineAt: this.#findDeadline(),
 			avoidsFull,
 			place: this.#places.findText(sample.id),
+			...this.#expectText(sample, avoidsFull ?? false),
 			request: {
 				method: 'POST', path: sample.path, host, headers: sample.headers, body: Buffer.from(sample.body, 'base64'), customer,
 			},
 		}, signal, text);
 	}
-
-	/** Keeps texts that have grown, so that a next owner goes on from there. */
-	async #checkpoint(): Promise<void> {
-		const grown = new Map([...this.partials].filter(([id, {events}]) => events.length >= (this.#checkpointed.get(id) ?? 0) + checkpointEvents));
-		if (!this.#policy.keepsCheckpoints || grown.size === 0 || this.#stop.signal.aborted) {
-			return;
-		}
-
-		try {
-			await this.#settings.store.keepPartials(this.id, this.#stored.version, grown);
-			for (const [id, {events}] of grown) {
-				this.#checkpointed.set(id, events.length);
-			}
-		} catch (error) {
-			this.#settings.log.info('checkpoint_failed', {batch: this.id, texts: grown.size, reason: describeError(error)});
-		}
-	}
 }
 
 /** Each sample of a batch listens for its end. */
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -36,6 +36,10 @@
 	avoidsFull?: boolean;
 	/** Its place in the line: whose turn it uses, when it should be done on the monotonic clock, and its place among those due at the same time. */
 	place?: {turn: string; dueAt: number; rank: number};
+	/** When it should be whole, on the monotonic clock; undefined if nobody told. */
+	dueAt?: number;
+	/** Events that are expected still once it has so many; undefined if nobody knows. */
+	expectLeft?(made: number): number | undefined;
 };
 
 /** Text made so far, with the versions that made it. */
@@ -98,6 +102,8 @@
 	#failures = 0;
 	#runs = 0;
 	readonly #search: SampleSearch;
+	/** Events that were expected of the text when it came here; undefined if nobody knew. */
+	#expectedEvents: number | undefined;
 	/** What the present attempt was chosen by. */
 	#need: EndpointNeed | undefined;
 	/** The endpoint that broke last; another is preferred. */
@@ -162,8 +168,9 @@
 
 	async #findEndpoint(route: Route): Promise<RegisteredEndpoint | undefined> {
 		const [begun] = this.#text.versions;
-		const {need, endpoint, isVersionLost} = await this.#search.find(route, begun, this.#avoided);
+		const {need, endpoint, isVersionLost} = await this.#search.find(route, begun, this.#avoided, () => this.#expect());
 		this.#need = need;
+		this.#expectedEvents ??= need.units;
 		this.#times.mark('waited');
 		if (isVersionLost) {
 			this.#beginAnew();
@@ -281,7 +288,8 @@
 
 		log.info('text_made', {
 			batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, events: this.#text.events.length, kept: this.#keptEvents, runs: this.#runs,
-			versions: [...this.#text.versions].join(','), tookMs: Math.round(performance.now() - this.#startedAt), ...this.#times.toValues(),
+			expected: this.#expectedEvents && Math.round(this.#expectedEvents), versions: [...this.#text.versions].join(','),
+			tookMs: Math.round(performance.now() - this.#startedAt), ...this.#times.toValues(),
 		});
 		return {kind: 'made', text: this.#text};
 	}
@@ -315,7 +323,7 @@
 				directory.recordRunPace(id, (now - firstAt) / (count - 1));
 			}
 
-			this.#better = this.#need && directory.takeBetter(id, this.#need, count >= longRunEvents);
+			this.#better = this.#takeBetter(id, count);
 			if (this.#better) {
 				log.info('run_moved', {
 					batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, to: this.#better.id, events: this.#text.events.length,
@@ -328,6 +336,24 @@
 		return true;
 	}
 
+	/** What is expected of the text from now on. */
+	#expect(): Pick<EndpointNeed, 'units' | 'dueInMs'> {
+		const {expectLeft, dueAt} = this.#sample;
+		return {units: expectLeft?.(this.#text.events.length), dueInMs: dueAt === undefined ? undefined : dueAt - performance.now()};
+	}
+
+	#takeBetter(id: string, madeHere: number): RegisteredEndpoint | undefined {
+		const {directory} = this.#settings;
+		if (!this.#need) {
+			return undefined;
+		}
+
+		const {units, dueInMs} = this.#expect();
+		return units === undefined
+			? directory.takeBetter(id, this.#need, madeHere >= longRunEvents)
+			: directory.takeFaster(id, {...this.#need, units, dueInMs}, madeHere);
+	}
+
 	#takeEvent({id, data, version}: RunEvent): void {
 		const {leastVersion, isSingleVersion} = this.#sample;
 		const {events, versions} = this.#text;
--- a/packages/direct/src/sample-search.ts
+++ b/packages/direct/src/sample-search.ts
@@ -23,6 +23,9 @@
 const spareUrgency = 9;
 const lastUrgency = 8;
 
+/** What is expected of a text from now on. */
+export type Expectation = () => Pick<EndpointNeed, 'units' | 'dueInMs'>;
+
 /** What was found. */
 export type Found = {
 	/** What was looked for. */
@@ -61,9 +64,10 @@
 	 *
 	 * @param begun - version of the text made so far
 	 * @param avoided - endpoint that is asked only if no other fits
+	 * @param expect - what is expected of the text from now on
 	 */
-	async find(route: Route, begun: number | undefined, avoided: string | undefined): Promise<Found> {
-		const need = this.#toNeed(route, begun);
+	async find(route: Route, begun: number | undefined, avoided: string | undefined, expect: Expectation): Promise<Found> {
+		const need = {...this.#toNeed(route, begun), ...expect()};
 		const {line} = this.#settings;
 		const taken = line ? undefined : this.#take(need, avoided);
 		if (taken) {
@@ -73,7 +77,15 @@
 		// Without a line the text that has lost its version begins anew at once, and waits after that.
 		const isLostNow = !line && this.#isVersionLost(need);
 		this.#isWaiting = true;
-		const endpoint = await (line ? this.#waitInLine(line, route, {...need, avoided}) : this.#waitForChange());
+		const lineNeed: LineNeed = {
+			...need,
+			avoided,
+			// Read when a slot is free, which may be a second later.
+			get dueInMs() {
+				return expect().dueInMs;
+			},
+		};
+		const endpoint = await (line ? this.#waitInLine(line, route, lineNeed) : this.#waitForChange());
 		this.#isWaiting = false;
 		return {need, endpoint, isVersionLost: isLostNow || (!endpoint && this.#isVersionLost(need))};
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,9 +3,11 @@
  */
 import type {Server} from 'node:http';
 import {
-	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts,
+	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts, SpeedRows,
 } from '@wasabiusher/batches';
-import {defaultPolicy, Lateness, type Policy} from '@wasabiusher/decisions';
+import {
+	defaultPolicy, Lateness, RetryBudget, type Policy,
+} from '@wasabiusher/decisions';
 import type {
 	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
@@ -15,17 +17,20 @@
 import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
 import {
-	describeError, type Deployment, type Log, type Random, type Route,
+	describeError, type Deployment, type GatewayStatus, type Log, type Random, type Route,
 } from '@wasabiusher/shared';
 import {
 	decideAccess, identify, type Access, type AccessRequest, type Identity,
 } from './access.js';
 import {Catalog, type CatalogFormat} from './catalog.js';
+import {toEndpointView} from './endpoint-view.js';
+import type {PartCounts} from './gateway-metrics.js';
 import {readLinkKey} from './link-key.js';
 import {PeerLinks} from './peer-links.js';
 import {PeerServer} from './peer-server.js';
 import {RoutedStore} from './routed-store.js';
 import {StoreGate} from './store-gate.js';
+import {StoreReturn} from './store-return.js';
 
 /** How often what nobody reads any more is removed, in milliseconds. */
 const sweepMs = 10_000;
@@ -95,6 +100,8 @@
 	readonly #settings: GatewaySettings;
 	readonly #policy: Policy;
 	readonly #lateness = new Lateness();
+	/** Second attempts of calls and scores, by service. */
+	readonly #hedges: RetryBudget | undefined;
 	readonly #directory: EndpointDirectory;
 	readonly #line: EndpointLine | undefined;
 	readonly #catalog: Catalog;
@@ -107,9 +114,11 @@
 	readonly #neededFollowers: TableFollower[];
 	readonly #gate: StoreGate;
 	readonly #rows: RoutedStore;
+	readonly #storeReturn: StoreReturn;
 	readonly #peerServer: PeerServer | undefined;
 	readonly #trueTime: TrueTime;
 	readonly #usage: Usage | undefined;
+	readonly #speedRows: SpeedRows | undefined;
 	#linkKey: string | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	/** When the next tick is due, on the monotonic clock. */
@@ -124,10 +133,11 @@
 			host, dataCentre, cores, client, format, random, log, leaseMs, policy = defaultPolicy,
 		} = settings;
 		this.#policy = policy;
+		this.#hedges = policy.plansTexts ? new RetryBudget() : undefined;
 		this.#gate = new StoreGate(settings.rows);
 		const findKey = () => this.#linkKey;
 		const rows = new RoutedStore({
-			gate: this.#gate, log, isRelaying: policy.relaysStoreCalls, peers: new PeerLinks({
+			gate: this.#gate, log, isRelaying: policy.relaysStoreCalls, countHosts: () => this.#hosts.count, peers: new PeerLinks({
 				host, random, log, findKey, listPeers: () => this.#hosts.listPeers(),
 			}),
 		});
@@ -144,6 +154,7 @@
 		this.#orders = new WeightOrders({
 			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
 			findNeeds: () => this.batches.listNeeds(),
+			findWaiting: model => this.batches.countWaiting(model),
 			policy,
 		});
 		this.#catalog = new Catalog({
@@ -155,20 +166,23 @@
 			onClock: (other, clockMs) => {
 				this.#trueTime.learn(other, clockMs);
 			},
+			listWaiting: () => this.batches.listWaiting(),
 			listPaces: most => this.#directory.listOwnPaces(most),
 			onPaces: paces => {
 				this.#directory.learnPaces(paces);
 			},
 		});
 		this.batches = new Batches({
-			directory: this.#directory, line: this.#line, client, random, log, policy, host, dataCentre, hosts: this.#hosts,
+			directory: this.#directory, line: this.#line, client, random, log, policy, host, dataCentre, hosts: this.#hosts, hedges: this.#hedges,
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
 			findPublished: model => this.#orders.findPublished(model),
 			readStoreMs: () => this.#gate.storeMs,
+			isStoreOpen: () => !this.#gate.isLost || rows.isRelayed,
 		});
 		this.#usage = this.#createUsage();
+		this.#speedRows = policy.plansTexts ? new SpeedRows({rows, directory: this.#directory, log}) : undefined;
 		const chance = () => random.next();
 		this.#operatorFollower = new TableFollower({
 			store: rows.probing, table: format.operatorTable, parts: [''], log, waitMs: operatorWaitMs, apply: change => {
@@ -200,6 +214,16 @@
 				},
 			}),
 		];
+		this.#storeReturn = new StoreReturn({
+			followers: this.#followers, chance, countHosts: () => this.#hosts.count,
+			beat: async () => this.#hosts.beat(),
+			release: () => {
+				this.batches.releaseCommits();
+			},
+		});
+		this.#gate.watchRegained(() => {
+			this.#storeReturn.begin();
+		});
 	}
 
 	/** Whether new work should come here. The heartbeats of others need not be known: a part of the store may be down at a start. */
@@ -217,6 +241,32 @@
 		return this.#line;
 	}
 
+	/** What operators are told of this host. */
+	get status(): GatewayStatus {
+		const {host, dataCentre = ''} = this.#settings;
+		return {
+			host,
+			dataCentre,
+			isReady: this.isReady,
+			configuration: this.#catalog.deployment?.version,
+			configurationAgeMs: Number.isFinite(this.#operatorFollower.ageMs) ? Math.round(this.#operatorFollower.ageMs) : undefined,
+			storeWay: this.#rows.way,
+			lateMs: Math.round(this.#lateness.usualMs),
+			isHolder: this.#lease.holds(),
+			shares: this.batches.ownedCount,
+			waiting: this.batches.listWaiting(),
+			published: Object.fromEntries(this.#orders.published),
+			turns: this.#line?.listTurns() ?? [],
+			endpoints: this.#directory.listStandings().map(standing => toEndpointView(standing)),
+		};
+	}
+
+	/** What the parts have counted since the start. */
+	get counts(): PartCounts {
+		const answers = this.#line?.counts.map(({kind, answer, count}): [string, number] => [`line-${kind}-${answer}`, count]) ?? [];
+		return {...this.batches.counts, ...Object.fromEntries(answers)};
+	}
+
 	start(): void {
 		for (const follower of this.#followers) {
 			void follower.run();
@@ -227,6 +277,7 @@
 		this.batches.start();
 		this.#lease.start();
 		this.#usage?.start();
+		this.#speedRows?.start();
 		this.#dueAt = performance.now() + ordersMs;
 		this.#timer = setInterval(() => {
 			this.#noteLateness();
@@ -285,9 +336,11 @@
 		clearInterval(this.#sweepTimer);
 		this.#lease.stop();
 		this.#usage?.stop();
+		this.#speedRows?.stop();
 		this.#hosts.stop();
 		this.batches.stop();
 		this.#rows.stop();
+		this.#storeReturn.stop();
 		this.#peerServer?.close();
 		this.#isStopped = true;
 		for (const follower of this.#followers) {
@@ -357,7 +410,7 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, line: this.#line, client, random, log, policy: this.#policy, meter: this.#usage,
+			directory: this.#directory, line: this.#line, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
 		};
 	}
 
