--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -2,7 +2,7 @@
  * The endpoints that are registered, with what this process has seen of each.
  */
 import {
-	chooseDirect, defaultPolicy, Lateness, listBetter, ReturnPlan, type Policy,
+	chooseDirect, defaultPolicy, findSlowPace, Lateness, listBetter, ReturnPlan, type Policy,
 } from '@wasabiusher/decisions';
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
@@ -34,6 +34,10 @@
 	openLimit?: number;
 	/** Whether endpoints whose slots are all taken are left out, as far as their load is known. */
 	avoidsFull?: boolean;
+	/** Whether endpoints are left out that have probably no room now, by their load and its age. */
+	needsRoom?: boolean;
+	/** Whether endpoints are left out that are much slower than is typical of their service. */
+	avoidsSlow?: boolean;
 	/**
 	 * Endpoints that nobody else fills with work of this kind. Others are asked only as far as they are known to have room, and by
 	 * one attempt at a time to find that out; undefined if all are alike.
@@ -53,7 +57,7 @@
 	readonly #random: Random;
 	readonly #policy: Policy;
 	readonly #lateness: Lateness;
-	readonly #listeners = new Set<() => void>();
+	readonly #listeners = new Set<(service: string) => void>();
 	/** By endpoint; called when it has started again. */
 	readonly #restartListeners = new Map<string, Set<() => void>>();
 	readonly #paces = new ToldPaces(this.classes);
@@ -89,7 +93,7 @@
 			}
 		}
 
-		this.#notify();
+		this.#notify(standing);
 	}
 
 	/** Calls back when an endpoint has started again under its id; returns how to end that. */
@@ -148,8 +152,8 @@
 		return plan.plan(serving.map(standing => standing.toRoom()));
 	}
 
-	/** Calls back whenever an endpoint may have become free or fit; returns how to end that. */
-	onChange(listener: () => void): () => void {
+	/** Calls back with the service whenever an endpoint may have become free or fit; returns how to end that. */
+	onChange(listener: (service: string) => void): () => void {
 		this.#listeners.add(listener);
 		return () => {
 			this.#listeners.delete(listener);
@@ -170,7 +174,7 @@
 		const standing = this.#standings.get(id);
 		if (standing) {
 			standing.end();
-			this.#notify();
+			this.#notify(standing);
 		}
 	}
 
@@ -291,8 +295,9 @@
 
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
-		if (this.#standings.get(id)?.recordVersion(model, version)) {
-			this.#notify();
+		const standing = this.#standings.get(id);
+		if (standing?.recordVersion(model, version)) {
+			this.#notify(standing);
 		}
 	}
 
@@ -303,7 +308,8 @@
 
 	/** Endpoints that can be asked now. */
 	#listFits(need: EndpointNeed): EndpointStanding[] {
-		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need));
+		const slowMs = need.avoidsSlow ? this.#findSlowPace(need.service) : undefined;
+		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need) && !standing.isSlower(slowMs));
 		const {homes} = need;
 		if (!homes) {
 			return fits;
@@ -313,6 +319,10 @@
 		return fits.filter(standing => homes.has(standing.endpoint.id) || (standing.isLoadKnown ? hasForeignRoom(standing) : standing.open === 0 && !isProbing));
 	}
 
+	#findSlowPace(service: string): number | undefined {
+		return findSlowPace([...this.#standings.values()].filter(({endpoint}) => endpoint.service === service).map(({paceMs}) => paceMs));
+	}
+
 	#choose(standings: readonly EndpointStanding[], need: EndpointNeed): EndpointStanding | undefined {
 		const {units, dueInMs} = need;
 		const text = units === undefined || !this.#policy.plansTexts ? undefined : {units, dueInMs};
@@ -329,9 +339,9 @@
 		}
 	}
 
-	#notify(): void {
+	#notify({endpoint: {service}}: EndpointStanding): void {
 		for (const listener of this.#listeners) {
-			listener();
+			listener(service);
 		}
 	}
 }
@@ -341,13 +351,14 @@
 	return open < Math.max(1, Math.floor((endpoint.slots - others) / 2)) && open + others < endpoint.slots;
 }
 
-function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit, avoidsFull}: EndpointNeed): boolean {
+function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit, avoidsFull, needsRoom}: EndpointNeed): boolean {
 	const {endpoint, open, others} = standing;
 	return endpoint.service === service
 		&& !endpoint.isDraining
 		&& !excluded?.has(endpoint.id)
 		&& (openLimit === undefined || open < openLimit * endpoint.slots)
 		&& (!avoidsFull || open + others < endpoint.slots)
+		&& (!needsRoom || standing.hasExpectedRoom)
 		&& (!least || (standing.findVersion(least.model) ?? 0) >= least.version)
 		&& (!exact || standing.findVersion(exact.model) === exact.version);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
 	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
 import {
-	DirectCall, EndpointDirectory, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
+	DirectCall, EndpointDirectory, EndpointLine, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
 import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
@@ -115,6 +115,7 @@
 	/** Second attempts of calls and scores, by service. */
 	readonly #hedges: RetryBudget | undefined;
 	readonly #directory: EndpointDirectory;
+	readonly #line: EndpointLine | undefined;
 	readonly #catalog: Catalog;
 	readonly #hosts: HostRegistry;
 	readonly #crashers: Crashers;
@@ -162,6 +163,7 @@
 		this.#crashers = new Crashers({
 			rows, table: hostTable, host, directory: this.#directory, log, readStoreMs: () => this.#gate.storeMs,
 		});
+		this.#line = policy.queuesAtHost ? new EndpointLine(this.#directory) : undefined;
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
 		});
@@ -191,7 +193,7 @@
 			},
 		});
 		this.batches = new Batches({
-			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts, hedges: this.#hedges,
+			directory: this.#directory, line: this.#line, client, random, log, policy, host, dataCentre, hosts: this.#hosts, hedges: this.#hedges,
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
@@ -258,6 +260,11 @@
 		return this.#catalog.deployment;
 	}
 
+	/** What waits at this host; undefined if nothing does. */
+	get line(): EndpointLine | undefined {
+		return this.#line;
+	}
+
 	/** What operators are told of this host. */
 	get status(): GatewayStatus {
 		const {host, dataCentre = ''} = this.#settings;
@@ -273,14 +280,15 @@
 			shares: this.batches.ownedCount,
 			waiting: this.batches.listWaiting(),
 			published: Object.fromEntries(this.#orders.published),
-			turns: [],
+			turns: this.#line?.listTurns() ?? [],
 			endpoints: this.#directory.listStandings().map(standing => toEndpointView(standing)),
 		};
 	}
 
 	/** What the parts have counted since the start. */
 	get counts(): PartCounts {
-		return {...this.batches.counts};
+		const answers = this.#line?.counts.map(({kind, answer, count}): [string, number] => [`line-${kind}-${answer}`, count]) ?? [];
+		return {...this.batches.counts, ...Object.fromEntries(answers)};
 	}
 
 	start(): void {
@@ -428,7 +436,7 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
+			directory: this.#directory, line: this.#line, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
 			crashers: this.#policy.refusesCrashers ? this.#crashers : undefined,
 		};
 	}
