Tell all hosts which endpoints load weights

Change: the holder of the lease writes the orders of one look as a small row into a part of the table of batches, which all hosts follow without a pause. A host leaves the endpoint out for that model until a registration, an answer or an event of a run shows the version, or until the time is over (a quarter more than usual, 3 s at most). A refusal by an endpoint with free slots that lies behind the newest version is read the same way, for 0.5 s. The order does not wait for the row. Switch: tellsLoads.

Ruled out: a row in the table of hosts, whose followers gather for 150 ms; one row with all loads, which grows with the number of endpoints.

--- a/packages/decisions/src/policy.ts
+++ b/packages/decisions/src/policy.ts
@@ -34,6 +34,8 @@
 	relaysStoreCalls: z.boolean().default(true),
 	/** Requests, texts and scores wait at their host in one order; without it each looks for an endpoint by itself. */
 	queuesAtHost: z.boolean().default(true),
+	/** All hosts are told which endpoints load weights, and send them nothing meanwhile. */
+	tellsLoads: z.boolean().default(true),
 	/** Slots of an endpoint are shared among hosts by rations from its home host. */
 	sharesSlots: z.boolean().default(true),
 	/** Lasting classes, spells and present moments of endpoints are told apart, and texts are planned by them. */
--- /dev/null
+++ b/packages/direct/__tests__/load-news.spec.ts
@@ -0,0 +1,148 @@
+import {Buffer} from 'node:buffer';
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {createSilentLog, Random} from '@wasabiusher/shared';
+import {MemoryRowStore} from '@wasabiusher/standins';
+import {defaultPolicy} from '@wasabiusher/decisions';
+import {EndpointDirectory, LoadNews, WeightOrders} from '../src/index.js';
+import {createBench} from './fixtures.js';
+
+const need = {service: 's', least: {model: 'm', version: 1}};
+const load = {endpoint: 'i0', model: 'm', version: 2};
+
+describe('LoadNews', () => {
+	let clock: Clock;
+	let store: MemoryRowStore;
+
+	beforeEach(() => {
+		clock = install();
+		store = new MemoryRowStore();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	function createNews(writer: string, onLoad: (endpoint: string, forMs: number) => void = () => undefined) {
+		return new LoadNews({
+			rows: store, table: 't', part: 'p', writer, log: createSilentLog(), onLoad(load, forMs) {
+				onLoad(load.endpoint, forMs);
+			},
+		});
+	}
+
+	async function readRows() {
+		const {rows} = await store.read({table: 't', part: 'p'});
+		return rows;
+	}
+
+	it('tells loads that are ordered together by one row, and others within 50 ms', async () => {
+		const news = createNews('a');
+		const heard: Array<[string, number]> = [];
+		const other = createNews('b', (endpoint, forMs) => {
+			heard.push([endpoint, forMs]);
+		});
+		news.tell(load, 1000);
+		news.tell({...load, endpoint: 'i1'}, 1000);
+		await clock.tickAsync(6);
+		news.tell({...load, endpoint: 'i2'}, 1000);
+		await clock.tickAsync(50);
+		const rows = await readRows();
+		for (const row of rows) {
+			other.apply(row);
+			news.apply(row);
+		}
+
+		expect(rows).to.have.length(2);
+		expect(heard).to.deep.equal([['i0', 1000], ['i1', 1000], ['i2', 1000]]);
+		expect(news.counts).to.include({rows: 2, heard: 0});
+	});
+
+	it('goes on without a store, and counts rows that another writer has spoilt', async () => {
+		const news = createNews('a');
+		store.switches.isDown = true;
+		news.tell(load, 1000);
+		await clock.tickAsync(10);
+		news.apply({
+			table: 't', part: 'p', key: '0', version: 1, value: Buffer.from('{"loads":[7]}'),
+		});
+		expect(news.counts).to.deep.equal({
+			rows: 0, failedRows: 1, heard: 0, unreadable: 1,
+		});
+	});
+});
+
+describe('EndpointDirectory while endpoints load', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('leaves out an endpoint for the model that it loads, until it serves or the time has passed', async () => {
+		const {directory} = createBench(1);
+		directory.loads.note(load, 1000);
+		expect(directory.take(need)).to.equal(undefined);
+		expect(directory.take({...need, least: {model: 'other', version: 0}})?.id).to.equal('i0');
+		directory.recordVersion('i0', 'm', 2);
+		expect(directory.take(need)?.id).to.equal('i0');
+		directory.loads.note({...load, version: 3}, 1000);
+		await clock.tickAsync(1000);
+		expect(directory.take(need)?.id).to.equal('i0');
+	});
+
+	it('believes no news for long, none of a version that is served, and none with the policy off', async () => {
+		const {directory, endpoints: [{id}]} = createBench(1) as ReturnType<typeof createBench> & {endpoints: [{id: string}]};
+		directory.loads.note(load, 1e9);
+		await clock.tickAsync(3000);
+		expect(directory.take(need)?.id).to.equal(id);
+		directory.loads.note({...load, version: 1}, 1000);
+		expect(directory.take(need)?.id).to.equal(id);
+		const plain = new EndpointDirectory(new Random(1), {...defaultPolicy, tellsLoads: false});
+		plain.put(directory.get(id)!);
+		plain.loads.note(load, 1000);
+		expect(plain.take(need)?.id).to.equal(id);
+	});
+
+	it('learns by a refusal of an endpoint with free slots that it loads what was published', async () => {
+		const refusal = {
+			status: 503, headers: {}, isNotRun: true, stamp: undefined, load: {running: 1, waiting: 0, slots: 4}, weightVersion: undefined, isFramed: true, isClosing: false,
+		};
+		const findAfter = async (published: number, running: number) => {
+			const {directory} = createBench(1);
+			directory.loads.notePublished('m', published);
+			directory.take(need);
+			directory.recordHead('i0', {...refusal, load: {...refusal.load, running}}, 'm');
+			directory.release('i0');
+			await clock.tickAsync(200);
+			return directory.take(need)?.id;
+		};
+
+		expect([await findAfter(2, 1), await findAfter(1, 1), await findAfter(2, 4)]).to.deep.equal([undefined, 'i0', 'i0']);
+	});
+
+	it('hears of each order as it is given, and that it was not taken', async () => {
+		const bench = createBench(2);
+		const told: Array<[string, boolean]> = [];
+		const orders = new WeightOrders({
+			directory: bench.directory, client: bench.client, right: {fence: 1, holds: () => true}, holder: 'a', log: bench.log, chooseMode: () => 'continue',
+			tellLoad({endpoint}, forMs) {
+				told.push([endpoint, forMs > 0]);
+			},
+		});
+		bench.endpoints[0]!.isBusy = true;
+		bench.client.report = async target => ({...bench.serving.endpoints.get(target.address)!.report(), isBusy: false});
+		orders.publish('m', 2);
+		for (let i = 0; i < 10; i += 1) {
+			orders.tick();
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(50);
+		}
+
+		expect(told.slice(0, 2)).to.deep.equal([['i0', true], ['i0', false]]);
+	});
+});
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -7,6 +7,7 @@
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
 import {EndpointStanding} from './endpoint-standing.js';
+import {LoadWindows} from './load-windows.js';
 
 /**
  * How long an endpoint whose registration has vanished is still asked if nothing else can be, in milliseconds.
@@ -43,6 +44,8 @@
 
 /** Registered endpoints and their standing. */
 export class EndpointDirectory {
+	/** Which of them load weights. */
+	readonly loads: LoadWindows;
 	readonly #standings = new Map<string, EndpointStanding>();
 	readonly #random: Random;
 	readonly #policy: Policy;
@@ -56,16 +59,19 @@
 		this.#random = random;
 		this.#policy = policy;
 		this.#lateness = lateness;
+		this.loads = new LoadWindows((id, model) => this.findVersion(id, model), policy.tellsLoads);
 	}
 
 	/** Takes over a registration. One that has accepted fewer orders than before has started again: nothing that was seen of it holds. */
 	put(endpoint: RegisteredEndpoint): void {
 		const known = this.#standings.get(endpoint.id);
-		const standing = known && endpoint.orderCount >= known.endpoint.orderCount ? known : new EndpointStanding(endpoint, this.#policy);
+		const isSame = known && endpoint.orderCount >= known.endpoint.orderCount;
+		const standing = isSame ? known : this.#begin(endpoint);
 		standing.endpoint = endpoint;
 		standing.vanishedAt = undefined;
 		for (const {model, version} of endpoint.models) {
 			standing.recordVersion(model, version);
+			this.loads.end({endpoint: endpoint.id, model, version});
 		}
 
 		this.#standings.set(endpoint.id, standing);
@@ -137,9 +143,14 @@
 		}
 	}
 
-	/** Learns from the beginning of an answer. */
-	recordHead(id: string, head: ServingHead): void {
+	/**
+	 * Learns from the beginning of an answer.
+	 *
+	 * @param model - what was asked for; an endpoint that has room, refuses it and does not hold its newest version loads it
+	 */
+	recordHead(id: string, head: ServingHead, model?: string): void {
 		this.#standings.get(id)?.recordHead(head);
+		this.loads.noteHead(id, head, model);
 	}
 
 	/** Notes that another server has the address, so this one is gone. */
@@ -221,7 +232,8 @@
 
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
-		if (this.#standings.get(id)?.recordVersion(model, version)) {
+		const isNew = this.#standings.get(id)?.recordVersion(model, version) ?? false;
+		if (this.loads.end({endpoint: id, model, version}) || isNew) {
 			this.#notify();
 		}
 	}
@@ -233,7 +245,8 @@
 
 	/** Endpoints that can be asked now. */
 	#listFits(need: EndpointNeed): EndpointStanding[] {
-		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need));
+		const model = need.least?.model ?? need.exact?.model;
+		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need) && (model === undefined || !this.loads.covers(standing.endpoint.id, model)));
 		const {homes} = need;
 		if (!homes) {
 			return fits;
@@ -248,11 +261,17 @@
 		return chosen && this.#standings.get(chosen.id);
 	}
 
+	#begin(endpoint: RegisteredEndpoint): EndpointStanding {
+		this.loads.forget(endpoint.id);
+		return new EndpointStanding(endpoint, this.#policy);
+	}
+
 	#forget(): void {
 		const now = performance.now();
 		for (const [id, {vanishedAt}] of this.#standings) {
 			if (vanishedAt !== undefined && now - vanishedAt > vanishedMs) {
 				this.#standings.delete(id);
+				this.loads.forget(id);
 			}
 		}
 	}
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -5,3 +5,5 @@
 export * from './weight-orders.js';
 export * from './stream-call.js';
 export * from './run-meter.js';
+export * from './load-news.js';
+export type {WeightLoad} from './load-windows.js';
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -242,7 +242,7 @@
 			headMs = Math.round(performance.now() - startedAt);
 			({status} = run);
 			this.#times.mark(this.#findHeadPhase(run));
-			directory.recordHead(id, run);
+			directory.recordHead(id, run, this.#sample.model);
 			watch.note();
 			return await this.#readRun({
 				id, run, route, watch,
@@ -334,6 +334,7 @@
 		const {directory, log} = this.#settings;
 		const from = this.#text.events.length;
 		let firstAt: number | undefined;
+		let version = run.weightVersion;
 		let lastAt = performance.now();
 		for await (const event of run.events) {
 			this.#takeEvent(event);
@@ -343,6 +344,11 @@
 			directory.recordPace(id, now - lastAt);
 			lastAt = now;
 			firstAt ??= now;
+			if (event.version !== version && this.#sample.model !== undefined) {
+				version = event.version;
+				directory.recordVersion(id, this.#sample.model, version);
+			}
+
 			const count = this.#text.events.length - from;
 			if (count % paceEvents === 0) {
 				directory.recordRunPace(id, (now - firstAt) / (count - 1));
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -12,9 +12,10 @@
 	LoadMode, OrderOutcome, ServingClient, ServingReport,
 } from '@wasabiusher/backends';
 import {
-	describeError, groupBy, type Log, type RegisteredEndpoint,
+	describeError, groupBy, type HeldModel, type Log, type RegisteredEndpoint,
 } from '@wasabiusher/shared';
 import type {EndpointDirectory} from './endpoint-directory.js';
+import {maxLoadMs, type WeightLoad} from './load-windows.js';
 
 /** The right to give orders; a `LeaseHolder` has this shape. */
 export type OrderRight = {readonly fence: number; holds(): boolean};
@@ -29,6 +30,8 @@
 	policy?: Policy;
 	/** How runs under way are treated at a service. */
 	chooseMode(service: string): LoadMode;
+	/** Tells the other hosts that an endpoint begins to load, for how long it probably will, in milliseconds, or with 0 that it does not. */
+	tellLoad?(load: WeightLoad, forMs: number): void;
 	/** What the steps of each model ask for of late. */
 	findNeeds?(): ReadonlyMap<string, ModelNeed>;
 };
@@ -66,6 +69,13 @@
  */
 const placesMs = 1000;
 
+/** Time from an order until an endpoint serves, in milliseconds, until one was seen, and the weight of each further one. */
+const usualLoadMs = 1000;
+const loadWeight = 0.2;
+
+/** How much longer than usual a load is waited for: those that begin together slow one another down. */
+const loadMargin = 1.25;
+
 /** Which models each endpoint of a service follows, and the number of endpoints and the versions that this was worked out from. */
 type Places = {placed: ReadonlyMap<string, readonly string[]>; basis: string; madeAt: number};
 
@@ -90,6 +100,8 @@
 	/** By service. */
 	readonly #places = new Map<string, Places>();
 	#orderedAt = Number.NEGATIVE_INFINITY;
+	/** Mean time of late from an order until the endpoint was seen to serve, in milliseconds. */
+	#loadMs = usualLoadMs;
 
 	constructor(settings: WeightOrdersSettings) {
 		this.#settings = settings;
@@ -105,6 +117,7 @@
 	publish(model: string, version: number): void {
 		if (version > (this.findPublished(model) ?? 0)) {
 			this.#published.set(model, {version, learntAt: performance.now()});
+			this.#settings.directory.loads.notePublished(model, version);
 		}
 	}
 
@@ -192,8 +205,10 @@
 
 	#finish({id}: RegisteredEndpoint, {model, version, startedAt}: Transition): void {
 		this.#loading.delete(id);
+		const elapsedMs = performance.now() - startedAt;
+		this.#loadMs += (Math.min(elapsedMs, maxLoadMs) - this.#loadMs) * loadWeight;
 		this.#settings.log.info('weights_loaded', {
-			endpoint: id, model, version, elapsedMs: Math.round(performance.now() - startedAt),
+			endpoint: id, model, version, elapsedMs: Math.round(elapsedMs),
 		});
 	}
 
@@ -210,10 +225,16 @@
 		} else if (isOpen) {
 			// Neither under way nor done: the order was not taken.
 			this.#loading.delete(endpoint.id);
+			this.#tellLoad({endpoint: endpoint.id, model: transition.model, version: transition.version}, 0);
 			this.#notBefore.set(endpoint.id, performance.now() + retryMs);
 		}
 	}
 
+	#tellLoad(load: WeightLoad, forMs: number): void {
+		this.#settings.directory.loads.note(load, forMs);
+		this.#settings.tellLoad?.(load, forMs);
+	}
+
 	async #askReport(endpoint: RegisteredEndpoint): Promise<ServingReport | undefined> {
 		const {client, directory, log} = this.#settings;
 		try {
@@ -298,6 +319,7 @@
 			model, version, expectedOrders: report.orderCount, startedAt, nextLookAt: startedAt + reportMs,
 		});
 		directory.pause(endpoint.id, holdBackMs);
+		this.#tellLoad({endpoint: endpoint.id, model, version}, this.#loadMs * loadMargin);
 		try {
 			const outcome = await client.order(endpoint, {
 				model, version, mode: chooseMode(endpoint.service), expectedOrders: report.orderCount, holder, fence: right.fence,
@@ -305,7 +327,7 @@
 			log.info('weights_ordered', {
 				endpoint: endpoint.id, model, version, outcome, fence: right.fence, expected: report.orderCount,
 			});
-			this.#noteOutcome(endpoint, outcome);
+			this.#noteOutcome(endpoint, {model, version}, outcome);
 		} catch (error) {
 			// It may be carried out late; the report tells, and a repeat on the same condition does no harm.
 			log.warn('order_unanswered', {
@@ -314,9 +336,10 @@
 		}
 	}
 
-	#noteOutcome({id}: RegisteredEndpoint, outcome: OrderOutcome): void {
+	#noteOutcome({id}: RegisteredEndpoint, wanted: HeldModel, outcome: OrderOutcome): void {
 		if (outcome !== 'accepted') {
 			this.#loading.delete(id);
+			this.#tellLoad({endpoint: id, ...wanted}, 0);
 			this.#notBefore.set(id, performance.now() + (outcome === 'fenced' ? orderMs : retryMs));
 		}
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
 import {
-	DirectCall, EndpointDirectory, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
+	DirectCall, EndpointDirectory, LoadNews, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
 import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
@@ -60,6 +60,9 @@
  */
 const gatherMs = 150;
 
+/** Part of the table of batches, which all hosts follow without a pause, in which the news of loads lie. */
+const loadPart = 'loads';
+
 /** Pause before the key of links is asked for again, in milliseconds; nothing waits for it while the store serves this host. */
 const keyRetryMs = 1000;
 
@@ -100,6 +103,7 @@
 	readonly #hosts: HostRegistry;
 	readonly #lease: LeaseHolder;
 	readonly #orders: WeightOrders;
+	readonly #loadNews: LoadNews;
 	readonly #followers: TableFollower[];
 	readonly #operatorFollower: TableFollower;
 	/** Without what these tell, work can't be taken. */
@@ -139,9 +143,19 @@
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
 		});
+		this.#loadNews = new LoadNews({
+			rows, table: batchTable, part: loadPart, writer: host, log, onLoad: (load, forMs) => {
+				this.#directory.loads.note(load, forMs);
+			},
+		});
 		this.#orders = new WeightOrders({
 			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
 			findNeeds: () => this.batches.listNeeds(),
+			tellLoad: policy.tellsLoads
+				? (load, forMs) => {
+					this.#loadNews.tell(load, forMs);
+				}
+				: undefined,
 			policy,
 		});
 		this.#catalog = new Catalog({
@@ -182,7 +196,11 @@
 			}),
 			new TableFollower({
 				store: rows.probing, table: batchTable, parts: batchParts, log, apply: change => {
-					this.batches.apply(change);
+					if (change.part === loadPart) {
+						this.#loadNews.apply(change);
+					} else {
+						this.batches.apply(change);
+					}
 				},
 			}),
 		];
@@ -277,6 +295,7 @@
 		clearInterval(this.#timer);
 		clearInterval(this.#sweepTimer);
 		this.#lease.stop();
+		this.#loadNews.stop();
 		this.#usage?.stop();
 		this.#hosts.stop();
 		this.batches.stop();
