Share slots of an endpoint among hosts by rations from its home

Cause: hosts see each other's requests only in what endpoints tell with their answers, so several fill the same free slots, and whoever looks first is served whatever waits elsewhere.

Change: each endpoint has a home among the live hosts of its data centre (weighted rendezvous hashing). Hosts tell it over links what they fill and want; it divides the free slots by urgency and due time, every fourth to who has waited longest. A demand gives back what its host does not fill, so that no slot is given twice; rations end by themselves, and without a home or its answer within 0.1 s a host goes by what it sees. Texts only; calls are sent at once and count as filled.

--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -115,7 +115,7 @@
 };
 
 /** What was heard of a process that is not known to be gone. */
-export type LiveHost = Pick<HostRow, 'incarnation' | 'dataCentre' | 'cores' | 'isResting' | 'lateMs'> & {host: string; silentMs: number};
+export type LiveHost = Pick<HostRow, 'incarnation' | 'dataCentre' | 'cores' | 'isResting' | 'lateMs' | 'address'> & {host: string; silentMs: number};
 
 /** Heartbeats of this process, and what is heard of others. */
 export class HostRegistry {
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -3,6 +3,8 @@
 export {batchTable, BatchStore} from './batch-store.js';
 export * from './batches.js';
 export * from './errors.js';
-export {HostRegistry, hostTable, type HostRegistrySettings} from './host-registry.js';
+export {
+	HostRegistry, hostTable, type HostRegistrySettings, type LiveHost,
+} from './host-registry.js';
 export {KeptTexts} from './kept-texts.js';
 export {batchParts} from './parts.js';
--- a/packages/decisions/src/policy.ts
+++ b/packages/decisions/src/policy.ts
@@ -1,7 +1,7 @@
 /**
  * Which mechanisms decide, so that each can be switched off and its worth be measured.
  *
- * All are on by default. A deployment may set some otherwise; decisions read the record and nothing else.
+ * All but `sharesSlots` are on by default. A deployment may set some otherwise; decisions read the record and nothing else.
  */
 import {z} from 'zod';
 
@@ -37,7 +37,7 @@
 	/** All hosts are told which endpoints load weights, and send them nothing meanwhile. */
 	tellsLoads: z.boolean().default(true),
 	/** Slots of an endpoint are shared among hosts by rations from its home host. */
-	sharesSlots: z.boolean().default(true),
+	sharesSlots: z.boolean().default(false),
 	/** Lasting classes, spells and present moments of endpoints are told apart, and texts are planned by them. */
 	plansTexts: z.boolean().default(true),
 	/** What a step needs most is committed first, and the results of several shares together. */
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -6,8 +6,10 @@
 } from '@wasabiusher/decisions';
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
+import type {RationSource} from '@wasabiusher/slots';
 import {EndpointStanding} from './endpoint-standing.js';
 import {LoadWindows} from './load-windows.js';
+import {SlotLimits, type SlotWaiter} from './slot-limits.js';
 
 /**
  * How long an endpoint whose registration has vanished is still asked if nothing else can be, in milliseconds.
@@ -40,6 +42,8 @@
 	units?: number;
 	/** Time until it should be done, in milliseconds; undefined if nobody waits for it. */
 	dueInMs?: number;
+	/** Who looks for a slot, where slots are shared among hosts; what can't wait has none and is sent at once. */
+	waiter?: SlotWaiter;
 };
 
 /** Registered endpoints and their standing. */
@@ -51,6 +55,7 @@
 	readonly #policy: Policy;
 	readonly #lateness: Lateness;
 	readonly #listeners = new Set<() => void>();
+	#limits: SlotLimits | undefined;
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
@@ -66,7 +71,7 @@
 	put(endpoint: RegisteredEndpoint): void {
 		const known = this.#standings.get(endpoint.id);
 		const isSame = known && endpoint.orderCount >= known.endpoint.orderCount;
-		const standing = isSame ? known : this.#begin(endpoint);
+		const standing = isSame ? known : this.#create(endpoint);
 		standing.endpoint = endpoint;
 		standing.vanishedAt = undefined;
 		for (const {model, version} of endpoint.models) {
@@ -130,15 +135,31 @@
 		this.#forget();
 		const fits = this.#listFits(need);
 		const chosen = this.#choose(fits.filter(({vanishedAt}) => vanishedAt === undefined), need) ?? this.#choose(fits.filter(({vanishedAt}) => vanishedAt !== undefined), need);
-		chosen?.begin(need.warmKey);
+		if (chosen) {
+			this.#begin(chosen, need);
+		} else {
+			this.#limits?.noteUnmet(need, anyRoom => this.#listFits({...need, ...anyRoom}));
+		}
+
 		return chosen?.endpoint;
 	}
 
+	/** Shares slots with other hosts by rations from now on. */
+	shareSlots(source: RationSource): SlotLimits {
+		const limits = new SlotLimits(source, id => this.#standings.get(id));
+		this.#limits = limits;
+		source.onChange(() => {
+			this.#notify();
+		});
+		return limits;
+	}
+
 	/** Ends what `take` has begun. */
 	release(id: string): void {
 		const standing = this.#standings.get(id);
 		if (standing) {
 			standing.end();
+			this.#limits?.note(standing);
 			this.#notify();
 		}
 	}
@@ -149,7 +170,9 @@
 	 * @param model - what was asked for; an endpoint that has room, refuses it and does not hold its newest version loads it
 	 */
 	recordHead(id: string, head: ServingHead, model?: string): void {
-		this.#standings.get(id)?.recordHead(head);
+		const standing = this.#standings.get(id);
+		standing?.recordHead(head);
+		this.#limits?.noteHead(standing, head);
 		this.loads.noteHead(id, head, model);
 	}
 
@@ -226,7 +249,10 @@
 		const better = listBetter(current.toCandidate(undefined), others.map(standing => standing.toCandidate(need.warmKey, need.homes)), isLong);
 		const chosen = chooseDirect(better, this.#random.next());
 		const standing = chosen && this.#standings.get(chosen.id);
-		standing?.begin(need.warmKey);
+		if (standing) {
+			this.#begin(standing, need);
+		}
+
 		return standing?.endpoint;
 	}
 
@@ -246,7 +272,9 @@
 	/** Endpoints that can be asked now. */
 	#listFits(need: EndpointNeed): EndpointStanding[] {
 		const model = need.least?.model ?? need.exact?.model;
-		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need) && (model === undefined || !this.loads.covers(standing.endpoint.id, model)));
+		const allows = (standing: EndpointStanding) => need.waiter === undefined || this.#limits === undefined || this.#limits.allows(standing);
+		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need)
+			&& (model === undefined || !this.loads.covers(standing.endpoint.id, model)) && allows(standing));
 		const {homes} = need;
 		if (!homes) {
 			return fits;
@@ -261,7 +289,12 @@
 		return chosen && this.#standings.get(chosen.id);
 	}
 
-	#begin(endpoint: RegisteredEndpoint): EndpointStanding {
+	#begin(standing: EndpointStanding, {warmKey, waiter}: EndpointNeed): void {
+		standing.begin(warmKey);
+		this.#limits?.noteBegun(standing, waiter);
+	}
+
+	#create(endpoint: RegisteredEndpoint): EndpointStanding {
 		this.loads.forget(endpoint.id);
 		return new EndpointStanding(endpoint, this.#policy);
 	}
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -78,6 +78,11 @@
 		return this.#load !== undefined && performance.now() - this.#loadAt < loadAgeMs;
 	}
 
+	/** Time since it last told its load, in milliseconds. */
+	get loadAgeMs(): number {
+		return this.#load === undefined ? Number.POSITIVE_INFINITY : performance.now() - this.#loadAt;
+	}
+
 	/** Whether an attempt is open there that has not been answered yet. */
 	get awaitsHead(): boolean {
 		return this.#open > 0 && this.#begunAt > this.#headAt;
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -6,4 +6,5 @@
 export * from './stream-call.js';
 export * from './run-meter.js';
 export * from './load-news.js';
+export * from './slot-limits.js';
 export type {WeightLoad} from './load-windows.js';
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -172,6 +172,8 @@
 			openLimit,
 			avoidsFull,
 			homes: findHomes?.(),
+			dueInMs: this.#sample.deadlineAt - performance.now(),
+			waiter: {id: this.#sample.id, urgency: avoidsFull ? spareUrgency : Math.min(lastUrgency, route.priority)},
 		};
 		this.#need = need;
 		const elsewhere = this.#avoided === undefined ? undefined : directory.take({...need, excluded: new Set([this.#avoided])});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import {PeerLinks} from './peer-links.js';
 import {PeerServer} from './peer-server.js';
 import {RoutedStore} from './routed-store.js';
+import {SlotSharing} from './slot-sharing.js';
 import {StoreGate} from './store-gate.js';
 
 /** How often what nobody reads any more is removed, in milliseconds. */
@@ -104,6 +105,7 @@
 	readonly #lease: LeaseHolder;
 	readonly #orders: WeightOrders;
 	readonly #loadNews: LoadNews;
+	readonly #sharing: SlotSharing | undefined;
 	readonly #followers: TableFollower[];
 	readonly #operatorFollower: TableFollower;
 	/** Without what these tell, work can't be taken. */
@@ -135,11 +137,16 @@
 			}),
 		});
 		this.#rows = rows;
-		this.#peerServer = settings.peers && new PeerServer(settings.peers.server, {
-			host, gate: this.#gate, log, findKey,
-		});
 		this.#trueTime = new TrueTime(() => this.#gate.steadyStoreMs);
 		this.#directory = new EndpointDirectory(random, policy, this.#lateness);
+		this.#sharing = policy.sharesSlots
+			? new SlotSharing({
+				host, directory: this.#directory, random, log, findKey, listHosts: () => this.#hosts.listLive(),
+			})
+			: undefined;
+		this.#peerServer = settings.peers && new PeerServer(settings.peers.server, {
+			host, gate: this.#gate, log, findKey, sharing: this.#sharing,
+		});
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
 		});
@@ -242,8 +249,10 @@
 		this.#timer = setInterval(() => {
 			this.#noteLateness();
 			this.#orders.tick();
+			this.#sharing?.tick();
 		}, ordersMs);
 		this.#sweepTimer = setInterval(() => {
+			this.#logSharing();
 			// The holder of the lease does it for all; two at once do no harm.
 			if (this.#lease.holds()) {
 				void this.batches.sweep(retentionFactor * this.#settings.statusMs);
@@ -296,6 +305,7 @@
 		clearInterval(this.#sweepTimer);
 		this.#lease.stop();
 		this.#loadNews.stop();
+		this.#sharing?.close();
 		this.#usage?.stop();
 		this.#hosts.stop();
 		this.batches.stop();
@@ -318,6 +328,13 @@
 		return isConfirmed ? decide() : {kind: 'unsure'};
 	}
 
+	#logSharing(): void {
+		const {demands, demandsTaken, ...counts} = this.#sharing?.counts ?? {};
+		if ((demands ?? 0) + (demandsTaken ?? 0) > 0) {
+			this.#settings.log.info('slots_shared', {demands, demandsTaken, ...counts});
+		}
+	}
+
 	#noteLateness(): void {
 		const now = performance.now();
 		this.#lateness.record(now - this.#dueAt);
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -7,6 +7,7 @@
 	LinkServer, type Link, type LinkKeys, type Message,
 } from '@wasabiusher/link';
 import type {Log} from '@wasabiusher/shared';
+import type {SlotDemand} from '@wasabiusher/slots';
 import type {StoreGate} from './store-gate.js';
 import {doStoreWork} from './store-work.js';
 
@@ -19,6 +20,8 @@
 	/** This host's own way to the store; it never asks yet another host. */
 	gate: StoreGate;
 	log: Log;
+	/** Answers demands for slots; undefined if they are not shared. */
+	sharing?: {takeDemand(link: Link, demand: SlotDemand): void; forget(link: Link): void};
 	/** The key that hosts prove to each other; undefined until it is known. */
 	findKey(): string | undefined;
 };
@@ -50,6 +53,10 @@
 		let open = 0;
 		return {
 			onMessage: (message: Message) => {
+				if (message.kind === 'slot-demand') {
+					this.#settings.sharing?.takeDemand(link, message.demand);
+				}
+
 				if (message.kind !== 'store-call') {
 					return;
 				}
@@ -59,7 +66,8 @@
 					open -= 1;
 				});
 			},
-			onClose() {
+			onClose: () => {
+				this.#settings.sharing?.forget(link);
 				// Calls under way end by their own limits; nobody is left to be told.
 			},
 		};
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -139,6 +139,23 @@
 export type StoreWork = z.infer<typeof storeWorkSchema>;
 export type StoreAnswer = z.infer<typeof storeAnswerSchema>;
 
+/** Most classes of urgency in one demand. */
+const maxWants = 16;
+
+/** Slots of an endpoint that a host fills and wants. */
+const slotDemandSchema = z.object({
+	endpoint: z.string(),
+	filled: countSchema,
+	wants: z.array(z.object({urgency: z.number(), dueInMs: z.number(), count: countSchema})).max(maxWants).readonly(),
+	others: countSchema.optional(),
+	sequence: countSchema,
+});
+
+/** Slots of an endpoint that a host may fill. */
+const slotRationSchema = z.object({
+	endpoint: z.string(), slots: countSchema, termMs: z.number().positive(), sequence: countSchema,
+});
+
 export const messageKindsSchema = z.discriminatedUnion('kind', [
 	// Handshake.
 	z.object({kind: z.literal('challenge'), protocol: z.int(), nonce: z.string()}),
@@ -224,6 +241,9 @@
 	// Host to host: a call to the store for a host that the store does not serve at present.
 	z.object({kind: z.literal('store-call'), call: z.string(), work: storeWorkSchema}),
 	z.object({kind: z.literal('store-answer'), call: z.string(), answer: storeAnswerSchema}),
+	// Host to host: slots of an endpoint, from who wants them to the endpoint's home and back.
+	z.object({kind: z.literal('slot-demand'), demand: slotDemandSchema}),
+	z.object({kind: z.literal('slot-ration'), ration: slotRationSchema}),
 	/** What the sender has, so that the receiver can see a gap and send what is missing. */
 	z.object({kind: z.literal('digest'), configurationVersion: countSchema}),
 ]);
--- a/packages/slots/src/ration.ts
+++ b/packages/slots/src/ration.ts
@@ -19,6 +19,8 @@
 	filled: number;
 	/** What waits there for it, most urgent first. */
 	wants: readonly Want[];
+	/** Requests of other hosts there, as the endpoint last told this one; undefined if it has not lately. */
+	others?: number;
 	/** Counts up with each demand of this host; an older one that comes late is ignored. */
 	sequence: number;
 };
