Count on a link to a home while it is being opened

Change: for 0.15 s from its opening a link counts as usable, so that its host fills no more than it may without asking; demands go out as it comes up. Links stay for 10 s without use, longer than from step to step.

--- a/packages/gateway/src/host-links.ts
+++ b/packages/gateway/src/host-links.ts
@@ -13,8 +13,8 @@
 /** Most links at a time: the homes of all endpoints that one host fills in a step. */
 const maxLinks = 32;
 
-/** Time after which a link that is not used is closed, in milliseconds: a trainer's pause between two steps. */
-const idleMs = 5000;
+/** Time after which a link that is not used is closed, in milliseconds: the time from one step of a trainer to its next. */
+const idleMs = 10_000;
 
 /** Shorter than the default: a home that is frozen must not be taken for one that answers. */
 const linkLimits = {heartbeatMs: 1000, missedHeartbeats: 2, handshakeMs: 1000};
@@ -27,9 +27,14 @@
 	/** The key that hosts prove to each other; undefined until it is known. */
 	findKey(): string | undefined;
 	onMessage(message: Message): void;
+	/** Called when a link has come up. */
+	onUp(): void;
 };
 
-type OpenLink = {client: LinkClient; usedAt: number};
+/** Time for a link to come up before it counts as lost, in milliseconds: hosts are milliseconds away, and requests wait for it. */
+const openMs = 150;
+
+type OpenLink = {client: LinkClient; usedAt: number; /** When it was opened, or went down. */ downAt: number};
 
 /** Links by address. */
 export class HostLinks {
@@ -47,8 +52,14 @@
 		return this.#links.size;
 	}
 
-	isUp(address: string): boolean {
-		return this.#links.get(address)?.client.isUp ?? false;
+	/** Whether a link is up or may be in a moment: it is not lost, and can be opened. */
+	isUsable(address: string): boolean {
+		const link = this.#links.get(address);
+		if (!link) {
+			return this.#links.size < maxLinks && this.#settings.findKey() !== undefined;
+		}
+
+		return link.client.isUp || performance.now() - link.downAt < openMs;
 	}
 
 	/** Sends a message; false if the link is not up, which is then being opened. */
@@ -85,7 +96,9 @@
 	}
 
 	#open(address: string): OpenLink | undefined {
-		const {host, random, log, findKey, onMessage} = this.#settings;
+		const {
+			host, random, log, findKey, onUp, onMessage,
+		} = this.#settings;
 		const key = findKey();
 		if (key === undefined || this.#links.size >= maxLinks) {
 			this.counts.unopened += 1;
@@ -93,16 +106,23 @@
 		}
 
 		const keys: LinkKeys = [key];
+		let wasUp = false;
 		const client = new LinkClient({
 			address, identity: {name: host, keys}, random, limits: linkLimits, onMessage,
 			onUp() {
-				// Who sends looks whether the link is up.
+				wasUp = true;
+				onUp();
 			},
 			onDown(error) {
+				if (wasUp) {
+					wasUp = false;
+					link.downAt = performance.now();
+				}
+
 				log.debug('host_link_down', {peer: address, reason: error?.message});
 			},
 		});
-		const link = {client, usedAt: performance.now()};
+		const link = {client, usedAt: performance.now(), downAt: performance.now()};
 		this.counts.opened += 1;
 		this.#links.set(address, link);
 		return link;
--- a/packages/gateway/src/slot-sharing.ts
+++ b/packages/gateway/src/slot-sharing.ts
@@ -44,13 +44,16 @@
 			host, random, log, findKey, onMessage: message => {
 				this.#take(message);
 			},
+			onUp: () => {
+				this.desk.tick();
+			},
 		});
 		this.home = new RationHome(rations => {
 			this.#tell(rations);
 		});
 		this.desk = new RationDesk({
 			send: demand => this.#send(demand),
-			isLinked: endpoint => this.#isLinked(endpoint),
+			isUsable: endpoint => this.#isUsable(endpoint),
 			findFreePart: endpoint => this.#limits.findFreePart(endpoint),
 		});
 		this.#limits = directory.shareSlots(this.desk);
@@ -115,10 +118,9 @@
 		return this.#homes.get(endpoint);
 	}
 
-	#isLinked(endpoint: string): boolean {
-		// Without a link nothing needs to be worked out.
-		const home = this.links.size > 0 || this.#candidates.length > 0 ? this.#findHome(endpoint) : undefined;
-		return home !== undefined && (home.host === this.#settings.host || this.links.isUp(home.address));
+	#isUsable(endpoint: string): boolean {
+		const home = this.#findHome(endpoint);
+		return home !== undefined && (home.host === this.#settings.host || this.links.isUsable(home.address));
 	}
 
 	#send(demand: SlotDemand): boolean {
--- a/packages/slots/__tests__/fixtures.ts
+++ b/packages/slots/__tests__/fixtures.ts
@@ -43,7 +43,7 @@
 				}, wayMs);
 				return switches.isLinked;
 			},
-			isLinked: () => switches.isLinked,
+			isUsable: () => switches.isLinked,
 			findFreePart: () => 1,
 		}));
 	}
--- a/packages/slots/__tests__/rations.spec.ts
+++ b/packages/slots/__tests__/rations.spec.ts
@@ -206,7 +206,7 @@
 				homes[current.home ?? i]!.take(String(i), demand, 6);
 				return true;
 			},
-			isLinked: () => true,
+			isUsable: () => true,
 			findFreePart: () => 1,
 		}));
 		const look = async () => {
--- a/packages/slots/src/ration-desk.ts
+++ b/packages/slots/src/ration-desk.ts
@@ -46,8 +46,8 @@
 export type RationDeskSettings = {
 	/** Sends a demand to the endpoint's home; false if that is not linked, and a link is then being opened. */
 	send(demand: SlotDemand): boolean;
-	/** Whether the endpoint's home is linked. */
-	isLinked(endpoint: string): boolean;
+	/** Whether the endpoint's home is linked, or may be in a moment. */
+	isUsable(endpoint: string): boolean;
 	/** Slots of an endpoint that a host fills without asking. */
 	findFreePart(endpoint: string): number;
 };
@@ -89,7 +89,7 @@
 			return entry.limit;
 		}
 
-		return this.#settings.isLinked(endpoint) ? this.#settings.findFreePart(endpoint) : undefined;
+		return this.#settings.isUsable(endpoint) ? this.#settings.findFreePart(endpoint) : undefined;
 	}
 
 	want(wish: Wish): void {
