--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -9,9 +9,11 @@
  */
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
-import type {RowChange, RowStore} from '@wasabiusher/backends';
+import {PlatformError, type RowChange, type RowStore} from '@wasabiusher/backends';
 import {defaultPolicy, type Policy} from '@wasabiusher/decisions';
-import {describeError, rankCandidate, type Log} from '@wasabiusher/shared';
+import {
+	describeError, rankCandidate, RepeatedFailures, type Log,
+} from '@wasabiusher/shared';
 import {z} from 'zod';
 
 export const hostTable = 'hosts';
@@ -84,6 +86,8 @@
 	address: z.string().default(''),
 	/** Time of day of its host less the store's clock, in milliseconds, as told when it was written. */
 	clockMs: z.number().optional(),
+	/** Texts that it has not begun yet, by their model; left out if there are none. */
+	waiting: z.record(z.string(), z.int().nonnegative()).optional(),
 	/** Best paces of endpoints that it has measured, in milliseconds; told now and then. */
 	paces: z.record(z.string(), z.number()).optional(),
 });
@@ -108,6 +112,8 @@
 	onClock?(host: string, clockMs: number): void;
 	/** Whether this process owns work, so that its silence would mean something. */
 	ownsWork(): boolean;
+	/** Texts that this process has not begun yet, by their model. */
+	listWaiting?(): Record<string, number>;
 	/** Paces of endpoints to tell to the others; of so many at most. */
 	listPaces?(most: number): Record<string, number>;
 	/** Called with what another process has told of them. */
@@ -122,6 +128,7 @@
 	/** Differs for each start of the process. */
 	readonly incarnation = randomUUID();
 	readonly #settings: HostRegistrySettings;
+	readonly #failures: RepeatedFailures;
 	readonly #hosts = new Map<string, HostRow & {heardAt: number}>();
 	readonly #gone = new Set<string>();
 	#contactAt = Number.NEGATIVE_INFINITY;
@@ -138,6 +145,8 @@
 	/** When this process last heard a heartbeat of its own, and since when it hears each one. */
 	#ownHeardAt = Number.NEGATIVE_INFINITY;
 	#soundFrom = Number.POSITIVE_INFINITY;
+	/** When the store last refused a heartbeat of this process. */
+	#refusedAt = Number.NEGATIVE_INFINITY;
 	/** When this process last owned work. */
 	#ownedAt = Number.NEGATIVE_INFINITY;
 	/** Whether the others were told that this process has no work. */
@@ -146,6 +155,7 @@
 
 	constructor(settings: HostRegistrySettings) {
 		this.#settings = settings;
+		this.#failures = new RepeatedFailures({log: settings.log, event: 'heartbeat_failed', overEvent: 'heartbeats_resumed'});
 	}
 
 	/** Announces this process, and goes on with heartbeats while it owns work. */
@@ -188,6 +198,12 @@
 		return [...this.#hosts].map(([host, {heardAt, ...row}]) => ({...row, host, silentMs: now - heardAt}));
 	}
 
+	/** Texts of a model that have not begun, as hosts have told within the time of two heartbeats. */
+	countWaiting(model: string): number {
+		const now = performance.now();
+		return [...this.#hosts.values()].filter(({heardAt}) => now - heardAt <= suspicionMs).reduce((sum, {waiting}) => sum + (waiting?.[model] ?? 0), 0);
+	}
+
 	stop(): void {
 		clearInterval(this.#timer);
 	}
@@ -285,7 +301,9 @@
 			this.#suspect(now);
 		}
 
-		return silentMs > limitMs && now - this.#ownHeardAt < proofMs && now - this.#soundFrom >= soundMs;
+		const isSound = now - this.#ownHeardAt < proofMs && now - this.#soundFrom >= soundMs;
+		// A store that takes some heartbeats and refuses others has perhaps refused those of the one who is silent.
+		return silentMs > limitMs && isSound && now - this.#refusedAt > limitMs;
 	}
 
 	#isResting(now: number): boolean {
@@ -311,13 +329,15 @@
 
 	async #write(isResting: boolean): Promise<void> {
 		const {
-			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, readClockMs, log,
+			rows, host, address = '', dataCentre = '', cores = 0, findLateMs, readClockMs,
 		} = this.#settings;
 		const clockMs = readClockMs?.();
+		const waiting = this.#settings.listWaiting?.() ?? {};
 		this.#unanswered += 1;
 		this.#beat += 1;
 		const row: HostRow = {
 			incarnation: this.incarnation, beat: this.#beat, isLeaving: this.#isLeaving, isResting, dataCentre, cores, lateMs: Math.round(findLateMs?.() ?? 0), address, clockMs,
+			...(Object.keys(waiting).length > 0 ? {waiting} : {}),
 			...(this.#beat % pacesEvery === firstPacesBeat ? {paces: this.#settings.listPaces?.(maxToldPaces)} : {}),
 		};
 		try {
@@ -328,13 +348,23 @@
 				}],
 				deletes: [],
 			});
+			this.#failures.recover();
 			this.#hasAnnounced = true;
 			this.#hasToldClock ||= clockMs !== undefined;
 			this.#hasRested = isResting;
 		} catch (error) {
-			log.warn('heartbeat_failed', {beat: this.#beat, reason: describeError(error)});
+			if (wasRefused(error)) {
+				this.#refusedAt = performance.now();
+			}
+
+			this.#failures.record({beat: this.#beat, reason: describeError(error)});
 		} finally {
 			this.#unanswered -= 1;
 		}
 	}
 }
+
+/** Whether nothing was written, so that nobody has heard it. */
+function wasRefused(error: unknown): boolean {
+	return error instanceof PlatformError && (error.code === 'limited' || error.code === 'unavailable');
+}
--- a/packages/direct/__tests__/load-news.spec.ts
+++ b/packages/direct/__tests__/load-news.spec.ts
@@ -55,7 +55,7 @@
 
 		expect(rows).to.have.length(2);
 		expect(heard).to.deep.equal([['i0', 1000], ['i1', 1000], ['i2', 1000]]);
-		expect(news.counts).to.include({rows: 2, heard: 0});
+		expect(news.counts).to.include({loadRows: 2, loadsHeard: 0});
 	});
 
 	it('goes on without a store, and counts rows that another writer has spoilt', async () => {
@@ -67,7 +67,7 @@
 			table: 't', part: 'p', key: '0', version: 1, value: Buffer.from('{"loads":[7]}'),
 		});
 		expect(news.counts).to.deep.equal({
-			rows: 0, failedRows: 1, heard: 0, unreadable: 1,
+			loadRows: 0, loadRowsFailed: 1, loadsHeard: 0, loadRowsUnreadable: 1,
 		});
 	});
 });
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -104,6 +104,11 @@
 			.map(({endpoint}) => endpoint);
 	}
 
+	/** All endpoints with what this process has seen of them, for operators. */
+	listStandings(): readonly EndpointStanding[] {
+		return [...this.#standings.values()].filter(({vanishedAt}) => vanishedAt === undefined);
+	}
+
 	/** Newest version of a model that an endpoint is known to hold; undefined if it does not hold it. */
 	findVersion(id: string, model: string): number | undefined {
 		return this.#standings.get(id)?.findVersion(model);
@@ -245,7 +250,7 @@
 			return undefined;
 		}
 
-		const others = this.#listFits(need).filter(standing => standing !== current && standing.vanishedAt === undefined);
+		const others = this.#listFits({...need, waiter: undefined}).filter(standing => standing !== current && standing.vanishedAt === undefined);
 		const better = listBetter(current.toCandidate(undefined), others.map(standing => standing.toCandidate(need.warmKey, need.homes)), isLong);
 		const chosen = chooseDirect(better, this.#random.next());
 		const standing = chosen && this.#standings.get(chosen.id);
--- a/packages/direct/src/load-news.ts
+++ b/packages/direct/src/load-news.ts
@@ -44,9 +44,9 @@
 
 /** Tells and hears of loads. */
 export class LoadNews {
-	/** Rows written, rows that were not, and loads heard of from others. */
+	/** Rows written, rows that were not, loads heard of from others, and rows that can't be read. */
 	readonly counts = {
-		rows: 0, failedRows: 0, heard: 0, unreadable: 0,
+		loadRows: 0, loadRowsFailed: 0, loadsHeard: 0, loadRowsUnreadable: 0,
 	};
 
 	readonly #settings: LoadNewsSettings;
@@ -80,11 +80,11 @@
 			}
 
 			for (const [endpoint, model, version, forMs] of news.loads) {
-				this.counts.heard += 1;
+				this.counts.loadsHeard += 1;
 				onLoad({endpoint, model, version}, forMs);
 			}
 		} catch (error) {
-			this.counts.unreadable += 1;
+			this.counts.loadRowsUnreadable += 1;
 			log.debug('load_news_unreadable', {reason: describeError(error)});
 		}
 	}
@@ -127,9 +127,9 @@
 				}],
 				deletes: [],
 			});
-			this.counts.rows += 1;
+			this.counts.loadRows += 1;
 		} catch (error) {
-			this.counts.failedRows += 1;
+			this.counts.loadRowsFailed += 1;
 			log.debug('load_news_not_written', {loads: loads.length, reason: describeError(error)});
 		}
 	}
--- a/packages/direct/src/load-windows.ts
+++ b/packages/direct/src/load-windows.ts
@@ -25,7 +25,7 @@
 /** The loads that go on. */
 export class LoadWindows {
 	/** Loads that were learnt of by a refusal. */
-	readonly counts = {met: 0};
+	readonly counts = {loadsMet: 0};
 	/** By endpoint and model. */
 	readonly #windows = new Map<string, Window>();
 	/** Newest version of each model that endpoints may load. */
@@ -80,7 +80,7 @@
 	noteHead(endpoint: string, head: ServingHead, model: string | undefined): void {
 		const version = model === undefined ? undefined : this.#published.get(model);
 		if (version !== undefined && refusesWithRoom(head) && (this.#findVersion(endpoint, model!) ?? 0) < version && !this.covers(endpoint, model!)) {
-			this.counts.met += 1;
+			this.counts.loadsMet += 1;
 			this.note({endpoint, model: model!, version}, metLoadMs);
 		}
 	}
--- a/packages/direct/src/slot-limits.ts
+++ b/packages/direct/src/slot-limits.ts
@@ -28,7 +28,7 @@
 const anyRoomNeed = {openLimit: undefined, waiter: undefined} as const;
 
 /** Time for which one keeps the endpoint that it wants, in milliseconds: some messages to its home. */
-const stayMs = 500;
+const stayMs = 100;
 
 /** Part of an endpoint's slots beyond which this process tells of it though nothing waits. */
 const quietFraction = 0.5;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,18 +15,21 @@
 import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
 import {
-	describeError, type Deployment, type Log, type Random, type Route,
+	describeError, type Deployment, type GatewayStatus, type Log, type Random, type Route,
 } from '@wasabiusher/shared';
 import {
 	decideAccess, identify, type Access, type AccessRequest, type Identity,
 } from './access.js';
 import {Catalog, type CatalogFormat} from './catalog.js';
+import {toEndpointView} from './endpoint-view.js';
+import type {PartCounts} from './gateway-metrics.js';
 import {readLinkKey} from './link-key.js';
 import {PeerLinks} from './peer-links.js';
 import {PeerServer} from './peer-server.js';
 import {RoutedStore} from './routed-store.js';
 import {SlotSharing} from './slot-sharing.js';
 import {StoreGate} from './store-gate.js';
+import {StoreReturn} from './store-return.js';
 
 /** How often what nobody reads any more is removed, in milliseconds. */
 const sweepMs = 10_000;
@@ -112,6 +115,7 @@
 	readonly #neededFollowers: TableFollower[];
 	readonly #gate: StoreGate;
 	readonly #rows: RoutedStore;
+	readonly #storeReturn: StoreReturn;
 	readonly #peerServer: PeerServer | undefined;
 	readonly #trueTime: TrueTime;
 	readonly #usage: Usage | undefined;
@@ -132,7 +136,7 @@
 		this.#gate = new StoreGate(settings.rows);
 		const findKey = () => this.#linkKey;
 		const rows = new RoutedStore({
-			gate: this.#gate, log, isRelaying: policy.relaysStoreCalls, peers: new PeerLinks({
+			gate: this.#gate, log, isRelaying: policy.relaysStoreCalls, countHosts: () => this.#hosts.count, peers: new PeerLinks({
 				host, random, log, findKey, listPeers: () => this.#hosts.listPeers(),
 			}),
 		});
@@ -163,6 +167,7 @@
 					this.#loadNews.tell(load, forMs);
 				}
 				: undefined,
+			findWaiting: model => this.batches.countWaiting(model),
 			policy,
 		});
 		this.#catalog = new Catalog({
@@ -174,6 +179,7 @@
 			onClock: (other, clockMs) => {
 				this.#trueTime.learn(other, clockMs);
 			},
+			listWaiting: () => this.batches.listWaiting(),
 			listPaces: most => this.#directory.listOwnPaces(most),
 			onPaces: paces => {
 				this.#directory.learnPaces(paces);
@@ -186,6 +192,7 @@
 			findDeployment: () => this.#catalog.deployment,
 			findPublished: model => this.#orders.findPublished(model),
 			readStoreMs: () => this.#gate.storeMs,
+			isStoreOpen: () => !this.#gate.isLost || rows.isRelayed,
 		});
 		this.#usage = this.#createUsage();
 		const chance = () => random.next();
@@ -223,6 +230,16 @@
 				},
 			}),
 		];
+		this.#storeReturn = new StoreReturn({
+			followers: this.#followers, chance, countHosts: () => this.#hosts.count,
+			beat: async () => this.#hosts.beat(),
+			release: () => {
+				this.batches.releaseCommits();
+			},
+		});
+		this.#gate.watchRegained(() => {
+			this.#storeReturn.begin();
+		});
 	}
 
 	/** Whether new work should come here. The heartbeats of others need not be known: a part of the store may be down at a start. */
@@ -235,6 +252,33 @@
 		return this.#catalog.deployment;
 	}
 
+	/** What operators are told of this host. */
+	get status(): GatewayStatus {
+		const {host, dataCentre = ''} = this.#settings;
+		return {
+			host,
+			dataCentre,
+			isReady: this.isReady,
+			configuration: this.#catalog.deployment?.version,
+			configurationAgeMs: Number.isFinite(this.#operatorFollower.ageMs) ? Math.round(this.#operatorFollower.ageMs) : undefined,
+			storeWay: this.#rows.way,
+			lateMs: Math.round(this.#lateness.usualMs),
+			isHolder: this.#lease.holds(),
+			shares: this.batches.ownedCount,
+			waiting: this.batches.listWaiting(),
+			published: Object.fromEntries(this.#orders.published),
+			turns: [],
+			endpoints: this.#directory.listStandings().map(standing => toEndpointView(standing)),
+		};
+	}
+
+	/** What the parts have counted since the start. */
+	get counts(): PartCounts {
+		return {
+			...this.batches.counts, ...this.#loadNews.counts, ...this.#directory.loads.counts, ...this.#sharing?.counts,
+		};
+	}
+
 	start(): void {
 		for (const follower of this.#followers) {
 			void follower.run();
@@ -310,6 +354,7 @@
 		this.#hosts.stop();
 		this.batches.stop();
 		this.#rows.stop();
+		this.#storeReturn.stop();
 		this.#peerServer?.close();
 		this.#isStopped = true;
 		for (const follower of this.#followers) {
@@ -329,9 +374,9 @@
 	}
 
 	#logSharing(): void {
-		const {demands, demandsTaken, ...counts} = this.#sharing?.counts ?? {};
-		if ((demands ?? 0) + (demandsTaken ?? 0) > 0) {
-			this.#settings.log.info('slots_shared', {demands, demandsTaken, ...counts});
+		const counts = this.#sharing?.counts;
+		if (counts && counts.demands + counts.demandsTaken > 0) {
+			this.#settings.log.info('slots_shared', counts);
 		}
 	}
 
--- a/packages/gateway/src/peer-links.ts
+++ b/packages/gateway/src/peer-links.ts
@@ -9,7 +9,7 @@
 import {
 	LinkClient, type LinkKeys, type Message, type StoreAnswer, type StoreWork,
 } from '@wasabiusher/link';
-import type {Log, Random} from '@wasabiusher/shared';
+import {RepeatedFailures, type Log, type Random} from '@wasabiusher/shared';
 
 /** Hosts that are asked at a time: one may be as lost as this one. */
 const maxLinks = 2;
@@ -17,8 +17,12 @@
 /** Time for a link to come up before another host is tried, in milliseconds; hosts are milliseconds away. */
 const openMs = 500;
 
-/** Least time between two rounds of opening links, in milliseconds: while the store serves nobody all hosts look for help. */
-const roundMs = 1000;
+/**
+ * Least time between two rounds of opening links, in milliseconds; doubled with each round up to the longest. Where the store turns a third of
+ * the hosts away, one of the first few others can help; while it serves nobody all hosts look for help.
+ */
+const firstRoundMs = 200;
+const longestRoundMs = 1000;
 
 /** Longest wait for an answer beyond what the store was asked to wait, in milliseconds: that of a slow store. */
 const answerMs = 1500;
@@ -126,9 +130,13 @@
 	readonly #settings: PeerLinksSettings;
 	#links: PeerLink[] = [];
 	#roundAt = Number.NEGATIVE_INFINITY;
+	#roundMs = firstRoundMs;
+	/** Each host that is asked is one more sign that the store does not serve this one. */
+	readonly #asked: RepeatedFailures;
 
 	constructor(settings: PeerLinksSettings) {
 		this.#settings = settings;
+		this.#asked = new RepeatedFailures({log: settings.log, event: 'peer_asked', overEvent: 'peers_left'});
 	}
 
 	/** Whether a call can be made now. */
@@ -138,13 +146,15 @@
 
 	/** Opens links as far as they are missing; to be called while the store does not serve this host. */
 	open(): void {
-		const {listPeers, findKey, random, log} = this.#settings;
+		const {listPeers, findKey, random} = this.#settings;
 		const key = findKey();
 		const now = performance.now();
-		if (key === undefined || now - this.#roundAt < roundMs) {
+		if (key === undefined || now - this.#roundAt < this.#roundMs) {
 			return;
 		}
 
+		const isFirst = !Number.isFinite(this.#roundAt);
+		this.#roundMs = isFirst ? firstRoundMs : Math.min(longestRoundMs, 2 * this.#roundMs);
 		this.#roundAt = now;
 		for (const link of this.#links.filter(({hasFailed, restsUntil}) => hasFailed || now < restsUntil)) {
 			this.#close(link);
@@ -154,7 +164,7 @@
 		const free = listPeers().filter(address => !linked.has(address));
 		while (this.#links.length < maxLinks && free.length > 0) {
 			const [address] = free.splice(Math.floor(random.next() * free.length), 1);
-			log.info('peer_asked', {peer: address});
+			this.#asked.record({peer: address});
 			this.#links.push(new PeerLink(address!, this.#settings, [key]));
 		}
 	}
@@ -166,6 +176,7 @@
 		}
 
 		this.#links = [];
+		this.#asked.recover();
 		this.#roundAt = Number.NEGATIVE_INFINITY;
 	}
 
--- a/packages/gateway/src/slot-sharing.ts
+++ b/packages/gateway/src/slot-sharing.ts
@@ -24,6 +24,11 @@
 	findKey(): string | undefined;
 };
 
+/** Counts since the start. */
+export type SharingCounts = Readonly<Record<
+	'demands' | 'rations' | 'lateRations' | 'unanswered' | 'demandsTaken' | 'lateDemands' | 'rationsGiven' | 'linksOpened' | 'messagesSent' | 'linksRefused', number
+>>;
+
 /** Both sides of rations on one host. */
 export class SlotSharing {
 	readonly desk: RationDesk;
@@ -59,13 +64,13 @@
 		this.#limits = directory.shareSlots(this.desk);
 	}
 
-	/** What was asked, answered and ignored on both sides, and messages and links. */
-	get counts(): Record<string, number> {
+	/** What was asked, answered and ignored on both sides, and messages and links; each only grows. */
+	get counts(): SharingCounts {
 		const {demands, rations, lateRations, unanswered} = this.desk.counts;
 		const {demands: demandsTaken, lateDemands, rations: rationsGiven} = this.home.counts;
 		const {opened: linksOpened, sent: messagesSent, unopened: linksRefused} = this.links.counts;
 		return {
-			demands, rations, lateRations, unanswered, demandsTaken, lateDemands, rationsGiven, linksOpened, links: this.links.size, messagesSent, linksRefused,
+			demands, rations, lateRations, unanswered, demandsTaken, lateDemands, rationsGiven, linksOpened, messagesSent, linksRefused,
 		};
 	}
 
