--- a/packages/direct/__tests__/slot-limits.spec.ts
+++ b/packages/direct/__tests__/slot-limits.spec.ts
@@ -96,6 +96,27 @@
 		expect(source.told.get('i0')).to.deep.include({filled: 0});
 	});
 
+	it('wants another endpoint after a moment in vain, and moves a run without a ration', async () => {
+		const {directory} = share(2);
+		for (const id of ['i0', 'i1']) {
+			source.give(id, 0);
+			for (let i = 0; i < 30; i += 1) {
+				directory.recordPace(id, id === 'i0' ? 40 : 160);
+			}
+		}
+
+		directory.take(createNeed('a'));
+		expect(source.told.get('i0')?.wants).to.have.length(1);
+		for (let i = 0; i < 3; i += 1) {
+			directory.take({...createNeed(`b${i}`), excluded: new Set(['i1'])});
+		}
+
+		await clock.tickAsync(120);
+		directory.take({...createNeed('a'), excluded: new Set(['i0'])});
+		expect(source.told.get('i1')?.wants).to.have.length(1);
+		expect(directory.takeBetter('i1', createNeed('moving'), false)?.id).to.equal('i0');
+	});
+
 	it('tells nothing of an endpoint at which nothing waits and half of the slots are enough', () => {
 		const {directory} = share(1);
 		directory.take(createNeed('a'));
