--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -8,3 +8,4 @@
 } from './host-registry.js';
 export {KeptTexts} from './kept-texts.js';
 export {batchParts} from './parts.js';
+export * from './speed-rows.js';
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -7,9 +7,12 @@
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
 import type {RationSource} from '@wasabiusher/slots';
+import {EndpointClasses} from './endpoint-classes.js';
+import {chooseMove} from './endpoint-moves.js';
 import {EndpointStanding} from './endpoint-standing.js';
 import {LoadWindows} from './load-windows.js';
 import {SlotLimits, type SlotWaiter} from './slot-limits.js';
+import {ToldPaces} from './told-paces.js';
 
 /**
  * How long an endpoint whose registration has vanished is still asked if nothing else can be, in milliseconds.
@@ -48,6 +51,8 @@
 
 /** Registered endpoints and their standing. */
 export class EndpointDirectory {
+	/** Lasting speeds, also of endpoints that are gone. */
+	readonly classes = new EndpointClasses();
 	/** Which of them load weights. */
 	readonly loads: LoadWindows;
 	readonly #standings = new Map<string, EndpointStanding>();
@@ -55,6 +60,7 @@
 	readonly #policy: Policy;
 	readonly #lateness: Lateness;
 	readonly #listeners = new Set<() => void>();
+	readonly #paces = new ToldPaces(this.classes);
 	#limits: SlotLimits | undefined;
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
@@ -74,6 +80,7 @@
 		const standing = isSame ? known : this.#create(endpoint);
 		standing.endpoint = endpoint;
 		standing.vanishedAt = undefined;
+		this.classes.guess(standing);
 		for (const {model, version} of endpoint.models) {
 			standing.recordVersion(model, version);
 			this.loads.end({endpoint: endpoint.id, model, version});
@@ -217,20 +224,34 @@
 	 * models 150 times in half a minute by that.
 	 */
 	recordRunPace(id: string, unitMs: number): void {
-		this.#standings.get(id)?.recordRunPace(unitMs);
+		const standing = this.#standings.get(id);
+		standing?.recordRunPace(unitMs);
+		if (standing) {
+			this.classes.record(standing);
+		}
 	}
 
-	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most. */
+	/** The lasting speed of an endpoint as measured by any process, in milliseconds for a unit of work; undefined until known. */
+	findClassMs(id: string): number | undefined {
+		const standing = this.#standings.get(id);
+		return this.#policy.plansTexts ? standing?.speed.classMs : standing?.bestMs;
+	}
+
+	/** Guesses lasting speeds by `classes`, once others have told some. */
+	guessClasses(): void {
+		for (const standing of this.#standings.values()) {
+			this.classes.guess(standing);
+		}
+	}
+
+	/** Best paces of late that this process has measured, in milliseconds; of `most` endpoints at most, by turns. */
 	listOwnPaces(most: number): Record<string, number> {
-		const known = [...this.#standings].flatMap(([id, {ownBestMs}]) => ownBestMs === undefined ? [] : [[id, Math.round(ownBestMs * 10) / 10] as const]);
-		return Object.fromEntries(known.slice(0, most));
+		return this.#paces.list([...this.#standings.values()], most);
 	}
 
 	/** Learns what other processes have measured. */
 	learnPaces(paces: Readonly<Record<string, number>>): void {
-		for (const [id, unitMs] of Object.entries(paces)) {
-			this.#standings.get(id)?.learnPace(unitMs);
-		}
+		this.#paces.learn(paces, id => this.#standings.get(id));
 	}
 
 	/** The best pace of late of an endpoint as measured by any process, in milliseconds. */
@@ -261,6 +282,28 @@
 		return standing?.endpoint;
 	}
 
+	/**
+	 * Chooses an endpoint at which a text had better go on that its own would finish too late, and counts it as open there; undefined if it stays.
+	 *
+	 * @param madeHere - events that it has made at its present endpoint
+	 */
+	takeFaster(id: string, need: EndpointNeed & {units: number}, madeHere: number): RegisteredEndpoint | undefined {
+		const current = this.#standings.get(id);
+		if (!this.#policy.movesRuns || !current || this.#lateness.isLate) {
+			return undefined;
+		}
+
+		const {units: unitsLeft, dueInMs, warmKey, homes} = need;
+		const standing = chooseMove({
+			text: {madeHere, unitsLeft, dueInMs}, current, listOthers: () => this.#listFits({...need, waiter: undefined}).filter(({vanishedAt}) => vanishedAt === undefined), warmKey, homes, chance: this.#random.next(),
+		});
+		if (standing) {
+			this.#begin(standing, need);
+		}
+
+		return standing?.endpoint;
+	}
+
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
 		const isNew = this.#standings.get(id)?.recordVersion(model, version) ?? false;
@@ -290,7 +333,9 @@
 	}
 
 	#choose(standings: readonly EndpointStanding[], need: EndpointNeed): EndpointStanding | undefined {
-		const chosen = chooseDirect(standings.map(standing => standing.toCandidate(need.warmKey, need.homes)), this.#random.next());
+		const {units, dueInMs} = need;
+		const text = units === undefined || !this.#policy.plansTexts ? undefined : {units, dueInMs};
+		const chosen = chooseDirect(standings.map(standing => standing.toCandidate(need.warmKey, need.homes)), this.#random.next(), text);
 		return chosen && this.#standings.get(chosen.id);
 	}
 
--- a/packages/direct/src/slot-limits.ts
+++ b/packages/direct/src/slot-limits.ts
@@ -24,6 +24,9 @@
 /** Least time between two notes of one that waits, in milliseconds: all look at each change. */
 const askMs = 50;
 
+/** Time until one is due that does not tell, in milliseconds: after all that do. */
+const lastDueMs = 60_000;
+
 /** What endpoints need not have to be wanted. */
 const anyRoomNeed = {openLimit: undefined, waiter: undefined} as const;
 
@@ -106,7 +109,7 @@
 	 *
 	 * @param list - finds the endpoints that would serve it if they had room
 	 */
-	noteUnmet({waiter, dueInMs = 0, avoidsFull}: SlotNeed, list: (anyRoom: typeof anyRoomNeed) => EndpointStanding[]): void {
+	noteUnmet({waiter, dueInMs = lastDueMs, avoidsFull}: SlotNeed, list: (anyRoom: typeof anyRoomNeed) => EndpointStanding[]): void {
 		const now = performance.now();
 		const known = waiter && this.#wishes.get(waiter.id);
 		const isNoted = known !== undefined && now - known.seenAt < askMs;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,9 +3,11 @@
  */
 import type {Server} from 'node:http';
 import {
-	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts,
+	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts, SpeedRows,
 } from '@wasabiusher/batches';
-import {defaultPolicy, Lateness, type Policy} from '@wasabiusher/decisions';
+import {
+	defaultPolicy, Lateness, RetryBudget, type Policy,
+} from '@wasabiusher/decisions';
 import type {
 	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
@@ -102,6 +104,8 @@
 	readonly #settings: GatewaySettings;
 	readonly #policy: Policy;
 	readonly #lateness = new Lateness();
+	/** Second attempts of calls and scores, by service. */
+	readonly #hedges: RetryBudget | undefined;
 	readonly #directory: EndpointDirectory;
 	readonly #catalog: Catalog;
 	readonly #hosts: HostRegistry;
@@ -119,6 +123,7 @@
 	readonly #peerServer: PeerServer | undefined;
 	readonly #trueTime: TrueTime;
 	readonly #usage: Usage | undefined;
+	readonly #speedRows: SpeedRows | undefined;
 	#linkKey: string | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	/** When the next tick is due, on the monotonic clock. */
@@ -133,6 +138,7 @@
 			host, dataCentre, cores, client, format, random, log, leaseMs, policy = defaultPolicy,
 		} = settings;
 		this.#policy = policy;
+		this.#hedges = policy.plansTexts ? new RetryBudget() : undefined;
 		this.#gate = new StoreGate(settings.rows);
 		const findKey = () => this.#linkKey;
 		const rows = new RoutedStore({
@@ -186,7 +192,7 @@
 			},
 		});
 		this.batches = new Batches({
-			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts,
+			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts, hedges: this.#hedges,
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
@@ -195,6 +201,7 @@
 			isStoreOpen: () => !this.#gate.isLost || rows.isRelayed,
 		});
 		this.#usage = this.#createUsage();
+		this.#speedRows = policy.plansTexts ? new SpeedRows({rows, directory: this.#directory, log}) : undefined;
 		const chance = () => random.next();
 		this.#operatorFollower = new TableFollower({
 			store: rows.probing, table: format.operatorTable, parts: [''], log, waitMs: operatorWaitMs, apply: change => {
@@ -289,6 +296,7 @@
 		this.batches.start();
 		this.#lease.start();
 		this.#usage?.start();
+		this.#speedRows?.start();
 		this.#dueAt = performance.now() + ordersMs;
 		this.#timer = setInterval(() => {
 			this.#noteLateness();
@@ -351,6 +359,7 @@
 		this.#loadNews.stop();
 		this.#sharing?.close();
 		this.#usage?.stop();
+		this.#speedRows?.stop();
 		this.#hosts.stop();
 		this.batches.stop();
 		this.#rows.stop();
@@ -431,7 +440,7 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage,
+			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
 		};
 	}
 
