--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -11,6 +11,7 @@
 import {chooseMove} from './endpoint-moves.js';
 import {EndpointStanding} from './endpoint-standing.js';
 import {LoadWindows} from './load-windows.js';
+import {compareStarts} from './restart-watch.js';
 import {SlotLimits, type SlotWaiter} from './slot-limits.js';
 import {ToldPaces} from './told-paces.js';
 
@@ -60,6 +61,8 @@
 	readonly #policy: Policy;
 	readonly #lateness: Lateness;
 	readonly #listeners = new Set<() => void>();
+	/** By endpoint; called when it has started again. */
+	readonly #restartListeners = new Map<string, Set<() => void>>();
 	readonly #paces = new ToldPaces(this.classes);
 	#limits: SlotLimits | undefined;
 	/** By service. */
@@ -73,13 +76,16 @@
 		this.loads = new LoadWindows((id, model) => this.findVersion(id, model), policy.tellsLoads);
 	}
 
-	/** Takes over a registration. One that has accepted fewer orders than before has started again: nothing that was seen of it holds. */
+	/** Takes over a registration. Of one that has started again nothing that was seen holds, and what a former start wrote late is ignored. */
 	put(endpoint: RegisteredEndpoint): void {
 		const known = this.#standings.get(endpoint.id);
-		const isSame = known && endpoint.orderCount >= known.endpoint.orderCount;
-		const standing = isSame ? known : this.#create(endpoint);
-		standing.endpoint = endpoint;
-		standing.vanishedAt = undefined;
+		const relation = known ? compareStarts(endpoint, known.endpoint) : 'new';
+		if (relation === 'former') {
+			return;
+		}
+
+		const standing = known && relation === 'same' ? known : this.#create(endpoint, known);
+		standing.register(endpoint);
 		this.classes.guess(standing);
 		for (const {model, version} of endpoint.models) {
 			standing.recordVersion(model, version);
@@ -87,9 +93,27 @@
 		}
 
 		this.#standings.set(endpoint.id, standing);
+		if (known && known !== standing) {
+			for (const listener of this.#restartListeners.get(endpoint.id) ?? []) {
+				listener();
+			}
+		}
+
 		this.#notify();
 	}
 
+	/** Calls back when an endpoint has started again under its id; returns how to end that. */
+	onRestart(id: string, listener: () => void): () => void {
+		const listeners = this.#restartListeners.get(id) ?? new Set();
+		this.#restartListeners.set(id, listeners.add(listener));
+		return () => {
+			listeners.delete(listener);
+			if (listeners.size === 0 && this.#restartListeners.get(id) === listeners) {
+				this.#restartListeners.delete(id);
+			}
+		};
+	}
+
 	/** Notes that a registration is gone; the endpoint is a last resort for a moment. */
 	remove(id: string): void {
 		const standing = this.#standings.get(id);
@@ -344,9 +368,9 @@
 		this.#limits?.noteBegun(standing, waiter);
 	}
 
-	#create(endpoint: RegisteredEndpoint): EndpointStanding {
+	#create(endpoint: RegisteredEndpoint, former: EndpointStanding | undefined): EndpointStanding {
 		this.loads.forget(endpoint.id);
-		return new EndpointStanding(endpoint, this.#policy);
+		return new EndpointStanding(endpoint, this.#policy, former?.countEnds());
 	}
 
 	#forget(): void {
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -9,8 +9,10 @@
 import {
 	chooseService, isProvenNotRun, type CallOutcome, type CallerRequest, type CallSettings,
 } from './call.js';
+import {crasherReason, noteBrokenAttempt} from './crash-watch.js';
 import {resumeStream} from './resumed-stream.js';
 import {BegunRuns} from './run-meter.js';
+import {RestartWatch} from './restart-watch.js';
 import {SilenceWatch} from './silence-watch.js';
 
 /** The beginning of a streamed answer, or why there is none. */
@@ -34,6 +36,7 @@
 	readonly #runs: BegunRuns;
 	/** Where it runs at present. */
 	#endpoint: string | undefined;
+	#restart: RestartWatch | undefined;
 	#lastReason = 'no endpoint is registered';
 
 	/** @param signal - aborts when the caller has left */
@@ -47,6 +50,11 @@
 	}
 
 	async open(): Promise<StreamOutcome> {
+		const refusalMs = this.#settings.crashers?.findRefusalMs(this.#request);
+		if (refusalMs !== undefined) {
+			return {kind: 'not-run', reason: crasherReason, retryAfterMs: refusalMs};
+		}
+
 		const outcome = await this.#attemptAll(this.#request.resumeAfter);
 		if ('kind' in outcome) {
 			return outcome;
@@ -68,7 +76,7 @@
 
 	/** Goes on after an event; undefined if no endpoint can. */
 	async #reopen(after: number | undefined): Promise<ServingStream | undefined> {
-		if (this.#endpoint !== undefined) {
+		if (this.#endpoint !== undefined && !this.#restart?.hasRestarted) {
 			this.#settings.directory.recordFailure(this.#endpoint);
 		}
 
@@ -110,14 +118,17 @@
 		const {client, directory, log} = this.#settings;
 		const {id} = endpoint;
 		const stop = new AbortController();
+		const restart = new RestartWatch(directory, id);
+		this.#restart = restart;
 		const watch = this.#route.isResumable ? new SilenceWatch(stop, () => directory.findHeardAt(id)) : undefined;
 		try {
 			this.#runs.add(id);
-			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, stop.signal]));
+			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, stop.signal, restart.signal]));
 			directory.recordHead(id, stream);
 			if (!stream.isNotRun) {
 				this.#begun += 1;
-				return {endpoint, stream: watch ? {...stream, body: watchBody(stream.body, watch)} : stream};
+				const body = this.#tellEnd(id, stream.body, restart);
+				return {endpoint, stream: {...stream, body: watch ? watchBody(body, watch) : body}};
 			}
 
 			watch?.end();
@@ -133,7 +144,11 @@
 			}
 
 			log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
-			directory.recordFailure(id);
+			if (!restart.hasRestarted) {
+				directory.recordFailure(id);
+			}
+
+			this.#noteBroken(id, error, restart);
 			if (isProvenNotRun(error)) {
 				this.#runs.delete(id);
 				return undefined;
@@ -149,7 +164,29 @@
 		}
 	}
 
+	#noteBroken(endpoint: string, error: unknown, {hasRestarted}: RestartWatch): void {
+		noteBrokenAttempt(this.#settings.crashers, {
+			endpoint, request: this.#request, isNotRun: isProvenNotRun(error), hasRestarted,
+		});
+	}
+
+	/** Hands a body on and tells how it ended: only a whole one shows that the request crashes nothing. */
+	async * #tellEnd(id: string, body: AsyncIterable<Uint8Array>, restart: RestartWatch): AsyncIterable<Uint8Array> {
+		try {
+			yield * body;
+		} catch (error) {
+			if (!this.#signal.aborted) {
+				this.#noteBroken(id, error, restart);
+			}
+
+			throw error;
+		}
+
+		this.#settings.crashers?.noteFinished(this.#request);
+	}
+
 	#release(): void {
+		this.#restart?.end();
 		if (this.#endpoint !== undefined) {
 			this.#settings.directory.release(this.#endpoint);
 			this.#endpoint = undefined;
