Merge slots across hosts

Joins loads told to all hosts and rations (off by default) with the line of each host: one that waits in the line tells its id and urgency to the rations, and changes are told by service.

--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -6,10 +6,13 @@
 } from '@wasabiusher/decisions';
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
+import type {RationSource} from '@wasabiusher/slots';
 import {EndpointClasses} from './endpoint-classes.js';
 import {chooseMove} from './endpoint-moves.js';
 import {EndpointStanding} from './endpoint-standing.js';
+import {LoadWindows} from './load-windows.js';
 import {compareStarts} from './restart-watch.js';
+import {SlotLimits, type SlotWaiter} from './slot-limits.js';
 import {ToldPaces} from './told-paces.js';
 
 /**
@@ -47,12 +50,16 @@
 	units?: number;
 	/** Time until it should be done, in milliseconds; undefined if nobody waits for it. */
 	dueInMs?: number;
+	/** Who looks for a slot, where slots are shared among hosts; what can't wait has none and is sent at once. */
+	waiter?: SlotWaiter;
 };
 
 /** Registered endpoints and their standing. */
 export class EndpointDirectory {
 	/** Lasting speeds, also of endpoints that are gone. */
 	readonly classes = new EndpointClasses();
+	/** Which of them load weights. */
+	readonly loads: LoadWindows;
 	readonly #standings = new Map<string, EndpointStanding>();
 	readonly #random: Random;
 	readonly #policy: Policy;
@@ -61,6 +68,7 @@
 	/** By endpoint; called when it has started again. */
 	readonly #restartListeners = new Map<string, Set<() => void>>();
 	readonly #paces = new ToldPaces(this.classes);
+	#limits: SlotLimits | undefined;
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
@@ -69,6 +77,7 @@
 		this.#random = random;
 		this.#policy = policy;
 		this.#lateness = lateness;
+		this.loads = new LoadWindows((id, model) => this.findVersion(id, model), policy.tellsLoads);
 	}
 
 	/** Takes over a registration. Of one that has started again nothing that was seen holds, and what a former start wrote late is ignored. */
@@ -79,11 +88,12 @@
 			return;
 		}
 
-		const standing = known && relation === 'same' ? known : new EndpointStanding(endpoint, this.#policy, known?.countEnds());
+		const standing = known && relation === 'same' ? known : this.#create(endpoint, known);
 		standing.register(endpoint);
 		this.classes.guess(standing);
 		for (const {model, version} of endpoint.models) {
 			standing.recordVersion(model, version);
+			this.loads.end({endpoint: endpoint.id, model, version});
 		}
 
 		this.#standings.set(endpoint.id, standing);
@@ -165,22 +175,48 @@
 		this.#forget();
 		const fits = this.#listFits(need);
 		const chosen = this.#choose(fits.filter(({vanishedAt}) => vanishedAt === undefined), need) ?? this.#choose(fits.filter(({vanishedAt}) => vanishedAt !== undefined), need);
-		chosen?.begin(need.warmKey);
+		if (chosen) {
+			this.#begin(chosen, need);
+		} else {
+			this.#limits?.noteUnmet(need, anyRoom => this.#listFits({...need, ...anyRoom}));
+		}
+
 		return chosen?.endpoint;
 	}
 
+	/** Shares slots with other hosts by rations from now on. */
+	shareSlots(source: RationSource): SlotLimits {
+		const limits = new SlotLimits(source, id => this.#standings.get(id));
+		this.#limits = limits;
+		source.onChange(() => {
+			const services = new Set([...this.#standings.values()].map(({endpoint: {service}}) => service));
+			for (const service of services) {
+				this.#notifyOf(service);
+			}
+		});
+		return limits;
+	}
+
 	/** Ends what `take` has begun. */
 	release(id: string): void {
 		const standing = this.#standings.get(id);
 		if (standing) {
 			standing.end();
+			this.#limits?.note(standing);
 			this.#notify(standing);
 		}
 	}
 
-	/** Learns from the beginning of an answer. */
-	recordHead(id: string, head: ServingHead): void {
-		this.#standings.get(id)?.recordHead(head);
+	/**
+	 * Learns from the beginning of an answer.
+	 *
+	 * @param model - what was asked for; an endpoint that has room, refuses it and does not hold its newest version loads it
+	 */
+	recordHead(id: string, head: ServingHead, model?: string): void {
+		const standing = this.#standings.get(id);
+		standing?.recordHead(head);
+		this.#limits?.noteHead(standing, head);
+		this.loads.noteHead(id, head, model);
 	}
 
 	/** Notes that another server has the address, so this one is gone. */
@@ -266,11 +302,14 @@
 			return undefined;
 		}
 
-		const others = this.#listFits(need).filter(standing => standing !== current && standing.vanishedAt === undefined);
+		const others = this.#listFits({...need, waiter: undefined}).filter(standing => standing !== current && standing.vanishedAt === undefined);
 		const better = listBetter(current.toCandidate(undefined), others.map(standing => standing.toCandidate(need.warmKey, need.homes)), isLong);
 		const chosen = chooseDirect(better, this.#random.next());
 		const standing = chosen && this.#standings.get(chosen.id);
-		standing?.begin(need.warmKey);
+		if (standing) {
+			this.#begin(standing, need);
+		}
+
 		return standing?.endpoint;
 	}
 
@@ -287,16 +326,20 @@
 
 		const {units: unitsLeft, dueInMs, warmKey, homes} = need;
 		const standing = chooseMove({
-			text: {madeHere, unitsLeft, dueInMs}, current, listOthers: () => this.#listFits(need).filter(({vanishedAt}) => vanishedAt === undefined), warmKey, homes, chance: this.#random.next(),
+			text: {madeHere, unitsLeft, dueInMs}, current, listOthers: () => this.#listFits({...need, waiter: undefined}).filter(({vanishedAt}) => vanishedAt === undefined), warmKey, homes, chance: this.#random.next(),
 		});
-		standing?.begin(warmKey);
+		if (standing) {
+			this.#begin(standing, need);
+		}
+
 		return standing?.endpoint;
 	}
 
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
 		const standing = this.#standings.get(id);
-		if (standing?.recordVersion(model, version)) {
+		const isNew = standing?.recordVersion(model, version) ?? false;
+		if ((this.loads.end({endpoint: id, model, version}) || isNew) && standing) {
 			this.#notify(standing);
 		}
 	}
@@ -309,7 +352,10 @@
 	/** Endpoints that can be asked now. */
 	#listFits(need: EndpointNeed): EndpointStanding[] {
 		const slowMs = need.avoidsSlow ? this.#findSlowPace(need.service) : undefined;
-		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need) && !standing.isSlower(slowMs));
+		const model = need.least?.model ?? need.exact?.model;
+		const allows = (standing: EndpointStanding) => need.waiter === undefined || this.#limits === undefined || this.#limits.allows(standing);
+		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need) && !standing.isSlower(slowMs)
+			&& (model === undefined || !this.loads.covers(standing.endpoint.id, model)) && allows(standing));
 		const {homes} = need;
 		if (!homes) {
 			return fits;
@@ -330,16 +376,31 @@
 		return chosen && this.#standings.get(chosen.id);
 	}
 
+	#begin(standing: EndpointStanding, {warmKey, waiter}: EndpointNeed): void {
+		standing.begin(warmKey);
+		this.#limits?.noteBegun(standing, waiter);
+	}
+
+	#create(endpoint: RegisteredEndpoint, former: EndpointStanding | undefined): EndpointStanding {
+		this.loads.forget(endpoint.id);
+		return new EndpointStanding(endpoint, this.#policy, former?.countEnds());
+	}
+
 	#forget(): void {
 		const now = performance.now();
 		for (const [id, {vanishedAt}] of this.#standings) {
 			if (vanishedAt !== undefined && now - vanishedAt > vanishedMs) {
 				this.#standings.delete(id);
+				this.loads.forget(id);
 			}
 		}
 	}
 
 	#notify({endpoint: {service}}: EndpointStanding): void {
+		this.#notifyOf(service);
+	}
+
+	#notifyOf(service: string): void {
 		for (const listener of this.#listeners) {
 			listener(service);
 		}
--- a/packages/direct/src/load-schedule.ts
+++ b/packages/direct/src/load-schedule.ts
@@ -46,6 +46,11 @@
 		return this.#published.get(model)?.version;
 	}
 
+	/** Mean time that a load took of late, in milliseconds. */
+	get loadMs(): number {
+		return this.#loadMs;
+	}
+
 	/** Learns of a published version; an older one than known is ignored. */
 	publish(model: string, version: number): void {
 		const known = this.#published.get(model);
--- a/packages/direct/src/sample-search.ts
+++ b/packages/direct/src/sample-search.ts
@@ -101,6 +101,7 @@
 			openLimit,
 			avoidsFull,
 			homes: findHomes?.(),
+			waiter: {id: this.#sample.id, urgency: findUrgency(this.#sample, route)},
 		};
 	}
 
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -12,11 +12,12 @@
 	LoadMode, OrderOutcome, ServingClient, ServingReport,
 } from '@wasabiusher/backends';
 import {
-	describeError, groupBy, type Log, type RegisteredEndpoint,
+	describeError, groupBy, type HeldModel, type Log, type RegisteredEndpoint,
 } from '@wasabiusher/shared';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import {isOfStart} from './restart-watch.js';
 import {LoadSchedule} from './load-schedule.js';
+import type {WeightLoad} from './load-windows.js';
 
 /** The right to give orders; a `LeaseHolder` has this shape. */
 export type OrderRight = {readonly fence: number; holds(roomMs?: number): boolean};
@@ -33,6 +34,8 @@
 	policy?: Policy;
 	/** How runs under way are treated at a service. */
 	chooseMode(service: string): LoadMode;
+	/** Tells the other hosts that an endpoint begins to load, for how long it probably will, in milliseconds, or with 0 that it does not. */
+	tellLoad?(load: WeightLoad, forMs: number): void;
 	/** Whether the configuration names a service; others get no orders. All are by default. */
 	isServed?(service: string): boolean;
 	/** What the steps of each model ask for of late. */
@@ -74,6 +77,9 @@
  */
 const placesMs = 1000;
 
+/** How much longer than usual a load is waited for: those that begin together slow one another down. */
+const loadMargin = 1.25;
+
 /** Which models each endpoint of a service follows, and the number of endpoints and the versions that this was worked out from. */
 type Places = {placed: ReadonlyMap<string, readonly string[]>; basis: string; madeAt: number};
 
@@ -115,6 +121,7 @@
 	/** Learns of a published version; an older one than known is ignored. */
 	publish(model: string, version: number): void {
 		this.#schedule.publish(model, version);
+		this.#settings.directory.loads.notePublished(model, this.findPublished(model) ?? version);
 	}
 
 	/** The newest published version of a model. */
@@ -231,10 +238,16 @@
 		} else if (isOpen) {
 			// Neither under way nor done: the order was not taken.
 			this.#loading.delete(endpoint.id);
+			this.#tellLoad({endpoint: endpoint.id, model: transition.model, version: transition.version}, 0);
 			this.#notBefore.set(endpoint.id, performance.now() + retryMs);
 		}
 	}
 
+	#tellLoad(load: WeightLoad, forMs: number): void {
+		this.#settings.directory.loads.note(load, forMs);
+		this.#settings.tellLoad?.(load, forMs);
+	}
+
 	async #askReport(endpoint: RegisteredEndpoint): Promise<ServingReport | undefined> {
 		const {client, directory, log} = this.#settings;
 		try {
@@ -343,6 +356,7 @@
 			model, version, expectedOrders: report.orderCount, bornMs: endpoint.bornMs, startedAt, nextLookAt: startedAt + reportMs,
 		});
 		directory.pause(endpoint.id, holdBackMs);
+		this.#tellLoad({endpoint: endpoint.id, model, version}, this.#schedule.loadMs * loadMargin);
 		try {
 			const outcome = await client.order(endpoint, {
 				model, version, mode: chooseMode(endpoint.service), expectedOrders: report.orderCount, holder, fence,
@@ -350,7 +364,7 @@
 			log.info('weights_ordered', {
 				endpoint: endpoint.id, model, version, outcome, fence, expected: report.orderCount,
 			});
-			this.#noteOutcome(endpoint, outcome);
+			this.#noteOutcome(endpoint, {model, version}, outcome);
 		} catch (error) {
 			// It may be carried out late; the report tells, and a repeat on the same condition does no harm.
 			log.warn('order_unanswered', {
@@ -359,7 +373,7 @@
 		}
 	}
 
-	#noteOutcome({id}: RegisteredEndpoint, outcome: OrderOutcome): void {
+	#noteOutcome({id}: RegisteredEndpoint, wanted: HeldModel, outcome: OrderOutcome): void {
 		if (outcome === 'misdirected') {
 			// Its registration names a server that is not there, so it would be asked again and again.
 			this.#settings.directory.recordMisdirected(id);
@@ -367,6 +381,7 @@
 
 		if (outcome !== 'accepted') {
 			this.#loading.delete(id);
+			this.#tellLoad({endpoint: id, ...wanted}, 0);
 			this.#notBefore.set(id, performance.now() + (outcome === 'fenced' ? orderMs : retryMs));
 		}
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
 	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
 import {
-	DirectCall, EndpointDirectory, EndpointLine, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
+	DirectCall, EndpointDirectory, EndpointLine, LoadNews, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
 import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
@@ -30,6 +30,7 @@
 import {PeerLinks} from './peer-links.js';
 import {PeerServer} from './peer-server.js';
 import {RoutedStore} from './routed-store.js';
+import {SlotSharing} from './slot-sharing.js';
 import {StoreGate} from './store-gate.js';
 import {StoreReturn} from './store-return.js';
 
@@ -66,6 +67,9 @@
  */
 const gatherMs = 150;
 
+/** Part of the table of batches, which all hosts follow without a pause, in which the news of loads lie. */
+const loadPart = 'loads';
+
 /**
  * Time after which an order and a report of usage have arrived or were given up, in milliseconds: the longest wait of their clients for an answer. Where
  * nobody checks fences, they are sent only under a lease that lasts so long.
@@ -121,6 +125,8 @@
 	readonly #crashers: Crashers;
 	readonly #lease: LeaseHolder;
 	readonly #orders: WeightOrders;
+	readonly #loadNews: LoadNews;
+	readonly #sharing: SlotSharing | undefined;
 	readonly #followers: TableFollower[];
 	readonly #operatorFollower: TableFollower;
 	/** Without what these tell, work can't be taken. */
@@ -155,11 +161,16 @@
 			}),
 		});
 		this.#rows = rows;
-		this.#peerServer = settings.peers && new PeerServer(settings.peers.server, {
-			host, gate: this.#gate, log, findKey,
-		});
 		this.#trueTime = new TrueTime(() => this.#gate.steadyStoreMs);
 		this.#directory = new EndpointDirectory(random, policy, this.#lateness);
+		this.#sharing = policy.sharesSlots
+			? new SlotSharing({
+				host, directory: this.#directory, random, log, findKey, listHosts: () => this.#hosts.listLive(),
+			})
+			: undefined;
+		this.#peerServer = settings.peers && new PeerServer(settings.peers.server, {
+			host, gate: this.#gate, log, findKey, sharing: this.#sharing,
+		});
 		this.#crashers = new Crashers({
 			rows, table: hostTable, host, directory: this.#directory, log, readStoreMs: () => this.#gate.storeMs,
 		});
@@ -167,10 +178,20 @@
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
 		});
+		this.#loadNews = new LoadNews({
+			rows, table: batchTable, part: loadPart, writer: host, log, onLoad: (load, forMs) => {
+				this.#directory.loads.note(load, forMs);
+			},
+		});
 		this.#orders = new WeightOrders({
 			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
 			orderRoomMs: settings.checksFences === false ? orderRoomMs : 0,
 			findNeeds: () => this.batches.listNeeds(),
+			tellLoad: policy.tellsLoads
+				? (load, forMs) => {
+					this.#loadNews.tell(load, forMs);
+				}
+				: undefined,
 			isServed: service => this.#catalog.deployment?.services.some(({name}) => name === service) ?? false,
 			findWaiting: model => this.batches.countWaiting(model),
 			policy,
@@ -218,7 +239,11 @@
 			}),
 			new TableFollower({
 				store: rows.probing, table: batchTable, parts: batchParts, log, apply: change => {
-					this.batches.apply(change);
+					if (change.part === loadPart) {
+						this.#loadNews.apply(change);
+					} else {
+						this.batches.apply(change);
+					}
 				},
 			}),
 		];
@@ -288,7 +313,9 @@
 	/** What the parts have counted since the start. */
 	get counts(): PartCounts {
 		const answers = this.#line?.counts.map(({kind, answer, count}): [string, number] => [`line-${kind}-${answer}`, count]) ?? [];
-		return {...this.batches.counts, ...Object.fromEntries(answers)};
+		return {
+			...this.batches.counts, ...this.#loadNews.counts, ...this.#directory.loads.counts, ...this.#sharing?.counts, ...Object.fromEntries(answers),
+		};
 	}
 
 	start(): void {
@@ -306,8 +333,10 @@
 		this.#timer = setInterval(() => {
 			this.#noteLateness();
 			this.#orders.tick();
+			this.#sharing?.tick();
 		}, ordersMs);
 		this.#sweepTimer = setInterval(() => {
+			this.#logSharing();
 			// The holder of the lease does it for all; two at once do no harm.
 			if (this.#lease.holds()) {
 				void this.#crashers.sweep();
@@ -360,6 +389,8 @@
 		clearInterval(this.#timer);
 		clearInterval(this.#sweepTimer);
 		this.#lease.stop();
+		this.#loadNews.stop();
+		this.#sharing?.close();
 		this.#usage?.stop();
 		this.#speedRows?.stop();
 		this.#hosts.stop();
@@ -384,6 +415,13 @@
 		return isConfirmed ? decide() : {kind: 'unsure'};
 	}
 
+	#logSharing(): void {
+		const counts = this.#sharing?.counts;
+		if (counts && counts.demands + counts.demandsTaken > 0) {
+			this.#settings.log.info('slots_shared', counts);
+		}
+	}
+
 	#noteLateness(): void {
 		const now = performance.now();
 		this.#lateness.record(now - this.#dueAt);
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -4,3 +4,7 @@
 export * from './host-line.js';
 export * from './return-turns.js';
 export * from './wait-order.js';
+export * from './divide-slots.js';
+export * from './home-choice.js';
+export * from './ration-desk.js';
+export * from './ration-home.js';
