--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -54,6 +54,7 @@
 	readonly #lateness: Lateness;
 	readonly #listeners = new Set<() => void>();
 	readonly #paces = new ToldPaces(this.classes);
+	#moves = 0;
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
@@ -260,10 +261,16 @@
 		const standing = chooseMove({
 			text: {madeHere, unitsLeft, dueInMs}, current, listOthers: () => this.#listFits(need).filter(({vanishedAt}) => vanishedAt === undefined), warmKey, homes, chance: this.#random.next(),
 		});
+		this.#moves += Number(standing !== undefined);
 		standing?.begin(warmKey);
 		return standing?.endpoint;
 	}
 
+	/** Texts that have left an endpoint for a faster one since the start. */
+	get counts(): {movedTexts: number} {
+		return {movedTexts: this.#moves};
+	}
+
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
 		if (this.#standings.get(id)?.recordVersion(model, version)) {
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -107,7 +107,7 @@
 
 	/** Time for a unit of work of late, in milliseconds; undefined until measured. */
 	get paceMs(): number | undefined {
-		return this.#pace.unitMs;
+		return this.#model.recentMs;
 	}
 
 	/** Learns of a version; returns whether it is newer than what was known. */
@@ -240,7 +240,7 @@
 	}
 
 	/** Time for a unit of work that counts in a choice, in milliseconds. */
-	get #paceMs(): number | undefined {
+	get #expectedMs(): number | undefined {
 		return this.#policy.plansTexts ? this.#model.expectedMs : this.#model.recentMs;
 	}
 
@@ -254,7 +254,7 @@
 			slots,
 			open: this.#open,
 			others: this.others,
-			paceMs: weighsPaces ? this.#paceMs : undefined,
+			paceMs: weighsPaces ? this.#expectedMs : undefined,
 			moment: weighsPaces && plansTexts ? this.#model.moment : 1,
 			isWarm: prefersWarm && warmKey !== undefined && this.#warmKeys.has(warmKey),
 			isHome: homes?.has(id) ?? false,
