--- a/packages/direct/__tests__/sample-run.spec.ts
+++ b/packages/direct/__tests__/sample-run.spec.ts
@@ -131,6 +131,26 @@
 		expect(bench.endpoints.flatMap(({id}) => bench.directory.findBestPace(id) ?? [])).to.deep.equal([40]);
 	});
 
+	it('goes on at a faster endpoint only where it would be late otherwise, and begins there if it can', async () => {
+		const play = async (events: number, pauseMs: number) => {
+			bench = createBench(2);
+			bench.directory.learnPaces({i0: 56, i1: 26});
+			for (const [i, {switches}] of bench.endpoints.entries()) {
+				switches.eventMs = i === 0 ? 56 : 26;
+				switches.events = events;
+			}
+
+			bench.directory.pause('i1', pauseMs);
+			const outcome = await run({dueAt: performance.now() + 3750, expectLeft: made => events - made}, 9000);
+			expect(readEvents(outcome)).to.have.length(events);
+			return bench.endpoints.map(({runs}) => runs.map(({resumeAfter}) => resumeAfter));
+		};
+
+		expect(await play(40, 1000)).to.deep.equal([[undefined], []]);
+		expect(await play(120, 1000)).to.deep.equal([[undefined], [18]]);
+		expect(await play(120, 0)).to.deep.equal([[], [undefined]]);
+	});
+
 	it('names every version when the weights change in the middle of a text', async () => {
 		for (const endpoint of bench.endpoints) {
 			endpoint.switches.eventMs = 100;
