--- a/packages/decisions/__tests__/uneven-endpoints.spec.ts
+++ b/packages/decisions/__tests__/uneven-endpoints.spec.ts
@@ -69,7 +69,7 @@
 		const move = (text: Text) => {
 			const movable = {madeHere: text.madeHere, unitsLeft: lengths.expectLeft('t', text.hint, text.made)!, dueInMs: dueMs - ms};
 			const here = models[text.at]!.speed;
-			const better = isPlanned && isAtRisk(movable, here) ? list().filter(({open, paceMs}) => open < slots && gainsBy(movable, here, paceMs)) : [];
+			const better = isPlanned && isAtRisk(movable, here) ? list().filter(({id, open}) => open < slots && gainsBy(movable, here, models[Number(id)]!.speed)) : [];
 			const chosen = chooseDirect(better, random.next());
 			if (chosen) {
 				text.at = Number(chosen.id);
@@ -128,7 +128,8 @@
 
 	it('stays at an endpoint that is merely full, where an idle one is of the same class', () => {
 		const text = {madeHere: 20, unitsLeft: 100, dueInMs: 2000};
-		expect([2, 2.5].map(spell => gainsBy(text, {classMs: 56, spell, moment: 1}, 56))).to.deep.equal([false, true]);
+		expect(gainsBy(text, {classMs: 56, spell: 1, moment: 1}, {classMs: 26, spell: 2, moment: 1})).to.equal(true);
+		expect([2, 2.5].map(spell => gainsBy(text, {classMs: 56, spell, moment: 1}, {classMs: 56, spell: 1, moment: 1}))).to.deep.equal([false, true]);
 	});
 });
 
--- a/packages/decisions/src/text-moves.ts
+++ b/packages/decisions/src/text-moves.ts
@@ -51,8 +51,9 @@
 	return finishMs >= leastGainMs && finishMs > (dueInMs ?? 0);
 }
 
-/** Whether a text at risk gains enough by an endpoint that takes so long for a unit. */
-export function gainsBy({unitsLeft}: MovableText, here: EndpointSpeed, thereMs: number | undefined): boolean {
+/** Whether a text at risk gains enough by going on elsewhere. */
+export function gainsBy({unitsLeft}: MovableText, here: EndpointSpeed, there: EndpointSpeed): boolean {
 	const hereMs = expectUnitMs(here);
+	const thereMs = expectUnitMs(there);
 	return hereMs !== undefined && thereMs !== undefined && thereMs * leastFactor < hereMs && (unitsLeft * (hereMs - thereMs)) - moveMs >= leastGainMs;
 }
--- a/packages/direct/src/endpoint-moves.ts
+++ b/packages/direct/src/endpoint-moves.ts
@@ -29,7 +29,7 @@
 	const better = new Map(listOthers().flatMap(standing => {
 		const candidate = standing.toCandidate(warmKey, homes);
 		const hasRoom = standing !== current && candidate.open + candidate.others < candidate.slots;
-		return hasRoom && gainsBy(text, speed, candidate.paceMs) ? [[candidate, standing] as const] : [];
+		return hasRoom && gainsBy(text, speed, standing.speed) ? [[candidate, standing] as const] : [];
 	}));
 	const chosen = chooseDirect([...better.keys()], chance);
 	return chosen && better.get(chosen);
