--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -20,6 +20,9 @@
 	Sample, SampleResult, StoredBatch, Submission,
 } from './batch.js';
 import type {BatchStore, PartialTexts} from './batch-store.js';
+import type {CheckpointBudget} from './checkpoint-budget.js';
+import {Checkpoints} from './checkpoints.js';
+import type {CommitDesk} from './commit-desk.js';
 import {nameForCustomer} from './customers.js';
 import type {GroupedText} from './kept-texts.js';
 import {Renewals} from './renewals.js';
@@ -35,12 +38,6 @@
 /** Samples begun at once when no endpoint is registered, so that the first one is not waited for. */
 const leastConcurrency = 8;
 
-/** Time between writes of unfinished texts, in milliseconds; so much work is lost with an owner. */
-const checkpointMs = 700;
-
-/** Events that a text must have grown by to be written again; fewer are made anew in a quarter of a second. */
-const checkpointEvents = 6;
-
 /** Time between looks for texts that should be begun a second time, in milliseconds; a text grows by seven events in it. */
 const renewalMs = 250;
 
@@ -49,6 +46,10 @@
 
 export type ShareOwnerSettings = ScoringSettings & {
 	store: BatchStore;
+	/** Where the process's results go to the store; undefined if each list writes as it comes. */
+	desk?: CommitDesk;
+	/** What the process may write of unfinished texts. */
+	checkpointBudget: CheckpointBudget;
 	/** What is known of the lengths of texts. */
 	lengths: TextLengths;
 	/** The newest published version of a model. */
@@ -99,11 +100,10 @@
 	readonly #results: ResultList;
 	readonly #texts: ShareTexts;
 	#isRetired = false;
-	readonly #checkpointed = new Map<string, number>();
 	readonly #stop = createStop();
 	readonly #renewals: Renewals;
 	readonly #queue: PQueue;
-	#checkpointTimer: NodeJS.Timeout | undefined;
+	readonly #checkpoints: Checkpoints;
 	#renewalTimer: NodeJS.Timeout | undefined;
 	/** Version from which on second texts are begun: each earlier batch that is still open brings one more before this one ends. */
 	#renewFrom: number | undefined;
@@ -127,7 +127,9 @@
 			batch: stored.record.id,
 			share,
 			isShared: shares.length > 1,
-			samples: this.#ids,
+			samples: this.samples,
+			desk: settings.desk,
+			findPriority: () => this.#findRoute()?.priority ?? 0,
 			findVersion: () => this.#stored.version,
 			signal: this.#stop.signal,
 			onConflict: settings.onConflict,
@@ -136,6 +138,16 @@
 				this.#renewals.stop();
 			},
 		}, this.#selectOwn(results));
+		this.#checkpoints = new Checkpoints({
+			store,
+			log,
+			batch: stored.record.id,
+			budget: settings.checkpointBudget,
+			findVersion: () => this.#stored.version,
+			listPartials: () => this.partials,
+			countLacking: sample => this.#results.countLacking(sample),
+			onConflict: settings.onConflict,
+		});
 	}
 
 	get id(): string {
@@ -196,9 +208,10 @@
 			void this.#queue.add(async () => this.#make(open.get(id)!));
 		}
 
-		this.#checkpointTimer = setInterval(() => {
-			void this.#checkpoint();
-		}, checkpointMs);
+		if (this.#policy.keepsCheckpoints) {
+			this.#checkpoints.start();
+		}
+
 		this.#renewalTimer = setInterval(() => {
 			this.#renew();
 		}, renewalMs);
@@ -213,6 +226,7 @@
 	/** Stops all runs; nothing is written after that. */
 	stop(): void {
 		this.#stop.abort();
+		this.#results.close();
 		this.#renewals.stop();
 		this.#clearTimers();
 		this.#results.notify();
@@ -330,7 +344,7 @@
 	}
 
 	#clearTimers(): void {
-		clearInterval(this.#checkpointTimer);
+		this.#checkpoints.stop();
 		clearInterval(this.#renewalTimer);
 	}
 
@@ -437,23 +451,6 @@
 			},
 		}, signal, text);
 	}
-
-	/** Keeps texts that have grown, so that a next owner goes on from there. */
-	async #checkpoint(): Promise<void> {
-		const grown = new Map([...this.partials].filter(([id, {events}]) => events.length >= (this.#checkpointed.get(id) ?? 0) + checkpointEvents));
-		if (!this.#policy.keepsCheckpoints || grown.size === 0 || this.#stop.signal.aborted) {
-			return;
-		}
-
-		try {
-			await this.#settings.store.keepPartials(this.id, this.#stored.version, grown);
-			for (const [id, {events}] of grown) {
-				this.#checkpointed.set(id, events.length);
-			}
-		} catch (error) {
-			this.#settings.log.info('checkpoint_failed', {batch: this.id, texts: grown.size, reason: describeError(error)});
-		}
-	}
 }
 
 /** Each sample of a batch listens for its end. */
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -105,11 +105,6 @@
 		return this.#versions;
 	}
 
-	/** Time for a unit of work of late, in milliseconds; undefined until measured. */
-	get paceMs(): number | undefined {
-		return this.#model.recentMs;
-	}
-
 	/** Learns of a version; returns whether it is newer than what was known. */
 	recordVersion(model: string, version: number): boolean {
 		if (version <= (this.#versions.get(model) ?? 0)) {
@@ -240,7 +235,7 @@
 	}
 
 	/** Time for a unit of work that counts in a choice, in milliseconds. */
-	get #expectedMs(): number | undefined {
+	get paceMs(): number | undefined {
 		return this.#policy.plansTexts ? this.#model.expectedMs : this.#model.recentMs;
 	}
 
@@ -254,7 +249,7 @@
 			slots,
 			open: this.#open,
 			others: this.others,
-			paceMs: weighsPaces ? this.#expectedMs : undefined,
+			paceMs: weighsPaces ? this.paceMs : undefined,
 			moment: weighsPaces && plansTexts ? this.#model.moment : 1,
 			isWarm: prefersWarm && warmKey !== undefined && this.#warmKeys.has(warmKey),
 			isHome: homes?.has(id) ?? false,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import {PeerServer} from './peer-server.js';
 import {RoutedStore} from './routed-store.js';
 import {StoreGate} from './store-gate.js';
+import {StoreReturn} from './store-return.js';
 
 /** How often what nobody reads any more is removed, in milliseconds. */
 const sweepMs = 10_000;
@@ -112,6 +113,7 @@
 	readonly #neededFollowers: TableFollower[];
 	readonly #gate: StoreGate;
 	readonly #rows: RoutedStore;
+	readonly #storeReturn: StoreReturn;
 	readonly #peerServer: PeerServer | undefined;
 	readonly #trueTime: TrueTime;
 	readonly #usage: Usage | undefined;
@@ -134,7 +136,7 @@
 		this.#gate = new StoreGate(settings.rows);
 		const findKey = () => this.#linkKey;
 		const rows = new RoutedStore({
-			gate: this.#gate, log, isRelaying: policy.relaysStoreCalls, peers: new PeerLinks({
+			gate: this.#gate, log, isRelaying: policy.relaysStoreCalls, countHosts: () => this.#hosts.count, peers: new PeerLinks({
 				host, random, log, findKey, listPeers: () => this.#hosts.listPeers(),
 			}),
 		});
@@ -175,6 +177,7 @@
 			findDeployment: () => this.#catalog.deployment,
 			findPublished: model => this.#orders.findPublished(model),
 			readStoreMs: () => this.#gate.storeMs,
+			isStoreOpen: () => !this.#gate.isLost || rows.isRelayed,
 		});
 		this.#usage = this.#createUsage();
 		this.#speedRows = policy.plansTexts ? new SpeedRows({rows, directory: this.#directory, log}) : undefined;
@@ -209,6 +212,16 @@
 				},
 			}),
 		];
+		this.#storeReturn = new StoreReturn({
+			followers: this.#followers, chance, countHosts: () => this.#hosts.count,
+			beat: async () => this.#hosts.beat(),
+			release: () => {
+				this.batches.releaseCommits();
+			},
+		});
+		this.#gate.watchRegained(() => {
+			this.#storeReturn.begin();
+		});
 	}
 
 	/** Whether new work should come here. The heartbeats of others need not be known: a part of the store may be down at a start. */
@@ -243,7 +256,7 @@
 
 	/** What the parts have counted since the start. */
 	get counts(): PartCounts {
-		return {};
+		return {...this.batches.counts};
 	}
 
 	start(): void {
@@ -319,6 +332,7 @@
 		this.#hosts.stop();
 		this.batches.stop();
 		this.#rows.stop();
+		this.#storeReturn.stop();
 		this.#peerServer?.close();
 		this.#isStopped = true;
 		for (const follower of this.#followers) {
