--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -11,7 +11,7 @@
 	chooseRenewals, defaultPolicy, type Policy, type TextLengths,
 } from '@wasabiusher/decisions';
 import {
-	SampleRun, type SampleOutcome, type SampleRequest, type SampleText,
+	SampleRun, type CallPlace, type SampleOutcome, type SampleRequest, type SampleText,
 } from '@wasabiusher/direct';
 import {
 	applyCustomer, describeError, findRoute, type Route,
@@ -30,6 +30,7 @@
 import type {PositionedResult} from './result-rows.js';
 import {toText, type UsableText} from './sample-texts.js';
 import {scoreSample, type ScoringSettings} from './scoring.js';
+import {SharePlaces} from './share-places.js';
 import {ShareTexts, type LeftTexts} from './share-texts.js';
 import {
 	listGroups, listShareSamples, nameShare, sampleOrders, toOrdered,
@@ -103,6 +104,7 @@
 	readonly #stop = createStop();
 	readonly #renewals: Renewals;
 	readonly #queue: PQueue;
+	readonly #places: SharePlaces;
 	readonly #checkpoints: Checkpoints;
 	#renewalTimer: NodeJS.Timeout | undefined;
 	/** Version from which on second texts are begun: each earlier batch that is still open brings one more before this one ends. */
@@ -118,7 +120,10 @@
 		this.#stored = stored;
 		this.#submission = submission;
 		this.#texts = new ShareTexts(left);
-		this.#queue = new PQueue({concurrency: this.#countSlots()});
+		// In the line of the host all may wait; without it the queue bounds how many look for endpoints.
+		this.#queue = new PQueue({concurrency: settings.line ? Number.POSITIVE_INFINITY : this.#countSlots()});
+		const {dueMs, timeoutMs = 0} = this.#findRoute() ?? {};
+		this.#places = new SharePlaces(stored.record.series, this.#acceptedAt + (dueMs ?? timeoutMs), this.#planOrder());
 		this.#renewals = new Renewals((sample, leastVersion, signal) => this.#createRun(this.#getSample(sample), {leastVersion, signal, avoidsFull: true}));
 		const {store, log} = settings;
 		this.#results = new ResultList({
@@ -201,9 +206,7 @@
 	start(): void {
 		const {samples, wantedGroups, step, model} = this.#submission;
 		const open = new Map(this.samples.filter(({id}) => !this.#results.has(id)).map(sample => [sample.id, sample]));
-		// What the trainer need not wait for is told by the batch as a whole.
-		const planned = sampleOrders[this.#policy.sampleOrder](toOrdered(samples, id => this.#texts.isCarried(id)), wantedGroups);
-		const order = planned.filter(id => open.has(id));
+		const order = this.#planOrder().filter(id => open.has(id));
 		for (const id of order) {
 			void this.#queue.add(async () => this.#make(open.get(id)!));
 		}
@@ -242,7 +245,7 @@
 		const wholeAt = performance.now();
 		this.#texts.whole.set(sample.id, text);
 		this.#settings.lengths.record(this.#nameLengths(sample), sample.expectedTokens, text.events.length);
-		const score = sample.score ? await scoreSample(this.#settings, sample, this.#stop.signal) : undefined;
+		const score = sample.score ? await scoreSample(this.#settings, sample, this.#stop.signal, route => this.#findScorePlace(sample, route)) : undefined;
 		if (this.#stop.signal.aborted) {
 			return;
 		}
@@ -314,7 +317,7 @@
 
 		this.#renewFrom ??= published + this.#settings.countEarlierOpen();
 		// While samples wait to begin no slot is free, and where all groups are waited for none is handed in again.
-		if (published < this.#renewFrom || this.#queue.size > 0 || groups.size <= wantedGroups) {
+		if (published < this.#renewFrom || this.#hasWaiting || groups.size <= wantedGroups) {
 			return;
 		}
 
@@ -343,6 +346,23 @@
 		}
 	}
 
+	/** What the trainer need not wait for is told by the batch as a whole. */
+	#planOrder(): string[] {
+		const {samples, wantedGroups} = this.#submission;
+		return sampleOrders[this.#policy.sampleOrder](toOrdered(samples, id => this.#texts.isCarried(id)), wantedGroups).filter(id => this.#ids.has(id));
+	}
+
+	#findScorePlace({group, id}: Sample, route: Route): CallPlace {
+		const missing = this.samples.filter(other => (group === undefined ? other.id === id : other.group === group) && !this.#results.has(other.id)).length;
+		const done = this.samples.filter(other => this.#results.has(other.id) || this.#texts.whole.has(other.id)).length;
+		return this.#places.findScore(this.#findRoute(), route, missing, done / this.samples.length);
+	}
+
+	/** Whether samples wait to begin. */
+	get #hasWaiting(): boolean {
+		return this.#queue.size > 0 || [...this.#texts.runs.values()].some(({isWaiting}) => isWaiting);
+	}
+
 	#clearTimers(): void {
 		this.#checkpoints.stop();
 		clearInterval(this.#renewalTimer);
@@ -432,10 +452,10 @@
 	#createRun(sample: Sample, {
 		leastVersion, signal, text, avoidsFull,
 	}: RunPlan): SampleRun {
-		const {directory, client, log, random, findHomes} = this.#settings;
+		const {directory, client, log, random, findHomes, line} = this.#settings;
 		const {host, model, customer} = this.#submission;
 		return new SampleRun({
-			directory, client, log, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findHomes,
+			directory, client, log, line, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findHomes,
 		}, {
 			id: sample.id,
 			batch: this.id,
@@ -445,6 +465,7 @@
 			group: sample.group,
 			deadlineAt: this.#findDeadline(),
 			avoidsFull,
+			place: this.#places.findText(sample.id),
 			...this.#expectText(sample, avoidsFull ?? false),
 			request: {
 				method: 'POST', path: sample.path, host, headers: sample.headers, body: Buffer.from(sample.body, 'base64'), customer,
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -8,13 +8,19 @@
 import {
 	describeError, type Log, type Random, type RegisteredEndpoint, type Route,
 } from '@wasabiusher/shared';
+import {crasherReason, noteBrokenAttempt, type CrashWatch} from './crash-watch.js';
+import {CallTurn, type CallPlace} from './call-turn.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
+import type {EndpointLine} from './endpoint-line.js';
 import {BegunRuns, type RunMeter} from './run-meter.js';
+import {RestartWatch} from './restart-watch.js';
 
 /** A request as a caller has sent it. */
 export type CallerRequest = Omit<ServingRequest, 'remainingMs'> & {
 	/** When the caller stops waiting, on the monotonic clock. */
 	deadlineAt: number;
+	/** How it waits at the host; as its route says if undefined. */
+	place?: CallPlace;
 };
 
 /**
@@ -39,6 +45,10 @@
 	policy?: Policy;
 	/** Counts what begins to run; undefined if nobody wants to know. */
 	meter?: RunMeter;
+	/** Knows the requests that crash endpoints; undefined if nobody does. */
+	crashers?: CrashWatch;
+	/** Where it waits for a slot; undefined if it is sent at once. */
+	line?: EndpointLine;
 	/** Second attempts beside a slow first one, by service; undefined for no bound. */
 	hedges?: RetryBudget;
 };
@@ -83,6 +93,10 @@
 	#failure: {answer: ServingAnswer; endpoint: string} | undefined;
 	#failureCount = 0;
 	#lastReason = 'no endpoint is registered';
+	readonly #turn: CallTurn;
+	#hasWaited = false;
+	/** Why it was not let in; undefined if it was. */
+	#refusal: {reason: string; retryAfterMs: number} | undefined;
 
 	/** @param signal - aborts when the caller has left */
 	constructor(settings: CallSettings, route: Route, request: CallerRequest, signal: AbortSignal) {
@@ -92,10 +106,16 @@
 		this.#signal = signal;
 		this.#service = chooseService(route, settings.random.next());
 		this.#mayHaveRun = new BegunRuns(request.customer, settings.meter);
+		this.#turn = new CallTurn(settings, route, request, this.#service);
 	}
 
 	/** Calls until an answer has come, the time is up or nothing more may be tried. */
 	async run(): Promise<CallOutcome> {
+		const refusalMs = this.#settings.crashers?.findRefusalMs(this.#request);
+		if (refusalMs !== undefined) {
+			return {kind: 'not-run', reason: crasherReason, retryAfterMs: refusalMs};
+		}
+
 		const deadline = new AbortController();
 		const timer = setTimeout(() => {
 			deadline.abort();
@@ -135,7 +155,9 @@
 			}
 
 			const shouldStart = pending.size === 0 || performance.now() >= hedgeAt;
-			const endpoint = shouldStart && this.#mayStart(pending.size) ? this.#take() : undefined;
+			// Only the first attempt waits, while nothing else is under way.
+			// eslint-disable-next-line no-await-in-loop
+			const endpoint = shouldStart && this.#mayStart(pending.size) ? await this.#take(signal) : undefined;
 			if (endpoint) {
 				const attempt = this.#attempt(endpoint, signal);
 				pending.add(attempt);
@@ -147,7 +169,7 @@
 				hedgeAt = Number.POSITIVE_INFINITY;
 			}
 
-			if (pending.size === 0) {
+			if (pending.size === 0 && !signal.aborted) {
 				return this.#conclude();
 			}
 
@@ -183,7 +205,7 @@
 
 		return this.#mayHaveRun.size > 0
 			? {kind: 'unknown', reason: this.#lastReason}
-			: {kind: 'not-run', reason: this.#lastReason, retryAfterMs: this.#settings.directory.planReturn(this.#service)};
+			: {...(this.#refusal ?? {reason: this.#lastReason, retryAfterMs: this.#settings.directory.planReturn(this.#service)}), kind: 'not-run'};
 	}
 
 	/** Learns from an attempt; returns what to tell the caller if it is final. */
@@ -202,18 +224,26 @@
 		return undefined;
 	}
 
-	#take(): RegisteredEndpoint | undefined {
-		return this.#settings.directory.take({service: this.#service, excluded: this.#excluded});
+	async #take(signal: AbortSignal): Promise<RegisteredEndpoint | undefined> {
+		if (this.#hasWaited) {
+			return this.#turn.take(this.#excluded);
+		}
+
+		this.#hasWaited = true;
+		const answer = await this.#turn.wait(signal);
+		this.#refusal = answer.kind === 'refused' ? answer : undefined;
+		return answer.kind === 'granted' ? answer.endpoint : undefined;
 	}
 
 	async #attempt(endpoint: RegisteredEndpoint, signal: AbortSignal): Promise<AttemptOutcome> {
 		const {client, directory} = this.#settings;
 		const {id} = endpoint;
 		const startedAt = performance.now();
+		const restart = new RestartWatch(directory, id);
 		this.#excluded.add(id);
 		this.#mayHaveRun.add(id);
 		try {
-			const answer = await client.call(endpoint, this.#toServing(), signal);
+			const answer = await client.call(endpoint, this.#toServing(), AbortSignal.any([signal, restart.signal]));
 			directory.recordHead(id, answer);
 			if (answer.isNotRun) {
 				this.#mayHaveRun.delete(id);
@@ -225,15 +255,18 @@
 			}
 
 			directory.recordPace(id, performance.now() - startedAt);
+			this.#settings.crashers?.noteFinished(this.#request);
+			this.#turn.recordWork(performance.now() - startedAt);
 			return {kind: 'answered', answer, endpoint: id};
 		} catch (error) {
-			return this.#noteError(id, error, signal);
+			return this.#noteError(id, error, signal, restart);
 		} finally {
+			restart.end();
 			directory.release(id);
 		}
 	}
 
-	#noteError(id: string, error: unknown, signal: AbortSignal): AttemptOutcome {
+	#noteError(id: string, error: unknown, signal: AbortSignal, {hasRestarted}: RestartWatch): AttemptOutcome {
 		const {directory, log} = this.#settings;
 		const reason = `${id}: ${describeError(error)}`;
 		this.#lastReason = reason;
@@ -243,7 +276,13 @@
 		}
 
 		log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
-		directory.recordFailure(id);
+		if (!hasRestarted) {
+			directory.recordFailure(id);
+		}
+
+		noteBrokenAttempt(this.#settings.crashers, {
+			endpoint: id, request: this.#request, isNotRun: isProvenNotRun(error), hasRestarted,
+		});
 		if (isProvenNotRun(error)) {
 			this.#mayHaveRun.delete(id);
 			return {kind: 'not-run', endpoint: id, reason};
@@ -253,7 +292,7 @@
 	}
 
 	#toServing(): ServingRequest {
-		const {deadlineAt, ...request} = this.#request;
+		const {deadlineAt, place, ...request} = this.#request;
 		return {...request, remainingMs: Math.max(1, Math.round(deadlineAt - performance.now()))};
 	}
 }
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -2,13 +2,14 @@
  * The endpoints that are registered, with what this process has seen of each.
  */
 import {
-	chooseDirect, defaultPolicy, Lateness, listBetter, ReturnPlan, type Policy,
+	chooseDirect, defaultPolicy, findSlowPace, Lateness, listBetter, ReturnPlan, type Policy,
 } from '@wasabiusher/decisions';
 import type {ServingHead} from '@wasabiusher/backends';
 import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
 import {EndpointClasses} from './endpoint-classes.js';
 import {chooseMove} from './endpoint-moves.js';
 import {EndpointStanding} from './endpoint-standing.js';
+import {compareStarts} from './restart-watch.js';
 import {ToldPaces} from './told-paces.js';
 
 /**
@@ -33,6 +34,10 @@
 	openLimit?: number;
 	/** Whether endpoints whose slots are all taken are left out, as far as their load is known. */
 	avoidsFull?: boolean;
+	/** Whether endpoints are left out that have probably no room now, by their load and its age. */
+	needsRoom?: boolean;
+	/** Whether endpoints are left out that are much slower than is typical of their service. */
+	avoidsSlow?: boolean;
 	/**
 	 * Endpoints that nobody else fills with work of this kind. Others are asked only as far as they are known to have room, and by
 	 * one attempt at a time to find that out; undefined if all are alike.
@@ -52,7 +57,9 @@
 	readonly #random: Random;
 	readonly #policy: Policy;
 	readonly #lateness: Lateness;
-	readonly #listeners = new Set<() => void>();
+	readonly #listeners = new Set<(service: string) => void>();
+	/** By endpoint; called when it has started again. */
+	readonly #restartListeners = new Map<string, Set<() => void>>();
 	readonly #paces = new ToldPaces(this.classes);
 	#moves = 0;
 	/** By service. */
@@ -65,19 +72,41 @@
 		this.#lateness = lateness;
 	}
 
-	/** Takes over a registration. One that has accepted fewer orders than before has started again: nothing that was seen of it holds. */
+	/** Takes over a registration. Of one that has started again nothing that was seen holds, and what a former start wrote late is ignored. */
 	put(endpoint: RegisteredEndpoint): void {
 		const known = this.#standings.get(endpoint.id);
-		const standing = known && endpoint.orderCount >= known.endpoint.orderCount ? known : new EndpointStanding(endpoint, this.#policy);
-		standing.endpoint = endpoint;
-		standing.vanishedAt = undefined;
+		const relation = known ? compareStarts(endpoint, known.endpoint) : 'new';
+		if (relation === 'former') {
+			return;
+		}
+
+		const standing = known && relation === 'same' ? known : new EndpointStanding(endpoint, this.#policy, known?.countEnds());
+		standing.register(endpoint);
 		this.classes.guess(standing);
 		for (const {model, version} of endpoint.models) {
 			standing.recordVersion(model, version);
 		}
 
 		this.#standings.set(endpoint.id, standing);
-		this.#notify();
+		if (known && known !== standing) {
+			for (const listener of this.#restartListeners.get(endpoint.id) ?? []) {
+				listener();
+			}
+		}
+
+		this.#notify(standing);
+	}
+
+	/** Calls back when an endpoint has started again under its id; returns how to end that. */
+	onRestart(id: string, listener: () => void): () => void {
+		const listeners = this.#restartListeners.get(id) ?? new Set();
+		this.#restartListeners.set(id, listeners.add(listener));
+		return () => {
+			listeners.delete(listener);
+			if (listeners.size === 0 && this.#restartListeners.get(id) === listeners) {
+				this.#restartListeners.delete(id);
+			}
+		};
 	}
 
 	/** Notes that a registration is gone; the endpoint is a last resort for a moment. */
@@ -124,8 +153,8 @@
 		return plan.plan(serving.map(standing => standing.toRoom()));
 	}
 
-	/** Calls back whenever an endpoint may have become free or fit; returns how to end that. */
-	onChange(listener: () => void): () => void {
+	/** Calls back with the service whenever an endpoint may have become free or fit; returns how to end that. */
+	onChange(listener: (service: string) => void): () => void {
 		this.#listeners.add(listener);
 		return () => {
 			this.#listeners.delete(listener);
@@ -146,7 +175,7 @@
 		const standing = this.#standings.get(id);
 		if (standing) {
 			standing.end();
-			this.#notify();
+			this.#notify(standing);
 		}
 	}
 
@@ -273,8 +302,9 @@
 
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
-		if (this.#standings.get(id)?.recordVersion(model, version)) {
-			this.#notify();
+		const standing = this.#standings.get(id);
+		if (standing?.recordVersion(model, version)) {
+			this.#notify(standing);
 		}
 	}
 
@@ -285,7 +315,8 @@
 
 	/** Endpoints that can be asked now. */
 	#listFits(need: EndpointNeed): EndpointStanding[] {
-		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need));
+		const slowMs = need.avoidsSlow ? this.#findSlowPace(need.service) : undefined;
+		const fits = [...this.#standings.values()].filter(standing => standing.isAvailable && isFit(standing, need) && !standing.isSlower(slowMs));
 		const {homes} = need;
 		if (!homes) {
 			return fits;
@@ -295,6 +326,10 @@
 		return fits.filter(standing => homes.has(standing.endpoint.id) || (standing.isLoadKnown ? hasForeignRoom(standing) : standing.open === 0 && !isProbing));
 	}
 
+	#findSlowPace(service: string): number | undefined {
+		return findSlowPace([...this.#standings.values()].filter(({endpoint}) => endpoint.service === service).map(({paceMs}) => paceMs));
+	}
+
 	#choose(standings: readonly EndpointStanding[], need: EndpointNeed): EndpointStanding | undefined {
 		const {units, dueInMs} = need;
 		const text = units === undefined || !this.#policy.plansTexts ? undefined : {units, dueInMs};
@@ -311,9 +346,9 @@
 		}
 	}
 
-	#notify(): void {
+	#notify({endpoint: {service}}: EndpointStanding): void {
 		for (const listener of this.#listeners) {
-			listener();
+			listener(service);
 		}
 	}
 }
@@ -323,13 +358,14 @@
 	return open < Math.max(1, Math.floor((endpoint.slots - others) / 2)) && open + others < endpoint.slots;
 }
 
-function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit, avoidsFull}: EndpointNeed): boolean {
+function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit, avoidsFull, needsRoom}: EndpointNeed): boolean {
 	const {endpoint, open, others} = standing;
 	return endpoint.service === service
 		&& !endpoint.isDraining
 		&& !excluded?.has(endpoint.id)
 		&& (openLimit === undefined || open < openLimit * endpoint.slots)
 		&& (!avoidsFull || open + others < endpoint.slots)
+		&& (!needsRoom || standing.hasExpectedRoom)
 		&& (!least || (standing.findVersion(least.model) ?? 0) >= least.version)
 		&& (!exact || standing.findVersion(exact.model) === exact.version);
 }
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -2,7 +2,7 @@
  * What one process has seen of an endpoint: its load, pace, versions, refusals and failures.
  */
 import {
-	AttemptPause, BestPace, defaultPolicy, SpeedModel, type DirectCandidate, type EndpointRoom, type EndpointSpeed, type Policy,
+	AttemptPause, BestPace, defaultPolicy, isRoomExpected, SpeedModel, type DirectCandidate, type EndpointRoom, type EndpointSpeed, type Policy,
 } from '@wasabiusher/decisions';
 import type {EndpointLoad, ServingHead} from '@wasabiusher/backends';
 import type {RegisteredEndpoint} from '@wasabiusher/shared';
@@ -46,6 +46,8 @@
 	readonly #versions = new Map<string, number>();
 	readonly #warmKeys = new Set<string>();
 	#open = 0;
+	/** Attempts at an earlier start under this id that have not been ended yet. */
+	#formerOpen: number;
 	#load: EndpointLoad | undefined;
 	#loadAt = 0;
 	/** When the last attempt began, and when an answer last did. */
@@ -58,9 +60,23 @@
 	#usedAt = Number.NEGATIVE_INFINITY;
 	readonly #policy: Policy;
 
-	constructor(endpoint: RegisteredEndpoint, policy = defaultPolicy) {
+	/** @param formerOpen - attempts at an earlier start whose ends are still to come */
+	constructor(endpoint: RegisteredEndpoint, policy = defaultPolicy, formerOpen = 0) {
 		this.endpoint = endpoint;
 		this.#policy = policy;
+		this.#formerOpen = formerOpen;
+	}
+
+	/** Takes over a registration of the same start. One that tells its start never comes back from draining, whatever is written late. */
+	register(endpoint: RegisteredEndpoint): void {
+		const isDraining = endpoint.isDraining || (endpoint.bornMs !== undefined && this.endpoint.bornMs === endpoint.bornMs && this.endpoint.isDraining);
+		this.endpoint = {...endpoint, isDraining};
+		this.vanishedAt = undefined;
+	}
+
+	/** Attempts whose ends are still to come, at this start and at earlier ones. */
+	countEnds(): number {
+		return this.#open + this.#formerOpen;
 	}
 
 	/** Requests of this process that are open there. */
@@ -89,6 +105,18 @@
 		return load ? Math.max(0, load.running + load.waiting - this.#openAtLoad) : 0;
 	}
 
+	/** Whether it is slower than a pace, as far as both are known. */
+	isSlower(paceMs: number | undefined): boolean {
+		return paceMs !== undefined && this.#policy.weighsPaces && (this.paceMs ?? 0) > paceMs;
+	}
+
+	/** Whether it has probably room for one more request now. */
+	get hasExpectedRoom(): boolean {
+		return isRoomExpected({
+			slots: this.endpoint.slots, open: this.#open, others: this.others, ageMs: performance.now() - this.#loadAt, workMs: this.paceMs,
+		});
+	}
+
 	/** Whether an attempt may be made now, as far as pauses go. */
 	get isAvailable(): boolean {
 		const {pausesAfterRefusals, pausesAfterSilences} = this.#policy;
@@ -135,6 +163,12 @@
 
 	/** Notes that an attempt has ended. */
 	end(): void {
+		if (this.#formerOpen > 0) {
+			// Those at the earlier start are ended at once, so they come first.
+			this.#formerOpen -= 1;
+			return;
+		}
+
 		this.#open = Math.max(0, this.#open - 1);
 		this.#refusals.end();
 		this.#silences.end();
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -9,8 +9,11 @@
 import {
 	chooseService, isProvenNotRun, type CallOutcome, type CallerRequest, type CallSettings,
 } from './call.js';
+import {crasherReason, noteBrokenAttempt} from './crash-watch.js';
+import {CallTurn, type TurnAnswer} from './call-turn.js';
 import {resumeStream} from './resumed-stream.js';
 import {BegunRuns} from './run-meter.js';
+import {RestartWatch} from './restart-watch.js';
 import {SilenceWatch} from './silence-watch.js';
 
 /** The beginning of a streamed answer, or why there is none. */
@@ -34,7 +37,10 @@
 	readonly #runs: BegunRuns;
 	/** Where it runs at present. */
 	#endpoint: string | undefined;
+	#restart: RestartWatch | undefined;
 	#lastReason = 'no endpoint is registered';
+	readonly #turn: CallTurn;
+	#hasWaited = false;
 
 	/** @param signal - aborts when the caller has left */
 	constructor(settings: CallSettings, route: Route, request: CallerRequest, signal: AbortSignal) {
@@ -44,9 +50,15 @@
 		this.#signal = signal;
 		this.#service = chooseService(route, settings.random.next());
 		this.#runs = new BegunRuns(request.customer, settings.meter);
+		this.#turn = new CallTurn(settings, route, request, this.#service);
 	}
 
 	async open(): Promise<StreamOutcome> {
+		const refusalMs = this.#settings.crashers?.findRefusalMs(this.#request);
+		if (refusalMs !== undefined) {
+			return {kind: 'not-run', reason: crasherReason, retryAfterMs: refusalMs};
+		}
+
 		const outcome = await this.#attemptAll(this.#request.resumeAfter);
 		if ('kind' in outcome) {
 			return outcome;
@@ -68,7 +80,7 @@
 
 	/** Goes on after an event; undefined if no endpoint can. */
 	async #reopen(after: number | undefined): Promise<ServingStream | undefined> {
-		if (this.#endpoint !== undefined) {
+		if (this.#endpoint !== undefined && !this.#restart?.hasRestarted) {
 			this.#settings.directory.recordFailure(this.#endpoint);
 		}
 
@@ -85,11 +97,13 @@
 	/** Asks one endpoint after the other until one begins. */
 	async #attemptAll(after: number | undefined): Promise<OpenAttempt | Exclude<StreamOutcome, {kind: 'opened'}>> {
 		while (!this.#signal.aborted) {
-			const endpoint = this.#settings.directory.take({service: this.#service, excluded: this.#excluded});
-			if (!endpoint) {
-				return {kind: 'not-run', reason: this.#lastReason, retryAfterMs: this.#settings.directory.planReturn(this.#service)};
+			// eslint-disable-next-line no-await-in-loop
+			const turn = await this.#take();
+			if (turn.kind !== 'granted') {
+				return this.#refuse(turn);
 			}
 
+			const {endpoint} = turn;
 			this.#endpoint = endpoint.id;
 			this.#excluded.add(endpoint.id);
 			// An attempt depends on what became of the one before.
@@ -105,19 +119,43 @@
 		return {kind: 'stopped'};
 	}
 
+	/** Only the first attempt waits for its turn. */
+	async #take(): Promise<TurnAnswer> {
+		if (!this.#hasWaited) {
+			this.#hasWaited = true;
+			return this.#turn.wait(this.#signal);
+		}
+
+		const endpoint = this.#turn.take(this.#excluded);
+		return endpoint ? {kind: 'granted', endpoint} : {kind: 'none'};
+	}
+
+	#refuse(turn: Exclude<TurnAnswer, {kind: 'granted'}>): Exclude<StreamOutcome, {kind: 'opened'}> {
+		if (this.#signal.aborted) {
+			return {kind: 'stopped'};
+		}
+
+		return turn.kind === 'refused'
+			? {kind: 'not-run', reason: turn.reason, retryAfterMs: turn.retryAfterMs}
+			: {kind: 'not-run', reason: this.#lastReason, retryAfterMs: this.#settings.directory.planReturn(this.#service)};
+	}
+
 	/** Asks one endpoint; undefined if it has proven that nothing has run there. */
 	async #attempt(endpoint: RegisteredEndpoint, after: number | undefined): Promise<OpenAttempt | Exclude<StreamOutcome, {kind: 'opened'}> | undefined> {
 		const {client, directory, log} = this.#settings;
 		const {id} = endpoint;
 		const stop = new AbortController();
+		const restart = new RestartWatch(directory, id);
+		this.#restart = restart;
 		const watch = this.#route.isResumable ? new SilenceWatch(stop, () => directory.findHeardAt(id)) : undefined;
 		try {
 			this.#runs.add(id);
-			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, stop.signal]));
+			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, stop.signal, restart.signal]));
 			directory.recordHead(id, stream);
 			if (!stream.isNotRun) {
 				this.#begun += 1;
-				return {endpoint, stream: watch ? {...stream, body: watchBody(stream.body, watch)} : stream};
+				const body = this.#tellEnd(id, stream.body, restart);
+				return {endpoint, stream: {...stream, body: watch ? watchBody(body, watch) : body}};
 			}
 
 			watch?.end();
@@ -133,7 +171,11 @@
 			}
 
 			log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
-			directory.recordFailure(id);
+			if (!restart.hasRestarted) {
+				directory.recordFailure(id);
+			}
+
+			this.#noteBroken(id, error, restart);
 			if (isProvenNotRun(error)) {
 				this.#runs.delete(id);
 				return undefined;
@@ -149,7 +191,29 @@
 		}
 	}
 
+	#noteBroken(endpoint: string, error: unknown, {hasRestarted}: RestartWatch): void {
+		noteBrokenAttempt(this.#settings.crashers, {
+			endpoint, request: this.#request, isNotRun: isProvenNotRun(error), hasRestarted,
+		});
+	}
+
+	/** Hands a body on and tells how it ended: only a whole one shows that the request crashes nothing. */
+	async * #tellEnd(id: string, body: AsyncIterable<Uint8Array>, restart: RestartWatch): AsyncIterable<Uint8Array> {
+		try {
+			yield * body;
+		} catch (error) {
+			if (!this.#signal.aborted) {
+				this.#noteBroken(id, error, restart);
+			}
+
+			throw error;
+		}
+
+		this.#settings.crashers?.noteFinished(this.#request);
+	}
+
 	#release(): void {
+		this.#restart?.end();
 		if (this.#endpoint !== undefined) {
 			this.#settings.directory.release(this.#endpoint);
 			this.#endpoint = undefined;
@@ -157,7 +221,7 @@
 	}
 
 	#toServing(after: number | undefined): ServingRequest {
-		const {deadlineAt, ...request} = this.#request;
+		const {deadlineAt, place, ...request} = this.#request;
 		return {...request, remainingMs: Math.max(1, Math.round(deadlineAt - performance.now())), ...(after === undefined ? {} : {resumeAfter: after})};
 	}
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
 	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
 } from '@wasabiusher/backends';
 import {
-	DirectCall, EndpointDirectory, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
+	DirectCall, EndpointDirectory, EndpointLine, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
 import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
@@ -23,6 +23,7 @@
 	decideAccess, identify, type Access, type AccessRequest, type Identity,
 } from './access.js';
 import {Catalog, type CatalogFormat} from './catalog.js';
+import {crasherPart, Crashers} from './crashers.js';
 import {toEndpointView} from './endpoint-view.js';
 import type {PartCounts} from './gateway-metrics.js';
 import {readLinkKey} from './link-key.js';
@@ -65,6 +66,13 @@
  */
 const gatherMs = 150;
 
+/**
+ * Time after which an order and a report of usage have arrived or were given up, in milliseconds: the longest wait of their clients for an answer. Where
+ * nobody checks fences, they are sent only under a lease that lasts so long.
+ */
+const orderRoomMs = 1000;
+const reportRoomMs = 1500;
+
 /** Pause before the key of links is asked for again, in milliseconds; nothing waits for it while the store serves this host. */
 const keyRetryMs = 1000;
 
@@ -83,10 +91,14 @@
 	log: Log;
 	/** Term of the lease under which orders are given, in milliseconds. */
 	leaseMs: number;
+	/** Whether endpoints and the platform refuse what comes under an older fence than they have seen; they do by default. */
+	checksFences?: boolean;
 	/** How long a batch is read after it was handed in, in milliseconds. */
 	statusMs: number;
 	/** Where other hosts link to this one; undefined if they can't. */
 	peers?: {address: string; server: Server};
+	/** Addresses of this host, `ip:port`, at which no endpoint can be. */
+	ownAddresses?: ReadonlySet<string>;
 	/** How usage is reported; undefined if nobody wants to know it. */
 	usage?: {client: DutyClient; windowMs: number; dueMs: number};
 	/** Which mechanisms decide; all by default. */
@@ -103,8 +115,10 @@
 	/** Second attempts of calls and scores, by service. */
 	readonly #hedges: RetryBudget | undefined;
 	readonly #directory: EndpointDirectory;
+	readonly #line: EndpointLine | undefined;
 	readonly #catalog: Catalog;
 	readonly #hosts: HostRegistry;
+	readonly #crashers: Crashers;
 	readonly #lease: LeaseHolder;
 	readonly #orders: WeightOrders;
 	readonly #followers: TableFollower[];
@@ -146,17 +160,25 @@
 		});
 		this.#trueTime = new TrueTime(() => this.#gate.steadyStoreMs);
 		this.#directory = new EndpointDirectory(random, policy, this.#lateness);
+		this.#crashers = new Crashers({
+			rows, table: hostTable, host, directory: this.#directory, log, readStoreMs: () => this.#gate.storeMs,
+		});
+		this.#line = policy.queuesAtHost ? new EndpointLine(this.#directory) : undefined;
 		this.#lease = new LeaseHolder({
 			tables: new PartTables(rows), shard: 'weights', holder: host, isOnlyOnHost: true, random, log, termMs: leaseMs,
 		});
 		this.#orders = new WeightOrders({
 			directory: this.#directory, client, right: this.#lease, holder: host, log, chooseMode: service => this.#chooseMode(service),
+			orderRoomMs: settings.checksFences === false ? orderRoomMs : 0,
 			findNeeds: () => this.batches.listNeeds(),
+			isServed: service => this.#catalog.deployment?.services.some(({name}) => name === service) ?? false,
 			findWaiting: model => this.batches.countWaiting(model),
 			policy,
 		});
 		this.#catalog = new Catalog({
-			format, directory: this.#directory, orders: this.#orders, log, onDeployment: settings.onDeployment,
+			format, directory: this.#directory, orders: this.#orders, log, onDown: endpoint => {
+				this.#crashers.noteDown(endpoint);
+			}, ownAddresses: settings.ownAddresses, onDeployment: settings.onDeployment,
 		});
 		this.#hosts = new HostRegistry({
 			rows, host, dataCentre, cores, address: settings.peers?.address, log, policy, findLateMs: () => this.#lateness.usualMs, ownsWork: () => this.batches.hasWork,
@@ -171,7 +193,7 @@
 			},
 		});
 		this.batches = new Batches({
-			directory: this.#directory, client, random, log, policy, host, dataCentre, hosts: this.#hosts, hedges: this.#hedges,
+			directory: this.#directory, line: this.#line, client, random, log, policy, host, dataCentre, hosts: this.#hosts, hedges: this.#hedges,
 			store: new BatchStore(rows, this.#gate.guard(settings.blobs)),
 			keptTexts: new KeptTexts(rows),
 			findDeployment: () => this.#catalog.deployment,
@@ -203,9 +225,13 @@
 		this.#followers = [
 			...this.#neededFollowers,
 			new TableFollower({
-				store: rows.probing, table: hostTable, parts: [''], log, gatherMs, chance,
+				store: rows.probing, table: hostTable, parts: ['', crasherPart], log, gatherMs, chance,
 				apply: change => {
-					this.#hosts.apply(change);
+					if (change.part === crasherPart) {
+						this.#crashers.apply(change);
+					} else {
+						this.#hosts.apply(change);
+					}
 				},
 				onContact: () => {
 					this.#hosts.noteContact();
@@ -234,6 +260,11 @@
 		return this.#catalog.deployment;
 	}
 
+	/** What waits at this host; undefined if nothing does. */
+	get line(): EndpointLine | undefined {
+		return this.#line;
+	}
+
 	/** What operators are told of this host. */
 	get status(): GatewayStatus {
 		const {host, dataCentre = ''} = this.#settings;
@@ -249,14 +280,15 @@
 			shares: this.batches.ownedCount,
 			waiting: this.batches.listWaiting(),
 			published: Object.fromEntries(this.#orders.published),
-			turns: [],
+			turns: this.#line?.listTurns() ?? [],
 			endpoints: this.#directory.listStandings().map(standing => toEndpointView(standing)),
 		};
 	}
 
 	/** What the parts have counted since the start. */
 	get counts(): PartCounts {
-		return {...this.batches.counts};
+		const answers = this.#line?.counts.map(({kind, answer, count}): [string, number] => [`line-${kind}-${answer}`, count]) ?? [];
+		return {...this.batches.counts, ...Object.fromEntries(answers)};
 	}
 
 	start(): void {
@@ -278,6 +310,7 @@
 		this.#sweepTimer = setInterval(() => {
 			// The holder of the lease does it for all; two at once do no harm.
 			if (this.#lease.holds()) {
+				void this.#crashers.sweep();
 				void this.batches.sweep(retentionFactor * this.#settings.statusMs);
 			}
 		}, sweepMs);
@@ -375,13 +408,14 @@
 	}
 
 	#createUsage(): Usage | undefined {
-		const {usage, host, random, log} = this.#settings;
+		const {usage, host, random, log, checksFences = true} = this.#settings;
 		return usage && new Usage({
 			...usage,
 			store: new UsageStore(this.#rows),
 			host,
 			incarnation: this.#hosts.incarnation,
 			right: this.#lease,
+			sendRoomMs: checksFences ? 0 : reportRoomMs,
 			log,
 			readTrueMs: () => this.#trueTime.read(),
 			countHosts: () => this.#hosts.count,
@@ -402,7 +436,8 @@
 	get #callSettings(): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
-			directory: this.#directory, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
+			directory: this.#directory, line: this.#line, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
+			crashers: this.#policy.refusesCrashers ? this.#crashers : undefined,
 		};
 	}
 
