--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -69,6 +69,7 @@
 	readonly #restartListeners = new Map<string, Set<() => void>>();
 	readonly #paces = new ToldPaces(this.classes);
 	#limits: SlotLimits | undefined;
+	#moves = 0;
 	/** By service. */
 	readonly #returns = new Map<string, ReturnPlan>();
 
@@ -329,12 +330,18 @@
 			text: {madeHere, unitsLeft, dueInMs}, current, listOthers: () => this.#listFits({...need, waiter: undefined}).filter(({vanishedAt}) => vanishedAt === undefined), warmKey, homes, chance: this.#random.next(),
 		});
 		if (standing) {
+			this.#moves += 1;
 			this.#begin(standing, need);
 		}
 
 		return standing?.endpoint;
 	}
 
+	/** Texts that have left an endpoint for a faster one since the start. */
+	get counts(): {movedTexts: number} {
+		return {movedTexts: this.#moves};
+	}
+
 	/** Learns which version of a model an endpoint serves. */
 	recordVersion(id: string, model: string, version: number): void {
 		const standing = this.#standings.get(id);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -314,7 +314,7 @@
 	get counts(): PartCounts {
 		const answers = this.#line?.counts.map(({kind, answer, count}): [string, number] => [`line-${kind}-${answer}`, count]) ?? [];
 		return {
-			...this.batches.counts, ...this.#loadNews.counts, ...this.#directory.loads.counts, ...this.#sharing?.counts, ...Object.fromEntries(answers),
+			...this.batches.counts, ...this.#loadNews.counts, ...this.#directory.loads.counts, ...this.#directory.counts, ...this.#sharing?.counts, ...Object.fromEntries(answers),
 		};
 	}
 
