--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -9,10 +9,11 @@
 import type {RationSource} from '@wasabiusher/slots';
 import {EndpointClasses} from './endpoint-classes.js';
 import {chooseMove} from './endpoint-moves.js';
+import {hasForeignRoom, isFit, type EndpointNeed} from './endpoint-need.js';
 import {EndpointStanding} from './endpoint-standing.js';
 import {LoadWindows} from './load-windows.js';
 import {compareStarts} from './restart-watch.js';
-import {SlotLimits, type SlotWaiter} from './slot-limits.js';
+import {SlotLimits} from './slot-limits.js';
 import {ToldPaces} from './told-paces.js';
 
 /**
@@ -22,38 +23,6 @@
  */
 const vanishedMs = 1200;
 
-/** What an attempt needs of an endpoint. */
-export type EndpointNeed = {
-	service: string;
-	/** Endpoints that are left out. */
-	excluded?: ReadonlySet<string>;
-	/** Oldest version of a model that may serve it. */
-	least?: {model: string; version: number};
-	/** Exactly this version of a model. */
-	exact?: {model: string; version: number};
-	/** Names what requests share, to find an endpoint that has read it. */
-	warmKey?: string;
-	/** Most requests of this process at one endpoint, as a multiple of its slots; undefined for no limit. */
-	openLimit?: number;
-	/** Whether endpoints whose slots are all taken are left out, as far as their load is known. */
-	avoidsFull?: boolean;
-	/** Whether endpoints are left out that have probably no room now, by their load and its age. */
-	needsRoom?: boolean;
-	/** Whether endpoints are left out that are much slower than is typical of their service. */
-	avoidsSlow?: boolean;
-	/**
-	 * Endpoints that nobody else fills with work of this kind. Others are asked only as far as they are known to have room, and by
-	 * one attempt at a time to find that out; undefined if all are alike.
-	 */
-	homes?: ReadonlySet<string>;
-	/** Units of work that it is expected to take, such as events of a text; undefined if nobody knows. */
-	units?: number;
-	/** Time until it should be done, in milliseconds; undefined if nobody waits for it. */
-	dueInMs?: number;
-	/** Who looks for a slot, where slots are shared among hosts; what can't wait has none and is sent at once. */
-	waiter?: SlotWaiter;
-};
-
 /** Registered endpoints and their standing. */
 export class EndpointDirectory {
 	/** Lasting speeds, also of endpoints that are gone. */
@@ -413,20 +382,3 @@
 		}
 	}
 }
-
-/** Whether an endpoint that others fill has room as well: half of what they leave, since several see the same free slots. */
-function hasForeignRoom({endpoint, open, others}: EndpointStanding): boolean {
-	return open < Math.max(1, Math.floor((endpoint.slots - others) / 2)) && open + others < endpoint.slots;
-}
-
-function isFit(standing: EndpointStanding, {service, excluded, least, exact, openLimit, avoidsFull, needsRoom}: EndpointNeed): boolean {
-	const {endpoint, open, others} = standing;
-	return endpoint.service === service
-		&& !endpoint.isDraining
-		&& !excluded?.has(endpoint.id)
-		&& (openLimit === undefined || open < openLimit * endpoint.slots)
-		&& (!avoidsFull || open + others < endpoint.slots)
-		&& (!needsRoom || standing.hasExpectedRoom)
-		&& (!least || (standing.findVersion(least.model) ?? 0) >= least.version)
-		&& (!exact || standing.findVersion(exact.model) === exact.version);
-}
--- a/packages/direct/src/endpoint-line.ts
+++ b/packages/direct/src/endpoint-line.ts
@@ -4,7 +4,8 @@
 import {Pace} from '@wasabiusher/decisions';
 import {HostLine, ReturnTurns} from '@wasabiusher/slots';
 import type {RegisteredEndpoint} from '@wasabiusher/shared';
-import type {EndpointDirectory, EndpointNeed} from './endpoint-directory.js';
+import type {EndpointDirectory} from './endpoint-directory.js';
+import type {EndpointNeed} from './endpoint-need.js';
 
 /** What a waiter needs; one endpoint may be asked only if no other fits. */
 export type LineNeed = EndpointNeed & {avoided?: string};
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -3,6 +3,7 @@
 export type {CrashWatch} from './crash-watch.js';
 export * from './endpoint-classes.js';
 export * from './endpoint-directory.js';
+export type {EndpointNeed} from './endpoint-need.js';
 export * from './endpoint-line.js';
 export type {CallPlace} from './call-turn.js';
 export type {EndpointStanding} from './endpoint-standing.js';
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -11,7 +11,8 @@
 import {
 	describeError, type Log, type RegisteredEndpoint, type Route,
 } from '@wasabiusher/shared';
-import type {EndpointDirectory, EndpointNeed} from './endpoint-directory.js';
+import type {EndpointDirectory} from './endpoint-directory.js';
+import type {EndpointNeed} from './endpoint-need.js';
 import type {EndpointLine} from './endpoint-line.js';
 import {PhaseTimes, type RunPhase} from './phase-times.js';
 import {RestartWatch} from './restart-watch.js';
--- a/packages/direct/src/sample-search.ts
+++ b/packages/direct/src/sample-search.ts
@@ -3,7 +3,7 @@
  */
 import type {RegisteredEndpoint, Route} from '@wasabiusher/shared';
 import {chooseService} from './call.js';
-import type {EndpointNeed} from './endpoint-directory.js';
+import type {EndpointNeed} from './endpoint-need.js';
 import type {EndpointLine, LineNeed} from './endpoint-line.js';
 import type {SampleRequest, SampleRunSettings} from './sample-run.js';
 
