--- a/packages/batches/__tests__/host-registry.spec.ts
+++ b/packages/batches/__tests__/host-registry.spec.ts
@@ -112,6 +112,27 @@
 		expect(own.countWaiting('m')).to.equal(3);
 	});
 
+	it('believes a start again that goes on after a late heartbeat of the start before it', async () => {
+		const registry = createRegistry('watcher', false);
+		const hear = (incarnation: string, beat: number) => {
+			registry.apply({
+				table: hostTable, part: '', key: 'h', version: 1, value: Buffer.from(JSON.stringify({incarnation, beat, isLeaving: false})),
+			});
+		};
+
+		for (const beat of [1, 2]) {
+			hear('new', beat);
+		}
+
+		hear('old', 1);
+		for (const beat of [3, 4, 5, 6]) {
+			hear('new', beat);
+		}
+
+		const now = performance.now();
+		expect([registry.isGone('new', now), registry.isGone('old', now)]).to.deep.equal([false, true]);
+	});
+
 	it('takes a process for gone that is silent while this one hears its own heartbeats', async () => {
 		const [owner, other] = [createRegistry('a', true), createRegistry('b', false)];
 		await run(other, 2000);
--- a/packages/decisions/__tests__/model-placement.spec.ts
+++ b/packages/decisions/__tests__/model-placement.spec.ts
@@ -128,6 +128,13 @@
 		})).to.deep.equal(placed);
 	});
 
+	it('ends with a place for every endpoint, whatever needs are told', () => {
+		for (const works of [[100, -100], [1e308, 1e308], [Number.NaN, 1], [0, 0]]) {
+			const odd: Record<string, ModelNeed> = {a: {work: works[0]!, longest: 1}, b: {work: works[1]!, longest: -1}};
+			expect(place(fresh, {}, odd).size).to.equal(6);
+		}
+	});
+
 	it('keeps the places that were given though no endpoint shows yet which model it follows', () => {
 		const last = new Map(fresh.map(({id}, i) => [id, ['a', 'b', 'c'][i % 3]!]));
 		const placed = placeModels({
--- a/packages/decisions/src/fast-shares.ts
+++ b/packages/decisions/src/fast-shares.ts
@@ -5,7 +5,7 @@
  * longest texts of a step decide when it is whole, and on a slow endpoint one of them takes longer than the step may. A model that
  * gets none of the fast endpoints is late with every step, one that gets more than its long texts can fill gains nothing by them.
  */
-import type {ModelHolder, ModelNeed} from './model-placement.js';
+import {toWork, type ModelHolder, type ModelNeed} from './model-placement.js';
 
 /** Pace over the best one up to which an endpoint counts as fast, as a factor: full ones are a fifth slower than idle ones. */
 const fastFactor = 1.22;
@@ -43,7 +43,7 @@
 export function shareFast(models: readonly string[], {fast, shares, needs, held}: FastDeal): Map<string, number> {
 	const weights = new Map(models.map(model => {
 		const {work, longest} = needs.get(model) ?? {work: 1, longest: 1};
-		return [model, work * (longest ** 2)];
+		return [model, toWork(work) * (toWork(longest) ** 2)];
 	}));
 	const total = Math.max(Number.EPSILON, [...weights.values()].reduce((sum, weight) => sum + weight, 0));
 	const quotas = new Map(models.map(model => [model, Math.min(shares.get(model)!, fast * weights.get(model)! / total)]));
--- a/packages/decisions/src/load-timing.ts
+++ b/packages/decisions/src/load-timing.ts
@@ -4,7 +4,8 @@
  * Load pattern: a trainer publishes a version and hands in its next step within the same tenth of a second. The step has twice as many texts as
  * the model has slots, and an endpoint that loads takes nothing new for a second. With loads right after the publication half of the slots that become
  * free stay empty while texts wait; with loads too late the step after it, which needs the version, finds no endpoint. So loads wait until
- * no text waits any more, but never longer than leaves time for all of them before the next publication.
+ * no text waits any more, but never longer than a load takes, since more than that can't be won, and than leaves time for all of them before the next
+ * publication.
  */
 
 /** What is known once a version has been published. */
@@ -33,7 +34,7 @@
  */
 export function shouldLoad(occasion: LoadOccasion, leastMs: number): boolean {
 	const {sinceMs, waiting} = occasion;
-	return sinceMs >= leastMs && (waiting === undefined || waiting <= 0 || sinceMs >= findLatestMs(occasion));
+	return sinceMs >= leastMs && (waiting === undefined || waiting <= 0 || sinceMs >= Math.min(leastMs + occasion.loadMs, findLatestMs(occasion)));
 }
 
 /** Time from the publication after which loads would not be over before the next one, in milliseconds. */
--- a/packages/decisions/src/model-placement.ts
+++ b/packages/decisions/src/model-placement.ts
@@ -111,9 +111,12 @@
 	return shares;
 }
 
+/** Greatest work or length that counts, so that sums and squares stay finite; far more than any step asks for. */
+const mostWork = 1e15;
+
 /** What can't be counted with counts for nothing. */
-function toWork(work = 0): number {
-	return Number.isFinite(work) ? Math.max(0, work) : 0;
+export function toWork(work = 0): number {
+	return Number.isFinite(work) ? Math.min(mostWork, Math.max(0, work)) : 0;
 }
 
 function sum(shares: ReadonlyMap<string, number>): number {
--- a/packages/direct/__tests__/restart-watch.spec.ts
+++ b/packages/direct/__tests__/restart-watch.spec.ts
@@ -64,6 +64,41 @@
 		expect(directory.countOpen('i0')).to.equal(0);
 	});
 
+	/** Lets the registration vanish for longer than the endpoint is asked without one. */
+	async function lapse(): Promise<RegisteredEndpoint> {
+		const {directory} = bench;
+		const endpoint = directory.get('i0')!;
+		directory.remove('i0');
+		await clock.tickAsync(1300);
+		expect(directory.list().map(({id}) => id)).to.deep.equal(['i1']);
+		return endpoint;
+	}
+
+	it('is the same once its registration is back after a lapse: what is open there counts on, and it stays draining', async () => {
+		const {directory} = bench;
+		const need = {service: 's', excluded: new Set(['i1'])};
+		directory.take(need);
+		directory.take(need);
+		const endpoint = await lapse();
+		directory.release('i0');
+		directory.put(endpoint);
+		expect(directory.countOpen('i0')).to.equal(1);
+		directory.put({...endpoint, isDraining: true});
+		await lapse();
+		directory.put({...endpoint, isDraining: false});
+		expect(directory.get('i0')!.isDraining).to.equal(true);
+	});
+
+	it('is told as a new start though its registration had lapsed meanwhile', async () => {
+		let restarts = 0;
+		bench.directory.onRestart('i0', () => {
+			restarts += 1;
+		});
+		const endpoint = await lapse();
+		bench.directory.put({...endpoint, bornMs: 200});
+		expect(restarts).to.equal(1);
+	});
+
 	it('has a dark run go on elsewhere at once, and is not blamed for it', async () => {
 		const {directory, endpoints} = bench;
 		endpoints[0]!.switches.isDark = true;
--- a/packages/direct/__tests__/sample-search.spec.ts
+++ b/packages/direct/__tests__/sample-search.spec.ts
@@ -66,6 +66,18 @@
 		expect([outcomes.s4, outcomes.s5, listBegun().length]).to.deep.equal(['failed', 'failed', 4]);
 	});
 
+	it('begins a text anew at once whose only version no endpoint has any more', async () => {
+		const {directory, client, log, endpoints: [endpoint]} = bench;
+		directory.put({...directory.get(endpoint!.id)!, models: [{model: 'm', version: 2}]});
+		endpoint!.version = 2;
+		const text = {events: ['a', 'b'], versions: new Set([1])};
+		void new SampleRun({
+			directory, client, log, line, findRoute: () => createRoute({kind: 'batch', isSingleVersion: true}), chance: () => 0,
+		}, createSample({id: 's', isSingleVersion: true}), stop.signal, text).run();
+		await clock.tickAsync(100);
+		expect(listBegun()).to.deep.equal(['s']);
+	});
+
 	it('leaves the line when its batch stops, and keeps no slot', async () => {
 		start([0, 1, 2, 3, 4, 5]);
 		await clock.tickAsync(20);
