--- a/packages/decisions/__tests__/load-timing.spec.ts
+++ b/packages/decisions/__tests__/load-timing.spec.ts
@@ -55,7 +55,9 @@
 	it('waits for texts that have not begun, as long as all loads end before the next publication', () => {
 		expect(shouldLoad(createOccasion({waiting: 20, sinceMs: 900, intervalMs: 3500}), 300)).to.equal(false);
 		expect(shouldLoad(createOccasion({waiting: 20, sinceMs: 1000, intervalMs: 3500}), 300)).to.equal(true);
-		expect(shouldLoad(createOccasion({waiting: 20, sinceMs: 1000, intervalMs: 3500, endpoints: 4}), 300)).to.equal(false);
+		expect(shouldLoad(createOccasion({
+			waiting: 20, sinceMs: 1000, intervalMs: 3500, endpoints: 4,
+		}), 300)).to.equal(false);
 	});
 
 	it('waits no longer than a load takes, however rarely versions come', () => {
