--- a/packages/direct/__tests__/call-line.spec.ts
+++ b/packages/direct/__tests__/call-line.spec.ts
@@ -1,19 +1,15 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import PQueue from 'p-queue';
-import type {EndpointTarget, ServingAnswer, ServingClient} from '@wasabiusher/backends';
 import {Random, type Route} from '@wasabiusher/shared';
 import {DirectCall, EndpointLine, type CallOutcome} from '../src/index.js';
 import {
 	createBench, createRequest, createRoute, type Bench,
 } from './fixtures.js';
+import {createQueueingClient} from './queueing-client.js';
 
 const slots = 4;
 const objectiveMs = 150;
 
-/** Requests that an endpoint lets wait. */
-const queueLength = 4;
-
 /** Calls a second of each route on a usual day: a third of what the endpoints serve, together. */
 const quietRate = 80;
 
@@ -23,29 +19,6 @@
 /** What became of one call, and when. */
 type Ended = {route: string; kind: CallOutcome['kind']; tookMs: number};
 
-/** Endpoints that let a few requests wait, and take some time for each; most tell their load. */
-function createClient(bench: Bench, findWorkMs: (id: string) => number): ServingClient {
-	const queues = new Map<string, PQueue>();
-	const client: Pick<ServingClient, 'call'> = {
-		async call({id}: EndpointTarget): Promise<ServingAnswer> {
-			const queue = queues.get(id) ?? new PQueue({concurrency: slots});
-			queues.set(id, queue);
-			const isNotRun = queue.size >= queueLength;
-			if (!isNotRun) {
-				await queue.add(async () => new Promise<void>(resolve => {
-					setTimeout(resolve, findWorkMs(id));
-				}));
-			}
-
-			return {
-				status: isNotRun ? 503 : 200, headers: {}, isNotRun, stamp: 's', load: {running: queue.pending, waiting: queue.size, slots}, weightVersion: undefined, isFramed: true,
-				isClosing: false, body: new Uint8Array(),
-			};
-		},
-	};
-	return Object.assign(Object.create(bench.client) as ServingClient, client);
-}
-
 /** Value below which a part of the values lies. */
 function findQuantile(values: readonly number[], part: number): number {
 	return values.toSorted((a, b) => a - b)[Math.floor(values.length * part)] ?? 0;
@@ -65,7 +38,7 @@
 	/** Sends calls of two routes for two seconds, after a quiet second; the rate is in calls a second. */
 	async function replay(burst: number): Promise<Ended[]> {
 		const bench = createBench(4);
-		const client = createClient(bench, id => id === 'i0' ? 75 : 25);
+		const client = createQueueingClient(bench, slots, id => id === 'i0' ? 75 : 25);
 		const settings = {...bench, client, line: new EndpointLine(bench.directory)};
 		const random = new Random(7);
 		const ended: Ended[] = [];
@@ -101,7 +74,7 @@
 	async function createFull(): Promise<{bench: Bench; call(path: string): Promise<CallOutcome>}> {
 		const bench = createBench(1);
 		const line = new EndpointLine(bench.directory);
-		const settings = {...bench, client: createClient(bench, () => 10_000), line};
+		const settings = {...bench, client: createQueueingClient(bench, slots, () => 10_000), line};
 		const call = async (path: string) => new DirectCall(settings, createRoute({objectiveMs}), {...createRequest(60_000), path}, new AbortController().signal).run();
 		for (let i = 0; i < 20; i++) {
 			line.recordWork('s', 25);
--- a/packages/direct/__tests__/customer-fairness.spec.ts
+++ b/packages/direct/__tests__/customer-fairness.spec.ts
@@ -1,12 +1,11 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import PQueue from 'p-queue';
-import type {EndpointTarget, ServingAnswer, ServingClient} from '@wasabiusher/backends';
 import {Random} from '@wasabiusher/shared';
 import {DirectCall, EndpointLine} from '../src/index.js';
 import {
 	createBench, createRequest, createRoute, type Bench,
 } from './fixtures.js';
+import {createQueueingClient} from './queueing-client.js';
 
 const endpointCount = 3;
 const slots = 4;
@@ -15,32 +14,6 @@
 /** What the endpoints can serve, in requests a second. */
 const capacity = endpointCount * slots * 1000 / workMs;
 
-/** Requests that an endpoint lets wait. */
-const queueLength = 4;
-
-/** Endpoints that let a few requests wait and refuse what is beyond. */
-function createFullClient(bench: Bench): ServingClient {
-	const queues = new Map<string, PQueue>();
-	const client: Pick<ServingClient, 'call'> = {
-		async call({id}: EndpointTarget): Promise<ServingAnswer> {
-			const queue = queues.get(id) ?? new PQueue({concurrency: slots});
-			queues.set(id, queue);
-			const isNotRun = queue.size >= queueLength;
-			if (!isNotRun) {
-				await queue.add(async () => new Promise<void>(resolve => {
-					setTimeout(resolve, workMs);
-				}));
-			}
-
-			return {
-				status: isNotRun ? 503 : 200, headers: {}, isNotRun, stamp: 's', load: {running: queue.pending, waiting: queue.size, slots}, weightVersion: undefined, isFramed: true,
-				isClosing: false, body: new Uint8Array(),
-			};
-		},
-	};
-	return Object.assign(Object.create(bench.client) as ServingClient, client);
-}
-
 describe('customers that share a service', () => {
 	let clock: Clock;
 
@@ -54,7 +27,7 @@
 
 	async function expectServed(hasLine: boolean): Promise<void> {
 		const bench = createBench(endpointCount);
-		const settings = {...bench, client: createFullClient(bench), line: hasLine ? new EndpointLine(bench.directory) : undefined};
+		const settings = {...bench, client: createQueueingClient(bench, slots, () => workMs), line: hasLine ? new EndpointLine(bench.directory) : undefined};
 		const random = new Random(7);
 		const asked = new Map<string, number>();
 		const served = new Map<string, number>();
--- a/packages/direct/src/weight-orders.ts
+++ b/packages/direct/src/weight-orders.ts
@@ -48,8 +48,8 @@
 const loadingFraction = 0.3;
 
 /**
- * Part of the endpoints that follow one model which load it at once. With three models on six endpoints the two of one model
- * loaded together, and for about a second no endpoint could make its samples.
+ * Part of the endpoints that follow one model which load it at once: if both of a model's two endpoints loaded together, none could make its
+ * samples for about a second.
  */
 const modelFraction = 0.5;
 
