--- a/packages/gateway/__tests__/store-gate.spec.ts
+++ b/packages/gateway/__tests__/store-gate.spec.ts
@@ -104,6 +104,34 @@
 		expect(told).to.equal(1);
 	});
 
+	it('tells of the return at the first call that is served, also after a refusal', async () => {
+		let refusal: PlatformError | undefined;
+		const busy = new StoreGate({
+			commit: async transaction => store.commit(transaction),
+			async read(range) {
+				if (refusal) {
+					throw refusal;
+				}
+
+				return store.read(range);
+			},
+			follow: async (table, after, waitMs) => store.follow(table, after, waitMs),
+		});
+		let told = 0;
+		busy.watchRegained(() => {
+			told += 1;
+		});
+		store.switches.silentMs = 700;
+		await catchCode(busy.commit(nothing), 700);
+		store.switches.silentMs = 0;
+		refusal = new PlatformError('limited', 'beyond the rate');
+		expect(await catchCode(busy.probing.read({table: 't', part: ''}))).to.equal('limited');
+		expect(told).to.equal(0);
+		refusal = undefined;
+		expect(await catchCode(busy.probing.read({table: 't', part: ''}))).to.equal('none');
+		expect(told).to.equal(1);
+	});
+
 	it('does not take a store for lost by a call that was sent before its last answer', async () => {
 		store.switches.silentMs = 1400;
 		const late = catchCode(gate.probing.read({table: 't', part: ''}));
