Bound collections and find middles in one place, and rank endpoints once for each model

Behaviour is unchanged, but that of two clocks that differ the lower one is the middle. Not measured: the time of the dealing at 10,000 endpoints.

--- a/packages/decisions/src/crash-evidence.ts
+++ b/packages/decisions/src/crash-evidence.ts
@@ -5,6 +5,7 @@
  * endpoints comes once in a while. A request that broke without an answer is evidence only once its endpoint is seen to be down soon after: it can't be
  * connected to, has started again, or is no longer registered.
  */
+import {dropOldest} from '@wasabiusher/shared';
 
 /** How long a broken request waits for its endpoint to be seen down, in milliseconds: a registration that is not renewed vanishes within that. */
 const evidenceMs = 6000;
@@ -30,10 +31,7 @@
 
 		this.#broken.delete(endpoint);
 		this.#broken.set(endpoint, broken);
-		if (this.#broken.size > maxEndpoints) {
-			const [oldest] = this.#broken.keys();
-			this.#broken.delete(oldest!);
-		}
+		dropOldest(this.#broken, maxEndpoints);
 	}
 
 	/** Notes that an endpoint is down; returns what was in flight when it crashed, once. */
--- a/packages/decisions/src/direct-choice.ts
+++ b/packages/decisions/src/direct-choice.ts
@@ -6,6 +6,7 @@
  * Each endpoint is weighed by the time until it would be done: what is open there, over its slots, times its pace against
  * the typical one.
  */
+import {findMiddle} from '@wasabiusher/shared';
 
 /** What is known of an endpoint that could take an attempt. */
 export type DirectCandidate = {
@@ -127,8 +128,7 @@
 
 /** Middle of the measured paces; undefined if there are none. */
 export function findTypicalPace(candidates: readonly DirectCandidate[]): number | undefined {
-	const paces = candidates.flatMap(({paceMs}) => paceMs === undefined ? [] : [paceMs]).toSorted((a, b) => a - b);
-	return paces[Math.floor((paces.length - 1) / 2)];
+	return findMiddle(candidates.flatMap(({paceMs}) => paceMs === undefined ? [] : [paceMs]));
 }
 
 /**
--- a/packages/decisions/src/expected-room.ts
+++ b/packages/decisions/src/expected-room.ts
@@ -5,6 +5,8 @@
  * What was told is true for the time of a few requests; believed for a second it keeps calls away from slots that are free, and not believed at all
  * it sends a burst to endpoints that are full.
  */
+import {findMiddle} from '@wasabiusher/shared';
+import {usualWorkMs} from './return-plan.js';
 
 /** What is known of an endpoint's room. */
 export type KnownRoom = {
@@ -21,19 +23,16 @@
 /** Requests that wait at the endpoint itself, so that a slot is not idle while the answer and the next request are on their way. */
 const ahead = 1;
 
-/** Time that a request is taken for while none was measured, in milliseconds. */
-const usualWorkMs = 100;
-
 /** Pace over the typical one from which an endpoint is slow: more than sound endpoints of one service differ by. */
 const slowFactor = 1.8;
 
 /** Pace above which an endpoint of a service is slow, in milliseconds; undefined until some were measured. */
 export function findSlowPace(pacesMs: ReadonlyArray<number | undefined>): number | undefined {
-	const known = pacesMs.filter(paceMs => paceMs !== undefined).toSorted((a, b) => a - b);
-	const typical = known[Math.floor((known.length - 1) / 2)];
+	const typical = findMiddle(pacesMs.filter(paceMs => paceMs !== undefined));
 	return typical === undefined ? undefined : slowFactor * typical;
 }
 
+/** Whether it has probably room now: by what was told, less what has ended since then at its pace. */
 export function isRoomExpected({
 	slots, open, others, ageMs, workMs = usualWorkMs,
 }: KnownRoom): boolean {
--- a/packages/decisions/src/length-prediction.ts
+++ b/packages/decisions/src/length-prediction.ts
@@ -5,6 +5,7 @@
  * a prediction they start whenever their turn comes, the last of them at the end. Samples of one prompt
  * resemble each other, and a prompt comes back in later steps; both are used.
  */
+import {dropOldest} from '@wasabiusher/shared';
 
 /** Lengths of one kind of work that are remembered; enough for its distribution, recent enough to follow a policy that changes. */
 const maxLengths = 512;
@@ -88,10 +89,7 @@
 	#setPrompt(key: string, prompt: Prompt): void {
 		this.#prompts.delete(key);
 		this.#prompts.set(key, prompt);
-		if (this.#prompts.size > maxPrompts) {
-			const [oldest] = this.#prompts.keys();
-			this.#prompts.delete(oldest!);
-		}
+		dropOldest(this.#prompts, maxPrompts);
 	}
 
 	#recordKind(name: string, tokens: number): void {
--- a/packages/decisions/src/model-placement.ts
+++ b/packages/decisions/src/model-placement.ts
@@ -151,5 +151,8 @@
 }
 
 function sortByRank(holders: readonly ModelHolder[], model: string): ModelHolder[] {
-	return holders.toSorted((a, b) => rankCandidate(model, b.id) - rankCandidate(model, a.id));
+	return holders
+		.map(holder => ({holder, rank: rankCandidate(model, holder.id)}))
+		.toSorted((a, b) => b.rank - a.rank)
+		.map(({holder}) => holder);
 }
--- a/packages/decisions/src/poison.ts
+++ b/packages/decisions/src/poison.ts
@@ -7,7 +7,7 @@
  * `chooseIsolation` names whichever entry asks, so that copies sent through several entries meet there. A second
  * crash quarantines it; finishing anywhere clears it.
  */
-import {orderByRank} from '@wasabiusher/shared';
+import {orderByRank, dropOldest} from '@wasabiusher/shared';
 
 /** How a request with some fingerprint may run. */
 export type Verdict
@@ -135,10 +135,7 @@
 			extendTerm(row, now, this.#limits);
 		}
 
-		if (this.#rows.size > maxRows) {
-			const [oldest] = this.#rows.keys();
-			this.#rows.delete(oldest!);
-		}
+		dropOldest(this.#rows, maxRows);
 	}
 }
 
--- a/packages/decisions/src/prefix-index.ts
+++ b/packages/decisions/src/prefix-index.ts
@@ -6,7 +6,7 @@
  * the engines' cache events, which come late and with gaps, mend that. The index is a hint: a wrong one
  * costs a computed prefix, never a wrong answer.
  */
-import {hashText} from '@wasabiusher/shared';
+import {hashText, dropOldest} from '@wasabiusher/shared';
 
 /** Characters in a block: some 64 tokens, a few of the blocks that engines usually cache by. */
 const blockLength = 256;
@@ -128,10 +128,7 @@
 			cache.blocks.set(block, now);
 		}
 
-		while (cache.blocks.size > this.#capacity) {
-			const [oldest] = cache.blocks.keys();
-			cache.blocks.delete(oldest!);
-		}
+		dropOldest(cache.blocks, this.#capacity);
 	}
 }
 
--- a/packages/decisions/src/retries.ts
+++ b/packages/decisions/src/retries.ts
@@ -5,7 +5,7 @@
  * times over where two layers retry, and keeps the endpoints down when they would come back. Only entries retry;
  * agents never do. Each caller has a budget that is a part of its first tries.
  */
-import type {Ran, Random} from '@wasabiusher/shared';
+import {dropOldest, type Ran, type Random} from '@wasabiusher/shared';
 
 /** Retries for each first try. In the experiment's outage of 10 s attempts are 1.15 times the first tries, what 30 callers had saved up included. */
 const retryRatio = 0.1;
@@ -72,10 +72,7 @@
 	#set(caller: string, tokens: number): void {
 		this.#tokens.delete(caller);
 		this.#tokens.set(caller, tokens);
-		if (this.#tokens.size > maxCallers) {
-			const [oldest] = this.#tokens.keys();
-			this.#tokens.delete(oldest!);
-		}
+		dropOldest(this.#tokens, maxCallers);
 	}
 }
 
--- a/packages/decisions/src/return-plan.ts
+++ b/packages/decisions/src/return-plan.ts
@@ -18,7 +18,7 @@
 };
 
 /** Time that a request is taken for while none was measured, in milliseconds. */
-const usualWorkMs = 100;
+export const usualWorkMs = 100;
 
 /** Shortest and longest time that a caller is told, in milliseconds: a round trip, and what callers with a budget of some seconds will still wait. */
 const leastMs = 20;
--- a/packages/decisions/src/text-lengths.ts
+++ b/packages/decisions/src/text-lengths.ts
@@ -4,6 +4,7 @@
  * Load pattern: texts of 20 events on average and of 152 at most; what a trainer says of a length is right at the median and often far off. Which
  * texts decide a step shows only while they are made: one that has 40 events already is expected to go on for as long as those before it that came as far.
  */
+import {dropOldest} from '@wasabiusher/shared';
 
 /** Lengths remembered of each trainer: some steps, few enough to be looked through for each text. */
 const maxLengths = 128;
@@ -39,10 +40,7 @@
 		this.#kinds.set(kind, known);
 		known.ratios[known.next] = events / Math.max(minHint, hint ?? minHint);
 		known.next = (known.next + 1) % maxLengths;
-		if (this.#kinds.size > maxKinds) {
-			const [oldest] = this.#kinds.keys();
-			this.#kinds.delete(oldest!);
-		}
+		dropOldest(this.#kinds, maxKinds);
 	}
 
 	/**
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -5,7 +5,7 @@
 	chooseDirect, defaultPolicy, findSlowPace, Lateness, listBetter, ReturnPlan, type Policy,
 } from '@wasabiusher/decisions';
 import type {ServingHead} from '@wasabiusher/backends';
-import type {Random, RegisteredEndpoint} from '@wasabiusher/shared';
+import {dropOldest, type Random, type RegisteredEndpoint} from '@wasabiusher/shared';
 import type {RationSource} from '@wasabiusher/slots';
 import {EndpointClasses} from './endpoint-classes.js';
 import {chooseMove} from './endpoint-moves.js';
@@ -383,10 +383,7 @@
 	/** Keeps what is known of an endpoint that is not asked any more: its registration may come back, and its open attempts end one day. */
 	#remember(id: string, standing: EndpointStanding): void {
 		this.#forgotten.set(id, standing);
-		if (this.#forgotten.size > maxForgotten) {
-			const [oldest] = this.#forgotten.keys();
-			this.#forgotten.delete(oldest!);
-		}
+		dropOldest(this.#forgotten, maxForgotten);
 	}
 
 	#notify({endpoint: {service}}: EndpointStanding): void {
--- a/packages/direct/src/endpoint-standing.ts
+++ b/packages/direct/src/endpoint-standing.ts
@@ -5,7 +5,7 @@
 	AttemptPause, BestPace, defaultPolicy, isRoomExpected, SpeedModel, type DirectCandidate, type EndpointRoom, type EndpointSpeed, type Policy,
 } from '@wasabiusher/decisions';
 import type {EndpointLoad, ServingHead} from '@wasabiusher/backends';
-import type {RegisteredEndpoint} from '@wasabiusher/shared';
+import {dropOldest, type RegisteredEndpoint} from '@wasabiusher/shared';
 
 /** First and longest time for which an endpoint that could not be reached is left alone, in milliseconds. */
 const firstPauseMs = 200;
@@ -166,10 +166,7 @@
 
 		this.#warmKeys.delete(warmKey);
 		this.#warmKeys.add(warmKey);
-		if (this.#warmKeys.size > maxWarmKeys) {
-			const [oldest] = this.#warmKeys;
-			this.#warmKeys.delete(oldest!);
-		}
+		dropOldest(this.#warmKeys, maxWarmKeys);
 	}
 
 	/** Notes that an attempt has ended. */
--- a/packages/logs/src/host-clocks.ts
+++ b/packages/logs/src/host-clocks.ts
@@ -4,6 +4,7 @@
  * Hosts learn of a configuration or a published version within some tenths of a second of each other. What a host's lines of such events are off
  * from the middle of all hosts is its clock's offset; the middle over many events leaves out a host that was once late to learn.
  */
+import {findMiddle} from '@wasabiusher/shared';
 import type {LogLine} from './line.js';
 
 /** Events that all hosts log, and the values that tell which one it is. */
@@ -16,10 +17,6 @@
 /** Offset from which clocks count as apart, in milliseconds: hosts learn of the same event at different times. */
 const leastOffsetMs = 500;
 
-function findMiddle(values: readonly number[]): number {
-	return values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)]!;
-}
-
 /** Finds the lines of some events by their text, before they are taken apart. */
 export function createEventPattern(events: Iterable<string>): RegExp {
 	return new RegExp(`event=(?:${[...new Set(events)].join('|')}) `, 'v');
@@ -62,12 +59,12 @@
 	findOffsets(): Map<string, number> {
 		const offsets = new Map<string, number[]>();
 		for (const times of this.#times.values()) {
-			const middle = findMiddle([...times.values()]);
+			const middle = findMiddle([...times.values()])!;
 			for (const [host, timeMs] of times) {
 				offsets.set(host, [...offsets.get(host) ?? [], timeMs - middle]);
 			}
 		}
 
-		return new Map([...offsets].map(([host, found]) => [host, findMiddle(found)] as const).filter(([, offset]) => Math.abs(offset) >= leastOffsetMs));
+		return new Map([...offsets].map(([host, found]) => [host, findMiddle(found)!] as const).filter(([, offset]) => Math.abs(offset) >= leastOffsetMs));
 	}
 }
--- a/packages/record/src/row-faults.ts
+++ b/packages/record/src/row-faults.ts
@@ -4,7 +4,7 @@
  * Load pattern: another writer, or a newer release, leaves rows that can't be decoded, and perhaps writes them again many times a
  * second. Each host sees each of them, so each version of a row is told once and no more than a few lines in some seconds.
  */
-import {describeError, type Log} from '@wasabiusher/shared';
+import {describeError, type Log, dropOldest} from '@wasabiusher/shared';
 
 /** Lines in one period, and its length in milliseconds; what is beyond is counted. */
 const linesPerPeriod = 5;
@@ -64,9 +64,6 @@
 	#remember(name: string, version: number): void {
 		this.#told.delete(name);
 		this.#told.set(name, version);
-		if (this.#told.size > maxRows) {
-			const [oldest] = this.#told.keys();
-			this.#told.delete(oldest!);
-		}
+		dropOldest(this.#told, maxRows);
 	}
 }
--- /dev/null
+++ b/packages/shared/__tests__/collections.spec.ts
@@ -0,0 +1,21 @@
+import {expect} from 'chai';
+import {dropOldest, findMiddle} from '../src/index.js';
+
+describe('dropOldest', () => {
+	it('forgets what was added first, of maps and sets, and nothing within the bound', () => {
+		const map = new Map([['a', 1], ['b', 2], ['c', 3]]);
+		dropOldest(map, 2);
+		expect([...map.keys()]).to.deep.equal(['b', 'c']);
+		const set = new Set([1, 2, 3, 4]);
+		dropOldest(set, 1);
+		expect([...set]).to.deep.equal([4]);
+		dropOldest(set, 5);
+		expect(set.size).to.equal(1);
+	});
+});
+
+describe('findMiddle', () => {
+	it('gives the middle whatever the order, the lower one of two, and nothing of nothing', () => {
+		expect([findMiddle([9, 1, 5]), findMiddle([4, 3]), findMiddle([])]).to.deep.equal([5, 3, undefined]);
+	});
+});
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,5 @@
 /** What every package shares: schemas of the domain, tables, errors, hashing, random numbers and logs. */
+export * from './collections.js';
 export * from './configuration.js';
 export * from './configuration-delta.js';
 export * from './deployment.js';
--- a/packages/slots/src/return-turns.ts
+++ b/packages/slots/src/return-turns.ts
@@ -4,6 +4,7 @@
  * Load pattern: a burst is refused with a time to come back, and most of it comes back. If those meet the same bound as newcomers, some are refused again and
  * again while later ones are served.
  */
+import {dropOldest} from '@wasabiusher/shared';
 
 /** Most that are remembered; the oldest are forgotten first. */
 const mostRefused = 1000;
@@ -19,10 +20,7 @@
 	note(key: string): void {
 		this.#refusedAt.delete(key);
 		this.#refusedAt.set(key, performance.now());
-		if (this.#refusedAt.size > mostRefused) {
-			const [oldest] = this.#refusedAt.keys();
-			this.#refusedAt.delete(oldest!);
-		}
+		dropOldest(this.#refusedAt, mostRefused);
 	}
 
 	/** Whether a request comes back that was refused; true once for each refusal. */
--- a/packages/systems/src/steps-decisions.ts
+++ b/packages/systems/src/steps-decisions.ts
@@ -6,7 +6,7 @@
 import {
 	judgeDispatch, LengthPrediction, observeVersion, orderSamples, planCopies, type IdleEndpoint, type Straggler, type VersionForecast,
 } from '@wasabiusher/decisions';
-import {hashText} from '@wasabiusher/shared';
+import {hashText, dropOldest} from '@wasabiusher/shared';
 import {toPlace, type StepRequest} from './steps-request.js';
 import type {SlotFacts} from './steps-slots.js';
 
@@ -37,10 +37,7 @@
 		const forecast = observeVersion(this.#forecasts.get(key), version, performance.now());
 		this.#forecasts.delete(key);
 		this.#forecasts.set(key, forecast);
-		if (this.#forecasts.size > maxForecasts) {
-			const [oldest] = this.#forecasts.keys();
-			this.#forecasts.delete(oldest!);
-		}
+		dropOldest(this.#forecasts, maxForecasts);
 	}
 
 	/** A sample was finished. */
