Take no count for an id when explaining one, and find leases

Cause: explain took any value that equals the id, so that a version 7 found every line with seven events, and leases, which lines name under shard, were found as nothing. Change: only keys that name something count, each with its kind.

--- a/packages/logs/__tests__/explain.spec.ts
+++ b/packages/logs/__tests__/explain.spec.ts
@@ -86,6 +86,22 @@
 		expect(explanations.map(({kind}) => kind)).to.deep.equal(['batch', 'endpoint', 'host', undefined]);
 	});
 
+	it('takes no count for a version, and finds a lease by its name', async () => {
+		const file = write('v.log', [
+			createLine('a', 0, 'configuration_adopted', {version: 7, routes: 9}),
+			createLine('a', 1, 'run_ended', {sample: 's', events: 7}),
+			createLine('a', 2, 'lease_taken', {shard: 'weights', fence: 7}),
+			createLine('a', 3, 'text_made', {sample: 's', versions: '6,7'}),
+		]);
+		const version = await explainId('7', [file]);
+		expect([version.kind, list(version)]).to.deep.equal(['version', ['a configuration_adopted', 'a text_made']]);
+		expect(version.decided).to.equal(0);
+		const lease = await explainId('weights', [file]);
+		expect([lease.kind, lease.decided]).to.deep.equal(['lease', 0]);
+		const none = await explainId('9', [file]);
+		expect(none.kind).to.equal(undefined);
+	});
+
 	it('takes a refused request for decided by its end', async () => {
 		const file = write('r.log', [
 			createLine('a', 0, 'attempt_failed', {request: 'q', endpoint: 'e1', reason: 'closed'}),
--- a/packages/logs/src/explain.ts
+++ b/packages/logs/src/explain.ts
@@ -70,13 +70,27 @@
 	count: ReadingCount;
 };
 
+/** Other keys under which lines name something, and its kind. */
+const otherKeys: ReadonlyMap<string, SubjectKind> = new Map([
+	['to', 'endpoint'], ['peer', 'host'], ['shard', 'lease'], ['versions', 'version'], ['published', 'version'],
+]);
+
+/** The kind of what lines name under a key; undefined if the key names nothing, so that a count is never taken for an id. */
+function findKind(key: string): SubjectKind | undefined {
+	return kindKeys.find(kind => kind === key) ?? otherKeys.get(key);
+}
+
 /** Whether a value names the id, alone or in a list. */
 function namesId(value: string, id: string): boolean {
 	return value === id || (value.includes(id) && value.split(/[\s,]/v).includes(id));
 }
 
-function listKeys({values}: LogLine, id: string): string[] {
-	return [...values].filter(([, value]) => namesId(value, id)).map(([key]) => key);
+/** Kinds under which a line names the id. */
+function listKinds({values}: LogLine, id: string): SubjectKind[] {
+	return [...values].flatMap(([key, value]) => {
+		const kind = namesId(value, id) ? findKind(key) : undefined;
+		return kind ? [kind] : [];
+	});
 }
 
 /** Lines that name an id, and what these name besides. */
@@ -84,24 +98,24 @@
 	readonly lines: LogLine[] = [];
 	omitted = 0;
 	readonly #id: string;
-	readonly #keys = new Set<string>();
+	readonly #kinds = new Set<SubjectKind>();
 
 	constructor(id: string) {
 		this.#id = id;
 	}
 
 	get kind(): SubjectKind | undefined {
-		return kindKeys.find(key => this.#keys.has(key)) ?? (this.lines.some(({host}) => host === this.#id) ? 'host' : undefined);
+		return kindKeys.find(kind => this.#kinds.has(kind)) ?? (this.lines.some(({host}) => host === this.#id) ? 'host' : undefined);
 	}
 
 	add(line: LogLine): void {
-		const keys = listKeys(line, this.#id);
-		if (keys.length === 0 && line.host !== this.#id) {
+		const kinds = listKinds(line, this.#id);
+		if (kinds.length === 0 && line.host !== this.#id) {
 			return;
 		}
 
-		for (const key of keys) {
-			this.#keys.add(key);
+		for (const kind of kinds) {
+			this.#kinds.add(kind);
 		}
 
 		if (this.lines.length < mostLines) {
@@ -141,7 +155,7 @@
 
 	add(line: LogLine): void {
 		const timeMs = putRight(line, this.#offsets);
-		if (timeMs < this.#from || timeMs > this.#to || !this.#concerns(line) || listKeys(line, this.#id).length > 0) {
+		if (timeMs < this.#from || timeMs > this.#to || !this.#concerns(line) || listKinds(line, this.#id).length > 0) {
 			return;
 		}
 
