Let the ablation set its policy beside other variables, with a switch for each part

Cause: deploy/system.toml sets a variable since gateways tell metrics, and a second line of env made the deploy file of each variant invalid; the parts of hard load had no variant.

--- a/scripts/ablate.ts
+++ b/scripts/ablate.ts
@@ -59,6 +59,13 @@
 	'order-of-samples': {sampleOrder: 'as-submitted'},
 	'staggered-loads': {staggersLoads: false},
 	'load-delay': {loadDelayMs: 0},
+	line: {queuesAtHost: false},
+	'rations-on': {sharesSlots: true},
+	'told-loads': {tellsLoads: false},
+	'speeds-and-plans': {plansTexts: false},
+	'commits-by-worth': {commitsByWorth: false},
+	'timed-loads': {timesLoads: false},
+	crashers: {refusesCrashers: false},
 };
 
 const listSchema = z.coerce.string().transform(text => text.split(',').filter(Boolean));
@@ -99,6 +106,16 @@
 	return parsed.data;
 }
 
+/** Adds a variable to those that a deploy file sets for its one role; the file sets some already. */
+function setVariable(deploy: string, name: string, value: string): string {
+	const changed = deploy.replace(/^env = \{ /mv, () => `env = { ${name} = ${JSON.stringify(value)}, `);
+	if (changed === deploy) {
+		throw new Error('deploy/system.toml sets no variables: expected a line that begins with "env = { "');
+	}
+
+	return changed;
+}
+
 /** Makes a clone with its own policy, ready to be played. */
 async function prepare(variant: string, scratch: string, bench: string): Promise<string> {
 	const directory = path.join(scratch, variant);
@@ -107,7 +124,7 @@
 		execFileSync('cp', ['-a', '--link', 'node_modules', path.join(directory, 'node_modules')]);
 		const file = path.join(directory, 'deploy/system.toml');
 		const policy = JSON.stringify(variants[variant]);
-		writeFileSync(file, `${readFileSync(file, 'utf8').trimEnd()}\nenv = { WASABIUSHER_POLICY = ${JSON.stringify(policy)} }\n`);
+		writeFileSync(file, setVariable(readFileSync(file, 'utf8'), 'WASABIUSHER_POLICY', policy));
 	}
 
 	await run(bench, ['build'], directory);
