--- a/packages/direct/__tests__/stream-call.spec.ts
+++ b/packages/direct/__tests__/stream-call.spec.ts
@@ -135,4 +135,32 @@
 		expect(opened.kind === 'opened' && opened.stream.status).to.equal(500);
 		expect(await read(opened)).to.equal('no');
 	});
+
+	it('ends with the time of its caller while no endpoint begins, and asks none after it', async () => {
+		const bench = createBench(4);
+		let asked = 0;
+		const client = {
+			...bench.client,
+			async open(_target: unknown, _request: ServingRequest, signal: AbortSignal): Promise<ServingStream> {
+				asked += 1;
+				return new Promise((_resolve, reject) => {
+					signal.addEventListener('abort', () => {
+						reject(new PlatformError('unknown', 'cut'));
+					});
+				});
+			},
+		};
+		let outcome: StreamOutcome | undefined;
+		void (async () => {
+			outcome = await new StreamCall({...bench, client}, createRoute({kind: 'stream', isResumable: true}), createRequest(300), new AbortController().signal).open();
+		})();
+
+		await clock.tickAsync(290);
+		expect(outcome).to.equal(undefined);
+		await clock.tickAsync(20);
+		expect(outcome).to.deep.equal({kind: 'timeout', hasSent: true});
+		await clock.tickAsync(5000);
+		expect(asked).to.equal(1);
+		expect(bench.directory.list().map(({id}) => bench.directory.countOpen(id))).to.deep.equal([0, 0, 0, 0]);
+	});
 });
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -41,6 +41,8 @@
 	#lastReason = 'no endpoint is registered';
 	readonly #turn: CallTurn;
 	#hasWaited = false;
+	/** Aborts when the caller waits no longer for the beginning. */
+	readonly #deadline = new AbortController();
 
 	/** @param signal - aborts when the caller has left */
 	constructor(settings: CallSettings, route: Route, request: CallerRequest, signal: AbortSignal) {
@@ -59,7 +61,12 @@
 			return {kind: 'not-run', reason: crasherReason, retryAfterMs: refusalMs};
 		}
 
+		const timer = setTimeout(() => {
+			this.#deadline.abort();
+		}, Math.max(0, this.#request.deadlineAt - performance.now()));
 		const outcome = await this.#attemptAll(this.#request.resumeAfter);
+		// What has begun in time may go on.
+		clearTimeout(timer);
 		if ('kind' in outcome) {
 			return outcome;
 		}
@@ -85,7 +92,8 @@
 		}
 
 		this.#release();
-		const outcome = this.#begun < this.#route.maxAttempts ? await this.#attemptAll(after) : undefined;
+		const mayAsk = this.#begun < this.#route.maxAttempts && performance.now() < this.#request.deadlineAt;
+		const outcome = mayAsk ? await this.#attemptAll(after) : undefined;
 		if (!outcome || 'kind' in outcome) {
 			return undefined;
 		}
@@ -96,7 +104,7 @@
 
 	/** Asks one endpoint after the other until one begins. */
 	async #attemptAll(after: number | undefined): Promise<OpenAttempt | Exclude<StreamOutcome, {kind: 'opened'}>> {
-		while (!this.#signal.aborted) {
+		while (!this.#signal.aborted && !this.#deadline.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop
 			const turn = await this.#take();
 			if (turn.kind !== 'granted') {
@@ -116,14 +124,19 @@
 			this.#release();
 		}
 
-		return {kind: 'stopped'};
+		return this.#conclude();
+	}
+
+	/** What to tell a caller that has left, or waits no longer. */
+	#conclude(): Exclude<StreamOutcome, {kind: 'opened'}> {
+		return this.#signal.aborted ? {kind: 'stopped'} : {kind: 'timeout', hasSent: this.#runs.size > 0};
 	}
 
 	/** Only the first attempt waits for its turn. */
 	async #take(): Promise<TurnAnswer> {
 		if (!this.#hasWaited) {
 			this.#hasWaited = true;
-			return this.#turn.wait(this.#signal);
+			return this.#turn.wait(AbortSignal.any([this.#signal, this.#deadline.signal]));
 		}
 
 		const endpoint = this.#turn.take(this.#excluded);
@@ -131,8 +144,8 @@
 	}
 
 	#refuse(turn: Exclude<TurnAnswer, {kind: 'granted'}>): Exclude<StreamOutcome, {kind: 'opened'}> {
-		if (this.#signal.aborted) {
-			return {kind: 'stopped'};
+		if (this.#signal.aborted || this.#deadline.signal.aborted) {
+			return this.#conclude();
 		}
 
 		return turn.kind === 'refused'
@@ -150,7 +163,7 @@
 		const watch = this.#route.isResumable ? new SilenceWatch(stop, () => directory.findHeardAt(id)) : undefined;
 		try {
 			this.#runs.add(id);
-			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, stop.signal, restart.signal]));
+			const stream = await client.open(endpoint, this.#toServing(after), AbortSignal.any([this.#signal, this.#deadline.signal, stop.signal, restart.signal]));
 			directory.recordHead(id, stream);
 			if (!stream.isNotRun) {
 				this.#begun += 1;
@@ -165,9 +178,9 @@
 		} catch (error) {
 			watch?.end();
 			this.#lastReason = `${id}: ${describeError(error)}`;
-			if (this.#signal.aborted) {
+			if (this.#signal.aborted || this.#deadline.signal.aborted) {
 				this.#release();
-				return {kind: 'stopped'};
+				return this.#conclude();
 			}
 
 			log.info('attempt_failed', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
--- a/packages/gateway/src/crashers.ts
+++ b/packages/gateway/src/crashers.ts
@@ -40,6 +40,8 @@
 
 /** The requests that crash endpoints, as all hosts have seen them. */
 export class Crashers implements CrashWatch {
+	/** Endpoints that were seen to crash with requests in flight, and requests that were refused for it. */
+	readonly counts = {crashesSeen: 0, crashersRefused: 0};
 	readonly #settings: CrashersSettings;
 	readonly #guard = new PoisonGuard({crashesToQuarantine, suspicionMs, firstTermMs});
 	readonly #evidence = new CrashEvidence();
@@ -56,7 +58,12 @@
 		}
 
 		const verdict = this.#guard.judge(findFingerprint(request), performance.now());
-		return verdict.kind === 'quarantined' ? Math.min(longestRetryMs, verdict.retryAfterMs) : undefined;
+		if (verdict.kind !== 'quarantined') {
+			return undefined;
+		}
+
+		this.counts.crashersRefused += 1;
+		return Math.min(longestRetryMs, verdict.retryAfterMs);
 	}
 
 	noteBroken(endpoint: string, request: CallerRequest): void {
@@ -70,6 +77,7 @@
 			return;
 		}
 
+		this.counts.crashesSeen += 1;
 		const incarnation = String(directory.get(endpoint)?.bornMs ?? '');
 		this.#guard.recordCrash({endpoint, incarnation, fingerprints}, performance.now());
 		log.info('endpoint_crashed', {endpoint, inFlight: fingerprints.length});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -152,7 +152,7 @@
 			host, dataCentre, cores, client, format, random, log, leaseMs, policy = defaultPolicy,
 		} = settings;
 		this.#policy = policy;
-		this.#hedges = policy.plansTexts ? new RetryBudget() : undefined;
+		this.#hedges = policy.hedgesCalls ? new RetryBudget() : undefined;
 		this.#gate = new StoreGate(settings.rows);
 		const findKey = () => this.#linkKey;
 		const rows = new RoutedStore({
@@ -285,11 +285,6 @@
 		return this.#catalog.deployment;
 	}
 
-	/** What waits at this host; undefined if nothing does. */
-	get line(): EndpointLine | undefined {
-		return this.#line;
-	}
-
 	/** What operators are told of this host. */
 	get status(): GatewayStatus {
 		const {host, dataCentre = ''} = this.#settings;
@@ -314,7 +309,7 @@
 	get counts(): PartCounts {
 		const answers = this.#line?.counts.map(({kind, answer, count}): [string, number] => [`line-${kind}-${answer}`, count]) ?? [];
 		return {
-			...this.batches.counts, ...this.#loadNews.counts, ...this.#directory.loads.counts, ...this.#directory.counts, ...this.#sharing?.counts, ...Object.fromEntries(answers),
+			...this.batches.counts, ...this.#loadNews.counts, ...this.#directory.loads.counts, ...this.#directory.counts, ...this.#crashers.counts, ...this.#sharing?.counts, ...Object.fromEntries(answers),
 		};
 	}
 
