--- a/packages/batches/__tests__/batches.spec.ts
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -68,6 +68,19 @@
 		expect(await readAll(b!, '1')).to.deep.equal(results);
 	});
 
+	it('tells every process what of a model waits to begin: all of a step that has just come, then what its owner says', async () => {
+		const [a, b] = createProcesses('a', 'b');
+		paceRuns(700);
+		await clock.tickAsync(500);
+		await settle(a!.batches.submit('1', createSubmission(12)));
+		await clock.tickAsync(200);
+		expect(b!.batches.countWaiting('m')).to.be.at.least(12);
+		await clock.tickAsync(1300);
+		expect([a!.batches.listWaiting(), b!.batches.countWaiting('m'), b!.batches.countWaiting('n')]).to.deep.equal([{m: 4}, 4, 0]);
+		await clock.tickAsync(20_000);
+		expect([a!.batches.listWaiting(), b!.batches.countWaiting('m')]).to.deep.equal([{}, 0]);
+	});
+
 	it('accepts a batch once, whoever it is handed to again', async () => {
 		const [a, b] = createProcesses('a', 'b');
 		await settle(a!.batches.submit('1', createSubmission(2)));
--- a/packages/batches/__tests__/fixtures.ts
+++ b/packages/batches/__tests__/fixtures.ts
@@ -80,7 +80,7 @@
 			id: 'sc', service: 'scorer', address: 'scorer', dataCentre: 'd', slots: 8, isDraining: false, models: [], orderCount: 0, coldMs: 0,
 		});
 		const hosts = new HostRegistry({
-			rows: store, host, log, ownsWork: () => batches.hasWork,
+			rows: store, host, log, ownsWork: () => batches.hasWork, listWaiting: () => batches.listWaiting(),
 		});
 		const batches: Batches = new Batches({
 			store: new BatchStore(store, store), keptTexts: new KeptTexts(store), hosts, host, directory, client: serving, random, log,
--- a/packages/direct/__tests__/endpoint-directory.spec.ts
+++ b/packages/direct/__tests__/endpoint-directory.spec.ts
@@ -203,4 +203,27 @@
 		directory.release(last!);
 		expect(take()).to.equal(last);
 	});
+
+	it('takes no endpoint for slow that is disturbed for a moment, and one that is lastingly', () => {
+		const paces: Record<string, number> = {a: 25, b: 25, c: 36};
+		for (const [id, paceMs] of Object.entries(paces)) {
+			directory.put(createEndpoint({id, address: id}));
+			for (let i = 0; i < 10; i += 1) {
+				directory.recordPace(id, paceMs);
+			}
+		}
+
+		directory.recordHead('c', {
+			status: 200, headers: {}, isNotRun: false, stamp: 's', weightVersion: undefined, isFramed: true, isClosing: false, load: {
+				running: 1, waiting: 0, slots: 4, slowness: 1.4,
+			},
+		});
+		const need = {service: 's', avoidsSlow: true, excluded: new Set(['a', 'b'])};
+		expect(directory.take(need)?.id).to.equal('c');
+		for (let i = 0; i < 40; i += 1) {
+			directory.recordPace('c', 75);
+		}
+
+		expect(directory.take(need)).to.equal(undefined);
+	});
 });
--- a/packages/direct/__tests__/sample-search.spec.ts
+++ b/packages/direct/__tests__/sample-search.spec.ts
@@ -78,6 +78,21 @@
 		expect(listBegun()).to.deep.equal(['s']);
 	});
 
+	it('keeps a text while nobody is registered, and goes on with it once its version is back', async () => {
+		const {directory, client, log, endpoints: [endpoint]} = bench;
+		const registered = directory.get(endpoint!.id)!;
+		directory.remove(endpoint!.id);
+		await clock.tickAsync(1300);
+		const text = {events: ['a', 'b'], versions: new Set([1])};
+		void new SampleRun({
+			directory, client, log, line, findRoute: () => createRoute({kind: 'batch', isSingleVersion: true}), chance: () => 0,
+		}, createSample({id: 's', isSingleVersion: true}), stop.signal, text).run();
+		await clock.tickAsync(3000);
+		directory.put(registered);
+		await clock.tickAsync(100);
+		expect(endpoint!.runs.map(({resumeAfter}) => resumeAfter)).to.deep.equal([2]);
+	});
+
 	it('leaves the line when its batch stops, and keeps no slot', async () => {
 		start([0, 1, 2, 3, 4, 5]);
 		await clock.tickAsync(20);
--- a/packages/direct/__tests__/weight-orders.spec.ts
+++ b/packages/direct/__tests__/weight-orders.spec.ts
@@ -1,6 +1,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {defaultPolicy} from '@wasabiusher/decisions';
+import {Log} from '@wasabiusher/shared';
 import {WeightOrders} from '../src/index.js';
 import {createBench, type Bench} from './fixtures.js';
 
@@ -173,12 +174,8 @@
 		orders = new WeightOrders({
 			directory: bench.directory, client: bench.client, right, holder: 'a', log: bench.log, chooseMode: () => 'continue', findWaiting: () => waiting,
 		});
-		for (const version of [2, 3]) {
-			orders.publish('m', version);
-			// eslint-disable-next-line no-await-in-loop
-			await tickFor(10_000);
-		}
-
+		orders.publish('m', 2);
+		await tickFor(10_000);
 		const before = countOrders();
 		waiting = 10;
 		const [first] = bench.endpoints;
@@ -186,8 +183,25 @@
 		const endpoint = bench.directory.get(first!.id)!;
 		bench.directory.put({...endpoint, bornMs: 100});
 		bench.directory.put({...endpoint, bornMs: 200, models: [{model: 'm', version: 1}]});
+		orders.publish('m', 3);
 		await tickFor(500);
-		expect(countOrders()).to.equal(before + 1);
+		expect([first!.orders.at(-1)!.version, countOrders()]).to.deep.equal([3, before + 1]);
+	});
+
+	it('leaves models where they are while no endpoint shows which one it follows', async () => {
+		bench = createBench(6, ['a', 'b', 'c']);
+		const lines: string[] = [];
+		orders = new WeightOrders({
+			directory: bench.directory, client: bench.client, right, holder: 'a', chooseMode: () => 'continue',
+			log: new Log('t', 'info', line => {
+				lines.push(line);
+			}),
+		});
+		await tickFor(100);
+		const first = lines.filter(line => line.includes('event=endpoint_placed')).length;
+		orders.publish('a', 2);
+		await tickFor(100);
+		expect([first, lines.filter(line => line.includes('event=endpoint_placed')).length]).to.deep.equal([6, 6]);
 	});
 
 	it('orders at once and everywhere where the policy says so', async () => {
--- a/packages/gateway/__tests__/host-links.spec.ts
+++ b/packages/gateway/__tests__/host-links.spec.ts
@@ -43,6 +43,12 @@
 		expect(counts).to.deep.equal({opened: 1, sent: 0, unopened: 0});
 	});
 
+	it('opens no link any more once it was closed', () => {
+		create('key');
+		links.close();
+		expect([links.send(deadAddress, message), links.size]).to.deep.equal([false, 0]);
+	});
+
 	it('opens a bounded number of links, and none without the key', () => {
 		create('key');
 		for (let i = 0; i < 40; i += 1) {
