--- a/packages/batches/__tests__/known-batches.spec.ts
+++ b/packages/batches/__tests__/known-batches.spec.ts
@@ -4,7 +4,9 @@
 
 function createRecord(changes: Partial<BatchRecord>): BatchRecord {
 	return batchRecordSchema.parse({
-		id: 'x', shares: [], series: 't', isEnded: false, object: '', total: 10, model: 'm', acceptedMs: 1000, ...changes,
+		id: 'x', shares: [{
+			owner: 'o', ownerHost: 'h', dataCentre: 'd', term: 1,
+		}], series: 't', isEnded: false, object: '', total: 10, model: 'm', acceptedMs: 1000, ...changes,
 	});
 }
 
