--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -16,6 +16,7 @@
 import {formatTable, formatTime} from './layout.js';
 import {OperatorClient} from './operator-client.js';
 import {formatStatus, joinStatuses} from './status.js';
+import {runsCommand} from './runs-command.js';
 import {stepsCommand} from './steps-command.js';
 import {
 	accessShape, defineCommand, fileShape, jsonShape, type Command,
@@ -170,5 +171,5 @@
 
 /** All commands. */
 export const commands: Readonly<Record<string, Command>> = {
-	validate, diff, apply, history, status, burn: burnCommand, explain: explainCommand, gateways: gatewaysCommand, steps: stepsCommand,
+	validate, diff, apply, history, status, burn: burnCommand, explain: explainCommand, gateways: gatewaysCommand, runs: runsCommand, steps: stepsCommand,
 };
--- /dev/null
+++ b/packages/cli/src/runs-command.ts
@@ -0,0 +1,56 @@
+/**
+ * `wasabiusher runs`: who was refused, what texts waited for and which runs moved, from the logs of any number of hosts.
+ */
+import {z} from 'zod';
+import {
+	LogFileError, readLines, runEvents, RunsCount, type Quantiles, type ReadingCount, type RunsReport,
+} from '@wasabiusher/logs';
+import {defineCommand, jsonShape, logsSchema} from './command.js';
+import {CliError} from './errors.js';
+import {formatTable} from './layout.js';
+
+/** Most hosts that are listed. */
+const maxHosts = 12;
+
+function formatWait([field, {p50, p90, p99}]: [string, Quantiles]): string[] {
+	return [field, ...[p50, p90, p99].map(value => value === undefined ? '-' : String(value))];
+}
+
+function formatReport(report: RunsReport, {lines, skipped}: ReadingCount): string {
+	const {runs, refused, refusedLoading, texts, waits, moves, earlyMoves, failedCommits, hosts} = report;
+	return [
+		`${runs} runs, ${refused} refused, ${refusedLoading} of them by endpoints that loaded weights; ${texts} texts; ${lines} lines read, ${skipped} not understood`,
+		`${moves} runs moved, ${earlyMoves} of them within the first five events of their texts; ${failedCommits} writes of results failed`,
+		'',
+		formatTable(['milliseconds', 'p50', 'p90', 'p99'], Object.entries(waits).map(wait => formatWait(wait))),
+		'',
+		formatTable(['host', 'texts'], hosts.slice(0, maxHosts).map(({host, texts: made}) => [host || '-', String(made)])),
+	].join('\n');
+}
+
+/** The command. */
+export const runsCommand = defineCommand({
+	summary: 'Shows who was refused, what texts waited for and which runs moved, from log files',
+	schema: z.object({logs: logsSchema, ...jsonShape}),
+	async run({logs}) {
+		const count = new RunsCount();
+		const marks = runEvents.map(event => `event=${event} `);
+		try {
+			const reading = await readLines(logs, line => {
+				count.add(line);
+			}, text => marks.some(mark => text.includes(mark)));
+			const report = count.report();
+			if (report.runs === 0) {
+				throw new CliError('failed', `no run ended in ${reading.lines} lines of ${logs.join(', ')}`);
+			}
+
+			return {json: {...report, ...reading}, text: formatReport(report, reading)};
+		} catch (error) {
+			if (error instanceof LogFileError) {
+				throw new CliError('failed', error.message, {}, error);
+			}
+
+			throw error;
+		}
+	},
+});
--- a/packages/logs/src/index.ts
+++ b/packages/logs/src/index.ts
@@ -3,6 +3,7 @@
 export * from './host-clocks.js';
 export * from './line.js';
 export * from './read-lines.js';
+export * from './runs-report.js';
 export * from './slot-use.js';
 export * from './step-chain.js';
 export * from './step-history.js';
