--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,32 +1,31 @@
 /**
  * One entry host without agents: learns what is in force, routes calls, runs batches and gives orders for weights.
  */
-import type {Server} from 'node:http';
 import {
 	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, KeptTexts, SpeedRows,
 } from '@wasabiusher/batches';
 import {
 	defaultPolicy, Lateness, RetryBudget, type Policy,
 } from '@wasabiusher/decisions';
-import type {
-	BlobStore, DutyClient, LoadMode, RowStore, ServingClient,
-} from '@wasabiusher/backends';
+import type {LoadMode} from '@wasabiusher/backends';
 import {
 	DirectCall, EndpointDirectory, EndpointLine, LoadNews, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
 import {TrueTime, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
 import {
-	describeError, type Deployment, type GatewayStatus, type Log, type Random, type Route,
+	describeError, type Deployment, type GatewayStatus, type Route,
 } from '@wasabiusher/shared';
 import {
 	decideAccess, identify, type Access, type AccessRequest, type Identity,
 } from './access.js';
-import {Catalog, type CatalogFormat} from './catalog.js';
+import {Catalog} from './catalog.js';
+import {confirmRefusal} from './confirmation.js';
 import {crasherPart, Crashers} from './crashers.js';
 import {toEndpointView} from './endpoint-view.js';
 import type {PartCounts} from './gateway-metrics.js';
-import {readLinkKey} from './link-key.js';
+import type {GatewaySettings} from './gateway-settings.js';
+import {learnLinkKey} from './link-key.js';
 import {PeerLinks} from './peer-links.js';
 import {PeerServer} from './peer-server.js';
 import {RoutedStore} from './routed-store.js';
@@ -43,12 +42,6 @@
 /** How often orders for weights are looked after, and the lateness of this process is measured, in milliseconds. */
 const ordersMs = 50;
 
-/**
- * Longest wait of a request that would be refused until the store has confirmed what is known, in milliseconds: the caller can still be served
- * elsewhere in its time.
- */
-const confirmMs = 400;
-
 /**
  * Longest wait for changes of the configuration, in milliseconds. One must be in force 2 s after its confirmation, also on a
  * host whose connection has gone silent; and a host should know soon that it is cut off from the store.
@@ -77,39 +70,6 @@
 const orderRoomMs = 1000;
 const reportRoomMs = 1500;
 
-/** Pause before the key of links is asked for again, in milliseconds; nothing waits for it while the store serves this host. */
-const keyRetryMs = 1000;
-
-export type GatewaySettings = {
-	/** Name of the host. */
-	host: string;
-	/** Where it is; endpoints there are near. */
-	dataCentre?: string;
-	/** Cores that this process may use; undefined if it does not know. */
-	cores?: number;
-	rows: RowStore;
-	blobs: BlobStore;
-	client: ServingClient;
-	format: CatalogFormat;
-	random: Random;
-	log: Log;
-	/** Term of the lease under which orders are given, in milliseconds. */
-	leaseMs: number;
-	/** Whether endpoints and the platform refuse what comes under an older fence than they have seen; they do by default. */
-	checksFences?: boolean;
-	/** How long a batch is read after it was handed in, in milliseconds. */
-	statusMs: number;
-	/** Where other hosts link to this one; undefined if they can't. */
-	peers?: {address: string; server: Server};
-	/** Addresses of this host, `ip:port`, at which no endpoint can be. */
-	ownAddresses?: ReadonlySet<string>;
-	/** How usage is reported; undefined if nobody wants to know it. */
-	usage?: {client: DutyClient; windowMs: number; dueMs: number};
-	/** Which mechanisms decide; all by default. */
-	policy?: Policy;
-	onDeployment?(deployment: Deployment): void;
-};
-
 /** The host's part of the system. */
 export class Gateway {
 	readonly batches: Batches;
@@ -342,12 +302,12 @@
 
 	/** Finds the route and the customer of a request; a refusal is what the store has confirmed. Never rejects. */
 	async findAccess(request: AccessRequest): Promise<Access> {
-		return this.#confirm(() => decideAccess(this.#catalog.deployment, this.#catalog.keys, request));
+		return confirmRefusal(() => decideAccess(this.#catalog.deployment, this.#catalog.keys, request), async () => this.#operatorFollower.refresh());
 	}
 
 	/** Finds whose key it is, for calls that concern no route. A refusal is what the store has confirmed. Never rejects. */
 	async identify(key: string | undefined): Promise<Identity> {
-		return this.#confirm(() => identify(this.#catalog.deployment, this.#catalog.keys, key));
+		return confirmRefusal(() => identify(this.#catalog.deployment, this.#catalog.keys, key), async () => this.#operatorFollower.refresh());
 	}
 
 	/** Answers a caller's request. */
@@ -399,17 +359,6 @@
 		}
 	}
 
-	/** Decides by what is known, and before a refusal once more by what the store says now. */
-	async #confirm<Decision extends {kind: string}>(decide: () => Decision): Promise<Decision | {kind: 'unsure'}> {
-		const decision = decide();
-		if (decision.kind === 'granted' || decision.kind === 'unsure') {
-			return decision;
-		}
-
-		const isConfirmed = await Promise.race([this.#operatorFollower.refresh(), waitForNothing(confirmMs)]);
-		return isConfirmed ? decide() : {kind: 'unsure'};
-	}
-
 	#logSharing(): void {
 		const counts = this.#sharing?.counts;
 		if (counts && counts.demands + counts.demandsTaken > 0) {
@@ -423,21 +372,8 @@
 		this.#dueAt = now + ordersMs;
 	}
 
-	/** Reads the key that hosts prove to each other, until the store gives it. */
 	async #learnKey(): Promise<void> {
-		while (this.#linkKey === undefined && !this.#isStopped) {
-			try {
-				// Each try follows the one before.
-				// eslint-disable-next-line no-await-in-loop
-				this.#linkKey = await readLinkKey(this.#gate);
-			} catch (error) {
-				this.#settings.log.info('link_key_not_read', {reason: describeError(error)});
-				// eslint-disable-next-line no-await-in-loop
-				await new Promise<void>(resolve => {
-					setTimeout(resolve, keyRetryMs);
-				});
-			}
-		}
+		this.#linkKey = await learnLinkKey(this.#gate, this.#settings.log, () => this.#isStopped);
 	}
 
 	#createUsage(): Usage | undefined {
@@ -481,12 +417,3 @@
 		return hasSingle ? 'finish-first' : 'continue';
 	}
 }
-
-/** Resolves to false after a time. */
-async function waitForNothing(ms: number): Promise<false> {
-	return new Promise(resolve => {
-		setTimeout(() => {
-			resolve(false);
-		}, ms);
-	});
-}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,4 +2,5 @@
 export * from './access.js';
 export * from './catalog.js';
 export * from './gateway.js';
+export type {GatewaySettings} from './gateway-settings.js';
 export * from './gateway-metrics.js';
