Fit a mistake that must be caught to the changed code, and add three

Mended, and the new ones (the room left out, an earlier start that comes back, a refused checkpoint that counts) are each caught by their specs, run one by one; the whole command was not run again.

--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -55,9 +55,24 @@
 	},
 	{
 		name: 'a holder does not see that its lease has lapsed',
-		patches: [{file: record('lease-holder'), find: 'return performance.now() < this.#heldUntil &&', replace: 'return this.#heldUntil > 0 &&'}],
+		patches: [{file: record('lease-holder'), find: 'return performance.now() + roomMs < this.#heldUntil &&', replace: 'return this.#heldUntil > 0 &&'}],
 		specs: [recordSpec('lease-holder')],
 	},
+	{
+		name: 'an effect goes out though the lease ends before it arrives',
+		patches: [{file: record('lease-holder'), find: 'performance.now() + roomMs <', replace: 'performance.now() <'}],
+		specs: [recordSpec('lease-holder')],
+	},
+	{
+		name: 'what an earlier start of an endpoint wrote late brings it back',
+		patches: [{file: 'packages/direct/src/restart-watch.ts', find: 'return row.bornMs > known.bornMs ? \'new\' : \'former\';', replace: 'return \'new\';'}],
+		specs: ['packages/direct/__tests__/restart-watch.spec.ts'],
+	},
+	{
+		name: 'a checkpoint that was refused counts as written',
+		patches: [{file: 'packages/batches/src/checkpoints.ts', find: 'if (!isWritten) {', replace: 'if (!isWritten && (false as boolean)) {'}],
+		specs: ['packages/batches/__tests__/checkpoints.spec.ts'],
+	},
 	{
 		name: 'the term is counted from the answer',
 		patches: [{file: record('lease-holder'), find: 'this.#heldUntil = sentAt +', replace: 'this.#heldUntil = performance.now() +'}],
