Log which requests a crash makes suspect, and what quarantines and clears them

A request's runs without an answer (run_unanswered), the crashes that they were in flight at (endpoint_crashed), its quarantine at each host and its end, and the answer that clears it are now logged under one fingerprint, which its retries share. attempt_cancelled tells of attempts that ended with the deadline or with the caller. Counts of quarantines, clearances and rows that were not written are added to the events metric.

--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -93,6 +93,8 @@
 	readonly #mayHaveRun: BegunRuns;
 	/** Endpoints that were tried already. */
 	readonly #excluded = new Set<string>();
+	/** Whether an endpoint's answer was returned to the caller. */
+	#isAnswered = false;
 	/** The last failure that an endpoint has answered, returned if no attempt succeeds. */
 	#failure: {answer: ServingAnswer; endpoint: string} | undefined;
 	#failureCount = 0;
@@ -216,6 +218,7 @@
 	#judge(outcome: AttemptOutcome): CallOutcome | undefined {
 		if (outcome.kind === 'answered') {
 			if (outcome.answer.status < 500 || !this.#isRepeatable) {
+				this.#isAnswered = true;
 				return outcome;
 			}
 
@@ -276,6 +279,10 @@
 		this.#lastReason = reason;
 		if (signal.aborted) {
 			// Cancelled by the caller, the deadline or another attempt's answer; not a failure of the endpoint.
+			if (!this.#isAnswered) {
+				log.info('attempt_cancelled', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
+			}
+
 			return {kind: 'unknown', endpoint: id, reason};
 		}
 
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -179,6 +179,7 @@
 			watch?.end();
 			this.#lastReason = `${id}: ${describeError(error)}`;
 			if (this.#signal.aborted || this.#deadline.signal.aborted) {
+				log.info('attempt_cancelled', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
 				this.#release();
 				return this.#conclude();
 			}
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -10,7 +10,7 @@
 import {CrashEvidence, PoisonGuard} from '@wasabiusher/decisions';
 import type {CallerRequest, PoisonRequestTracker, EndpointDirectory} from '@wasabiusher/direct';
 import {decodeCrashRow, encodeCrashRow} from '@wasabiusher/record';
-import {describeError, type Log} from '@wasabiusher/shared';
+import {describeError, dropOldest, type Log} from '@wasabiusher/shared';
 
 /** Part of the host table that holds the crash rows. */
 export const poisonRequestPart = 'crashers';
@@ -25,6 +25,10 @@
 /** Upper bound of the retry delay that a refused caller gets, in milliseconds. */
 const maxRetryAfterMs = 5000;
 
+/** Maximum number of requests named in one log line, and of quarantines whose end is logged. */
+const maxLoggedRequests = 8;
+const maxLoggedQuarantines = 1000;
+
 /** Maximum number of rows removed at a time; a store transaction holds at most 100. */
 const maxSweptRows = 100;
 
@@ -41,12 +45,17 @@
 /** Poison requests as observed by all hosts. */
 export class PoisonRequests implements PoisonRequestTracker {
 	/** Crashes of endpoints that had requests in flight, and refused requests. */
-	readonly counts = {crashesSeen: 0, crashersRefused: 0};
+	readonly counts = {
+		crashesSeen: 0, crashersRefused: 0, crashersQuarantined: 0, crashersCleared: 0, crashersNotTold: 0,
+	};
+
 	readonly #settings: PoisonRequestsSettings;
 	readonly #guard = new PoisonGuard({crashesToQuarantine, suspicionMs, initialTermMs: firstTermMs});
 	readonly #evidence = new CrashEvidence();
 	/** Expiry time of each row on the store's clock in milliseconds, by row key. */
 	readonly #expiryMs = new Map<string, number>();
+	/** Fingerprints of the requests that this host has logged as quarantined. */
+	readonly #quarantined = new Set<string>();
 
 	constructor(settings: PoisonRequestsSettings) {
 		this.#settings = settings;
@@ -67,7 +76,9 @@
 	}
 
 	recordBroken(endpoint: string, request: CallerRequest): void {
-		this.#evidence.recordBroken(endpoint, computeFingerprint(request), performance.now());
+		const fingerprint = computeFingerprint(request);
+		this.#settings.log.info('run_unanswered', {request: request.attemptId, endpoint, fingerprint});
+		this.#evidence.recordBroken(endpoint, fingerprint, performance.now());
 	}
 
 	recordDown(endpoint: string): void {
@@ -80,7 +91,8 @@
 		this.counts.crashesSeen += 1;
 		const incarnation = String(directory.get(endpoint)?.bornMs ?? '');
 		this.#guard.recordCrash({endpoint, incarnation, fingerprints}, performance.now());
-		log.info('endpoint_crashed', {endpoint, inFlight: fingerprints.length});
+		log.info('endpoint_crashed', {endpoint, inFlight: fingerprints.length, fingerprints: fingerprints.slice(0, maxLoggedRequests).join(',')});
+		this.#logQuarantines(fingerprints);
 		void this.#publish(fingerprints);
 	}
 
@@ -92,6 +104,9 @@
 		const fingerprint = computeFingerprint(request);
 		if (this.#guard.isSuspect(fingerprint)) {
 			this.#guard.recordFinished(fingerprint);
+			this.counts.crashersCleared += 1;
+			this.#settings.log.info('suspect_cleared', {request: request.attemptId, fingerprint});
+			this.#logQuarantines([fingerprint]);
 			void this.#publish([fingerprint]);
 		}
 	}
@@ -107,9 +122,11 @@
 		const remainingMs = Math.max(0, Math.min(firstTermMs * (2 ** terms), untilMs - this.#settings.readStoreMs()));
 		this.#expiryMs.set(key, untilMs);
 		if (remainingMs > 0) {
+			const fingerprint = key.split('/', 1)[0]!;
 			this.#guard.merge([{
-				fingerprint: key.split('/', 1)[0]!, crashes, cleared, remainingMs, terms,
+				fingerprint, crashes, cleared, remainingMs, terms,
 			}], performance.now());
+			this.#logQuarantines([fingerprint]);
 		}
 	}
 
@@ -143,9 +160,30 @@
 				deletes: [],
 			});
 		} catch (error) {
+			this.counts.crashersNotTold += suspicions.length;
 			log.warn('crash_not_told', {requests: suspicions.length, reason: describeError(error)});
 		}
 	}
+
+	/** Logs which of the requests are quarantined at this host from now on, or no longer. */
+	#logQuarantines(fingerprints: readonly string[]): void {
+		const now = performance.now();
+		for (const fingerprint of fingerprints) {
+			const isQuarantined = this.#guard.judge(fingerprint, now).kind === 'quarantined';
+			if (isQuarantined === this.#quarantined.has(fingerprint)) {
+				continue;
+			}
+
+			this.counts.crashersQuarantined += Number(isQuarantined);
+			this.#settings.log.info(isQuarantined ? 'request_quarantined' : 'quarantine_ended', {fingerprint});
+			if (isQuarantined) {
+				this.#quarantined.add(fingerprint);
+				dropOldest(this.#quarantined, maxLoggedQuarantines);
+			} else {
+				this.#quarantined.delete(fingerprint);
+			}
+		}
+	}
 }
 
 /** Hashes the parts of a request that stay the same when its caller retries it: path, customer and body. */
