--- /dev/null
+++ b/packages/gateway/__tests__/poison-evidence.spec.ts
@@ -0,0 +1,90 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {Random} from '@wasabiusher/shared';
+import {CrashFleet, createPoisonRequest, type FleetSettings} from './crash-fleet.js';
+
+/** Time within which all hosts must know that a request has crashed three endpoints, in milliseconds, and runs that may begin later. */
+const graceMs = 3000;
+const maxLateRuns = 3;
+
+const seeds = [1, 2, 3, 4, 5, 6, 7, 8];
+
+describe('evidence of poison requests', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	type Step = (fleet: CrashFleet, elapsedMs: number, random: Random) => void;
+
+	/** Sends the poison request every 0.7 s for 20 s between other requests; returns the runs that begin too late by seed. Hosts may learn nothing for the first `troubleMs` milliseconds. */
+	async function play(settings: Partial<FleetSettings>, step: Step = () => undefined, troubleMs = 0): Promise<number[]> {
+		const late: number[] = [];
+		for (const seed of seeds) {
+			const random = new Random(seed);
+			const fleet = new CrashFleet({...settings, seed});
+			const startedAt = performance.now();
+			for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 100) {
+				step(fleet, elapsedMs, random);
+				if (elapsedMs % 700 === 0) {
+					void fleet.send(createPoisonRequest('/bad'));
+				}
+
+				if (elapsedMs % 300 === 0) {
+					void fleet.send(createPoisonRequest(`/good/${elapsedMs}`));
+				}
+
+				// eslint-disable-next-line no-await-in-loop
+				await clock.tickAsync(100);
+			}
+
+			late.push(fleet.countLateRuns(startedAt + troubleMs, graceMs));
+			fleet.stop();
+		}
+
+		return late;
+	}
+
+	function expectFew(late: readonly number[]): void {
+		expect(Math.max(...late), `late runs by seed: ${late.join(', ')}`).to.be.at.most(maxLateRuns);
+	}
+
+	it('stops a request whose endpoints close their connections', async () => {
+		expectFew(await play({crash: 'reset'}));
+	});
+
+	it('stops a request whose endpoints fall silent, so that each run ends at the deadline of its caller', async () => {
+		expectFew(await play({crash: 'silent'}));
+	});
+
+	it('stops a request that some endpoints answer with status 500 instead of running it', async () => {
+		expectFew(await play({crash: 'reset', failureShare: 0.3}));
+	});
+
+	it('stops a request whose endpoints restart under their ids before anything finds them down', async () => {
+		expectFew(await play({crash: 'reset', keepsId: true, restartMs: 80}));
+	});
+
+	it('stops a request whose crashes could not be written while the store was down', async () => {
+		const downMs = 6000;
+		const late = await play({crash: 'reset', hosts: 12}, (fleet, elapsedMs) => {
+			for (const {store} of fleet.hosts) {
+				store.switches.isDown = elapsedMs < downMs;
+			}
+		}, downMs);
+		expectFew(late);
+	});
+
+	it('stops a request while hosts are restarted one after the other', async () => {
+		expectFew(await play({crash: 'reset', hosts: 6}, (fleet, elapsedMs) => {
+			if (elapsedMs % 1000 === 0) {
+				fleet.startHost((elapsedMs / 1000) % 6);
+			}
+		}));
+	});
+});
