Count a run that was cut off at its deadline as possible evidence of a crash

Callers saw: a request that crashes its endpoints is sent to servers again and again, if the endpoints fall silent instead of closing their connections.

Cause: an attempt that ended with the caller's deadline, or since the caller left, recorded nothing. An endpoint that goes silent leaves every run open until then, so none of its crashes was ever counted, at any host. Evidence that was there was dropped where the failure was not the endpoint's fault for routing.

Change: such an attempt is recorded as broken, unless the request was answered by another attempt or is proven not to have run. Likewise a stream whose reader leaves.

The stream's test failed before (reported nothing).

--- a/packages/direct/__tests__/stream-call.spec.ts
+++ b/packages/direct/__tests__/stream-call.spec.ts
@@ -3,7 +3,7 @@
 import {expect} from 'chai';
 import {PlatformError, type ServingRequest, type ServingStream} from '@wasabiusher/backends';
 import type {Route} from '@wasabiusher/shared';
-import {StreamCall, type StreamOutcome} from '../src/index.js';
+import {StreamCall, type PoisonRequestTracker, type StreamOutcome} from '../src/index.js';
 import {createBench, createRequest, createRoute} from './fixtures.js';
 
 /** Behavior of one attempt: the chunks that it sends, and how it ends. An undefined script refuses the attempt. */
@@ -163,4 +163,41 @@
 		expect(asked).to.equal(1);
 		expect(bench.directory.list().map(({id}) => bench.directory.countOpen(id))).to.deep.equal([0, 0, 0, 0]);
 	});
+
+	it('reports a stream that its reader leaves as broken, and only a complete one as finished', async () => {
+		const reports: string[] = [];
+		const poisonRequests: PoisonRequestTracker = {
+			findRetryDelayMs: () => undefined,
+			recordBroken() {
+				reports.push('broken');
+			},
+			recordDown() {
+				reports.push('down');
+			},
+			recordFinished() {
+				reports.push('finished');
+			},
+		};
+		const bench = createBench(1);
+		const scripts: Script[] = [{pieces: ['a'], end: 'silent'}, {pieces: ['a'], end: 'whole'}];
+		for (const script of scripts) {
+			const leave = new AbortController();
+			const client = {
+				...bench.client,
+				async open(_target: unknown, _request: ServingRequest, signal: AbortSignal): Promise<ServingStream> {
+					return {
+						status: 200, headers: {}, isNotRun: false, stamp: 's', load: undefined, weightVersion: undefined, isFramed: true, isClosing: false, body: play(script, signal),
+					};
+				},
+			};
+			const opened = new StreamCall({...bench, client, poisonRequests}, createRoute({kind: 'stream'}), createRequest(), leave.signal).open();
+			setTimeout(() => {
+				leave.abort();
+			}, 50);
+			// eslint-disable-next-line no-await-in-loop
+			await readAll(opened);
+		}
+
+		expect(reports).to.deep.equal(['broken', 'finished']);
+	});
 });
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -279,8 +279,10 @@
 		this.#lastReason = reason;
 		if (signal.aborted) {
 			// Cancelled by the caller, the deadline or another attempt's answer; not a failure of the endpoint.
-			if (!this.#isAnswered) {
+			if (!this.#isAnswered && !isProvenNotRun(error)) {
 				log.info('attempt_cancelled', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
+				// An endpoint that crashes silently leaves its runs open until they are cancelled.
+				this.#settings.poisonRequests?.recordBroken(id, this.#request);
 			}
 
 			return {kind: 'unknown', endpoint: id, reason};
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -179,7 +179,12 @@
 			watch?.end();
 			this.#lastReason = `${id}: ${describeError(error)}`;
 			if (this.#signal.aborted || this.#deadline.signal.aborted) {
-				log.info('attempt_cancelled', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
+				if (!isProvenNotRun(error)) {
+					log.info('attempt_cancelled', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
+					// An endpoint that crashes silently leaves its runs open until they are cancelled.
+					this.#recordBroken(id, false, restart);
+				}
+
 				this.#release();
 				return this.#conclude();
 			}
@@ -189,7 +194,7 @@
 				directory.recordFailure(id);
 			}
 
-			this.#recordBroken(id, error, restart);
+			this.#recordBroken(id, isProvenNotRun(error), restart);
 			if (isProvenNotRun(error)) {
 				this.#runs.delete(id);
 				return undefined;
@@ -205,25 +210,26 @@
 		}
 	}
 
-	#recordBroken(endpoint: string, error: unknown, {hasRestarted}: RestartWatch): void {
+	#recordBroken(endpoint: string, isNotRun: boolean, {hasRestarted}: RestartWatch): void {
 		recordBrokenAttempt(this.#settings.poisonRequests, {
-			endpoint, request: this.#request, isNotRun: isProvenNotRun(error), hasRestarted,
+			endpoint, request: this.#request, isNotRun, hasRestarted,
 		});
 	}
 
 	/** Passes a body on and reports how it ended: only a complete body shows that the request isn't poison. */
 	async * #reportEnd(id: string, body: AsyncIterable<Uint8Array>, restart: RestartWatch): AsyncIterable<Uint8Array> {
+		let isComplete = false;
 		try {
 			yield * body;
-		} catch (error) {
-			if (!this.#signal.aborted) {
-				this.#recordBroken(id, error, restart);
+			isComplete = true;
+		} finally {
+			// Also reached when the reader stops early.
+			if (isComplete) {
+				this.#settings.poisonRequests?.recordFinished(this.#request);
+			} else {
+				this.#recordBroken(id, false, restart);
 			}
-
-			throw error;
 		}
-
-		this.#settings.poisonRequests?.recordFinished(this.#request);
 	}
 
 	#release(): void {
