Let no failed answer clear a request that has crashed endpoints

Callers saw: a request that had crashed endpoints was let through again at all hosts once any endpoint had answered it with a failure.

Cause: each answer counted as proof that the request doesn't crash endpoints. An endpoint that fails before the work, or stops it at its time limit, answers 500 or 504 without having run the request to its end. One such answer cleared all crashes known so far, at every host, for good.

Change: only a complete answer with a status below 500 clears, for calls and for streams.

The stream's test fails without the change (reported 'finished' twice).

--- a/packages/direct/__tests__/stream-call.spec.ts
+++ b/packages/direct/__tests__/stream-call.spec.ts
@@ -179,14 +179,14 @@
 			},
 		};
 		const bench = createBench(1);
-		const scripts: Script[] = [{pieces: ['a'], end: 'silent'}, {pieces: ['a'], end: 'whole'}];
+		const scripts: Script[] = [{pieces: ['a'], end: 'silent'}, {pieces: ['a'], end: 'whole', status: 500}, {pieces: ['a'], end: 'whole'}];
 		for (const script of scripts) {
 			const leave = new AbortController();
 			const client = {
 				...bench.client,
 				async open(_target: unknown, _request: ServingRequest, signal: AbortSignal): Promise<ServingStream> {
 					return {
-						status: 200, headers: {}, isNotRun: false, stamp: 's', load: undefined, weightVersion: undefined, isFramed: true, isClosing: false, body: play(script, signal),
+						status: script.status ?? 200, headers: {}, isNotRun: false, stamp: 's', load: undefined, weightVersion: undefined, isFramed: true, isClosing: false, body: play(script, signal),
 					};
 				},
 			};
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -53,8 +53,8 @@
 	hedges?: RetryBudget;
 };
 
-/** HTTP status of an endpoint that has run a request and failed. */
-const serverErrorStatus = 500;
+/** HTTP status of an endpoint that has run a request and failed. An answer with this or a higher status doesn't show that the run was complete. */
+export const serverErrorStatus = 500;
 
 /** Fraction of the route's objective after which a hedged attempt starts at another endpoint; it can still meet the objective then. */
 const hedgeRatio = 0.5;
@@ -262,7 +262,10 @@
 			}
 
 			directory.recordPace(id, performance.now() - startedAt);
-			this.#settings.poisonRequests?.recordFinished(this.#request);
+			if (answer.status < serverErrorStatus) {
+				this.#settings.poisonRequests?.recordFinished(this.#request);
+			}
+
 			this.#admission.recordWork(performance.now() - startedAt);
 			return {kind: 'answered', answer, endpoint: id};
 		} catch (error) {
--- a/packages/direct/src/poison-requests.ts
+++ b/packages/direct/src/poison-requests.ts
@@ -11,7 +11,7 @@
 	recordBroken(endpoint: string, request: CallerRequest): void;
 	/** Records that an endpoint is unreachable or has restarted. */
 	recordDown(endpoint: string): void;
-	/** Records that an endpoint has answered a request, which shows that the request isn't poison. */
+	/** Records that an endpoint has completed a request, which shows that the request isn't poison. */
 	recordFinished(request: CallerRequest): void;
 };
 
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -7,7 +7,7 @@
 import type {ServingRequest, ServingStream} from '@wasabiusher/backends';
 import {describeError, type RegisteredEndpoint, type Route} from '@wasabiusher/shared';
 import {
-	chooseService, isProvenNotRun, type CallOutcome, type CallerRequest, type CallSettings,
+	chooseService, isProvenNotRun, serverErrorStatus, type CallOutcome, type CallerRequest, type CallSettings,
 } from './call.js';
 import {poisonRequestReason, recordBrokenAttempt} from './poison-requests.js';
 import {CallAdmission, type AdmissionOutcome} from './call-admission.js';
@@ -167,7 +167,7 @@
 			directory.recordHead(id, stream);
 			if (!stream.isNotRun) {
 				this.#begunCount += 1;
-				const body = this.#reportEnd(id, stream.body, restart);
+				const body = this.#reportEnd(id, stream, restart);
 				return {endpoint, stream: {...stream, body: watch ? watchSilence(body, watch) : body}};
 			}
 
@@ -216,18 +216,18 @@
 		});
 	}
 
-	/** Passes a body on and reports how it ended: only a complete body shows that the request isn't poison. */
-	async * #reportEnd(id: string, body: AsyncIterable<Uint8Array>, restart: RestartWatch): AsyncIterable<Uint8Array> {
+	/** Passes a body on and reports how it ended: only a complete body of an answer that isn't a failure shows that the request isn't poison. */
+	async * #reportEnd(id: string, {body, status}: ServingStream, restart: RestartWatch): AsyncIterable<Uint8Array> {
 		let isComplete = false;
 		try {
 			yield * body;
 			isComplete = true;
 		} finally {
 			// Also reached when the reader stops early.
-			if (isComplete) {
-				this.#settings.poisonRequests?.recordFinished(this.#request);
-			} else {
+			if (!isComplete) {
 				this.#recordBroken(id, false, restart);
+			} else if (status < serverErrorStatus) {
+				this.#settings.poisonRequests?.recordFinished(this.#request);
 			}
 		}
 	}
