Count a crash whose endpoint was found down before the run failed

Cause: evidence was kept in one order only. A run had to fail first and its endpoint to be found down within 6 s after it. A silent crash is often found first by another request, which can't connect, or by the registration's removal, while the run itself is open until its deadline. Its failure then waited for a second discovery that need not come.

Change: CrashEvidence remembers when an endpoint was found down, and a run that had begun before that and fails within 6 s counts as in flight at the crash.

--- a/packages/decisions/__tests__/crash-evidence.spec.ts
+++ b/packages/decisions/__tests__/crash-evidence.spec.ts
@@ -4,10 +4,10 @@
 describe('CrashEvidence', () => {
 	it('counts failed requests as in flight at a crash only if the endpoint is found to be down soon after', () => {
 		const evidence = new CrashEvidence();
-		evidence.recordBroken('e', 'a', 0);
-		evidence.recordBroken('e', 'b', 5000);
-		evidence.recordBroken('e', 'b', 5100);
-		evidence.recordBroken('f', 'c', 5000);
+		evidence.recordBroken({endpoint: 'e', startedAt: 0}, 'a', 0);
+		evidence.recordBroken({endpoint: 'e', startedAt: 0}, 'b', 5000);
+		evidence.recordBroken({endpoint: 'e', startedAt: 0}, 'b', 5100);
+		evidence.recordBroken({endpoint: 'f', startedAt: 0}, 'c', 5000);
 		expect(evidence.takeCrashed('e', 8000)).to.deep.equal(['b']);
 		expect(evidence.takeCrashed('e', 8000)).to.deep.equal([]);
 		expect(evidence.takeCrashed('f', 60_000)).to.deep.equal([]);
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -1,7 +1,9 @@
 /**
  * Runs a caller's request directly at endpoints: attempts, retries, hedged attempts and the proof that nothing has run.
  */
-import {defaultPolicy, type Policy, type RetryBudget} from '@wasabiusher/decisions';
+import {
+	defaultPolicy, type EndpointRun, type Policy, type RetryBudget,
+} from '@wasabiusher/decisions';
 import {
 	PlatformError, type ServingAnswer, type ServingClient, type ServingRequest,
 } from '@wasabiusher/backends';
@@ -269,14 +271,15 @@
 			this.#admission.recordWork(performance.now() - startedAt);
 			return {kind: 'answered', answer, endpoint: id};
 		} catch (error) {
-			return this.#recordError(id, error, signal, restart);
+			return this.#recordError({endpoint: id, startedAt}, error, signal, restart);
 		} finally {
 			restart.end();
 			directory.release(id);
 		}
 	}
 
-	#recordError(id: string, error: unknown, signal: AbortSignal, {hasRestarted}: RestartWatch): AttemptOutcome {
+	#recordError(run: EndpointRun, error: unknown, signal: AbortSignal, {hasRestarted}: RestartWatch): AttemptOutcome {
+		const {endpoint: id} = run;
 		const {directory, log} = this.#settings;
 		const reason = `${id}: ${describeError(error)}`;
 		this.#lastReason = reason;
@@ -285,7 +288,7 @@
 			if (!this.#isAnswered && !isProvenNotRun(error)) {
 				log.info('attempt_cancelled', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
 				// An endpoint that crashes silently leaves its runs open until they are cancelled.
-				this.#settings.poisonRequests?.recordBroken(id, this.#request);
+				this.#settings.poisonRequests?.recordBroken(run, this.#request);
 			}
 
 			return {kind: 'unknown', endpoint: id, reason};
@@ -297,7 +300,7 @@
 		}
 
 		recordBrokenAttempt(this.#settings.poisonRequests, {
-			endpoint: id, request: this.#request, isNotRun: isProvenNotRun(error), hasRestarted,
+			run, request: this.#request, isNotRun: isProvenNotRun(error), hasRestarted,
 		});
 		if (isProvenNotRun(error)) {
 			this.#mayHaveRun.delete(id);
--- a/packages/direct/src/poison-requests.ts
+++ b/packages/direct/src/poison-requests.ts
@@ -1,14 +1,15 @@
 /**
  * Interface between calls and the tracking of poison requests, which crash the endpoints that run them.
  */
+import type {EndpointRun} from '@wasabiusher/decisions';
 import type {CallerRequest} from './call.js';
 
 /** Tracks the requests that crash endpoints. */
 export type PoisonRequestTracker = {
 	/** Time until a poison request may be retried, in milliseconds; undefined if the request may run now. */
 	findRetryDelayMs(request: CallerRequest): number | undefined;
-	/** Records that a request got no answer and may have run. */
-	recordBroken(endpoint: string, request: CallerRequest): void;
+	/** Records that a run got no answer and may have begun. */
+	recordBroken(run: EndpointRun, request: CallerRequest): void;
 	/** Records that an endpoint is unreachable or has restarted. */
 	recordDown(endpoint: string): void;
 	/** Records that an endpoint has completed a request, which shows that the request isn't poison. */
@@ -20,7 +21,7 @@
 
 /** A failed attempt at an endpoint. */
 export type BrokenAttempt = {
-	endpoint: string;
+	run: EndpointRun;
 	request: CallerRequest;
 	/** Whether the request is proven not to have run. */
 	isNotRun: boolean;
@@ -28,12 +29,12 @@
 };
 
 /** Reports a failed attempt to the tracker, if there is one. */
-export function recordBrokenAttempt(watch: PoisonRequestTracker | undefined, {endpoint, request, isNotRun, hasRestarted}: BrokenAttempt): void {
+export function recordBrokenAttempt(watch: PoisonRequestTracker | undefined, {run, request, isNotRun, hasRestarted}: BrokenAttempt): void {
 	if (!isNotRun) {
-		watch?.recordBroken(endpoint, request);
+		watch?.recordBroken(run, request);
 	}
 
 	if (isNotRun || hasRestarted) {
-		watch?.recordDown(endpoint);
+		watch?.recordDown(run.endpoint);
 	}
 }
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -5,6 +5,7 @@
  * its last complete event at another endpoint, within the same answer.
  */
 import type {ServingRequest, ServingStream} from '@wasabiusher/backends';
+import type {EndpointRun} from '@wasabiusher/decisions';
 import {describeError, type RegisteredEndpoint, type Route} from '@wasabiusher/shared';
 import {
 	chooseService, isProvenNotRun, serverErrorStatus, type CallOutcome, type CallerRequest, type CallSettings,
@@ -157,6 +158,7 @@
 	async #attempt(endpoint: RegisteredEndpoint, after: number | undefined): Promise<OpenAttempt | Exclude<StreamOutcome, {kind: 'opened'}> | undefined> {
 		const {client, directory, log} = this.#settings;
 		const {id} = endpoint;
+		const run = {endpoint: id, startedAt: performance.now()};
 		const stop = new AbortController();
 		const restart = new RestartWatch(directory, id);
 		this.#restart = restart;
@@ -167,7 +169,7 @@
 			directory.recordHead(id, stream);
 			if (!stream.isNotRun) {
 				this.#begunCount += 1;
-				const body = this.#reportEnd(id, stream, restart);
+				const body = this.#reportEnd(run, stream, restart);
 				return {endpoint, stream: {...stream, body: watch ? watchSilence(body, watch) : body}};
 			}
 
@@ -182,7 +184,7 @@
 				if (!isProvenNotRun(error)) {
 					log.info('attempt_cancelled', {request: this.#request.attemptId, endpoint: id, reason: describeError(error)});
 					// An endpoint that crashes silently leaves its runs open until they are cancelled.
-					this.#recordBroken(id, false, restart);
+					this.#recordBroken(run, false, restart);
 				}
 
 				this.#release();
@@ -194,7 +196,7 @@
 				directory.recordFailure(id);
 			}
 
-			this.#recordBroken(id, isProvenNotRun(error), restart);
+			this.#recordBroken(run, isProvenNotRun(error), restart);
 			if (isProvenNotRun(error)) {
 				this.#runs.delete(id);
 				return undefined;
@@ -210,14 +212,14 @@
 		}
 	}
 
-	#recordBroken(endpoint: string, isNotRun: boolean, {hasRestarted}: RestartWatch): void {
+	#recordBroken(run: EndpointRun, isNotRun: boolean, {hasRestarted}: RestartWatch): void {
 		recordBrokenAttempt(this.#settings.poisonRequests, {
-			endpoint, request: this.#request, isNotRun, hasRestarted,
+			run, request: this.#request, isNotRun, hasRestarted,
 		});
 	}
 
 	/** Passes a body on and reports how it ended: only a complete body of an answer that isn't a failure shows that the request isn't poison. */
-	async * #reportEnd(id: string, {body, status}: ServingStream, restart: RestartWatch): AsyncIterable<Uint8Array> {
+	async * #reportEnd(run: EndpointRun, {body, status}: ServingStream, restart: RestartWatch): AsyncIterable<Uint8Array> {
 		let isComplete = false;
 		try {
 			yield * body;
@@ -225,7 +227,7 @@
 		} finally {
 			// Also reached when the reader stops early.
 			if (!isComplete) {
-				this.#recordBroken(id, false, restart);
+				this.#recordBroken(run, false, restart);
 			} else if (status < serverErrorStatus) {
 				this.#settings.poisonRequests?.recordFinished(this.#request);
 			}
--- a/packages/gateway/__tests__/poison-requests.spec.ts
+++ b/packages/gateway/__tests__/poison-requests.spec.ts
@@ -51,7 +51,7 @@
 
 	function crash({poisonRequests}: {poisonRequests: PoisonRequests}, endpoint: string, ...paths: string[]): void {
 		for (const path of paths) {
-			poisonRequests.recordBroken(endpoint, createRequest(path));
+			poisonRequests.recordBroken({endpoint, startedAt: performance.now()}, createRequest(path));
 		}
 
 		poisonRequests.recordDown(endpoint);
@@ -92,12 +92,30 @@
 	it('ignores requests whose connection broke while the endpoint stays up', async () => {
 		const a = createHost('a');
 		for (const endpoint of ['e1', 'e2', 'e3', 'e4']) {
-			a.poisonRequests.recordBroken(endpoint, createRequest('/grey'));
+			a.poisonRequests.recordBroken({endpoint, startedAt: performance.now()}, createRequest('/grey'));
 		}
 
 		expect(a.poisonRequests.findRetryDelayMs(createRequest('/grey'))).to.equal(undefined);
 	});
 
+	it('counts a crash that other requests reveal before its own run fails', async () => {
+		const [a, b] = [createHost('a'), createHost('b')];
+		for (const endpoint of ['e1', 'e2', 'e3']) {
+			const startedAt = performance.now();
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(500);
+			a.poisonRequests.recordDown(endpoint);
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(500);
+			a.poisonRequests.recordBroken({endpoint, startedAt}, createRequest('/bad'));
+			a.poisonRequests.recordBroken({endpoint, startedAt: performance.now()}, createRequest('/later'));
+		}
+
+		await follow(a, b);
+		expect(b.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
+		expect(b.poisonRequests.findRetryDelayMs(createRequest('/later'))).to.equal(undefined);
+	});
+
 	it('clears a request on all hosts once one of them gets an answer, and admits any other again after a minute', async () => {
 		const [a, b] = [createHost('a'), createHost('b')];
 		for (const endpoint of ['e1', 'e2', 'e3']) {
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -7,7 +7,7 @@
  */
 import {createHash} from 'node:crypto';
 import type {RowChange, RowStore} from '@wasabiusher/backends';
-import {CrashEvidence, PoisonGuard} from '@wasabiusher/decisions';
+import {CrashEvidence, PoisonGuard, type EndpointRun} from '@wasabiusher/decisions';
 import type {CallerRequest, PoisonRequestTracker, EndpointDirectory} from '@wasabiusher/direct';
 import {decodeCrashRow, encodeCrashRow} from '@wasabiusher/record';
 import {describeError, dropOldest, type Log} from '@wasabiusher/shared';
@@ -75,25 +75,19 @@
 		return Math.min(maxRetryAfterMs, verdict.retryAfterMs);
 	}
 
-	recordBroken(endpoint: string, request: CallerRequest): void {
+	recordBroken(run: EndpointRun, request: CallerRequest): void {
 		const fingerprint = computeFingerprint(request);
-		this.#settings.log.info('run_unanswered', {request: request.attemptId, endpoint, fingerprint});
-		this.#evidence.recordBroken(endpoint, fingerprint, performance.now());
+		this.#settings.log.info('run_unanswered', {request: request.attemptId, endpoint: run.endpoint, fingerprint});
+		if (this.#evidence.recordBroken(run, fingerprint, performance.now())) {
+			this.#recordCrash(run.endpoint, [fingerprint]);
+		}
 	}
 
 	recordDown(endpoint: string): void {
-		const {directory, log} = this.#settings;
 		const fingerprints = this.#evidence.takeCrashed(endpoint, performance.now());
-		if (fingerprints.length === 0) {
-			return;
+		if (fingerprints.length > 0) {
+			this.#recordCrash(endpoint, fingerprints);
 		}
-
-		this.counts.crashesSeen += 1;
-		const incarnation = String(directory.get(endpoint)?.bornMs ?? '');
-		this.#guard.recordCrash({endpoint, incarnation, fingerprints}, performance.now());
-		log.info('endpoint_crashed', {endpoint, inFlight: fingerprints.length, fingerprints: fingerprints.slice(0, maxLoggedRequests).join(',')});
-		this.#logQuarantines(fingerprints);
-		void this.#publish(fingerprints);
 	}
 
 	recordFinished(request: CallerRequest): void {
@@ -146,6 +140,16 @@
 		}
 	}
 
+	#recordCrash(endpoint: string, fingerprints: readonly string[]): void {
+		const {directory, log} = this.#settings;
+		this.counts.crashesSeen += 1;
+		const incarnation = String(directory.get(endpoint)?.bornMs ?? '');
+		this.#guard.recordCrash({endpoint, incarnation, fingerprints}, performance.now());
+		log.info('endpoint_crashed', {endpoint, inFlight: fingerprints.length, fingerprints: fingerprints.slice(0, maxLoggedRequests).join(',')});
+		this.#logQuarantines(fingerprints);
+		void this.#publish(fingerprints);
+	}
+
 	async #publish(fingerprints: readonly string[]): Promise<void> {
 		const {rows, table, host, log, readStoreMs} = this.#settings;
 		const suspicions = this.#guard.list(performance.now()).filter(({fingerprint}) => fingerprints.includes(fingerprint));
