Keep evidence of crashes by the endpoint's incarnation, and count restarts

Callers saw: a request that crashes endpoints which restart under their ids, and faster than their registrations lapse, is never refused.

Cause: two faults of one kind. A registration that replaced an earlier incarnation's was not reported as the end of that incarnation, so failed runs at it stayed single failures. And the incarnation of a crash was looked up when the crash was found, not when the run began: after a restart the crash was counted under the new incarnation, whose own crash then looked known; where the endpoint was forgotten meanwhile, the same crash counted twice over two hosts.

Change: each run carries the incarnation that it was sent to, CrashEvidence groups by it, and Catalog reports an incarnation's end at removal and at replacement.

--- a/packages/decisions/__tests__/crash-evidence.spec.ts
+++ b/packages/decisions/__tests__/crash-evidence.spec.ts
@@ -8,8 +8,8 @@
 		evidence.recordBroken({endpoint: 'e', startedAt: 0}, 'b', 5000);
 		evidence.recordBroken({endpoint: 'e', startedAt: 0}, 'b', 5100);
 		evidence.recordBroken({endpoint: 'f', startedAt: 0}, 'c', 5000);
-		expect(evidence.takeCrashed('e', 8000)).to.deep.equal(['b']);
-		expect(evidence.takeCrashed('e', 8000)).to.deep.equal([]);
-		expect(evidence.takeCrashed('f', 60_000)).to.deep.equal([]);
+		expect(evidence.takeCrashed({endpoint: 'e'}, 8000)).to.deep.equal(new Map([[undefined, ['b']]]));
+		expect(evidence.takeCrashed({endpoint: 'e'}, 8000)).to.deep.equal(new Map());
+		expect(evidence.takeCrashed({endpoint: 'f'}, 60_000)).to.deep.equal(new Map());
 	});
 });
--- a/packages/decisions/src/crash-evidence.ts
+++ b/packages/decisions/src/crash-evidence.ts
@@ -17,32 +17,39 @@
 /** One run of a request at an endpoint. */
 export type EndpointRun = {
 	endpoint: string;
+	/** Start of the incarnation of the endpoint at which it ran, in milliseconds; undefined if the endpoint does not report it. */
+	bornMs?: number;
 	/** When the run began, on the monotonic clock in milliseconds. */
 	startedAt: number;
 };
 
-type BrokenRun = {fingerprint: string; at: number};
+/** An incarnation of an endpoint. */
+export type EndpointIncarnation = Pick<EndpointRun, 'endpoint' | 'bornMs'>;
+
+type BrokenRun = {fingerprint: string; bornMs: number | undefined; at: number};
+
+type Discovery = {bornMs: number | undefined; at: number};
 
 /** Tracks requests that recently failed without an answer, and endpoints that were recently found to be down. */
 export class CrashEvidence {
 	/** Failed runs by endpoint. */
 	readonly #broken = new Map<string, BrokenRun[]>();
-	/** When endpoints were last found to be down. */
-	readonly #downAt = new Map<string, number>();
+	/** When endpoints were last found to be down, and their incarnation. */
+	readonly #down = new Map<string, Discovery>();
 
 	/**
 	 * Records a run that failed without an answer, and may have begun.
 	 *
 	 * @returns whether the endpoint was found to be down during the run, which makes it a crash
 	 */
-	recordBroken({endpoint, startedAt}: EndpointRun, fingerprint: string, now: number): boolean {
-		const downAt = this.#downAt.get(endpoint) ?? Number.NEGATIVE_INFINITY;
-		if (downAt >= startedAt && now - downAt <= evidenceMs) {
+	recordBroken({endpoint, bornMs, startedAt}: EndpointRun, fingerprint: string, now: number): boolean {
+		const down = this.#down.get(endpoint);
+		if (down && down.at >= startedAt && now - down.at <= evidenceMs && isUpTo(bornMs, down.bornMs)) {
 			return true;
 		}
 
 		const broken = this.#broken.get(endpoint) ?? [];
-		broken.push({fingerprint, at: now});
+		broken.push({fingerprint, bornMs, at: now});
 		if (broken.length > maxBroken) {
 			broken.shift();
 		}
@@ -53,13 +60,34 @@
 		return false;
 	}
 
-	/** Records that an endpoint is down; returns the fingerprints of the requests in flight when it crashed, once. */
-	takeCrashed(endpoint: string, now: number): string[] {
-		this.#downAt.delete(endpoint);
-		this.#downAt.set(endpoint, now);
-		dropOldest(this.#downAt, maxEndpoints);
+	/**
+	 * Records that an incarnation of an endpoint is down, and with it all earlier ones.
+	 *
+	 * @returns the fingerprints of the requests in flight when it crashed, by incarnation; each crash is returned once
+	 */
+	takeCrashed({endpoint, bornMs}: EndpointIncarnation, now: number): Map<number | undefined, string[]> {
+		this.#down.delete(endpoint);
+		this.#down.set(endpoint, {bornMs, at: now});
+		dropOldest(this.#down, maxEndpoints);
 		const broken = this.#broken.get(endpoint) ?? [];
+		const left = broken.filter(run => !isUpTo(run.bornMs, bornMs));
 		this.#broken.delete(endpoint);
-		return [...new Set(broken.filter(({at}) => now - at <= evidenceMs).map(({fingerprint}) => fingerprint))];
+		if (left.length > 0) {
+			this.#broken.set(endpoint, left);
+		}
+
+		const crashed = new Map<number | undefined, string[]>();
+		for (const run of broken) {
+			if (isUpTo(run.bornMs, bornMs) && now - run.at <= evidenceMs) {
+				crashed.set(run.bornMs, [...new Set([...crashed.get(run.bornMs) ?? [], run.fingerprint])]);
+			}
+		}
+
+		return crashed;
 	}
 }
+
+/** Whether an incarnation is the given one or an earlier one; true if either is unknown. */
+function isUpTo(bornMs: number | undefined, limitMs: number | undefined): boolean {
+	return bornMs === undefined || limitMs === undefined || bornMs <= limitMs;
+}
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -271,7 +271,7 @@
 			this.#admission.recordWork(performance.now() - startedAt);
 			return {kind: 'answered', answer, endpoint: id};
 		} catch (error) {
-			return this.#recordError({endpoint: id, startedAt}, error, signal, restart);
+			return this.#recordError({endpoint: id, bornMs: endpoint.bornMs, startedAt}, error, signal, restart);
 		} finally {
 			restart.end();
 			directory.release(id);
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -9,6 +9,7 @@
 export type {EndpointState} from './endpoint-state.js';
 export * from './sample-run.js';
 export * from './weight-orders.js';
+export {compareIncarnations} from './restart-watch.js';
 export * from './stream-call.js';
 export * from './run-meter.js';
 export * from './load-announcements.js';
--- a/packages/direct/src/poison-requests.ts
+++ b/packages/direct/src/poison-requests.ts
@@ -1,7 +1,7 @@
 /**
  * Interface between calls and the tracking of poison requests, which crash the endpoints that run them.
  */
-import type {EndpointRun} from '@wasabiusher/decisions';
+import type {EndpointIncarnation, EndpointRun} from '@wasabiusher/decisions';
 import type {CallerRequest} from './call.js';
 
 /** Tracks the requests that crash endpoints. */
@@ -10,8 +10,8 @@
 	findRetryDelayMs(request: CallerRequest): number | undefined;
 	/** Records that a run got no answer and may have begun. */
 	recordBroken(run: EndpointRun, request: CallerRequest): void;
-	/** Records that an endpoint is unreachable or has restarted. */
-	recordDown(endpoint: string): void;
+	/** Records that an incarnation of an endpoint is unreachable or has ended. */
+	recordDown(incarnation: EndpointIncarnation): void;
 	/** Records that an endpoint has completed a request, which shows that the request isn't poison. */
 	recordFinished(request: CallerRequest): void;
 };
@@ -35,6 +35,6 @@
 	}
 
 	if (isNotRun || hasRestarted) {
-		watch?.recordDown(run.endpoint);
+		watch?.recordDown(run);
 	}
 }
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -158,7 +158,7 @@
 	async #attempt(endpoint: RegisteredEndpoint, after: number | undefined): Promise<OpenAttempt | Exclude<StreamOutcome, {kind: 'opened'}> | undefined> {
 		const {client, directory, log} = this.#settings;
 		const {id} = endpoint;
-		const run = {endpoint: id, startedAt: performance.now()};
+		const run = {endpoint: id, bornMs: endpoint.bornMs, startedAt: performance.now()};
 		const stop = new AbortController();
 		const restart = new RestartWatch(directory, id);
 		this.#restart = restart;
--- a/packages/gateway/__tests__/crash-fleet.ts
+++ b/packages/gateway/__tests__/crash-fleet.ts
@@ -85,7 +85,7 @@
 		const directory = new EndpointDirectory(new Random(this.#settings.seed + i));
 		const log = createSilentLog();
 		const poisonRequests = new PoisonRequests({
-			rows: store, table: hostTable, host: `h${i}`, directory, log, readStoreMs: () => performance.now(),
+			rows: store, table: hostTable, host: `h${i}`, log, readStoreMs: () => performance.now(),
 		});
 		const orders = new WeightOrders({
 			directory, client: this, lease: {fence: 1, holds: () => false}, holder: 'a', log, chooseMode: () => 'continue',
@@ -97,8 +97,8 @@
 				decodeOperatorRow: () => ({kind: 'other'}),
 				decodeEndpoint: (_, value) => JSON.parse(Buffer.from(value).toString()) as RegisteredEndpoint,
 			},
-			onDown(endpoint) {
-				poisonRequests.recordDown(endpoint);
+			onDown(incarnation) {
+				poisonRequests.recordDown(incarnation);
 			},
 		});
 		const follower = new TableFollower({
--- a/packages/gateway/__tests__/poison-requests.spec.ts
+++ b/packages/gateway/__tests__/poison-requests.spec.ts
@@ -44,7 +44,7 @@
 		}
 
 		const poisonRequests = new PoisonRequests({
-			rows: store, table: hostTable, host, directory, log: createSilentLog(), readStoreMs: () => Date.now(),
+			rows: store, table: hostTable, host, log: createSilentLog(), readStoreMs: () => Date.now(),
 		});
 		return {poisonRequests, directory};
 	}
@@ -54,7 +54,7 @@
 			poisonRequests.recordBroken({endpoint, startedAt: performance.now()}, createRequest(path));
 		}
 
-		poisonRequests.recordDown(endpoint);
+		poisonRequests.recordDown({endpoint});
 	}
 
 	/** Applies new rows of the store to hosts. */
@@ -104,7 +104,7 @@
 			const startedAt = performance.now();
 			// eslint-disable-next-line no-await-in-loop
 			await clock.tickAsync(500);
-			a.poisonRequests.recordDown(endpoint);
+			a.poisonRequests.recordDown({endpoint});
 			// eslint-disable-next-line no-await-in-loop
 			await clock.tickAsync(500);
 			a.poisonRequests.recordBroken({endpoint, startedAt}, createRequest('/bad'));
@@ -116,6 +116,23 @@
 		expect(b.poisonRequests.findRetryDelayMs(createRequest('/later'))).to.equal(undefined);
 	});
 
+	it('counts one crash once, whichever host sees it and whatever has registered under the id since', async () => {
+		const [a, b] = [createHost('a'), createHost('b')];
+		const run = {endpoint: 'e1', bornMs: 1, startedAt: performance.now()};
+		a.poisonRequests.recordBroken(run, createRequest('/bad'));
+		b.poisonRequests.recordBroken(run, createRequest('/bad'));
+		a.poisonRequests.recordDown({endpoint: 'e1', bornMs: 1});
+		b.poisonRequests.recordDown({endpoint: 'e1', bornMs: 2});
+		b.poisonRequests.recordBroken({...run, bornMs: 3}, createRequest('/bad'));
+		b.poisonRequests.recordDown({endpoint: 'e1', bornMs: 2});
+		crash(a, 'e2', '/bad');
+		await follow(a, b);
+		expect(a.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.equal(undefined);
+		b.poisonRequests.recordDown({endpoint: 'e1', bornMs: 3});
+		await follow(a, b);
+		expect(a.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
+	});
+
 	it('clears a request on all hosts once one of them gets an answer, and admits any other again after a minute', async () => {
 		const [a, b] = [createHost('a'), createHost('b')];
 		for (const endpoint of ['e1', 'e2', 'e3']) {
@@ -166,7 +183,7 @@
 			outcomes.push(kind);
 			for (const {id, runs} of endpoints) {
 				if (runs.length > 0) {
-					poisonRequests.recordDown(id);
+					poisonRequests.recordDown({endpoint: id, bornMs: directory.get(id)?.bornMs});
 				}
 			}
 
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -4,7 +4,8 @@
  * Within the lifetime of the process, the configuration and the versions never go back to older ones, whatever the order of the changes.
  */
 import type {RowChange} from '@wasabiusher/backends';
-import type {EndpointDirectory, WeightOrders} from '@wasabiusher/direct';
+import type {EndpointIncarnation} from '@wasabiusher/decisions';
+import {compareIncarnations, type EndpointDirectory, type WeightOrders} from '@wasabiusher/direct';
 import {RowFaults} from '@wasabiusher/record';
 import type {
 	Deployment, Log, PublishedVersion, RegisteredEndpoint,
@@ -32,8 +33,8 @@
 	log: Log;
 	/** This host's own addresses, `ip:port`; registrations with one of them are rejected. */
 	ownAddresses?: ReadonlySet<string>;
-	/** Called when the registration of an endpoint is removed. */
-	onDown?(endpoint: string): void;
+	/** Called when an incarnation of an endpoint has ended: its registration is removed, or replaced by that of a newer incarnation. */
+	onDown?(incarnation: EndpointIncarnation): void;
 	onDeployment?(deployment: Deployment): void;
 };
 
@@ -76,8 +77,9 @@
 		const {format, directory, log, ownAddresses} = this.#settings;
 		if (value === undefined) {
 			log.info('endpoint_removed', {endpoint: key});
+			const removed = directory.get(key);
 			directory.remove(key);
-			this.#settings.onDown?.(key);
+			this.#settings.onDown?.({endpoint: key, bornMs: removed?.bornMs});
 			return;
 		}
 
@@ -95,6 +97,9 @@
 			}
 
 			directory.put(endpoint);
+			if (known && compareIncarnations(endpoint, known) === 'new') {
+				this.#settings.onDown?.({endpoint: key, bornMs: known.bornMs});
+			}
 		} catch (error) {
 			directory.remove(key);
 			this.#endpointFaults.record(change, error);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -132,7 +132,7 @@
 			host, breaker: this.#storeBreaker, log, findKey, slotSharing: this.#slotSharing,
 		});
 		this.#poisonRequests = new PoisonRequests({
-			rows, table: hostTable, host, directory: this.#directory, log, readStoreMs: () => this.#storeBreaker.storeMs,
+			rows, table: hostTable, host, log, readStoreMs: () => this.#storeBreaker.storeMs,
 		});
 		this.#endpointQueue = policy.queuesAtHost ? new EndpointQueue(this.#directory) : undefined;
 		this.#lease = new LeaseHolder({
@@ -157,8 +157,8 @@
 			policy,
 		});
 		this.#catalog = new Catalog({
-			format, directory: this.#directory, orders: this.#orders, log, onDown: endpoint => {
-				this.#poisonRequests.recordDown(endpoint);
+			format, directory: this.#directory, orders: this.#orders, log, onDown: incarnation => {
+				this.#poisonRequests.recordDown(incarnation);
 			}, ownAddresses: settings.ownAddresses, onDeployment: settings.onDeployment,
 		});
 		this.#hosts = new HostRegistry({
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -7,8 +7,10 @@
  */
 import {createHash} from 'node:crypto';
 import type {RowChange, RowStore} from '@wasabiusher/backends';
-import {CrashEvidence, PoisonGuard, type EndpointRun} from '@wasabiusher/decisions';
-import type {CallerRequest, PoisonRequestTracker, EndpointDirectory} from '@wasabiusher/direct';
+import {
+	CrashEvidence, PoisonGuard, type EndpointIncarnation, type EndpointRun,
+} from '@wasabiusher/decisions';
+import type {CallerRequest, PoisonRequestTracker} from '@wasabiusher/direct';
 import {decodeCrashRow, encodeCrashRow} from '@wasabiusher/record';
 import {describeError, dropOldest, type Log} from '@wasabiusher/shared';
 
@@ -36,7 +38,6 @@
 	rows: RowStore;
 	table: string;
 	host: string;
-	directory: EndpointDirectory;
 	log: Log;
 	/** Returns the store's clock, in milliseconds. */
 	readStoreMs(): number;
@@ -79,14 +80,13 @@
 		const fingerprint = computeFingerprint(request);
 		this.#settings.log.info('run_unanswered', {request: request.attemptId, endpoint: run.endpoint, fingerprint});
 		if (this.#evidence.recordBroken(run, fingerprint, performance.now())) {
-			this.#recordCrash(run.endpoint, [fingerprint]);
+			this.#recordCrash(run, [fingerprint]);
 		}
 	}
 
-	recordDown(endpoint: string): void {
-		const fingerprints = this.#evidence.takeCrashed(endpoint, performance.now());
-		if (fingerprints.length > 0) {
-			this.#recordCrash(endpoint, fingerprints);
+	recordDown(incarnation: EndpointIncarnation): void {
+		for (const [bornMs, fingerprints] of this.#evidence.takeCrashed(incarnation, performance.now())) {
+			this.#recordCrash({...incarnation, bornMs}, fingerprints);
 		}
 	}
 
@@ -140,11 +140,10 @@
 		}
 	}
 
-	#recordCrash(endpoint: string, fingerprints: readonly string[]): void {
-		const {directory, log} = this.#settings;
+	#recordCrash({endpoint, bornMs}: EndpointIncarnation, fingerprints: readonly string[]): void {
+		const {log} = this.#settings;
 		this.counts.crashesSeen += 1;
-		const incarnation = String(directory.get(endpoint)?.bornMs ?? '');
-		this.#guard.recordCrash({endpoint, incarnation, fingerprints}, performance.now());
+		this.#guard.recordCrash({endpoint, incarnation: String(bornMs ?? ''), fingerprints}, performance.now());
 		log.info('endpoint_crashed', {endpoint, inFlight: fingerprints.length, fingerprints: fingerprints.slice(0, maxLoggedRequests).join(',')});
 		this.#logQuarantines(fingerprints);
 		void this.#publish(fingerprints);
