Let a restarted host keep the crash rows of its earlier process

Callers saw: the count of crashes under a request falls back when hosts are restarted, and it is sent on.

Cause: rows were keyed by the host's name. A process that had just started, and had not read the table yet, wrote its first crash over the row of its predecessor with all earlier ones; hosts that started later never learned of these.

Change: rows are keyed by an id of the process. They expire as before.

Measured: the new test fails with the host's name as the key (not refused at the late host) and passes.

--- a/packages/gateway/__tests__/crash-fleet.ts
+++ b/packages/gateway/__tests__/crash-fleet.ts
@@ -65,6 +65,7 @@
 	readonly #random: Random;
 	readonly #endpoints: Endpoint[];
 	#startCount = 0;
+	#hostStarts = 0;
 
 	constructor(settings: Partial<FleetSettings> = {}) {
 		super();
@@ -80,12 +81,13 @@
 
 	/** Starts a host, or starts it again without what it had in memory. */
 	startHost(i: number): FleetHost {
+		this.#hostStarts += 1;
 		const store = this.hosts[i]?.store ?? this.root.createView();
 		this.hosts[i]?.follower.stop();
 		const directory = new EndpointDirectory(new Random(this.#settings.seed + i));
 		const log = createSilentLog();
 		const poisonRequests = new PoisonRequests({
-			rows: store, table: hostTable, host: `h${i}`, log, readStoreMs: () => performance.now(),
+			rows: store, table: hostTable, writer: `h${i}-${this.#hostStarts}`, log, readStoreMs: () => performance.now(),
 		});
 		const orders = new WeightOrders({
 			directory, client: this, lease: {fence: 1, holds: () => false}, holder: 'a', log, chooseMode: () => 'continue',
--- a/packages/gateway/__tests__/poison-requests.spec.ts
+++ b/packages/gateway/__tests__/poison-requests.spec.ts
@@ -24,6 +24,7 @@
 	let clock: Clock;
 	let store: MemoryRowStore;
 	let appliedVersion: number;
+	let startCount = 0;
 
 	beforeEach(() => {
 		clock = install();
@@ -36,6 +37,7 @@
 	});
 
 	function createHost(host: string) {
+		startCount += 1;
 		const directory = new EndpointDirectory(new Random(1));
 		for (const id of ['e1', 'e2', 'e3', 'e4']) {
 			directory.put({
@@ -44,7 +46,7 @@
 		}
 
 		const poisonRequests = new PoisonRequests({
-			rows: store, table: hostTable, host, log: createSilentLog(), readStoreMs: () => Date.now(),
+			rows: store, table: hostTable, writer: `${host}-${startCount}`, log: createSilentLog(), readStoreMs: () => Date.now(),
 		});
 		return {poisonRequests, directory};
 	}
@@ -148,6 +150,16 @@
 		expect([a, b].map(({poisonRequests}) => poisonRequests.findRetryDelayMs(createRequest('/bad')))).to.deep.equal([undefined, undefined]);
 	});
 
+	it('keeps the evidence of a process whose successor on the same host has not read it', async () => {
+		crash(createHost('a'), 'e1', '/bad');
+		await clock.tickAsync(10);
+		crash(createHost('a'), 'e2', '/bad');
+		const late = createHost('c');
+		await follow(late);
+		crash(late, 'e3', '/bad');
+		expect(late.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
+	});
+
 	it('removes expired rows and throws on a malformed one', async () => {
 		const a = createHost('a');
 		crash(a, 'e1', '/bad');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /**
  * An entry host that calls endpoints directly, without agents: follows the configuration, routes calls, runs batches and orders weight loads.
  */
+import {randomUUID} from 'node:crypto';
 import {
 	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, RetainedTexts, SpeedRows,
 } from '@wasabiusher/batches';
@@ -132,7 +133,7 @@
 			host, breaker: this.#storeBreaker, log, findKey, slotSharing: this.#slotSharing,
 		});
 		this.#poisonRequests = new PoisonRequests({
-			rows, table: hostTable, host, log, readStoreMs: () => this.#storeBreaker.storeMs,
+			rows, table: hostTable, writer: randomUUID(), log, readStoreMs: () => this.#storeBreaker.storeMs,
 		});
 		this.#endpointQueue = policy.queuesAtHost ? new EndpointQueue(this.#directory) : undefined;
 		this.#lease = new LeaseHolder({
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -2,7 +2,7 @@
  * Quarantines poison requests, which have crashed three endpoints, on all hosts.
  *
  * Load pattern: a request crashes each endpoint that starts it, and its caller retries it through any host. Each host observes only some of
- * the crashes, so each writes its observations to its own rows; all hosts follow and merge these rows, which outlive the hosts.
+ * the crashes, so each process writes its observations to its own rows; all hosts follow and merge these rows, which outlive the processes.
  * One answer of an endpoint at any host clears a request of all earlier crashes.
  */
 import {createHash} from 'node:crypto';
@@ -37,7 +37,8 @@
 export type PoisonRequestsSettings = {
 	rows: RowStore;
 	table: string;
-	host: string;
+	/** Id of this process, unique among all starts of all hosts: a process never overwrites rows of an earlier one. */
+	writer: string;
 	log: Log;
 	/** Returns the store's clock, in milliseconds. */
 	readStoreMs(): number;
@@ -150,13 +151,13 @@
 	}
 
 	async #publish(fingerprints: readonly string[]): Promise<void> {
-		const {rows, table, host, log, readStoreMs} = this.#settings;
+		const {rows, table, writer, log, readStoreMs} = this.#settings;
 		const suspicions = this.#guard.list(performance.now()).filter(({fingerprint}) => fingerprints.includes(fingerprint));
 		try {
 			await rows.commit({
 				conditions: [],
 				puts: suspicions.map(({fingerprint, crashes, cleared, remainingMs, terms}) => ({
-					table, part: poisonRequestPart, key: `${fingerprint}/${host}`, value: encodeCrashRow({
+					table, part: poisonRequestPart, key: `${fingerprint}/${writer}`, value: encodeCrashRow({
 						crashes: [...crashes], cleared: [...cleared], untilMs: readStoreMs() + remainingMs, terms,
 					}),
 				})),
