Write the row of a crash until the store has accepted it

Callers saw: after trouble with the store, hosts differ in what they refuse, and a request that has crashed endpoints is sent on by those that were not told.

Cause: a crash's row was written once. If the store refused the write, the crash stayed with the host that saw it until the next crash of the same request there. A write without an answer could also be applied seconds later, over a newer row of the same process with more crashes.

Change: CrashRowWriter repeats a failed write every 250 ms, one at a time, each with the crashes known then, and writes again if the store shows another row than the one it accepted last.

Measured: both new tests fail without the change (not refused at a host that starts later) and pass; 22 tests of the three specs pass.

--- a/packages/decisions/src/poison.ts
+++ b/packages/decisions/src/poison.ts
@@ -106,9 +106,13 @@
 
 	/** Returns the records to send to other entries. */
 	list(now: number): Suspicion[] {
-		return [...this.#suspects].map(([fingerprint, {crashes, cleared, until, terms}]) => ({
-			fingerprint, crashes: [...crashes], cleared: [...cleared], remainingMs: Math.max(0, until - now), terms,
-		}));
+		return [...this.#suspects].map(([fingerprint, row]) => toSuspicion(fingerprint, row, now));
+	}
+
+	/** Returns the record of one request to send to other entries; undefined if there is none. */
+	describe(fingerprint: string, now: number): Suspicion | undefined {
+		const row = this.#suspects.get(fingerprint);
+		return row && toSuspicion(fingerprint, row, now);
 	}
 
 	/** Merges the records of another entry; idempotent and independent of their order. */
@@ -148,6 +152,12 @@
 	row.terms += 1;
 }
 
+function toSuspicion(fingerprint: string, {crashes, cleared, until, terms}: Suspect, now: number): Suspicion {
+	return {
+		fingerprint, crashes: [...crashes], cleared: [...cleared], remainingMs: Math.max(0, until - now), terms,
+	};
+}
+
 function listUnclearedCrashes({crashes, cleared}: Suspect): string[] {
 	return [...crashes].filter(crash => !cleared.has(crash));
 }
--- a/packages/gateway/__tests__/poison-requests.spec.ts
+++ b/packages/gateway/__tests__/poison-requests.spec.ts
@@ -160,6 +160,42 @@
 		expect(late.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
 	});
 
+	it('tells other hosts of a crash once the store accepts writes again', async () => {
+		const a = createHost('a');
+		const late = createHost('c');
+		store.switches.isDown = true;
+		for (const endpoint of ['e1', 'e2', 'e3']) {
+			crash(a, endpoint, '/bad');
+		}
+
+		await clock.tickAsync(2000);
+		store.switches.isDown = false;
+		await clock.tickAsync(500);
+		await follow(late);
+		expect(late.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
+	});
+
+	it('writes its row again after an older write without an answer has replaced it', async () => {
+		const a = createHost('a');
+		store.switches.writesToDelay = 1;
+		store.switches.lateMs = 1000;
+		crash(a, 'e1', '/bad');
+		await clock.tickAsync(10);
+		crash(a, 'e2', '/bad');
+		crash(a, 'e3', '/bad');
+		for (let i = 0; i < 4; i += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(400);
+			// eslint-disable-next-line no-await-in-loop
+			await follow(a);
+		}
+
+		appliedVersion = 0;
+		const late = createHost('c');
+		await follow(late);
+		expect(late.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
+	});
+
 	it('removes expired rows and throws on a malformed one', async () => {
 		const a = createHost('a');
 		crash(a, 'e1', '/bad');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -352,6 +352,7 @@
 		this.#speedRows?.stop();
 		this.#hosts.stop();
 		this.batches.stop();
+		this.#poisonRequests.stop();
 		this.#routedStore.stop();
 		this.#storeRecovery.stop();
 		this.#peerServer?.close();
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -13,6 +13,7 @@
 import type {CallerRequest, PoisonRequestTracker} from '@wasabiusher/direct';
 import {decodeCrashRow, encodeCrashRow} from '@wasabiusher/record';
 import {describeError, dropOldest, type Log} from '@wasabiusher/shared';
+import {CrashRowWriter} from './crash-row-writer.js';
 
 /** Part of the host table that holds the crash rows. */
 export const poisonRequestPart = 'crashers';
@@ -46,9 +47,8 @@
 
 /** Poison requests as observed by all hosts. */
 export class PoisonRequests implements PoisonRequestTracker {
-	/** Crashes of endpoints that had requests in flight, and refused requests. */
-	readonly counts = {
-		crashesSeen: 0, crashersRefused: 0, crashersQuarantined: 0, crashersCleared: 0, crashersNotTold: 0,
+	readonly #counts = {
+		crashesSeen: 0, crashersRefused: 0, crashersQuarantined: 0, crashersCleared: 0,
 	};
 
 	readonly #settings: PoisonRequestsSettings;
@@ -59,8 +59,16 @@
 	/** Fingerprints of the requests that this host has logged as quarantined. */
 	readonly #quarantined = new Set<string>();
 
+	readonly #rowWriter: CrashRowWriter;
+
 	constructor(settings: PoisonRequestsSettings) {
 		this.#settings = settings;
+		this.#rowWriter = new CrashRowWriter({...settings, part: poisonRequestPart, encode: fingerprint => this.#encode(fingerprint)});
+	}
+
+	/** Crashes of endpoints that had requests in flight; requests that were refused, quarantined and cleared; failed writes of rows. */
+	get counts() {
+		return {...this.#counts, crashersNotTold: this.#rowWriter.failures};
 	}
 
 	findRetryDelayMs(request: CallerRequest): number | undefined {
@@ -73,7 +81,7 @@
 			return undefined;
 		}
 
-		this.counts.crashersRefused += 1;
+		this.#counts.crashersRefused += 1;
 		return Math.min(maxRetryAfterMs, verdict.retryAfterMs);
 	}
 
@@ -99,15 +107,21 @@
 		const fingerprint = computeFingerprint(request);
 		if (this.#guard.isSuspect(fingerprint)) {
 			this.#guard.recordFinished(fingerprint);
-			this.counts.crashersCleared += 1;
+			this.#counts.crashersCleared += 1;
 			this.#settings.log.info('suspect_cleared', {request: request.attemptId, fingerprint});
 			this.#logQuarantines([fingerprint]);
-			void this.#publish([fingerprint]);
+			this.#rowWriter.write([fingerprint]);
 		}
 	}
 
 	/** Applies a crash row of any host. Throws if the row is malformed. */
-	apply({key, value}: RowChange): void {
+	apply(change: RowChange): void {
+		const {key, value} = change;
+		const [fingerprint = '', writer] = key.split('/');
+		if (writer === this.#settings.writer) {
+			this.#rowWriter.check(fingerprint, change);
+		}
+
 		if (value === undefined) {
 			this.#expiryMs.delete(key);
 			return;
@@ -117,7 +131,6 @@
 		const remainingMs = Math.max(0, Math.min(firstTermMs * (2 ** terms), untilMs - this.#settings.readStoreMs()));
 		this.#expiryMs.set(key, untilMs);
 		if (remainingMs > 0) {
-			const fingerprint = key.split('/', 1)[0]!;
 			this.#guard.merge([{
 				fingerprint, crashes, cleared, remainingMs, terms,
 			}], performance.now());
@@ -125,6 +138,11 @@
 		}
 	}
 
+	/** Stops writing rows. */
+	stop(): void {
+		this.#rowWriter.stop();
+	}
+
 	/** Removes expired rows of all hosts. One host needs to do it. Never rejects. */
 	async sweep(): Promise<void> {
 		const {rows, table, log} = this.#settings;
@@ -143,30 +161,23 @@
 
 	#recordCrash({endpoint, bornMs}: EndpointIncarnation, fingerprints: readonly string[]): void {
 		const {log} = this.#settings;
-		this.counts.crashesSeen += 1;
+		this.#counts.crashesSeen += 1;
 		this.#guard.recordCrash({endpoint, incarnation: String(bornMs ?? ''), fingerprints}, performance.now());
 		log.info('endpoint_crashed', {endpoint, inFlight: fingerprints.length, fingerprints: fingerprints.slice(0, maxLoggedRequests).join(',')});
 		this.#logQuarantines(fingerprints);
-		void this.#publish(fingerprints);
+		this.#rowWriter.write(fingerprints);
 	}
 
-	async #publish(fingerprints: readonly string[]): Promise<void> {
-		const {rows, table, writer, log, readStoreMs} = this.#settings;
-		const suspicions = this.#guard.list(performance.now()).filter(({fingerprint}) => fingerprints.includes(fingerprint));
-		try {
-			await rows.commit({
-				conditions: [],
-				puts: suspicions.map(({fingerprint, crashes, cleared, remainingMs, terms}) => ({
-					table, part: poisonRequestPart, key: `${fingerprint}/${writer}`, value: encodeCrashRow({
-						crashes: [...crashes], cleared: [...cleared], untilMs: readStoreMs() + remainingMs, terms,
-					}),
-				})),
-				deletes: [],
-			});
-		} catch (error) {
-			this.counts.crashersNotTold += suspicions.length;
-			log.warn('crash_not_told', {requests: suspicions.length, reason: describeError(error)});
+	#encode(fingerprint: string): Uint8Array | undefined {
+		const suspicion = this.#guard.describe(fingerprint, performance.now());
+		if (!suspicion) {
+			return undefined;
 		}
+
+		const {crashes, cleared, remainingMs, terms} = suspicion;
+		return encodeCrashRow({
+			crashes: [...crashes], cleared: [...cleared], untilMs: this.#settings.readStoreMs() + remainingMs, terms,
+		});
 	}
 
 	/** Logs which of the requests are quarantined at this host from now on, or no longer. */
@@ -178,7 +189,7 @@
 				continue;
 			}
 
-			this.counts.crashersQuarantined += Number(isQuarantined);
+			this.#counts.crashersQuarantined += Number(isQuarantined);
 			this.#settings.log.info(isQuarantined ? 'request_quarantined' : 'quarantine_ended', {fingerprint});
 			if (isQuarantined) {
 				this.#quarantined.add(fingerprint);
