Let a starting host be ready only once it has read what crashes endpoints

Callers saw: a request that is refused everywhere crashes endpoints again through a host that has just been restarted.

Cause: readiness waited for the configuration, the registrations and the batches, but not for the table with the crash rows. A host that had just started judged every request as unknown.

Change: a host is ready once it has read that table, or 2 s after its start, since a part of the store may be down then. The decision stands in readiness.ts.

--- a/packages/gateway/__tests__/crash-fleet.ts
+++ b/packages/gateway/__tests__/crash-fleet.ts
@@ -122,8 +122,8 @@
 		return host;
 	}
 
-	/** Sends a request through a host, by default one at random. */
-	async send(request: CallerRequest, host = this.#random.pick(this.hosts), route = createPoisonRoute()): Promise<CallOutcome> {
+	/** Sends a request through a host, by default a ready one at random. */
+	async send(request: CallerRequest, host = this.#random.pick(this.hosts.filter(({follower}) => follower.isSynced)), route = createPoisonRoute()): Promise<CallOutcome> {
 		const {directory, poisonRequests} = host;
 		return new DirectCall({
 			directory, client: this, random: this.#random, log: createSilentLog(), poisonRequests,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import {waitForLinkKey} from './link-key.js';
 import {PeerLinks} from './peer-links.js';
 import {PeerServer} from './peer-server.js';
+import {isReadyForWork} from './readiness.js';
 import {RoutedStore} from './routed-store.js';
 import {SlotSharing} from './slot-sharing.js';
 import {StoreCircuitBreaker} from './store-circuit-breaker.js';
@@ -49,12 +50,6 @@
  */
 const configurationWaitMs = 700;
 
-/**
- * Age of the configuration above which this host reports itself as not ready, in milliseconds, so that new work goes to a host that reaches the
- * store. Covers one regular poll and one lost answer.
- */
-const maxConfigurationAgeMs = 3000;
-
 /**
  * Minimum time between two polls for registrations and heartbeats, in milliseconds. A draining endpoint must get no new requests 2 s after
  * its announcement, and a host without heartbeats is suspected after 0.9 s; both tolerate a delay of a sixth of a second.
@@ -90,6 +85,8 @@
 	readonly #slotSharing: SlotSharing | undefined;
 	readonly #followers: TableFollower[];
 	readonly #operatorFollower: TableFollower;
+	/** Follows the heartbeats of hosts and the rows about poison requests. */
+	readonly #hostFollower: TableFollower;
 	/** Followers that must be synchronized before this host accepts work. */
 	readonly #requiredFollowers: TableFollower[];
 	readonly #storeBreaker: StoreCircuitBreaker;
@@ -104,6 +101,8 @@
 	/** Time at which the next tick is due, on the monotonic clock. */
 	#nextTickAt = 0;
 	#sweepTimer: NodeJS.Timeout | undefined;
+	/** When it was started, on the monotonic clock in milliseconds. */
+	#startedAt = performance.now();
 	#isDraining = false;
 	#isStopped = false;
 
@@ -208,22 +207,20 @@
 				},
 			}),
 		];
-		this.#followers = [
-			...this.#requiredFollowers,
-			new TableFollower({
-				store: rows.probing, table: hostTable, parts: ['', poisonRequestPart], log, batchingMs: minFollowIntervalMs, chance,
-				apply: change => {
-					if (change.part === poisonRequestPart) {
-						this.#poisonRequests.apply(change);
-					} else {
-						this.#hosts.apply(change);
-					}
-				},
-				onContact: () => {
-					this.#hosts.recordContact();
-				},
-			}),
-		];
+		this.#hostFollower = new TableFollower({
+			store: rows.probing, table: hostTable, parts: ['', poisonRequestPart], log, batchingMs: minFollowIntervalMs, chance,
+			apply: change => {
+				if (change.part === poisonRequestPart) {
+					this.#poisonRequests.apply(change);
+				} else {
+					this.#hosts.apply(change);
+				}
+			},
+			onContact: () => {
+				this.#hosts.recordContact();
+			},
+		});
+		this.#followers = [...this.#requiredFollowers, this.#hostFollower];
 		this.#storeRecovery = new StoreRecovery({
 			followers: this.#followers, chance, countHosts: () => this.#hosts.count,
 			sendHeartbeat: async () => this.#hosts.sendHeartbeat(),
@@ -236,10 +233,15 @@
 		});
 	}
 
-	/** Whether this host should get new work. Does not require the heartbeats of other hosts, since a part of the store may be down at the start. */
+	/** Whether this host should get new work. */
 	get isReady(): boolean {
-		const hasSynced = this.#catalog.deployment !== undefined && this.#requiredFollowers.every(({isSynced}) => isSynced);
-		return hasSynced && !this.#isDraining && this.#operatorFollower.ageMs < maxConfigurationAgeMs;
+		return isReadyForWork({
+			hasSynced: this.#catalog.deployment !== undefined && this.#requiredFollowers.every(({isSynced}) => isSynced),
+			hasCrashRows: this.#hostFollower.isSynced,
+			sinceStartMs: performance.now() - this.#startedAt,
+			configurationAgeMs: this.#operatorFollower.ageMs,
+			isDraining: this.#isDraining,
+		});
 	}
 
 	get deployment(): Deployment | undefined {
@@ -276,6 +278,7 @@
 	}
 
 	start(): void {
+		this.#startedAt = performance.now();
 		for (const follower of this.#followers) {
 			void follower.run();
 		}
