Judge a request before each attempt, not only when it arrives

Callers saw: requests that were accepted just before the third crash crash further endpoints, by a retry or a hedge.

Cause: whether a request is quarantined was asked once, when the call began. It may wait for a slot after that, be hedged and tried again, for as long as its caller waits.

Change: calls and streams ask again for each endpoint that they are given, and give it back if the request has been quarantined meanwhile. The caller is told that it has not run, or that this is unknown if an endpoint may have begun it.

--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -103,7 +103,7 @@
 	#lastReason = 'no endpoint is registered';
 	readonly #admission: CallAdmission;
 	#hasWaited = false;
-	/** Why the wait queue refused the request; undefined if it did not. */
+	/** Why the request was refused before an attempt; undefined if it was not. */
 	#refusal: {reason: string; retryAfterMs: number} | undefined;
 
 	/** @param signal - aborts when the caller has disconnected */
@@ -233,11 +233,21 @@
 		return undefined;
 	}
 
+	/** Acquires an endpoint for the next attempt; undefined if none is eligible, or if the request has turned out to be poison meanwhile. */
 	async #acquire(signal: AbortSignal): Promise<RegisteredEndpoint | undefined> {
-		if (this.#hasWaited) {
-			return this.#admission.acquire(this.#excluded);
+		const endpoint = this.#hasWaited ? this.#admission.acquire(this.#excluded) : await this.#acquireFirst(signal);
+		const retryAfterMs = endpoint && this.#settings.poisonRequests?.findRetryDelayMs(this.#request);
+		if (!endpoint || retryAfterMs === undefined) {
+			return endpoint;
 		}
 
+		this.#settings.directory.release(endpoint.id);
+		this.#lastReason = poisonRequestReason;
+		this.#refusal = {reason: poisonRequestReason, retryAfterMs};
+		return undefined;
+	}
+
+	async #acquireFirst(signal: AbortSignal): Promise<RegisteredEndpoint | undefined> {
 		this.#hasWaited = true;
 		const answer = await this.#admission.wait(signal);
 		this.#refusal = answer.kind === 'refused' ? answer : undefined;
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -114,6 +114,12 @@
 
 			const {endpoint} = admission;
 			this.#currentEndpoint = endpoint.id;
+			const retryAfterMs = this.#settings.poisonRequests?.findRetryDelayMs(this.#request);
+			if (retryAfterMs !== undefined) {
+				this.#release();
+				return this.#runs.size > 0 ? {kind: 'unknown', reason: poisonRequestReason} : {kind: 'not-run', reason: poisonRequestReason, retryAfterMs};
+			}
+
 			this.#excluded.add(endpoint.id);
 			// Each attempt depends on the outcome of the previous one.
 			// eslint-disable-next-line no-await-in-loop
--- a/packages/gateway/__tests__/poison-evidence.spec.ts
+++ b/packages/gateway/__tests__/poison-evidence.spec.ts
@@ -1,7 +1,9 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {Random} from '@wasabiusher/shared';
-import {CrashFleet, createPoisonRequest, type FleetSettings} from './crash-fleet.js';
+import {
+	CrashFleet, createPoisonRequest, createPoisonRoute, type FleetSettings,
+} from './crash-fleet.js';
 
 /** Time within which all hosts must know that a request has crashed three endpoints, in milliseconds, and runs that may begin later. */
 const graceMs = 3000;
@@ -69,6 +71,25 @@
 		expectFew(await play({crash: 'reset', failureShare: 0.3}));
 	});
 
+	it('makes no further attempt of a request that is found to be poison during its first one', async () => {
+		const fleet = new CrashFleet({endpoints: 8, crash: 'silent'});
+		await clock.tickAsync(50);
+		const [first, second] = fleet.hosts;
+		const calls = Array.from({length: 3}, async () => fleet.send(createPoisonRequest('/bad', {deadlineAt: performance.now() + 2000}), second, createPoisonRoute({objectiveMs: 400})));
+		await clock.tickAsync(100);
+		for (const endpoint of ['e1', 'e2', 'e3']) {
+			first!.poisonRequests.recordBroken({endpoint, bornMs: 99, startedAt: performance.now()}, createPoisonRequest('/bad'));
+			first!.poisonRequests.recordDown({endpoint, bornMs: 99});
+		}
+
+		const before = fleet.runs.length;
+		await clock.tickAsync(2500);
+		const outcomes = await Promise.all(calls);
+		expect(outcomes.map(({kind}) => kind)).to.deep.equal(['timeout', 'timeout', 'timeout']);
+		expect([before, fleet.runs.length]).to.deep.equal([3, 3]);
+		fleet.stop();
+	});
+
 	it('stops a request whose endpoints restart under their ids before anything finds them down', async () => {
 		expectFew(await play({crash: 'reset', keepsId: true, restartMs: 80}));
 	});
