Drop failed runs of a request that was completed at another endpoint

Callers saw: requests that harm nothing may be refused for a minute, if they were open at several endpoints that crashed and were answered elsewhere.

Cause: an answer cleared only crashes that were counted by then. A run that had failed shortly before, whose endpoint was found down later, was counted after the answer that disproves it.

Change: a complete answer also drops the failed runs that wait for their endpoint to be found down.

Measured: the new test fails without the line (refused although answered) and passes.

--- a/packages/decisions/src/crash-evidence.ts
+++ b/packages/decisions/src/crash-evidence.ts
@@ -60,6 +60,23 @@
 		return false;
 	}
 
+	/** Whether no failed run is remembered. */
+	get isEmpty(): boolean {
+		return this.#broken.size === 0;
+	}
+
+	/** Records that a request was completed after its earlier runs had failed, so that these say nothing of a crash. */
+	recordFinished(fingerprint: string): void {
+		for (const [endpoint, runs] of this.#broken) {
+			const left = runs.filter(run => run.fingerprint !== fingerprint);
+			if (left.length === 0) {
+				this.#broken.delete(endpoint);
+			} else {
+				this.#broken.set(endpoint, left);
+			}
+		}
+	}
+
 	/** Returns the incarnations at which a request has recently failed without an answer. */
 	listBroken(fingerprint: string, now: number): EndpointIncarnation[] {
 		return [...this.#broken].flatMap(([endpoint, runs]) => {
--- a/packages/gateway/__tests__/poison-requests.spec.ts
+++ b/packages/gateway/__tests__/poison-requests.spec.ts
@@ -160,6 +160,23 @@
 		expect(late.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
 	});
 
+	it('does not count runs that failed before the request was completed elsewhere', async () => {
+		const a = createHost('a');
+		for (const path of ['/good', '/bad']) {
+			for (const endpoint of ['e1', 'e2', 'e3']) {
+				a.poisonRequests.recordBroken({endpoint, startedAt: performance.now()}, createRequest(path));
+			}
+		}
+
+		a.poisonRequests.recordFinished(createRequest('/good'));
+		for (const endpoint of ['e1', 'e2', 'e3']) {
+			a.poisonRequests.recordDown({endpoint});
+		}
+
+		expect(a.poisonRequests.findRetryDelayMs(createRequest('/good'))).to.equal(undefined);
+		expect(a.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
+	});
+
 	it('writes the crash of a request that has failed at two endpoints before anything else finds them down', async () => {
 		const [a, late] = [createHost('a', async () => false), createHost('c')];
 		for (const endpoint of ['e1', 'e2', 'e3']) {
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -115,11 +115,12 @@
 	}
 
 	recordFinished(request: CallerRequest): void {
-		if (this.#guard.size === 0) {
+		if (this.#guard.size === 0 && this.#evidence.isEmpty) {
 			return;
 		}
 
 		const fingerprint = computeFingerprint(request);
+		this.#evidence.recordFinished(fingerprint);
 		if (this.#guard.isSuspect(fingerprint)) {
 			this.#guard.recordFinished(fingerprint);
 			this.#counts.crashersCleared += 1;
