Refuse texts and scores that crash endpoints, as calls and streams are

Callers saw: a sample whose text crashes the endpoints that generate it takes down one after the other until its time is up, and every text beside it with them.

Cause: only calls and streams of callers reported their runs and asked whether they may run. The texts and scores of batches were sent past the quarantine, by every owner of a share.

Change: batches get the tracker. Scores are calls and report as these do. A quarantined sample is held until it may be tried again or its time is up, and is listed as abandoned only then.

--- a/packages/batches/__tests__/scoring.spec.ts
+++ b/packages/batches/__tests__/scoring.spec.ts
@@ -6,6 +6,12 @@
 import {scoreSample, type ScoringSettings} from '../src/scoring.js';
 import {createDeployment, createRoute} from './fixtures.js';
 
+const scoredSample = {
+	id: 's', path: '/steps/s', headers: {}, body: '', score: {
+		id: 'c', host: 'h', path: '/scores/c', body: '',
+	},
+};
+
 describe('scoreSample', () => {
 	let clock: Clock;
 	let scorers: MemoryEndpoint[];
@@ -52,12 +58,7 @@
 	}
 
 	async function score(ms: number): Promise<string | undefined> {
-		const sample = {
-			id: 's', path: '/steps/s', headers: {}, body: '', score: {
-				id: 'c', host: 'h', path: '/scores/c', body: '',
-			},
-		};
-		const stamp = scoreSample(settings, sample, new AbortController().signal);
+		const stamp = scoreSample(settings, scoredSample, new AbortController().signal);
 		await clock.tickAsync(ms);
 		return stamp;
 	}
@@ -108,4 +109,28 @@
 		expect(await score(3000)).to.equal(undefined);
 		expect(countRuns()).to.equal(4);
 	});
+
+	it('sends no score that is quarantined as a poison request', async () => {
+		const reports: string[] = [];
+		settings.poisonRequests = {
+			findRetryDelayMs: () => reports.length > 0 ? 5000 : undefined,
+			recordBroken({endpoint}) {
+				reports.push(endpoint);
+			},
+			recordDown: () => undefined,
+			recordFinished: () => undefined,
+		};
+		for (const {switches} of scorers) {
+			switches.answersToLose = 10;
+		}
+
+		const leave = new AbortController();
+		const stamp = scoreSample(settings, scoredSample, leave.signal);
+		await clock.tickAsync(2000);
+		leave.abort();
+		await clock.tickAsync(100);
+		expect(await stamp).to.equal(undefined);
+		expect(reports).to.have.length(1);
+		expect(scorers.flatMap(({runs}) => runs)).to.have.length(1);
+	});
 });
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -1,6 +1,6 @@
 /** Sends calls, runs and weight orders straight to endpoints, without an agent on the endpoint's host. */
 export * from './call.js';
-export type {PoisonRequestTracker} from './poison-requests.js';
+export type {PoisonRequestTracker, TrackedRequest} from './poison-requests.js';
 export * from './persistent-speeds.js';
 export * from './endpoint-directory.js';
 export type {EndpointRequirement} from './endpoint-requirement.js';
--- a/packages/direct/src/poison-requests.ts
+++ b/packages/direct/src/poison-requests.ts
@@ -4,16 +4,19 @@
 import type {EndpointIncarnation, EndpointRun} from '@wasabiusher/decisions';
 import type {CallerRequest} from './call.js';
 
+/** The parts of a request by which its retries are recognized, and the id of this attempt for logs. */
+export type TrackedRequest = Pick<CallerRequest, 'path' | 'customer' | 'body' | 'attemptId'>;
+
 /** Tracks the requests that crash endpoints. */
 export type PoisonRequestTracker = {
 	/** Time until a poison request may be retried, in milliseconds; undefined if the request may run now. */
-	findRetryDelayMs(request: CallerRequest): number | undefined;
+	findRetryDelayMs(request: TrackedRequest): number | undefined;
 	/** Records that a run got no answer and may have begun. */
-	recordBroken(run: EndpointRun, request: CallerRequest): void;
+	recordBroken(run: EndpointRun, request: TrackedRequest): void;
 	/** Records that an incarnation of an endpoint is unreachable or has ended. */
 	recordDown(incarnation: EndpointIncarnation): void;
 	/** Records that an endpoint has completed a request, which shows that the request isn't poison. */
-	recordFinished(request: CallerRequest): void;
+	recordFinished(request: TrackedRequest): void;
 };
 
 /** Reason given to the caller of a refused poison request. */
@@ -22,7 +25,7 @@
 /** A failed attempt at an endpoint. */
 export type BrokenAttempt = {
 	run: EndpointRun;
-	request: CallerRequest;
+	request: TrackedRequest;
 	/** Whether the request is proven not to have run. */
 	isNotRun: boolean;
 	hasRestarted: boolean;
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -15,7 +15,9 @@
 import type {EndpointRequirement} from './endpoint-requirement.js';
 import type {EndpointQueue} from './endpoint-queue.js';
 import {PhaseTimes, type RunPhase} from './phase-times.js';
+import type {PoisonRequestTracker} from './poison-requests.js';
 import {RestartWatch} from './restart-watch.js';
+import {SampleQuarantine} from './sample-quarantine.js';
 import {findUrgency, SampleSearch} from './sample-search.js';
 import {SilenceWatch} from './silence-watch.js';
 
@@ -66,6 +68,8 @@
 	log: Log;
 	/** Wait queue for slots; undefined if the sample polls for an endpoint itself. */
 	queue?: EndpointQueue;
+	/** Tracks poison requests, which crash endpoints; undefined if they aren't tracked. */
+	poisonRequests?: PoisonRequestTracker;
 	/** The current route of the sample's batch; undefined once it was removed. */
 	findRoute(): Route | undefined;
 	/** Dedicated endpoints, which are used before others; undefined if all are equal. */
@@ -104,6 +108,7 @@
 	#failures = 0;
 	#runs = 0;
 	readonly #search: SampleSearch;
+	readonly #quarantine: SampleQuarantine;
 	/** Number of events expected at the first search for an endpoint; undefined if unknown. */
 	#expectedEvents: number | undefined;
 	/** Requirements that the current endpoint was chosen by. */
@@ -122,6 +127,12 @@
 		this.#sample = sample;
 		this.#signal = signal;
 		this.#search = new SampleSearch(settings, sample, signal);
+		const {id, deadlineAt, request: {path, customer, body}} = sample;
+		this.#quarantine = new SampleQuarantine({
+			tracker: settings.poisonRequests, deadlineAt, signal, log: settings.log, request: {
+				path, customer, body, attemptId: id,
+			},
+		});
 		this.#text = text ?? {events: [], versions: new Set()};
 		this.#inheritedEvents = this.#text.events.length;
 	}
@@ -152,6 +163,15 @@
 			// eslint-disable-next-line no-await-in-loop
 			const endpoint = this.#nextEndpoint ?? await this.#findEndpoint(route);
 			this.#nextEndpoint = undefined;
+			const heldMs = endpoint && this.#quarantine.findHeldMs();
+			if (endpoint && heldMs !== undefined) {
+				this.#settings.directory.release(endpoint.id);
+				// eslint-disable-next-line no-await-in-loop
+				await this.#quarantine.hold(heldMs);
+				this.#times.mark('waited');
+				continue;
+			}
+
 			// Each run resumes where the previous one broke off.
 			// eslint-disable-next-line no-await-in-loop
 			const step = endpoint ? await this.#runAt(endpoint, route) : 'again';
@@ -229,6 +249,9 @@
 				return {kind: 'stopped'};
 			}
 
+			this.#quarantine.recordBroken({
+				run: {endpoint: id, bornMs: endpoint.bornMs, startedAt}, events: this.#text.events.length - before, error, restart,
+			});
 			log.info('run_broken', {
 				batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, from: before, events: this.#text.events.length, reason: describeError(error),
 			});
@@ -290,6 +313,7 @@
 			return 'again';
 		}
 
+		this.#quarantine.recordMade();
 		log.info('text_made', {
 			batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, events: this.#text.events.length, kept: this.#inheritedEvents, runs: this.#runs,
 			expected: this.#expectedEvents && Math.round(this.#expectedEvents), versions: [...this.#text.versions].join(','),
@@ -329,6 +353,7 @@
 			}
 
 			const count = this.#text.events.length - from;
+			this.#quarantine.recordProgress(count);
 			if (count % paceReportEvents === 0) {
 				directory.recordRunPace(id, (now - firstAt) / (count - 1));
 			}
--- a/packages/gateway/__tests__/crash-fleet.ts
+++ b/packages/gateway/__tests__/crash-fleet.ts
@@ -2,10 +2,10 @@
 import {Buffer} from 'node:buffer';
 import {hostTable} from '@wasabiusher/batches';
 import {
-	PlatformError, type EndpointTarget, type ServingAnswer, type ServingRequest,
+	PlatformError, type EndpointTarget, type RunEvent, type ServingAnswer, type ServingRequest, type ServingRun,
 } from '@wasabiusher/backends';
 import {
-	DirectCall, EndpointDirectory, WeightOrders, type CallerRequest, type CallOutcome,
+	DirectCall, EndpointDirectory, SampleRun, WeightOrders, type CallerRequest, type CallOutcome, type SampleOutcome,
 } from '@wasabiusher/direct';
 import {TableFollower} from '@wasabiusher/record';
 import {
@@ -19,6 +19,9 @@
 const crashMs = 60;
 const workMs = 20;
 
+/** Number of events of a text. */
+const textEvents = 200;
+
 export type FleetSettings = {
 	hosts: number;
 	endpoints: number;
@@ -142,6 +145,24 @@
 		}
 	}
 
+	/** Generates a text through a host; the path `/bad` crashes its endpoints. */
+	async generate(path: string, host: FleetHost): Promise<SampleOutcome> {
+		const {directory, poisonRequests} = host;
+		return new SampleRun({
+			directory, client: this, log: createSilentLog(), findRoute: () => createPoisonRoute({kind: 'batch'}), chance: () => 0, poisonRequests,
+		}, {
+			id: path, model: undefined, minWeightVersion: 1, isSingleVersion: false, group: 'g', deadlineAt: performance.now() + 20_000,
+			request: {
+				method: 'POST', path, host: 'h', headers: {}, body: new Uint8Array(),
+			},
+		}, new AbortController().signal).run();
+	}
+
+	override async run(target: EndpointTarget, request: ServingRequest, signal: AbortSignal): Promise<ServingRun> {
+		const {body, ...head} = await this.call(target, request, signal);
+		return {...head, weightVersion: 1, events: this.#makeEvents(target, request)};
+	}
+
 	override async call(target: EndpointTarget, request: ServingRequest, signal: AbortSignal): Promise<ServingAnswer> {
 		const endpoint = this.#endpoints.find(({registration: {address}}) => address === target.address);
 		if (!endpoint?.isUp) {
@@ -186,6 +207,19 @@
 		throw new PlatformError('unknown', 'the connection was closed');
 	}
 
+	async * #makeEvents(target: EndpointTarget, {resumeAfter = 0}: ServingRequest): AsyncIterable<RunEvent> {
+		const endpoint = this.#endpoints.find(({registration: {id}}) => id === target.id);
+		for (let id = resumeAfter + 1; id <= textEvents; id += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await pause(workMs, new AbortController().signal);
+			if (!endpoint?.isUp || endpoint.registration.id !== target.id) {
+				throw new PlatformError('unknown', 'the run was interrupted');
+			}
+
+			yield {id, data: `${id}`, version: 1};
+		}
+	}
+
 	#crash(endpoint: Endpoint): void {
 		if (!endpoint.isUp) {
 			return;
--- a/packages/gateway/__tests__/poison-evidence.spec.ts
+++ b/packages/gateway/__tests__/poison-evidence.spec.ts
@@ -90,6 +90,24 @@
 		fleet.stop();
 	});
 
+	it('stops a text that crashes the endpoints that generate it, and completes one that runs beside it', async () => {
+		for (const crash of ['reset', 'silent'] as const) {
+			const fleet = new CrashFleet({crash, endpoints: 5});
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(50);
+			const [host] = fleet.hosts;
+			const good = fleet.generate('/good', host!);
+			const bad = fleet.generate('/bad', host!);
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(25_000);
+			// eslint-disable-next-line no-await-in-loop
+			const outcomes = await Promise.all([good, bad]);
+			expect(outcomes.map(({kind}) => kind)).to.deep.equal(['made', 'expired']);
+			expect(fleet.runs.length).to.be.within(3, 5);
+			fleet.stop();
+		}
+	});
+
 	it('stops a request whose endpoints restart under their ids before anything finds them down', async () => {
 		expectFew(await play({crash: 'reset', keepsId: true, restartMs: 80}));
 	});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -181,6 +181,7 @@
 			findPublishedVersion: model => this.#orders.findPublishedVersion(model),
 			readStoreMs: () => this.#storeBreaker.storeMs,
 			isStoreOpen: () => !this.#storeBreaker.isTripped || rows.isRelayed,
+			poisonRequests: this.#trackedPoisonRequests,
 		});
 		this.#usage = this.#createUsage();
 		this.#speedRows = policy.plansTexts ? new SpeedRows({rows, directory: this.#directory, log}) : undefined;
@@ -427,10 +428,15 @@
 		const {client, random, log} = this.#settings;
 		return {
 			directory: this.#directory, queue: this.#endpointQueue, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
-			poisonRequests: this.#policy.refusesCrashers ? this.#poisonRequests : undefined,
+			poisonRequests: this.#trackedPoisonRequests,
 		};
 	}
 
+	/** What calls, scores and texts report to; undefined if poison requests aren't refused. */
+	get #trackedPoisonRequests(): PoisonRequests | undefined {
+		return this.#policy.refusesCrashers ? this.#poisonRequests : undefined;
+	}
+
 	/** Lets endpoints finish their generations before a weight load if a route of the service requires a single version for each generation; otherwise these continue under the new weights. */
 	#chooseLoadMode(service: string): LoadMode {
 		const routes = this.#catalog.deployment?.routes ?? [];
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -10,7 +10,7 @@
 import {
 	CrashEvidence, PoisonGuard, type EndpointIncarnation, type EndpointRun,
 } from '@wasabiusher/decisions';
-import type {CallerRequest, PoisonRequestTracker} from '@wasabiusher/direct';
+import type {PoisonRequestTracker, TrackedRequest} from '@wasabiusher/direct';
 import {decodeCrashRow, encodeCrashRow} from '@wasabiusher/record';
 import {describeError, dropOldest, type Log} from '@wasabiusher/shared';
 import {CrashRowWriter} from './crash-row-writer.js';
@@ -78,7 +78,7 @@
 		return {...this.#counts, crashersNotTold: this.#rowWriter.failures};
 	}
 
-	findRetryDelayMs(request: CallerRequest): number | undefined {
+	findRetryDelayMs(request: TrackedRequest): number | undefined {
 		if (this.#guard.size === 0) {
 			return undefined;
 		}
@@ -92,7 +92,7 @@
 		return Math.min(maxRetryAfterMs, verdict.retryAfterMs);
 	}
 
-	recordBroken(run: EndpointRun, request: CallerRequest): void {
+	recordBroken(run: EndpointRun, request: TrackedRequest): void {
 		const fingerprint = computeFingerprint(request);
 		this.#settings.log.info('run_unanswered', {request: request.attemptId, endpoint: run.endpoint, fingerprint});
 		if (this.#evidence.recordBroken(run, fingerprint, performance.now())) {
@@ -114,7 +114,7 @@
 		}
 	}
 
-	recordFinished(request: CallerRequest): void {
+	recordFinished(request: TrackedRequest): void {
 		if (this.#guard.size === 0 && this.#evidence.isEmpty) {
 			return;
 		}
@@ -235,6 +235,6 @@
 }
 
 /** Hashes the parts of a request that stay the same when its caller retries it: path, customer and body. */
-function computeFingerprint({path, customer = '', body}: CallerRequest): string {
+function computeFingerprint({path, customer = '', body}: TrackedRequest): string {
 	return createHash('sha256').update(`${customer}\n${path}\n`).update(body).digest('base64url').slice(0, 32);
 }
