Remove an expired crash row only if its writer has not renewed it

A row that its writer had renewed since then, with a new crash, went with them.

Fifty rows at a time, as conditions count as entries.

Measured: the new test lost the row, and keeps it now.

--- a/packages/gateway/__tests__/poison-requests.spec.ts
+++ b/packages/gateway/__tests__/poison-requests.spec.ts
@@ -225,6 +225,18 @@
 		expect(late.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
 	});
 
+	it('keeps an expired row that its writer has renewed meanwhile', async () => {
+		const [a, sweeper] = [createHost('a'), createHost('b')];
+		crash(a, 'e1', '/bad');
+		await follow(sweeper);
+		await clock.tickAsync(61_000);
+		crash(a, 'e2', '/bad');
+		await clock.tickAsync(10);
+		await sweeper.poisonRequests.sweep();
+		const {rows} = await store.read({table: hostTable, part: poisonRequestPart});
+		expect(rows).to.have.length(1);
+	});
+
 	it('removes expired rows and throws on a malformed one', async () => {
 		const a = createHost('a');
 		crash(a, 'e1', '/bad');
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -35,8 +35,8 @@
 const maxLoggedRequests = 8;
 const maxLoggedQuarantines = 1000;
 
-/** Maximum number of rows removed at a time; a store transaction holds at most 100. */
-const maxSweptRows = 100;
+/** Maximum number of rows removed at a time; a store transaction holds at most 100 entries, two of them for each row. */
+const maxSweptRows = 50;
 
 export type PoisonRequestsSettings = {
 	rows: RowStore;
@@ -59,8 +59,8 @@
 	readonly #settings: PoisonRequestsSettings;
 	readonly #guard = new PoisonGuard({crashesToQuarantine, suspicionMs, initialTermMs: firstTermMs});
 	readonly #evidence = new CrashEvidence();
-	/** Expiry time of each row on the store's clock in milliseconds, by row key. */
-	readonly #expiryMs = new Map<string, number>();
+	/** Version of each row, and its expiry on the store's clock in milliseconds, by row key. */
+	readonly #rows = new Map<string, {version: number; untilMs: number}>();
 	/** Endpoint incarnations that are being checked. */
 	readonly #checks = new Set<string>();
 	/** Fingerprints of the requests that this host has logged as quarantined. */
@@ -139,13 +139,13 @@
 		}
 
 		if (value === undefined) {
-			this.#expiryMs.delete(key);
+			this.#rows.delete(key);
 			return;
 		}
 
 		const {crashes, cleared, untilMs, terms} = decodeCrashRow(value);
 		const remainingMs = Math.max(0, Math.min(firstTermMs * (2 ** terms), untilMs - this.#settings.readStoreMs()));
-		this.#expiryMs.set(key, untilMs);
+		this.#rows.set(key, {version: change.version, untilMs});
 		if (remainingMs > 0) {
 			this.#guard.merge([{
 				fingerprint, crashes, cleared, remainingMs, terms,
@@ -163,13 +163,20 @@
 	async sweep(): Promise<void> {
 		const {rows, table, log} = this.#settings;
 		const storeMs = this.#settings.readStoreMs();
-		const expired = [...this.#expiryMs].filter(([, untilMs]) => untilMs < storeMs).slice(0, maxSweptRows);
+		const expired = [...this.#rows].filter(([, {untilMs}]) => untilMs < storeMs).slice(0, maxSweptRows);
 		if (expired.length === 0) {
 			return;
 		}
 
 		try {
-			await rows.commit({conditions: [], puts: [], deletes: expired.map(([key]) => ({table, part: poisonRequestPart, key}))});
+			// A row that its writer has renewed meanwhile must stay.
+			await rows.commit({
+				conditions: expired.map(([key, {version}]) => ({
+					table, part: poisonRequestPart, key, version,
+				})),
+				puts: [],
+				deletes: expired.map(([key]) => ({table, part: poisonRequestPart, key})),
+			});
 		} catch (error) {
 			log.info('crashers_not_swept', {reason: describeError(error)});
 		}
