Let hosts take turns to try a request again after its quarantine

Callers saw: once a quarantine ends, a request that crashes endpoints takes down one at each host that it reaches, before the first crash is known.

Cause: after its term a request was free at all hosts at the same moment, though the judgement says that it may only run in isolation.

The schedule is a decision of its own, trial-schedule.ts. A request that has crashed nothing for ten minutes runs freely again.

--- a/packages/batches/__tests__/scoring.spec.ts
+++ b/packages/batches/__tests__/scoring.spec.ts
@@ -117,6 +117,7 @@
 			recordBroken({endpoint}) {
 				reports.push(endpoint);
 			},
+			recordAttempt: () => undefined,
 			recordDown: () => undefined,
 			recordFinished: () => undefined,
 		};
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -45,4 +45,5 @@
 export * from './stragglers.js';
 export * from './subsetting.js';
 export * from './trainer-shares.js';
+export * from './trial-schedule.js';
 export * from './weight-waves.js';
--- a/packages/decisions/src/poison.ts
+++ b/packages/decisions/src/poison.ts
@@ -11,8 +11,8 @@
 /** How a request with a given fingerprint may run. */
 export type Verdict
 	= | {kind: 'free'}
-		/** Runs alone, and not on an endpoint that crashed with it in flight. */
-		| {kind: 'isolate'; avoid: readonly string[]}
+		/** Runs alone, and not on an endpoint that crashed with it in flight. `sinceTermMs` is the time since its quarantine ended, if it had one. */
+		| {kind: 'isolate'; avoid: readonly string[]; sinceTermMs?: number}
 		| {kind: 'quarantined'; retryAfterMs: number};
 
 /** A crash; every process that receives it identifies it in the same way. */
@@ -83,10 +83,13 @@
 			return {kind: 'free'};
 		}
 
+		const isPoison = crashes.length >= this.#limits.crashesToQuarantine;
+		if (isPoison && now < row.until) {
+			return {kind: 'quarantined', retryAfterMs: row.until - now};
+		}
+
 		// After its term it is tried again, but in isolation.
-		return crashes.length >= this.#limits.crashesToQuarantine && now < row.until
-			? {kind: 'quarantined', retryAfterMs: row.until - now}
-			: {kind: 'isolate', avoid: crashes.map(crash => crash.slice(0, crash.lastIndexOf('@')))};
+		return {kind: 'isolate', avoid: crashes.map(crash => crash.slice(0, crash.lastIndexOf('@'))), ...(isPoison ? {sinceTermMs: now - row.until} : {})};
 	}
 
 	/** Makes the requests in flight at a crash suspects; a crash that is already known changes nothing. */
--- a/packages/direct/__tests__/stream-call.spec.ts
+++ b/packages/direct/__tests__/stream-call.spec.ts
@@ -168,6 +168,7 @@
 		const reports: string[] = [];
 		const poisonRequests: PoisonRequestTracker = {
 			findRetryDelayMs: () => undefined,
+			recordAttempt: () => undefined,
 			recordBroken() {
 				reports.push('broken');
 			},
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -261,6 +261,7 @@
 		const restart = new RestartWatch(directory, id);
 		this.#excluded.add(id);
 		this.#mayHaveRun.add(id);
+		this.#settings.poisonRequests?.recordAttempt(this.#request);
 		try {
 			const answer = await client.call(endpoint, this.#toServingRequest(), AbortSignal.any([signal, restart.signal]));
 			directory.recordHead(id, answer);
--- a/packages/direct/src/poison-requests.ts
+++ b/packages/direct/src/poison-requests.ts
@@ -11,6 +11,8 @@
 export type PoisonRequestTracker = {
 	/** Time until a poison request may be retried, in milliseconds; undefined if the request may run now. */
 	findRetryDelayMs(request: TrackedRequest): number | undefined;
+	/** Records that an attempt begins. */
+	recordAttempt(request: TrackedRequest): void;
 	/** Records that a run got no answer and may have begun. */
 	recordBroken(run: EndpointRun, request: TrackedRequest): void;
 	/** Records that an incarnation of an endpoint is unreachable or has ended. */
--- a/packages/direct/src/sample-quarantine.ts
+++ b/packages/direct/src/sample-quarantine.ts
@@ -41,6 +41,12 @@
 		return tracker?.findRetryDelayMs(request);
 	}
 
+	/** Records that a run begins. */
+	recordRun(): void {
+		const {tracker, request} = this.#settings;
+		tracker?.recordAttempt(request);
+	}
+
 	/** Waits for a time in milliseconds, or until the sample expires or is no longer needed. */
 	async hold(heldMs: number): Promise<void> {
 		const {request, deadlineAt, signal, log} = this.#settings;
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -234,6 +234,7 @@
 		let status: number | undefined;
 		const watch = new SilenceWatch(stop, () => directory.findLastReceivedAt(id));
 		this.#runs += 1;
+		this.#quarantine.recordRun();
 		try {
 			const run = await client.run(endpoint, this.#toServingRequest(route), signal);
 			headMs = Math.round(performance.now() - startedAt);
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -171,6 +171,7 @@
 		const watch = this.#route.isResumable ? new SilenceWatch(stop, () => directory.findLastReceivedAt(id)) : undefined;
 		try {
 			this.#runs.add(id);
+			this.#settings.poisonRequests?.recordAttempt(this.#request);
 			const stream = await client.open(endpoint, this.#toServingRequest(after), AbortSignal.any([this.#signal, this.#deadline.signal, stop.signal, restart.signal]));
 			directory.recordHead(id, stream);
 			if (!stream.isNotRun) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -132,7 +132,7 @@
 			host, breaker: this.#storeBreaker, log, findKey, slotSharing: this.#slotSharing,
 		});
 		this.#poisonRequests = new PoisonRequests({
-			rows, table: hostTable, writer: randomUUID(), log, readStoreMs: () => this.#storeBreaker.storeMs, isReachable: async incarnation => this.#isReachable(incarnation),
+			rows, table: hostTable, host, listHosts: () => this.#hosts.listLive().map(live => live.host), writer: randomUUID(), log, readStoreMs: () => this.#storeBreaker.storeMs, isReachable: async incarnation => this.#isReachable(incarnation),
 		});
 		this.#endpointQueue = policy.queuesAtHost ? new EndpointQueue(this.#directory) : undefined;
 		this.#lease = new LeaseHolder({
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -8,11 +8,13 @@
 import {createHash} from 'node:crypto';
 import type {RowChange, RowStore} from '@wasabiusher/backends';
 import {
-	CrashEvidence, PoisonGuard, type EndpointIncarnation, type EndpointRun,
+	CrashEvidence, findTrialDelayMs, PoisonGuard, trialMs, type EndpointIncarnation, type EndpointRun,
 } from '@wasabiusher/decisions';
 import type {PoisonRequestTracker, TrackedRequest} from '@wasabiusher/direct';
 import {decodeCrashRow, encodeCrashRow} from '@wasabiusher/record';
-import {describeError, dropOldest, type Log} from '@wasabiusher/shared';
+import {
+	describeError, dropOldest, orderByRank, type Log,
+} from '@wasabiusher/shared';
 import {CrashRowWriter} from './crash-row-writer.js';
 
 /** Part of the host table that holds the crash rows. */
@@ -28,6 +30,9 @@
 const suspicionMs = 60_000;
 const firstTermMs = 60_000;
 
+/** Time after a quarantine for which hosts take turns to try the request, in milliseconds; afterwards it runs freely until it crashes endpoints again. */
+const forgetMs = 600_000;
+
 /** Upper bound of the retry delay that a refused caller gets, in milliseconds. */
 const maxRetryAfterMs = 5000;
 
@@ -41,9 +46,13 @@
 export type PoisonRequestsSettings = {
 	rows: RowStore;
 	table: string;
+	/** Name of this host. */
+	host: string;
 	/** Id of this process, unique among all starts of all hosts: a process never overwrites rows of an earlier one. */
 	writer: string;
 	log: Log;
+	/** Returns the names of all hosts, which take turns to try a request again after its quarantine. */
+	listHosts(): readonly string[];
 	/** Returns the store's clock, in milliseconds. */
 	readStoreMs(): number;
 	/** Whether an endpoint still answers; true while that is unknown. */
@@ -63,6 +72,8 @@
 	readonly #rows = new Map<string, {version: number; untilMs: number}>();
 	/** Endpoint incarnations that are being checked. */
 	readonly #checks = new Set<string>();
+	/** When this host last tried requests again after their quarantine, by fingerprint. */
+	readonly #trialsAt = new Map<string, number>();
 	/** Fingerprints of the requests that this host has logged as quarantined. */
 	readonly #quarantined = new Set<string>();
 
@@ -83,13 +94,26 @@
 			return undefined;
 		}
 
-		const verdict = this.#guard.judge(computeFingerprint(request), performance.now());
-		if (verdict.kind !== 'quarantined') {
+		const delayMs = this.#findDelayMs(computeFingerprint(request));
+		if (delayMs === 0) {
 			return undefined;
 		}
 
 		this.#counts.crashersRefused += 1;
-		return Math.min(maxRetryAfterMs, verdict.retryAfterMs);
+		return Math.min(maxRetryAfterMs, delayMs);
+	}
+
+	recordAttempt(request: TrackedRequest): void {
+		if (this.#guard.size === 0) {
+			return;
+		}
+
+		const fingerprint = computeFingerprint(request);
+		if (this.#isOnTrial(fingerprint)) {
+			this.#trialsAt.set(fingerprint, performance.now());
+			dropOldest(this.#trialsAt, maxLoggedQuarantines);
+			this.#settings.log.info('quarantine_trial', {request: request.attemptId, fingerprint});
+		}
 	}
 
 	recordBroken(run: EndpointRun, request: TrackedRequest): void {
@@ -191,6 +215,32 @@
 		this.#rowWriter.write(fingerprints);
 	}
 
+	/** Time until a request may run at this host, in milliseconds; 0 if it may run now. */
+	#findDelayMs(fingerprint: string): number {
+		const now = performance.now();
+		const verdict = this.#guard.judge(fingerprint, now);
+		if (verdict.kind === 'quarantined') {
+			return verdict.retryAfterMs;
+		}
+
+		if (verdict.kind === 'free' || verdict.sinceTermMs === undefined || verdict.sinceTermMs > forgetMs) {
+			return 0;
+		}
+
+		const {host, listHosts} = this.#settings;
+		const hosts = [...new Set([host, ...listHosts()])];
+		const ownTrialMs = trialMs - (now - (this.#trialsAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY));
+		return Math.max(0, ownTrialMs, findTrialDelayMs({
+			rank: orderByRank(fingerprint, hosts).indexOf(host), hostCount: hosts.length, sinceTermMs: verdict.sinceTermMs,
+		}));
+	}
+
+	/** Whether a request has been quarantined and is now tried again. */
+	#isOnTrial(fingerprint: string): boolean {
+		const verdict = this.#guard.judge(fingerprint, performance.now());
+		return verdict.kind === 'isolate' && verdict.sinceTermMs !== undefined;
+	}
+
 	/** Finds out whether an endpoint has crashed, rather than wait for its registration to lapse: a process that ends before then takes its evidence with it. */
 	async #checkEndpoint(incarnation: EndpointIncarnation): Promise<void> {
 		const key = `${incarnation.endpoint}@${incarnation.bornMs ?? ''}`;
