Split the table followers, the endpoint check and the generated text off their files

StoreFollowers holds the followers of a host's tables, endpoint-check.ts the check of an endpoint, generated-text.ts the checks of a text's events.

--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -7,6 +7,7 @@
 export * from './endpoint-queue.js';
 export type {QueuePosition} from './call-admission.js';
 export type {EndpointState} from './endpoint-state.js';
+export type {GeneratedText} from './generated-text.js';
 export * from './sample-run.js';
 export * from './weight-orders.js';
 export {compareIncarnations} from './restart-watch.js';
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -5,15 +5,14 @@
  * each time would miss its step; resumed after its last complete event it loses only a round trip.
  */
 import {longRunEvents} from '@wasabiusher/decisions';
-import {
-	PlatformError, type RunEvent, type ServingClient, type ServingRequest, type ServingRun,
-} from '@wasabiusher/backends';
+import type {ServingClient, ServingRequest, ServingRun} from '@wasabiusher/backends';
 import {
 	describeError, type Log, type RegisteredEndpoint, type Route,
 } from '@wasabiusher/shared';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {EndpointRequirement} from './endpoint-requirement.js';
 import type {EndpointQueue} from './endpoint-queue.js';
+import {appendEvent, discardText, type GeneratedText} from './generated-text.js';
 import {PhaseTimes, type RunPhase} from './phase-times.js';
 import type {PoisonRequestTracker} from './poison-requests.js';
 import {RestartWatch} from './restart-watch.js';
@@ -46,13 +45,6 @@
 	expectLeft?(made: number): number | undefined;
 };
 
-/** The text generated so far, with the weight versions that generated it. */
-export type GeneratedText = {
-	/** Data of each event, in order; the event ids count from 1. */
-	events: string[];
-	versions: Set<number>;
-};
-
 /**
  * - `made`: the text is complete
  * - `impossible`: an endpoint answered that the sample can never be generated
@@ -195,7 +187,7 @@
 		this.#expectedEvents ??= requirement.units;
 		this.#times.mark('waited');
 		if (isVersionLost) {
-			this.#discardText();
+			discardText(this.#text);
 		}
 
 		return endpoint;
@@ -217,11 +209,6 @@
 		return this.#text.events.length > 0 ? 'resumed' : 'begun';
 	}
 
-	#discardText(): void {
-		this.#text.events.length = 0;
-		this.#text.versions.clear();
-	}
-
 	async #runAt(endpoint: RegisteredEndpoint, route: Route): Promise<RunStep> {
 		const {directory, client, log} = this.#settings;
 		const {id} = endpoint;
@@ -341,7 +328,7 @@
 		let version = run.weightVersion;
 		let lastAt = performance.now();
 		for await (const event of run.events) {
-			this.#appendEvent(event);
+			appendEvent(this.#text, event, this.#sample);
 			this.#times.markEvent();
 			watch.recordReceived();
 			const now = performance.now();
@@ -390,26 +377,6 @@
 			: directory.acquireFaster(id, {...this.#requirement, units, dueInMs}, madeHere);
 	}
 
-	#appendEvent({id, data, version}: RunEvent): void {
-		const {minWeightVersion: oldestVersion, isSingleVersion} = this.#sample;
-		const {events, versions} = this.#text;
-		if (id !== events.length + 1) {
-			throw new PlatformError('invalid', `expected event ${events.length + 1}, got ${id}`);
-		}
-
-		if (version < oldestVersion) {
-			throw new PlatformError('invalid', `event of version ${version}, expected ${oldestVersion} or newer`);
-		}
-
-		if (isSingleVersion && versions.size > 0 && !versions.has(version)) {
-			this.#discardText();
-			throw new PlatformError('invalid', `event of version ${version} in a text that must have a single version`);
-		}
-
-		events.push(data);
-		versions.add(version);
-	}
-
 	#toServingRequest(route: Route): ServingRequest {
 		const {id, request, deadlineAt} = this.#sample;
 		const {events} = this.#text;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,17 +3,17 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	Batches, batchParts, BatchStore, batchTable, HostRegistry, hostTable, RetainedTexts, SpeedRows,
+	Batches, BatchStore, batchTable, HostRegistry, hostTable, RetainedTexts, SpeedRows,
 } from '@wasabiusher/batches';
 import {
-	defaultPolicy, EventLoopLag, RetryBudget, type EndpointIncarnation, type Policy,
+	defaultPolicy, EventLoopLag, RetryBudget, type Policy,
 } from '@wasabiusher/decisions';
-import {PlatformError, type LoadMode} from '@wasabiusher/backends';
+import type {LoadMode} from '@wasabiusher/backends';
 import {
 	DirectCall, EndpointDirectory, EndpointQueue, LoadAnnouncements, StreamCall, WeightOrders, type CallerRequest, type CallOutcome, type CallSettings, type StreamOutcome,
 } from '@wasabiusher/direct';
 import {ReferenceClock, Usage, UsageStore} from '@wasabiusher/duties';
-import {LeaseHolder, PartTables, TableFollower} from '@wasabiusher/record';
+import {LeaseHolder, PartTables} from '@wasabiusher/record';
 import {
 	describeError, type Deployment, type GatewayStatus, type Route,
 } from '@wasabiusher/shared';
@@ -22,7 +22,8 @@
 } from './access.js';
 import {Catalog} from './catalog.js';
 import {confirmRefusal} from './confirmation.js';
-import {poisonRequestPart, PoisonRequests} from './poison-requests.js';
+import {PoisonRequests} from './poison-requests.js';
+import {isReachable} from './endpoint-check.js';
 import {toEndpointView} from './endpoint-view.js';
 import type {EventCounts} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
@@ -33,6 +34,7 @@
 import {RoutedStore} from './routed-store.js';
 import {SlotSharing} from './slot-sharing.js';
 import {StoreCircuitBreaker} from './store-circuit-breaker.js';
+import {loadAnnouncementPart, StoreFollowers} from './store-followers.js';
 import {StoreRecovery} from './store-recovery.js';
 
 /** Interval at which expired rows and objects are removed, in milliseconds. */
@@ -44,21 +46,6 @@
 /** Interval at which weight orders and slot sharing are updated and the event-loop lag is measured, in milliseconds. */
 const tickIntervalMs = 50;
 
-/**
- * Longest wait of one poll for configuration changes, in milliseconds. A change must be in force 2 s after its confirmation, even on a
- * host whose connection stops responding, and a host must detect quickly that it is cut off from the store.
- */
-const configurationWaitMs = 700;
-
-/**
- * Minimum time between two polls for registrations and heartbeats, in milliseconds. A draining endpoint must get no new requests 2 s after
- * its announcement, and a host without heartbeats is suspected after 0.9 s; both tolerate a delay of a sixth of a second.
- */
-const minFollowIntervalMs = 150;
-
-/** Part of the batch table that holds announcements of weight loads. All hosts follow this table without a pause between polls. */
-const loadAnnouncementPart = 'loads';
-
 /**
  * Time after which an order or a usage report has arrived or was given up, in milliseconds: the longest time for which its client waits for an
  * answer. If the receivers don't check fences, both are sent only while the remaining term of the lease is longer than that.
@@ -83,12 +70,7 @@
 	readonly #orders: WeightOrders;
 	readonly #loadAnnouncements: LoadAnnouncements;
 	readonly #slotSharing: SlotSharing | undefined;
-	readonly #followers: TableFollower[];
-	readonly #operatorFollower: TableFollower;
-	/** Follows the heartbeats of hosts and the rows about poison requests. */
-	readonly #hostFollower: TableFollower;
-	/** Followers that must be synchronized before this host accepts work. */
-	readonly #requiredFollowers: TableFollower[];
+	readonly #followers: StoreFollowers;
 	readonly #storeBreaker: StoreCircuitBreaker;
 	readonly #routedStore: RoutedStore;
 	readonly #storeRecovery: StoreRecovery;
@@ -132,7 +114,8 @@
 			host, breaker: this.#storeBreaker, log, findKey, slotSharing: this.#slotSharing,
 		});
 		this.#poisonRequests = new PoisonRequests({
-			rows, table: hostTable, host, listHosts: () => this.#hosts.listLive().map(live => live.host), writer: randomUUID(), log, readStoreMs: () => this.#storeBreaker.storeMs, isReachable: async incarnation => this.#isReachable(incarnation),
+			rows, table: hostTable, host, listHosts: () => this.#hosts.listLive().map(live => live.host), writer: randomUUID(), log, readStoreMs: () => this.#storeBreaker.storeMs,
+			isReachable: async incarnation => isReachable(this.#directory, client, incarnation),
 		});
 		this.#endpointQueue = policy.queuesAtHost ? new EndpointQueue(this.#directory) : undefined;
 		this.#lease = new LeaseHolder({
@@ -186,44 +169,12 @@
 		this.#usage = this.#createUsage();
 		this.#speedRows = policy.plansTexts ? new SpeedRows({rows, directory: this.#directory, log}) : undefined;
 		const chance = () => random.next();
-		this.#operatorFollower = new TableFollower({
-			store: rows.probing, table: format.operatorTable, parts: [''], log, waitMs: configurationWaitMs, apply: change => {
-				this.#catalog.applyOperatorRow(change);
-			},
+		this.#followers = new StoreFollowers({
+			store: rows.probing, operatorTable: format.operatorTable, endpointTable: format.endpointTable, log, chance,
+			catalog: this.#catalog, batches: this.batches, loadAnnouncements: this.#loadAnnouncements, poisonRequests: this.#poisonRequests, hosts: this.#hosts,
 		});
-		this.#requiredFollowers = [
-			this.#operatorFollower,
-			new TableFollower({
-				store: rows.probing, table: format.endpointTable, parts: [''], log, batchingMs: minFollowIntervalMs, chance, apply: change => {
-					this.#catalog.applyEndpoint(change);
-				},
-			}),
-			new TableFollower({
-				store: rows.probing, table: batchTable, parts: batchParts, log, apply: change => {
-					if (change.part === loadAnnouncementPart) {
-						this.#loadAnnouncements.apply(change);
-					} else {
-						this.batches.apply(change);
-					}
-				},
-			}),
-		];
-		this.#hostFollower = new TableFollower({
-			store: rows.probing, table: hostTable, parts: ['', poisonRequestPart], log, batchingMs: minFollowIntervalMs, chance,
-			apply: change => {
-				if (change.part === poisonRequestPart) {
-					this.#poisonRequests.apply(change);
-				} else {
-					this.#hosts.apply(change);
-				}
-			},
-			onContact: () => {
-				this.#hosts.recordContact();
-			},
-		});
-		this.#followers = [...this.#requiredFollowers, this.#hostFollower];
 		this.#storeRecovery = new StoreRecovery({
-			followers: this.#followers, chance, countHosts: () => this.#hosts.count,
+			followers: this.#followers.all, chance, countHosts: () => this.#hosts.count,
 			sendHeartbeat: async () => this.#hosts.sendHeartbeat(),
 			releaseWrites: () => {
 				this.batches.releaseCommits();
@@ -237,10 +188,10 @@
 	/** Whether this host should get new work. */
 	get isReady(): boolean {
 		return isReadyForWork({
-			hasSynced: this.#catalog.deployment !== undefined && this.#requiredFollowers.every(({isSynced}) => isSynced),
-			hasCrashRows: this.#hostFollower.isSynced,
+			hasSynced: this.#catalog.deployment !== undefined && this.#followers.hasSynced,
+			hasCrashRows: this.#followers.hasCrashRows,
 			sinceStartMs: performance.now() - this.#startedAt,
-			configurationAgeMs: this.#operatorFollower.ageMs,
+			configurationAgeMs: this.#followers.configurationAgeMs,
 			isDraining: this.#isDraining,
 		});
 	}
@@ -257,7 +208,7 @@
 			dataCentre,
 			isReady: this.isReady,
 			configuration: this.#catalog.deployment?.version,
-			configurationAgeMs: Number.isFinite(this.#operatorFollower.ageMs) ? Math.round(this.#operatorFollower.ageMs) : undefined,
+			configurationAgeMs: Number.isFinite(this.#followers.configurationAgeMs) ? Math.round(this.#followers.configurationAgeMs) : undefined,
 			storeWay: this.#routedStore.mode,
 			lateMs: Math.round(this.#eventLoopLag.usualMs),
 			isHolder: this.#lease.holds(),
@@ -280,9 +231,7 @@
 
 	start(): void {
 		this.#startedAt = performance.now();
-		for (const follower of this.#followers) {
-			void follower.run();
-		}
+		this.#followers.start();
 
 		void this.#loadLinkKey();
 		this.#hosts.start();
@@ -308,12 +257,12 @@
 
 	/** Finds the route and the customer of a request. Refuses only after the store has confirmed that the configuration is current. Never rejects. */
 	async findAccess(request: AccessRequest): Promise<Access> {
-		return confirmRefusal(() => decideAccess(this.#catalog.deployment, this.#catalog.keys, request), async () => this.#operatorFollower.refresh());
+		return confirmRefusal(() => decideAccess(this.#catalog.deployment, this.#catalog.keys, request), async () => this.#followers.refreshConfiguration());
 	}
 
 	/** Finds the owner of an API key, for calls without a route. Refuses only after the store has confirmed that the configuration is current. Never rejects. */
 	async identify(key: string | undefined): Promise<Identity> {
-		return confirmRefusal(() => identify(this.#catalog.deployment, this.#catalog.keys, key), async () => this.#operatorFollower.refresh());
+		return confirmRefusal(() => identify(this.#catalog.deployment, this.#catalog.keys, key), async () => this.#followers.refreshConfiguration());
 	}
 
 	/** Runs a caller's request to completion. */
@@ -361,9 +310,7 @@
 		this.#storeRecovery.stop();
 		this.#peerServer?.close();
 		this.#isStopped = true;
-		for (const follower of this.#followers) {
-			follower.stop();
-		}
+		this.#followers.stop();
 	}
 
 	#logSlotSharing(): void {
@@ -399,21 +346,6 @@
 		});
 	}
 
-	/** Whether an endpoint still answers; true if it is not known any more. */
-	async #isReachable({endpoint, bornMs}: EndpointIncarnation): Promise<boolean> {
-		const target = this.#directory.get(endpoint);
-		if (!target || target.bornMs !== bornMs) {
-			return true;
-		}
-
-		try {
-			await this.#settings.client.check(target);
-			return true;
-		} catch (error) {
-			return !(error instanceof PlatformError && error.code === 'unavailable');
-		}
-	}
-
 	/** Releases the lease only if this host has sent nothing under it for a whole term, and otherwise lets it expire: actions of two holders must be at least one term apart. */
 	async #endLease(): Promise<void> {
 		const sinceLastActionMs = Math.min(this.#orders.sinceOrderMs, this.#usage?.sinceActMs ?? Number.POSITIVE_INFINITY);
