Take the removal of a registration for a crash only if the endpoint doesn't answer

Callers saw: requests that harm nothing may be refused for a minute after an outage of the store.

Cause: a removed registration counted as a crash of the endpoint, under all runs that had failed there within 6 s. Registrations also lapse while the store is down, all at once, so that one slow call or score with a few attempts could have three crashes. Counting runs that end at their deadline makes that likelier.

Change: a host that has failed or open runs at the endpoint checks it first; one that answers has not crashed. One that leaves the check unanswered has, as its registration is gone too. Endpoints that drained before are not counted. Checks of one endpoint at a time are shared.

--- a/packages/decisions/src/crash-evidence.ts
+++ b/packages/decisions/src/crash-evidence.ts
@@ -65,6 +65,11 @@
 		return this.#broken.size === 0;
 	}
 
+	/** Whether a run at the endpoint has failed and its endpoint was not found to be down since. */
+	hasBroken(endpoint: string): boolean {
+		return this.#broken.has(endpoint);
+	}
+
 	/** Records that a request was completed after its earlier runs had failed, so that these say nothing of a crash. */
 	recordFinished(fingerprint: string): void {
 		for (const [endpoint, runs] of this.#broken) {
--- a/packages/gateway/__tests__/poison-requests.spec.ts
+++ b/packages/gateway/__tests__/poison-requests.spec.ts
@@ -7,7 +7,7 @@
 	createSilentLog, Random, type Route,
 } from '@wasabiusher/shared';
 import {MemoryRowStore, MemoryServing} from '@wasabiusher/standins';
-import {poisonRequestPart, PoisonRequests} from '../src/poison-requests.js';
+import {poisonRequestPart, PoisonRequests, type PoisonRequestsSettings} from '../src/poison-requests.js';
 
 const route: Route = {
 	name: 'r', host: 'h', prefix: '/', kind: 'non-idempotent', isResumable: false, timeoutMs: 1000, objectiveMs: 100, priority: 0,
@@ -36,7 +36,7 @@
 		clock.uninstall();
 	});
 
-	function createHost(host: string, isReachable = async () => true) {
+	function createHost(host: string, checkEndpoint: PoisonRequestsSettings['checkEndpoint'] = async () => 'unknown') {
 		startCount += 1;
 		const directory = new EndpointDirectory(new Random(1));
 		for (const id of ['e1', 'e2', 'e3', 'e4']) {
@@ -46,7 +46,7 @@
 		}
 
 		const poisonRequests = new PoisonRequests({
-			rows: store, table: hostTable, host, listHosts: () => ['a', 'b'], writer: `${host}-${startCount}`, log: createSilentLog(), readStoreMs: () => Date.now(), isReachable,
+			rows: store, table: hostTable, host, listHosts: () => ['a', 'b'], writer: `${host}-${startCount}`, log: createSilentLog(), readStoreMs: () => Date.now(), checkEndpoint, hasOpenRuns: () => false,
 		});
 		return {poisonRequests, directory};
 	}
@@ -135,6 +135,19 @@
 		expect(a.poisonRequests.findRetryDelayMs(createRequest('/bad'))).to.be.greaterThan(0);
 	});
 
+	it('counts no crash when the registration of an endpoint that answers is removed', async () => {
+		const [up, silent] = [createHost('a', async () => 'up'), createHost('b')];
+		for (const {poisonRequests} of [up, silent]) {
+			for (const endpoint of ['e1', 'e2', 'e3']) {
+				poisonRequests.recordBroken({endpoint, startedAt: performance.now()}, createRequest('/slow'));
+				poisonRequests.recordRemoved({endpoint});
+			}
+		}
+
+		await clock.tickAsync(10);
+		expect([up, silent].map(({poisonRequests}) => poisonRequests.counts.crashesSeen)).to.deep.equal([0, 3]);
+	});
+
 	it('clears a request on all hosts once one of them gets an answer, and lets hosts try any other again in turn after a minute', async () => {
 		const [a, b] = [createHost('a'), createHost('b')];
 		for (const endpoint of ['e1', 'e2', 'e3']) {
@@ -184,7 +197,7 @@
 	});
 
 	it('writes the crash of a request that has failed at two endpoints before anything else finds them down', async () => {
-		const [a, late] = [createHost('a', async () => false), createHost('c')];
+		const [a, late] = [createHost('a', async () => 'down'), createHost('c')];
 		for (const endpoint of ['e1', 'e2', 'e3']) {
 			a.poisonRequests.recordBroken({endpoint, startedAt: performance.now()}, createRequest('/bad'));
 			a.poisonRequests.recordBroken({endpoint, startedAt: performance.now()}, createRequest(`/good/${endpoint}`));
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -33,8 +33,10 @@
 	log: Log;
 	/** This host's own addresses, `ip:port`; registrations with one of them are rejected. */
 	ownAddresses?: ReadonlySet<string>;
-	/** Called when an incarnation of an endpoint has ended: its registration is removed, or replaced by that of a newer incarnation. */
+	/** Called when an incarnation of an endpoint has ended, since a newer one has registered under its id. */
 	onDown?(incarnation: EndpointIncarnation): void;
+	/** Called when the registration of an endpoint that was not draining is removed. */
+	onRemoved?(incarnation: EndpointIncarnation): void;
 	onDeployment?(deployment: Deployment): void;
 };
 
@@ -79,7 +81,10 @@
 			log.info('endpoint_removed', {endpoint: key});
 			const removed = directory.get(key);
 			directory.remove(key);
-			this.#settings.onDown?.({endpoint: key, bornMs: removed?.bornMs});
+			if (!removed?.isDraining) {
+				this.#settings.onRemoved?.({endpoint: key, bornMs: removed?.bornMs});
+			}
+
 			return;
 		}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,7 +23,7 @@
 import {Catalog} from './catalog.js';
 import {confirmRefusal} from './confirmation.js';
 import {PoisonRequests} from './poison-requests.js';
-import {isReachable} from './endpoint-check.js';
+import {checkEndpoint} from './endpoint-check.js';
 import {toEndpointView} from './endpoint-view.js';
 import type {EventCounts} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
@@ -115,7 +115,7 @@
 		});
 		this.#poisonRequests = new PoisonRequests({
 			rows, table: hostTable, host, listHosts: () => this.#hosts.listLive().map(live => live.host), writer: randomUUID(), log, readStoreMs: () => this.#storeBreaker.storeMs,
-			isReachable: async incarnation => isReachable(this.#directory, client, incarnation),
+			checkEndpoint: async incarnation => checkEndpoint(this.#directory, client, incarnation), hasOpenRuns: endpoint => this.#directory.countOpen(endpoint) > 0,
 		});
 		this.#endpointQueue = policy.queuesAtHost ? new EndpointQueue(this.#directory) : undefined;
 		this.#lease = new LeaseHolder({
@@ -142,6 +142,8 @@
 		this.#catalog = new Catalog({
 			format, directory: this.#directory, orders: this.#orders, log, onDown: incarnation => {
 				this.#poisonRequests.recordDown(incarnation);
+			}, onRemoved: incarnation => {
+				this.#poisonRequests.recordRemoved(incarnation);
 			}, ownAddresses: settings.ownAddresses, onDeployment: settings.onDeployment,
 		});
 		this.#hosts = new HostRegistry({
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -16,6 +16,7 @@
 	describeError, dropOldest, orderByRank, type Log,
 } from '@wasabiusher/shared';
 import {CrashRowWriter} from './crash-row-writer.js';
+import type {EndpointCondition} from './endpoint-check.js';
 
 /** Part of the host table that holds the crash rows. */
 export const poisonRequestPart = 'crashers';
@@ -43,6 +44,10 @@
 /** Maximum number of rows removed at a time; a store transaction holds at most 100 entries, two of them for each row. */
 const maxSweptRows = 50;
 
+/** Conditions that show a crash of a registered endpoint, and of one whose registration was removed. */
+const down: ReadonlySet<EndpointCondition> = new Set(['down']);
+const downOrUnknown: ReadonlySet<EndpointCondition> = new Set(['down', 'unknown']);
+
 export type PoisonRequestsSettings = {
 	rows: RowStore;
 	table: string;
@@ -53,10 +58,12 @@
 	log: Log;
 	/** Returns the names of all hosts, which take turns to try a request again after its quarantine. */
 	listHosts(): readonly string[];
+	/** Whether this host has open runs at an endpoint. */
+	hasOpenRuns(endpoint: string): boolean;
 	/** Returns the store's clock, in milliseconds. */
 	readStoreMs(): number;
-	/** Whether an endpoint still answers; true while that is unknown. */
-	isReachable(incarnation: EndpointIncarnation): Promise<boolean>;
+	/** Finds out whether an endpoint answers. Never rejects. */
+	checkEndpoint(incarnation: EndpointIncarnation): Promise<EndpointCondition>;
 };
 
 /** Poison requests as observed by all hosts. */
@@ -70,8 +77,8 @@
 	readonly #evidence = new CrashEvidence();
 	/** Version of each row, and its expiry on the store's clock in milliseconds, by row key. */
 	readonly #rows = new Map<string, {version: number; untilMs: number}>();
-	/** Endpoint incarnations that are being checked. */
-	readonly #checks = new Set<string>();
+	/** Checks in progress, by endpoint incarnation. */
+	readonly #checks = new Map<string, Promise<EndpointCondition>>();
 	/** When this host last tried requests again after their quarantine, by fingerprint. */
 	readonly #trialsAt = new Map<string, number>();
 	/** Fingerprints of the requests that this host has logged as quarantined. */
@@ -127,7 +134,7 @@
 		const broken = this.#evidence.listBroken(fingerprint, performance.now());
 		if (this.#guard.isSuspect(fingerprint) || broken.length >= brokenToCheck) {
 			for (const incarnation of broken) {
-				void this.#checkEndpoint(incarnation);
+				void this.#checkEndpoint(incarnation, down);
 			}
 		}
 	}
@@ -138,6 +145,16 @@
 		}
 	}
 
+	/**
+	 * Records that the registration of an endpoint was removed. It may have lapsed while the store was down, so it shows a crash only if the endpoint does
+	 * not answer either.
+	 */
+	recordRemoved(incarnation: EndpointIncarnation): void {
+		if (this.#evidence.hasBroken(incarnation.endpoint) || this.#settings.hasOpenRuns(incarnation.endpoint)) {
+			void this.#checkEndpoint(incarnation, downOrUnknown);
+		}
+	}
+
 	recordFinished(request: TrackedRequest): void {
 		if (this.#guard.size === 0 && this.#evidence.isEmpty) {
 			return;
@@ -242,19 +259,14 @@
 	}
 
 	/** Finds out whether an endpoint has crashed, rather than wait for its registration to lapse: a process that ends before then takes its evidence with it. */
-	async #checkEndpoint(incarnation: EndpointIncarnation): Promise<void> {
+	async #checkEndpoint(incarnation: EndpointIncarnation, downConditions: ReadonlySet<EndpointCondition>): Promise<void> {
 		const key = `${incarnation.endpoint}@${incarnation.bornMs ?? ''}`;
-		if (this.#checks.has(key)) {
-			return;
-		}
-
-		this.#checks.add(key);
-		try {
-			if (!await this.#settings.isReachable(incarnation)) {
-				this.recordDown(incarnation);
-			}
-		} finally {
-			this.#checks.delete(key);
+		const check = this.#checks.get(key) ?? this.#settings.checkEndpoint(incarnation);
+		this.#checks.set(key, check);
+		const condition = await check;
+		this.#checks.delete(key);
+		if (downConditions.has(condition)) {
+			this.recordDown(incarnation);
 		}
 	}
 
