Keep the rows of crashes for as long as hosts take turns

Callers saw: after a quarantine's end a request that crashes endpoints runs freely through a host that has been restarted.

Cause: rows expired with the quarantine, were swept, and were ignored by hosts that read them later, while the other hosts still tried the request in turn.

Change: rows are kept for ten minutes after the quarantine, as the turns are. A host that reads one only then begins a term of its own.

--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -3,7 +3,7 @@
  *
  * Load pattern: a request crashes each endpoint that starts it, and its caller retries it through any host. Each host observes only some of
  * the crashes, so each process writes its observations to its own rows; all hosts follow and merge these rows, which outlive the processes.
- * One answer of an endpoint at any host clears a request of all earlier crashes.
+ * One complete answer of an endpoint at any host clears a request of all earlier crashes.
  */
 import {createHash} from 'node:crypto';
 import type {RowChange, RowStore} from '@wasabiusher/backends';
@@ -31,7 +31,10 @@
 const suspicionMs = 60_000;
 const firstTermMs = 60_000;
 
-/** Time after a quarantine for which hosts take turns to try the request, in milliseconds; afterwards it runs freely until it crashes endpoints again. */
+/**
+ * Time after a quarantine for which rows are kept and hosts take turns to try the request, in milliseconds; afterwards it runs freely until it crashes
+ * endpoints again.
+ */
 const forgetMs = 600_000;
 
 /** Upper bound of the retry delay that a refused caller gets, in milliseconds. */
@@ -185,11 +188,12 @@
 		}
 
 		const {crashes, cleared, untilMs, terms} = decodeCrashRow(value);
-		const remainingMs = Math.max(0, Math.min(firstTermMs * (2 ** terms), untilMs - this.#settings.readStoreMs()));
+		const leftMs = untilMs - this.#settings.readStoreMs();
 		this.#rows.set(key, {version: change.version, untilMs});
-		if (remainingMs > 0) {
+		// A host that reads the row only after the quarantine begins a term of its own, so that it doesn't let the request run at once.
+		if (leftMs > -forgetMs) {
 			this.#guard.merge([{
-				fingerprint, crashes, cleared, remainingMs, terms,
+				fingerprint, crashes, cleared, remainingMs: Math.max(0, Math.min(firstTermMs * (2 ** terms), leftMs)), terms,
 			}], performance.now());
 			this.#logQuarantines([fingerprint]);
 		}
@@ -204,7 +208,7 @@
 	async sweep(): Promise<void> {
 		const {rows, table, log} = this.#settings;
 		const storeMs = this.#settings.readStoreMs();
-		const expired = [...this.#rows].filter(([, {untilMs}]) => untilMs < storeMs).slice(0, maxSweptRows);
+		const expired = [...this.#rows].filter(([, {untilMs}]) => untilMs + forgetMs < storeMs).slice(0, maxSweptRows);
 		if (expired.length === 0) {
 			return;
 		}
