--- a/packages/gateway/__tests__/crash-fleet.ts
+++ b/packages/gateway/__tests__/crash-fleet.ts
@@ -90,7 +90,15 @@
 		const directory = new EndpointDirectory(new Random(this.#settings.seed + i));
 		const log = createSilentLog();
 		const poisonRequests = new PoisonRequests({
-			rows: store, table: hostTable, host: `h${i}`, listHosts: () => this.hosts.map((_, other) => `h${other}`), writer: `h${i}-${this.#hostStarts}`, log, readStoreMs: () => performance.now(), checkEndpoint: async ({endpoint}) => this.#endpoints.some(({registration: {id}, isUp}) => isUp && id === endpoint) ? 'up' : 'down', hasOpenRuns: endpoint => directory.countOpen(endpoint) > 0,
+			rows: store,
+			table: hostTable,
+			host: `h${i}`,
+			writer: `h${i}-${this.#hostStarts}`,
+			log,
+			listHosts: () => this.hosts.map((_, other) => `h${other}`),
+			hasOpenRuns: endpoint => directory.countOpen(endpoint) > 0,
+			readStoreMs: () => performance.now(),
+			checkEndpoint: async ({endpoint}) => this.#endpoints.some(({registration: {id}, isUp}) => isUp && id === endpoint) ? 'up' : 'down',
 		});
 		const orders = new WeightOrders({
 			directory, client: this, lease: {fence: 1, holds: () => false}, holder: 'a', log, chooseMode: () => 'continue',
--- a/packages/gateway/__tests__/poison-requests.spec.ts
+++ b/packages/gateway/__tests__/poison-requests.spec.ts
@@ -46,7 +46,15 @@
 		}
 
 		const poisonRequests = new PoisonRequests({
-			rows: store, table: hostTable, host, listHosts: () => ['a', 'b'], writer: `${host}-${startCount}`, log: createSilentLog(), readStoreMs: () => Date.now(), checkEndpoint, hasOpenRuns: () => false,
+			rows: store,
+			table: hostTable,
+			host,
+			writer: `${host}-${startCount}`,
+			log: createSilentLog(),
+			listHosts: () => ['a', 'b'],
+			hasOpenRuns: () => false,
+			readStoreMs: () => Date.now(),
+			checkEndpoint,
 		});
 		return {poisonRequests, directory};
 	}
