--- a/review/lib-2/servers.mjs
+++ b/review/lib-2/servers.mjs
@@ -10,6 +10,9 @@
 /** Silence after which the registration of a server is removed: three heartbeats, in milliseconds. */
 const lapseMs = 3 * heartbeatMs;
 
+/** Largest time budget for which a timer is set, in milliseconds. */
+const maxTimerMs = 600_000;
+
 /** Time in which weights are loaded, in milliseconds. */
 const loadMs = 900;
 
@@ -144,11 +147,18 @@
 		record?.('run', {
 			id, server: this.id, service, after: run.after,
 		});
-		const isOpen = new Promise(resolve => {
+		const isConnected = new Promise(resolve => {
 			response.on('close', () => {
 				resolve(false);
 			});
 		});
+		const deadline = new Promise(resolve => {
+			const remainingMs = Number(headers['x-wasabiusher-deadline-ms']);
+			if (remainingMs < maxTimerMs) {
+				setTimeout(resolve, remainingMs, false).unref();
+			}
+		});
+		const isOpen = Promise.race([isConnected, deadline]);
 		const startedOn = this.id;
 		const outcome = this.settings.models.length > 0 ? await this.#stream(run, response, common, isOpen) : await this.#work(response, common, isOpen);
 		run.end = {at: performance.now(), outcome};
@@ -173,6 +183,7 @@
 				setTimeout(resolve, typeof eventMs === 'function' ? eventMs(this, run) : eventMs, true);
 			})]) === false;
 			if (isEnded || response.destroyed) {
+				response.destroy();
 				return 'dropped';
 			}
 
