Log accepted work that nothing runs, and what keeps it from running

Cause: a sample that is at no endpoint looks the same whether it waits for room, is held, or belongs to nobody; a wait has no log line at all, and a share without a working owner is silent. Change: once a second each process looks at its samples that have been at no endpoint for 3 s although endpoints have room, and at shares whose owner is silent or is itself but works on nothing. sample_idle names the reason, the runs before, the requirement and the counts of endpoints; share_unattended what takeovers judge by. Three lines a second at most; counted as samplesIdle and sharesUnattended. No logic changed.

--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -19,6 +19,7 @@
 import {BatchError} from './errors.js';
 import {handOverShare} from './handover.js';
 import type {HostRegistry} from './host-registry.js';
+import {IdleWork} from './idle-work.js';
 import {RetainedTextFinder} from './retained-text-finder.js';
 import type {RetainedTexts} from './retained-texts.js';
 import {KnownBatches} from './known-batches.js';
@@ -57,6 +58,7 @@
 	readonly #starting = new Set<string>();
 	readonly #retired: RetiredBatches;
 	readonly #takeovers: Takeovers;
+	readonly #idleWork: IdleWork;
 	readonly #planner: SharePlanner;
 	readonly #retainedTextFinder: RetainedTextFinder;
 	readonly #submissions: Submissions;
@@ -87,6 +89,11 @@
 				this.#updateBatch(found);
 			},
 		});
+		this.#idleWork = new IdleWork({
+			...settings, known,
+			listOwners: () => this.#owners.values(),
+			isAttended: (id, share) => this.#isLeaving || this.#owners.has(nameShare(id, share)) || [...this.#starting].some(key => key.startsWith(`${nameShare(id, share)}:`)),
+		});
 	}
 
 	/** Number of owned shares that are not complete. */
@@ -122,9 +129,10 @@
 		return this.#known.countUnreported(model, readStoreMs()) + hosts.countWaiting(model);
 	}
 
-	/** Starts scanning for shares without a live owner. */
+	/** Starts scanning for shares without a live owner, and for idle work. */
 	start(): void {
 		this.#takeovers.start();
+		this.#idleWork.start();
 	}
 
 	/**
@@ -157,10 +165,10 @@
 		}
 	}
 
-	/** Transactions since the start of the process: commits of results by outcome, and checkpoints. */
+	/** Counts since the start of the process: commits of results by outcome, checkpoints, and reports of idle work. */
 	get counts(): Readonly<Record<string, number>> {
 		const commits = Object.entries(this.#commitScheduler?.counts ?? {}).map(([outcome, count]): [string, number] => [`commits-${outcome}`, count]);
-		return {...Object.fromEntries(commits), checkpoints: this.#checkpointBudget.writes};
+		return {...Object.fromEntries(commits), checkpoints: this.#checkpointBudget.writes, ...this.#idleWork.counts};
 	}
 
 	/** Writes pending results at once, since the store is reachable again. */
@@ -232,6 +240,7 @@
 	async handOver(): Promise<void> {
 		this.#isLeaving = true;
 		this.#takeovers.stop();
+		this.#idleWork.stop();
 		const {hosts} = this.#settings;
 		await Promise.all([
 			...[...this.#owners.values()].map(async owner => this.#handOver(owner)),
@@ -242,6 +251,7 @@
 
 	stop(): void {
 		this.#takeovers.stop();
+		this.#idleWork.stop();
 		this.#retired.stop();
 		for (const owner of this.#owners.values()) {
 			this.#stopOwner(owner);
--- a/packages/batches/src/host-registry.ts
+++ b/packages/batches/src/host-registry.ts
@@ -123,6 +123,18 @@
 	onPaces?(paces: Record<string, number>): void;
 };
 
+/** What this process believes of the owner of some work; times in milliseconds. */
+export type OwnerState = {
+	/** Time since the owner's last heartbeat, or since the work was assigned to it. */
+	silentMs: number;
+	/** Time since the store last answered about heartbeats. */
+	contactAgeMs: number;
+	/** Whether this process receives its own heartbeats, without which it takes nothing over. */
+	hearsItself: boolean;
+	/** Time since the store last refused a heartbeat of this process; undefined if it never did. */
+	refusedAgeMs: number | undefined;
+};
+
 /** Last heartbeat of a process that is not known to be gone, and the time since then in milliseconds. */
 export type LiveHost = Pick<HostRow, 'incarnation' | 'dataCentre' | 'cores' | 'isResting' | 'lateMs' | 'address'> & {host: string; silentMs: number};
 
@@ -301,7 +313,7 @@
 			return false;
 		}
 
-		const receivedAt = [...this.#hosts.values()].find(host => host.incarnation === incarnation)?.receivedAt ?? Number.NEGATIVE_INFINITY;
+		const receivedAt = this.#findReceivedAt(incarnation);
 		const limitMs = receivedAt < ownedSince ? maxNewOwnerSilenceMs : maxOwnerSilenceMs;
 		const silentMs = now - Math.max(receivedAt, ownedSince, this.#silenceCountedFrom);
 		// The delay is computed only for silent processes, since it hashes the name of each host.
@@ -309,9 +321,29 @@
 			this.#suspect(now);
 		}
 
-		const isFeedVerified = now - this.#ownReceivedAt < heartbeatValidityMs && now - this.#ownReceivedSince >= minOwnHeartbeatsMs;
 		// A store that refuses some heartbeats of this process may also have refused those of the silent one.
-		return silentMs > limitMs && isFeedVerified && now - this.#refusedAt > limitMs;
+		return silentMs > limitMs && this.#hearsItself(now) && now - this.#refusedAt > limitMs;
+	}
+
+	/** Describes what `isGone` judges by. */
+	describeOwner(incarnation: string, ownedSince: number): OwnerState {
+		const now = performance.now();
+		return {
+			silentMs: Math.round(now - Math.max(this.#findReceivedAt(incarnation), ownedSince)),
+			contactAgeMs: Math.round(now - this.#contactAt),
+			hearsItself: this.#hearsItself(now),
+			refusedAgeMs: Number.isFinite(this.#refusedAt) ? Math.round(now - this.#refusedAt) : undefined,
+		};
+	}
+
+	/** When the last heartbeat of a process arrived; negative infinity if none has. */
+	#findReceivedAt(incarnation: string): number {
+		return [...this.#hosts.values()].find(host => host.incarnation === incarnation)?.receivedAt ?? Number.NEGATIVE_INFINITY;
+	}
+
+	/** Whether the feed returns this process its own heartbeats without a gap. */
+	#hearsItself(now: number): boolean {
+		return now - this.#ownReceivedAt < heartbeatValidityMs && now - this.#ownReceivedSince >= minOwnHeartbeatsMs;
 	}
 
 	#isIdle(now: number): boolean {
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -11,7 +11,7 @@
 	chooseRegenerations, defaultPolicy, type Policy, type GenerationLengths,
 } from '@wasabiusher/decisions';
 import {
-	SampleRun, type QueuePosition, type SampleOutcome, type SampleRequest, type GeneratedText,
+	SampleRun, type IdleSample, type QueuePosition, type SampleOutcome, type SampleRequest, type GeneratedText,
 } from '@wasabiusher/direct';
 import {
 	applyCustomer, describeError, findRoute, type Route,
@@ -75,6 +75,9 @@
 	results: PositionedResult[];
 };
 
+/** A sample that is at no endpoint; `unowned` if nothing works on it either. */
+export type IdleShareSample = {sample: string} & (IdleSample | {reason: 'unowned'; idleMs: number});
+
 /** Parameters of one run of a sample. */
 type RunPlan = {
 	/** Oldest weight version that may generate an event. */
@@ -100,7 +103,10 @@
 	readonly #submission: Submission;
 	readonly #results: ResultList;
 	readonly #texts: ShareTexts;
+	/** Samples that wait to start, that run, or whose result is being made. */
+	readonly #inProgress = new Set<string>();
 	#isRetired = false;
+	readonly #startedAt = performance.now();
 	readonly #abortController = createAbortController();
 	readonly #regenerations: Regenerations;
 	readonly #queue: PQueue;
@@ -197,6 +203,17 @@
 		return this.#texts.listPartials();
 	}
 
+	/** Lists the samples without a complete text that have been at no endpoint for at least `minIdleMs` milliseconds. */
+	listIdle(minIdleMs: number): IdleShareSample[] {
+		const open = this.#isRetired ? [] : this.samples.filter(({id}) => !this.#results.has(id) && !this.#texts.complete.has(id));
+		return open.flatMap(({id}) => {
+			const idle = this.#inProgress.has(id)
+				? this.#texts.runs.get(id)?.idle
+				: {reason: 'unowned' as const, idleMs: performance.now() - this.#startedAt};
+			return idle && idle.idleMs >= minIdleMs ? [{sample: id, ...idle}] : [];
+		});
+	}
+
 	/** Records a new row of the batch in which this share is unchanged. */
 	updateStored(stored: StoredBatch): void {
 		this.#stored = stored;
@@ -208,6 +225,7 @@
 		const open = new Map(this.samples.filter(({id}) => !this.#results.has(id)).map(sample => [sample.id, sample]));
 		const order = this.#planOrder().filter(id => open.has(id));
 		for (const id of order) {
+			this.#inProgress.add(id);
 			void this.#queue.add(async () => this.#generate(open.get(id)!));
 		}
 
@@ -427,6 +445,8 @@
 			if (!this.#isRetired) {
 				this.#texts.runs.delete(sample.id);
 			}
+
+			this.#inProgress.delete(sample.id);
 		}
 	}
 
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -26,6 +26,24 @@
 /** Maximum number of retired endpoints whose state is kept; the oldest are evicted first. More than an outage of the store hides while they have open runs. */
 const maxRetired = 1000;
 
+/** Number of endpoints of a service by what an attempt would find there. */
+export type EndpointRoom = {
+	/** Registered and not draining; all other counts but `draining` are a part of these. */
+	serving: number;
+	draining: number;
+	/** With the required version. */
+	holding: number;
+	/** Avoided after a failure, a refusal or a silence. */
+	backedOff: number;
+	loading: number;
+	/** With all slots taken that this host may fill. */
+	limited: number;
+	/** Dedicated to the requester; undefined if all are equal. */
+	dedicated: number | undefined;
+	/** With the required version and a free slot. */
+	withRoom: number;
+};
+
 /** Registered endpoints and their state. */
 export class EndpointDirectory {
 	/** Persistent speeds, also of endpoints that are gone. */
@@ -138,6 +156,25 @@
 		return plan.plan(serving.map(state => state.toHeadroom()));
 	}
 
+	/** Counts the endpoints that could serve a requirement, by what keeps them from it; an endpoint may count several times. */
+	describeRoom({service, oldestVersion, exactVersion, dedicated}: EndpointRequirement): EndpointRoom {
+		const states = this.listStates().filter(({endpoint}) => endpoint.service === service);
+		const model = oldestVersion?.model ?? exactVersion?.model;
+		const serving = states.filter(({endpoint}) => !endpoint.isDraining);
+		const holds = (state: EndpointState) => (!oldestVersion || (state.findVersion(oldestVersion.model) ?? 0) >= oldestVersion.version)
+			&& (!exactVersion || state.findVersion(exactVersion.model) === exactVersion.version);
+		return {
+			serving: serving.length,
+			draining: states.length - serving.length,
+			holding: serving.filter(state => holds(state)).length,
+			backedOff: serving.filter(({isAvailable}) => !isAvailable).length,
+			loading: serving.filter(({endpoint}) => model !== undefined && this.loads.isLoading(endpoint.id, model)).length,
+			limited: serving.filter(state => this.#slotLimits?.allows(state) === false).length,
+			dedicated: dedicated?.size,
+			withRoom: serving.filter(state => holds(state) && state.open + state.others < state.endpoint.slots).length,
+		};
+	}
+
 	/** Calls the listener with the service whenever an endpoint may have become free or eligible; returns a function that unsubscribes it. */
 	onChange(listener: (service: string) => void): () => void {
 		this.#changeListeners.add(listener);
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -84,6 +84,26 @@
 
 type RunStep = 'again' | SampleOutcome;
 
+/**
+ * Why a sample is at no endpoint:
+ *
+ * - `search`: it waits for an endpoint
+ * - `held`: it is quarantined
+ * - `pause`: its last run broke a moment ago
+ */
+export type IdleReason = 'search' | 'held' | 'pause';
+
+/** A sample that is at no endpoint; times in milliseconds. */
+export type IdleSample = {
+	reason: IdleReason;
+	idleMs: number;
+	runs: number;
+	/** The endpoint that its last run left; undefined if it was completed or there was none. */
+	lastEndpoint: string | undefined;
+	/** What it waits for; undefined before its first search. */
+	requirement: EndpointRequirement | undefined;
+};
+
 /** A run in progress at an endpoint. */
 type OpenRun = {id: string; run: ServingRun; route: Route; watch: SilenceWatch};
 
@@ -109,6 +129,9 @@
 	#avoided: string | undefined;
 	/** The endpoint that the last run moves to; the next run already counts as open there. */
 	#nextEndpoint: RegisteredEndpoint | undefined;
+	/** Why it is at no endpoint, and since when on the monotonic clock; no reason while a run is open. */
+	#idleReason: IdleReason | undefined = 'search';
+	#idleSince = performance.now();
 
 	/**
 	 * @param signal - aborts when this process no longer needs the sample
@@ -134,6 +157,13 @@
 		return this.#text;
 	}
 
+	/** Describes the sample while it is at no endpoint; undefined while a run is open. */
+	get idle(): IdleSample | undefined {
+		return this.#idleReason && {
+			reason: this.#idleReason, idleMs: performance.now() - this.#idleSince, runs: this.#runs, lastEndpoint: this.#avoided, requirement: this.#search.requirement,
+		};
+	}
+
 	/** Runs until the text is complete or can't be completed. Never rejects. */
 	async run(): Promise<SampleOutcome> {
 		const outcome = await this.#runToEnd();
@@ -158,8 +188,10 @@
 			const heldMs = endpoint && this.#quarantine.findHeldMs();
 			if (endpoint && heldMs !== undefined) {
 				this.#settings.directory.release(endpoint.id);
+				this.#idleReason = 'held';
 				// eslint-disable-next-line no-await-in-loop
 				await this.#quarantine.hold(heldMs);
+				this.#idleReason = 'search';
 				this.#times.mark('waited');
 				continue;
 			}
@@ -221,6 +253,7 @@
 		let status: number | undefined;
 		const watch = new SilenceWatch(stop, () => directory.findLastReceivedAt(id));
 		this.#runs += 1;
+		this.#idleReason = undefined;
 		this.#quarantine.recordRun();
 		try {
 			const run = await client.run(endpoint, this.#toServingRequest(route), signal);
@@ -250,10 +283,13 @@
 			}
 
 			this.#avoided = id;
+			this.#idleReason = 'pause';
+			this.#idleSince = performance.now();
 			await this.#pause();
 			this.#times.mark('broken');
 			return 'again';
 		} finally {
+			this.#recordIdle();
 			watch.end();
 			restart.end();
 			log.info('run_ended', {
@@ -389,6 +425,15 @@
 		};
 	}
 
+	/** Records the end of a run, unless the pause after it has counted already. */
+	#recordIdle(): void {
+		if (this.#idleReason === undefined) {
+			this.#idleSince = performance.now();
+		}
+
+		this.#idleReason = 'search';
+	}
+
 	async #pause(): Promise<void> {
 		await new Promise<void>(resolve => {
 			setTimeout(resolve, retryPauseMs);
--- a/packages/direct/src/sample-search.ts
+++ b/packages/direct/src/sample-search.ts
@@ -47,6 +47,7 @@
 	readonly #sample: SampleRequest;
 	readonly #signal: AbortSignal;
 	#isWaiting = false;
+	#requirement: EndpointRequirement | undefined;
 
 	constructor(settings: SampleRunSettings, sample: SampleRequest, signal: AbortSignal) {
 		this.#settings = settings;
@@ -59,6 +60,11 @@
 		return this.#isWaiting;
 	}
 
+	/** Requirements of the last search; undefined before the first. */
+	get requirement(): EndpointRequirement | undefined {
+		return this.#requirement;
+	}
+
 	/**
 	 * Acquires an endpoint; waits a limited time if none is eligible.
 	 *
@@ -68,6 +74,7 @@
 	 */
 	async find(route: Route, begunVersion: number | undefined, avoided: string | undefined, estimateRemaining: RemainingEstimate): Promise<SearchResult> {
 		const requirement = {...this.#toRequirement(route, begunVersion), ...estimateRemaining()};
+		this.#requirement = requirement;
 		const {queue} = this.#settings;
 		const acquired = queue ? undefined : this.#acquire(requirement, avoided);
 		if (acquired) {
