--- a/xo.config.js
+++ b/xo.config.js
@@ -63,7 +63,7 @@
 		},
 	},
 	{
-		files: ['packages/daemon/src/run.ts', 'packages/daemon/src/settings.ts', 'platform/src/main.ts'],
+		files: ['packages/daemon/src/run.ts', 'packages/daemon/src/settings.ts', 'platform/src/main.ts', 'platform/src/soak/main.ts'],
 		rules: {
 			// These files end command-line programs, the use of `process.exit` that the rule intends to allow.
 			'unicorn/no-process-exit': 'off',
