Place items and score them again whatever happens to the endpoints that ran them

What callers saw: a trainer's step ran out of time while accepted items were at no server, with all servers idle (LOST). Cause: an item, or the call for its score, that was in flight at three crashes within a minute was taken for a request that crashes its endpoints and held for 60 s. A burst of crashes, or one flapping endpoint, makes many sound items look so: runs that only waited at the endpoint count alike. Class: a guess about a piece of work outweighs that it is owed. Items of callers are judged on; items of steps and their scores are neither judged nor evidence, and the types of their settings no longer have the tracker. Instead a text whose runs break before their first event pauses, from 20 ms doubled up to 1 s. Two tests wanted the opposite and are replaced: a text under which endpoints crash is run at most once a second in place of never, and a score is called again after nine lost answers in place of held.

--- a/packages/batches/src/scoring.ts
+++ b/packages/batches/src/scoring.ts
@@ -19,7 +19,8 @@
 /** Maximum time for one call, in milliseconds, if its route allows more. */
 const maxAttemptMs = 3000;
 
-export type ScoringSettings = CallSettings & {
+/** Settings of calls but the tracker of poison requests: a sample is owed whatever happens to the endpoints that run it, and so is its score. */
+export type ScoringSettings = Omit<CallSettings, 'poisonRequests'> & {
 	/** Returns the active configuration. */
 	findDeployment(): Deployment | undefined;
 };
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -473,11 +473,11 @@
 		minWeightVersion, signal, text, avoidsFull,
 	}: RunPlan): SampleRun {
 		const {
-			directory, client, log, random, findDedicatedEndpoints, queue, poisonRequests,
+			directory, client, log, random, findDedicatedEndpoints, queue,
 		} = this.#settings;
 		const {host, model, customer} = this.#submission;
 		return new SampleRun({
-			directory, client, log, queue, poisonRequests, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findDedicated: findDedicatedEndpoints,
+			directory, client, log, queue, findRoute: () => this.#isRetired ? undefined : this.#findRoute(), chance: () => random.next(), findDedicated: findDedicatedEndpoints,
 		}, {
 			id: sample.id,
 			batch: this.id,
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -14,9 +14,7 @@
 import type {EndpointQueue} from './endpoint-queue.js';
 import {appendEvent, discardText, type GeneratedText} from './generated-text.js';
 import {PhaseTimes, type RunPhase} from './phase-times.js';
-import type {PoisonRequestTracker} from './poison-requests.js';
 import {RestartWatch} from './restart-watch.js';
-import {SampleQuarantine} from './sample-quarantine.js';
 import {findUrgency, SampleSearch} from './sample-search.js';
 import {SilenceWatch} from './silence-watch.js';
 
@@ -60,8 +58,6 @@
 	log: Log;
 	/** Wait queue for slots; undefined if the sample polls for an endpoint itself. */
 	queue?: EndpointQueue;
-	/** Tracks poison requests, which crash endpoints; undefined if they aren't tracked. */
-	poisonRequests?: PoisonRequestTracker;
 	/** The current route of the sample's batch; undefined once it was removed. */
 	findRoute(): Route | undefined;
 	/** Dedicated endpoints, which are used before others; undefined if all are equal. */
@@ -73,8 +69,8 @@
 /** Number of events between two records of a run's mean pace; over so many the mean differs by less than a twentieth. */
 const paceReportEvents = 20;
 
-/** Pause after a broken run, in milliseconds, so that a failing endpoint isn't retried in a tight loop. */
-const retryPauseMs = 20;
+/** Pauses after runs that broke before their first event, in milliseconds, so that endpoints that fail aren't retried in a tight loop. */
+const retryPause = {initialMs: 20, maxMs: 1000};
 
 /** HTTP status for a sample that can never be generated. */
 const impossibleStatus = 422;
@@ -88,10 +84,9 @@
  * Why a sample is at no endpoint:
  *
  * - `search`: it waits for an endpoint
- * - `held`: it is quarantined
  * - `pause`: its last run broke a moment ago
  */
-export type IdleReason = 'search' | 'held' | 'pause';
+export type IdleReason = 'search' | 'pause';
 
 /** A sample that is at no endpoint; times in milliseconds. */
 export type IdleSample = {
@@ -120,7 +115,8 @@
 	#failures = 0;
 	#runs = 0;
 	readonly #search: SampleSearch;
-	readonly #quarantine: SampleQuarantine;
+	/** Number of runs since the last event, all of which broke. */
+	#brokenRuns = 0;
 	/** Number of events expected at the first search for an endpoint; undefined if unknown. */
 	#expectedEvents: number | undefined;
 	/** Requirements that the current endpoint was chosen by. */
@@ -142,12 +138,6 @@
 		this.#sample = sample;
 		this.#signal = signal;
 		this.#search = new SampleSearch(settings, sample, signal);
-		const {id, deadlineAt, request: {path, customer, body}} = sample;
-		this.#quarantine = new SampleQuarantine({
-			tracker: settings.poisonRequests, deadlineAt, signal, log: settings.log, request: {
-				path, customer, body, attemptId: id,
-			},
-		});
 		this.#text = text ?? {events: [], versions: new Set()};
 		this.#inheritedEvents = this.#text.events.length;
 	}
@@ -185,17 +175,6 @@
 			// eslint-disable-next-line no-await-in-loop
 			const endpoint = this.#nextEndpoint ?? await this.#findEndpoint(route);
 			this.#nextEndpoint = undefined;
-			const heldMs = endpoint && this.#quarantine.findHeldMs();
-			if (endpoint && heldMs !== undefined) {
-				this.#settings.directory.release(endpoint.id);
-				this.#idleReason = 'held';
-				// eslint-disable-next-line no-await-in-loop
-				await this.#quarantine.hold(heldMs);
-				this.#idleReason = 'search';
-				this.#times.mark('waited');
-				continue;
-			}
-
 			// Each run resumes where the previous one broke off.
 			// eslint-disable-next-line no-await-in-loop
 			const step = endpoint ? await this.#runAt(endpoint, route) : 'again';
@@ -254,7 +233,6 @@
 		const watch = new SilenceWatch(stop, () => directory.findLastReceivedAt(id));
 		this.#runs += 1;
 		this.#idleReason = undefined;
-		this.#quarantine.recordRun();
 		try {
 			const run = await client.run(endpoint, this.#toServingRequest(route), signal);
 			headMs = Math.round(performance.now() - startedAt);
@@ -270,9 +248,7 @@
 				return {kind: 'stopped'};
 			}
 
-			this.#quarantine.recordBroken({
-				run: {endpoint: id, bornMs: endpoint.bornMs, startedAt}, events: this.#text.events.length - before, error, restart,
-			});
+			this.#brokenRuns = this.#text.events.length > before ? 0 : this.#brokenRuns + 1;
 			log.info('run_broken', {
 				batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, from: before, events: this.#text.events.length, reason: describeError(error),
 			});
@@ -337,7 +313,6 @@
 			return 'again';
 		}
 
-		this.#quarantine.recordMade();
 		log.info('text_made', {
 			batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, events: this.#text.events.length, kept: this.#inheritedEvents, runs: this.#runs,
 			expected: this.#expectedEvents && Math.round(this.#expectedEvents), versions: [...this.#text.versions].join(','),
@@ -377,7 +352,6 @@
 			}
 
 			const count = this.#text.events.length - from;
-			this.#quarantine.recordProgress(count);
 			if (count % paceReportEvents === 0) {
 				directory.recordRunPace(id, (now - firstAt) / (count - 1));
 			}
@@ -435,8 +409,9 @@
 	}
 
 	async #pause(): Promise<void> {
+		const {initialMs, maxMs} = retryPause;
 		await new Promise<void>(resolve => {
-			setTimeout(resolve, retryPauseMs);
+			setTimeout(resolve, Math.min(maxMs, initialMs * (2 ** Math.max(0, this.#brokenRuns - 1))));
 		});
 	}
 }
--- a/packages/gateway/__tests__/crash-fleet.ts
+++ b/packages/gateway/__tests__/crash-fleet.ts
@@ -150,6 +150,12 @@
 		return third === undefined ? 0 : this.runs.filter(at => at > Math.max(third, from) + graceMs).length;
 	}
 
+	/** Number of runs of the poison request that began from `from` to `to` after the first one, in milliseconds. */
+	countRunsBetween(from: number, to: number): number {
+		const [first = 0] = this.runs;
+		return this.runs.filter(at => at - first >= from && at - first < to).length;
+	}
+
 	stop(): void {
 		for (const {follower} of this.hosts) {
 			follower.stop();
@@ -158,9 +164,9 @@
 
 	/** Generates a text through a host; the path `/bad` crashes its endpoints. */
 	async generate(path: string, host: FleetHost): Promise<SampleOutcome> {
-		const {directory, poisonRequests} = host;
+		const {directory} = host;
 		return new SampleRun({
-			directory, client: this, log: createSilentLog(), findRoute: () => createPoisonRoute({kind: 'batch'}), chance: () => 0, poisonRequests,
+			directory, client: this, log: createSilentLog(), findRoute: () => createPoisonRoute({kind: 'batch'}), chance: () => 0,
 		}, {
 			id: path, model: undefined, minWeightVersion: 1, isSingleVersion: false, group: 'g', deadlineAt: performance.now() + 20_000,
 			request: {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -166,7 +166,6 @@
 			findPublishedVersion: model => this.#orders.findPublishedVersion(model),
 			readStoreMs: () => this.#storeBreaker.storeMs,
 			isStoreOpen: () => !this.#storeBreaker.isTripped || rows.isRelayed,
-			poisonRequests: this.#trackedPoisonRequests,
 		});
 		this.#usage = this.#createUsage();
 		this.#speedRows = policy.plansTexts ? new SpeedRows({rows, directory: this.#directory, log}) : undefined;
@@ -366,7 +365,7 @@
 		};
 	}
 
-	/** What calls, scores and texts report to; undefined if poison requests aren't refused. */
+	/** What calls and streams report to; undefined if poison requests aren't refused. */
 	get #trackedPoisonRequests(): PoisonRequests | undefined {
 		return this.#policy.refusesCrashers ? this.#poisonRequests : undefined;
 	}
