Restart a text whose version can't be continued at any endpoint that takes work

Cause: a text waits for its version as long as any registered endpoint holds it. A draining endpoint, which takes no work for many seconds, counts; so does one that this host can't reach. Class: a guess about an endpoint (it may come back) outweighs that the item is owed. Change: draining endpoints don't count, and after 3 s the text is generated from the start if another endpoint could take it now.

--- a/packages/direct/__tests__/sample-search.spec.ts
+++ b/packages/direct/__tests__/sample-search.spec.ts
@@ -78,6 +78,40 @@
 		expect(listBegun()).to.deep.equal(['s']);
 	});
 
+	it('restarts a text whose version only a draining endpoint holds', async () => {
+		const {directory, client, log} = bench;
+		const endpoint = bench.serving.add('a1', 'i1');
+		directory.put({...directory.get('i0')!, isDraining: true});
+		directory.put({
+			...directory.get('i0')!, id: 'i1', address: 'a1', isDraining: false, models: [{model: 'm', version: 2}],
+		});
+		endpoint.version = 2;
+		const text = {events: ['a', 'b'], versions: new Set([1])};
+		void new SampleRun({
+			directory, client, log, queue, findRoute: () => createRoute({kind: 'batch', isSingleVersion: true}), chance: () => 0,
+		}, createSample({id: 's', isSingleVersion: true}), stop.signal, text).run();
+		await clock.tickAsync(100);
+		expect(endpoint.runs.map(({resumeAfter}) => resumeAfter)).to.deep.equal([undefined]);
+	});
+
+	it('restarts a text after three seconds in which no endpoint that holds its version could be used, while another has room', async () => {
+		const {directory, client, log} = bench;
+		const endpoint = bench.serving.add('a1', 'i1');
+		directory.put({
+			...directory.get('i0')!, id: 'i1', address: 'a1', models: [{model: 'm', version: 2}],
+		});
+		endpoint.version = 2;
+		directory.pause('i0', 60_000);
+		const text = {events: ['a', 'b'], versions: new Set([1])};
+		void new SampleRun({
+			directory, client, log, queue, findRoute: () => createRoute({kind: 'batch', isSingleVersion: true}), chance: () => 0,
+		}, createSample({id: 's', isSingleVersion: true}), stop.signal, text).run();
+		await clock.tickAsync(2500);
+		expect(endpoint.runs).to.deep.equal([]);
+		await clock.tickAsync(1700);
+		expect(endpoint.runs.map(({resumeAfter}) => resumeAfter)).to.deep.equal([undefined]);
+	});
+
 	it('retains a text while no endpoint is registered, and resumes it once its version is available again', async () => {
 		const {directory, client, log, endpoints: [endpoint]} = bench;
 		const registered = directory.get(endpoint!.id)!;
--- a/packages/direct/src/endpoint-directory.ts
+++ b/packages/direct/src/endpoint-directory.ts
@@ -197,6 +197,11 @@
 		return chosen?.endpoint;
 	}
 
+	/** Whether an endpoint meets the requirements and may be used now. */
+	hasEligible(requirement: EndpointRequirement): boolean {
+		return this.#listEligible(requirement).length > 0;
+	}
+
 	/** Limits attempts to the slots allocated to this host from now on. */
 	shareSlots(source: AllocationSource): SlotLimits {
 		const slotLimits = new SlotLimits(source, id => this.#states.get(id));
--- a/packages/direct/src/sample-search.ts
+++ b/packages/direct/src/sample-search.ts
@@ -13,6 +13,12 @@
 /** Time after which a queued sample reads its route and dedicated endpoints again, in milliseconds. */
 const recheckMs = 1000;
 
+/**
+ * Time for which a text waits for an endpoint with its version while another one has room, in milliseconds; then it is generated from the start. An accepted
+ * sample must not be without an endpoint for five seconds.
+ */
+const maxPinnedMs = 3000;
+
 /** Maximum wait before endpoints are polled again if none has changed, in milliseconds. */
 const pollMs = 100;
 
@@ -32,7 +38,7 @@
 	requirement: EndpointRequirement;
 	/** The endpoint, at which the run already counts as open; undefined if none is eligible yet. */
 	endpoint: RegisteredEndpoint | undefined;
-	/** Whether no endpoint has the version any more that the text must continue with. */
+	/** Whether no endpoint with the version that the text must continue with can be used. */
 	isVersionLost: boolean;
 };
 
@@ -48,6 +54,8 @@
 	readonly #signal: AbortSignal;
 	#isWaiting = false;
 	#requirement: EndpointRequirement | undefined;
+	/** When it began to wait for an endpoint with its version, on the monotonic clock; undefined while it does not. */
+	#pinnedSince: number | undefined;
 
 	constructor(settings: SampleRunSettings, sample: SampleRequest, signal: AbortSignal) {
 		this.#settings = settings;
@@ -78,9 +86,11 @@
 		const {queue} = this.#settings;
 		const acquired = queue ? undefined : this.#acquire(requirement, avoided);
 		if (acquired) {
+			this.#pinnedSince = undefined;
 			return {requirement, endpoint: acquired, isVersionLost: false};
 		}
 
+		this.#pinnedSince = requirement.exactVersion && (this.#pinnedSince ?? performance.now());
 		const isLostNow = this.#isVersionLost(requirement);
 		if (queue && isLostNow) {
 			return {requirement, endpoint: undefined, isVersionLost: true};
@@ -98,6 +108,7 @@
 		};
 		const endpoint = await (queue ? this.#waitInQueue(queue, route, queueRequirement) : this.#waitForChange());
 		this.#isWaiting = false;
+		this.#pinnedSince = endpoint ? undefined : this.#pinnedSince;
 		return {requirement, endpoint, isVersionLost: isLostNow || (!endpoint && this.#isVersionLost(requirement))};
 	}
 
@@ -122,11 +133,18 @@
 		return elsewhere ?? directory.acquire(requirement);
 	}
 
-	#isVersionLost({service, exactVersion}: EndpointRequirement): boolean {
+	#isVersionLost(requirement: EndpointRequirement): boolean {
 		const {directory} = this.#settings;
-		const registered = exactVersion === undefined ? [] : directory.list(service);
+		const {service, exactVersion} = requirement;
+		const registered = exactVersion === undefined ? [] : directory.list(service).filter(({isDraining}) => !isDraining);
 		// While no endpoint is registered, as during an outage of the store, versions are unknown.
-		return exactVersion !== undefined && registered.length > 0 && !registered.some(({id}) => directory.findVersion(id, exactVersion.model) === exactVersion.version);
+		if (exactVersion === undefined || registered.length === 0) {
+			return false;
+		}
+
+		const isHeld = registered.some(({id}) => directory.findVersion(id, exactVersion.model) === exactVersion.version);
+		const pinnedMs = performance.now() - (this.#pinnedSince ?? Number.POSITIVE_INFINITY);
+		return !isHeld || (pinnedMs >= maxPinnedMs && directory.hasEligible({...requirement, exactVersion: undefined}));
 	}
 
 	async #waitInQueue(queue: EndpointQueue, route: Route, requirement: QueueRequirement): Promise<RegisteredEndpoint | undefined> {
