Generate a sample again after an error of the process

What callers would see: an item at no server until its step is over, while the share's other items go on (LOST). Cause: an error outside the run of a sample was logged as sample_failed, and the sample was dropped without a result. Change: it is generated again 0.5 s later, for as long as the share is owned here and has no result of it. Result: the new test of batches.spec.ts failed before (2 of 4 samples made) and passes.

--- a/packages/batches/__tests__/batches.spec.ts
+++ b/packages/batches/__tests__/batches.spec.ts
@@ -68,6 +68,34 @@
 		expect(await readAll(b!, '1')).to.deep.equal(results);
 	});
 
+	it('generates samples again whose generation failed by an error of the process', async () => {
+		const [a] = createProcesses('a');
+		const {directory} = a!;
+		const acquire = directory.acquire.bind(directory);
+		let isBroken = false;
+		directory.acquire = requirement => {
+			if (isBroken) {
+				throw new Error('a fault of this process');
+			}
+
+			return acquire(requirement);
+		};
+
+		setRunSpeed(40, 10);
+		await waitFor(a!.batches.submit('1', createSubmission(4)));
+		await clock.tickAsync(200);
+		isBroken = true;
+		for (const {switches} of cluster.serving.endpoints.values()) {
+			switches.breakAfter = 2;
+		}
+
+		await clock.tickAsync(500);
+		isBroken = false;
+		await clock.tickAsync(3000);
+		const results = await readAll(a!, '1');
+		expect(results.filter(({state}) => state === 'made')).to.have.length(4);
+	});
+
 	it('counts waiting samples of a model on every process: all samples of a new batch at first, then what its owner reports', async () => {
 		const [a, b] = createProcesses('a', 'b');
 		setRunSpeed(700);
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -45,6 +45,9 @@
 /** Fraction of the time until results are due in which texts should be complete. The rest is for scoring, for commits, and for restarts after a loss. */
 const generationFraction = 0.5;
 
+/** Pause before a sample is generated again after an error of this process, in milliseconds. */
+const errorRetryMs = 500;
+
 export type ShareOwnerSettings = ScoringSettings & {
 	store: BatchStore;
 	/** Schedules the commits of all shares of the process; without it each result list commits on its own. */
@@ -426,7 +429,7 @@
 	}
 
 	async #generate(sample: Sample): Promise<void> {
-		if (this.#abortController.signal.aborted || this.#isRetired) {
+		if (this.#abortController.signal.aborted || this.#isRetired || this.#results.has(sample.id)) {
 			return;
 		}
 
@@ -440,6 +443,7 @@
 			await outcomeHandlers[outcome.kind](this, sample, outcome);
 		} catch (error) {
 			this.#settings.log.error('sample_failed', {batch: this.id, sample: sample.id, reason: describeError(error)});
+			this.#retryLater(sample);
 		} finally {
 			// The run of a retired share is still needed by `listUnfinished`.
 			if (!this.#isRetired) {
@@ -450,6 +454,14 @@
 		}
 	}
 
+	/** Generates a sample again after an error of this process, since it is owed as long as the share is owned here. */
+	#retryLater(sample: Sample): void {
+		setTimeout(() => {
+			this.#inProgress.add(sample.id);
+			void this.#queue.add(async () => this.#generate(sample));
+		}, errorRetryMs);
+	}
+
 	/** Stores a text that was completed after the batch's end, for the next batch. */
 	#recordRetiredOutcome({id}: Sample, outcome: SampleOutcome): void {
 		if (outcome.kind === 'made') {
