Give up a run that is silent for four seconds, whatever else its endpoint sends, and go on over a new connection

Cause: events of other runs at the endpoint count as a sign of life of every run there, so that only the timeouts of the HTTP library end a run whose connection is dead: 5 s before its head and 4 s after it, by a timer of half a second. The next run may get another connection of the same age, as dead as the first. Our runs with processes have not shown it: the HTTP library's timeouts hide it. Class: a guess about an endpoint (it is alive, so the run is) outweighs that the item is owed. Change: SilenceWatch ends a run after 4 s of its own silence, and the run after a silent one has a connection of its own.

--- a/packages/backends/src/serving.ts
+++ b/packages/backends/src/serving.ts
@@ -30,6 +30,8 @@
 	urgency?: number;
 	/** The endpoint refuses the request unless its weights have this version. */
 	expectVersion?: number;
+	/** Whether it is sent on a connection that was opened for it, since those open before may be dead. */
+	usesNewConnection?: boolean;
 };
 
 /** The load of an endpoint, as reported with an answer. */
--- a/packages/direct/__tests__/sample-run.spec.ts
+++ b/packages/direct/__tests__/sample-run.spec.ts
@@ -1,5 +1,6 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import type {ServingRequest} from '@wasabiusher/backends';
 import {
 	SampleRun, type SampleOutcome, type SampleRequest, type GeneratedText,
 } from '../src/index.js';
@@ -113,6 +114,33 @@
 		expect(listRuns()).to.have.length(1);
 	});
 
+	it('resumes a run on a new connection after four silent seconds, although other runs at its endpoint go on', async () => {
+		for (const {switches} of bench.endpoints) {
+			switches.eventMs = 40;
+			switches.events = 50;
+		}
+
+		const requests: ServingRequest[] = [];
+		const {client} = bench;
+		bench.client = Object.assign(Object.create(client) as typeof client, {
+			async run(...[target, request, signal]: Parameters<typeof client.run>) {
+				requests.push(request);
+				return client.run(target, request, signal);
+			},
+		});
+		const timer = setInterval(() => {
+			bench.directory.recordPace('i0', 40);
+		}, 40);
+		setTimeout(() => {
+			bench.endpoints[0]!.switches.isDark = true;
+		}, 600);
+		bench.directory.pause('i1', 100);
+		const outcome = await run({}, 6500);
+		clearInterval(timer);
+		expect(readEvents(outcome)).to.have.length(50);
+		expect(requests.map(({resumeAfter, usesNewConnection}) => [resumeAfter, usesNewConnection])).to.deep.equal([[undefined, undefined], [14, true]]);
+	});
+
 	it('records the mean pace of a run, not the pace of events that arrive together after a network pause', async () => {
 		for (const endpoint of bench.endpoints) {
 			endpoint.switches.eventMs = 40;
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -9,6 +9,7 @@
 export type {EndpointState} from './endpoint-state.js';
 export type {GeneratedText} from './generated-text.js';
 export * from './sample-run.js';
+export {maxSilenceMs} from './silence-watch.js';
 export * from './weight-orders.js';
 export {compareIncarnations} from './restart-watch.js';
 export * from './stream-call.js';
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -75,9 +75,6 @@
 /** HTTP status for a sample that can never be generated. */
 const impossibleStatus = 422;
 
-/** Maximum silence of a run before it is resumed at another endpoint, in milliseconds; loading weights takes about a second. */
-export const maxSilenceMs = 4000;
-
 type RunStep = 'again' | SampleOutcome;
 
 /**
@@ -115,6 +112,8 @@
 	#failures = 0;
 	#runs = 0;
 	readonly #search: SampleSearch;
+	/** Whether the last run was silent, so that connections opened before may be dead as well. */
+	#wasSilent = false;
 	/** Number of runs since the last event, all of which broke. */
 	#brokenRuns = 0;
 	/** Number of events expected at the first search for an endpoint; undefined if unknown. */
@@ -240,6 +239,7 @@
 			this.#times.mark(this.#findHeadPhase(run));
 			directory.recordHead(id, run, this.#sample.model);
 			watch.recordReceived();
+			this.#wasSilent = false;
 			return await this.#readRun({
 				id, run, route, watch,
 			});
@@ -252,6 +252,7 @@
 			log.info('run_broken', {
 				batch: this.#sample.batch, sample: this.#sample.id, endpoint: id, from: before, events: this.#text.events.length, reason: describeError(error),
 			});
+			this.#wasSilent = stop.signal.aborted;
 			if (stop.signal.aborted) {
 				directory.recordSilence(id);
 			} else if (!restart.hasRestarted) {
@@ -396,6 +397,7 @@
 			remainingMs: Math.max(1, Math.round(deadlineAt - performance.now())),
 			urgency: findUrgency(this.#sample, route),
 			...(events.length > 0 ? {resumeAfter: events.length} : {}),
+			...(this.#wasSilent ? {usesNewConnection: true} : {}),
 		};
 	}
 
--- a/packages/direct/src/silence-watch.ts
+++ b/packages/direct/src/silence-watch.ts
@@ -3,7 +3,8 @@
  *
  * Load pattern: an engine hangs or is cut off while it generates eight texts, and no connection reports it. Events arrive every 40 ms from a healthy engine
  * and every 400 ms from one that is ten times slower, so a second without any event, of this run or another at the same engine, is sufficient evidence.
- * A limit of four seconds delayed the groups of all eight texts by as much.
+ * A limit of four seconds delayed the groups of all eight texts by as much. Events of other runs don't excuse a silence for good, since one dead connection
+ * among sound ones leaves a text at no endpoint.
  */
 import {DeadlineError} from '@wasabiusher/backends';
 
@@ -13,6 +14,12 @@
 /** The same limit before the head of the answer, in milliseconds: a full endpoint queues the run. */
 const headSilenceMs = 2000;
 
+/**
+ * Silence of a run after which it is aborted whatever else its endpoint sends, in milliseconds: its connection may be dead, or its endpoint may have dropped
+ * it. Longer than a weight load, during which runs wait.
+ */
+export const maxSilenceMs = 4000;
+
 /** Interval between checks, in milliseconds. */
 const checkMs = 250;
 
@@ -63,10 +70,11 @@
 		}
 
 		this.#checkedAt = now;
-		const silentMs = now - Math.max(this.#lastReceivedAt, this.#findLastReceivedAt());
-		if (silentMs >= this.#limitMs) {
+		const runSilentMs = now - this.#lastReceivedAt;
+		const endpointSilentMs = now - Math.max(this.#lastReceivedAt, this.#findLastReceivedAt());
+		if (endpointSilentMs >= this.#limitMs || runSilentMs >= maxSilenceMs) {
 			this.end();
-			this.#stop.abort(new DeadlineError('deadline', `no data received for ${Math.round(silentMs)} ms`));
+			this.#stop.abort(new DeadlineError('deadline', `no data received for ${Math.round(runSilentMs)} ms, from the endpoint for ${Math.round(endpointSilentMs)} ms`));
 		}
 	}
 }
