Ignore rows of parts that a table's followers don't read

What callers would see: one odd entry of another writer among those of the servers hides a sound server, or ends a batch's owner: items at no server (LOST). Cause: a follower reads the parts that it is given and then applies the changes of all parts, by key alone. A row of the same key in another part counts as the server's, host's or configuration's own. Change: TableFollower ignores parts that it wasn't given; the part of load announcements is given as one that is only followed.

--- a/packages/gateway/src/store-followers.ts
+++ b/packages/gateway/src/store-followers.ts
@@ -65,7 +65,7 @@
 				},
 			}),
 			new TableFollower({
-				store, table: batchTable, parts: batchParts, log, apply(change) {
+				store, table: batchTable, parts: batchParts, unreadParts: [loadAnnouncementPart], log, apply(change) {
 					if (change.part === loadAnnouncementPart) {
 						loadAnnouncements.apply(change);
 					} else {
--- a/packages/record/src/table-follower.ts
+++ b/packages/record/src/table-follower.ts
@@ -40,8 +40,10 @@
 export type FollowerSettings = {
 	store: RowStore;
 	table: string;
-	/** Partitions that are read initially; changes of all partitions are followed. */
+	/** Partitions that are read initially and followed. */
 	parts: readonly string[];
+	/** Partitions that are only followed. Changes of any other partition, which another writer may leave, are ignored. */
+	unreadParts?: readonly string[];
 	log: Log;
 	/** Maximum duration of one long poll for changes, in milliseconds. */
 	waitMs?: number;
@@ -62,6 +64,7 @@
 export class TableFollower {
 	readonly #settings: FollowerSettings;
 	readonly #known = new Map<string, RowChange>();
+	readonly #followedParts: ReadonlySet<string>;
 	readonly #faults: RowFaults;
 	#version = -1;
 	#isSynced = false;
@@ -78,6 +81,7 @@
 
 	constructor(settings: FollowerSettings) {
 		this.#settings = settings;
+		this.#followedParts = new Set([...settings.parts, ...settings.unreadParts ?? []]);
 		this.#faults = new RowFaults(settings.log, 'row_invalid');
 	}
 
@@ -281,6 +285,10 @@
 	}
 
 	#handleChange(change: RowChange): void {
+		if (!this.#followedParts.has(change.part)) {
+			return;
+		}
+
 		const id = formatRowId(change);
 		const known = this.#known.get(id);
 		if (known && known.version >= change.version && change.value !== undefined) {
