Report a share as unattended only after three seconds at each of which nobody worked on it

Cause: share_unattended took the time since a share was assigned for the silence of its owner as soon as a newer process of the owner's host was heard, so a takeover after 1.7 s was reported as one after 3.6 s. Change: the time is counted from the first of a row of scans at which the owner was silent for 1.2 s, or is this process and doesn't work on it. Only logs change.

--- a/packages/batches/src/idle-work.ts
+++ b/packages/batches/src/idle-work.ts
@@ -15,6 +15,9 @@
 /** Time after which idle work is reported, in milliseconds. */
 export const idleReportMs = 3000;
 
+/** Silence from which an owner counts as not working, in milliseconds: two heartbeats and a slow answer of the store. */
+const minSilenceMs = 1200;
+
 /** Interval between scans, in milliseconds. */
 const scanIntervalMs = 1000;
 
@@ -45,6 +48,8 @@
 	readonly #settings: IdleWorkSettings;
 	/** When each sample or share was last reported, on the monotonic clock, by name. */
 	readonly #reportedAt = new Map<string, number>();
+	/** Since when each share has been unattended at every scan, on the monotonic clock, by name. */
+	#unattendedSince = new Map<string, number>();
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(settings: IdleWorkSettings) {
@@ -81,30 +86,46 @@
 	}
 
 	#reportShares(): void {
+		const before = this.#unattendedSince;
+		this.#unattendedSince = new Map();
 		for (const known of this.#settings.known.values()) {
 			if (!known.record.isEnded) {
 				for (const share of known.record.shares.keys()) {
-					this.#reportShare(known, share);
+					this.#reportShare(known, share, before);
 				}
 			}
 		}
 	}
 
-	#reportShare({record, ownerObservedAt}: KnownBatch, share: number): void {
-		const {hosts, log, isAttended} = this.#settings;
+	#reportShare({record, ownerObservedAt}: KnownBatch, share: number, before: ReadonlyMap<string, number>): void {
+		const {hosts, log} = this.#settings;
 		const {owner, ownerHost, term} = record.shares[share]!;
-		const sinceMs = performance.now() - (ownerObservedAt[share] ?? 0);
-		const isOwn = owner === hosts.incarnation;
-		const state = hosts.describeOwner(owner, ownerObservedAt[share] ?? 0);
-		const isUnattended = isOwn ? !isAttended(record.id, share) : state.silentMs >= idleReportMs && hosts.findTakeoverDelayMs(owner) <= maxReporterDelayMs;
-		if (sinceMs >= idleReportMs && isUnattended && this.#isDue(nameShare(record.id, share))) {
+		if (!this.#isUnattended(record.id, share, owner, ownerObservedAt[share] ?? 0)) {
+			return;
+		}
+
+		const name = nameShare(record.id, share);
+		const now = performance.now();
+		const since = before.get(name) ?? now;
+		this.#unattendedSince.set(name, since);
+		if (now - since >= idleReportMs && this.#isDue(name)) {
 			this.counts.sharesUnattended += 1;
 			log.warn('share_unattended', {
-				batch: record.id, share, term, ownerHost, isOwn, sinceMs: Math.round(sinceMs), ...state,
+				batch: record.id, share, term, ownerHost, isOwn: owner === hosts.incarnation, unattendedMs: Math.round(now - since), ...hosts.describeOwner(owner, ownerObservedAt[share] ?? 0),
 			});
 		}
 	}
 
+	/** Whether this process is the owner and doesn't work on a share, or the owner is silent or gone and this is one of the first hosts to take over. */
+	#isUnattended(batch: string, share: number, owner: string, ownedSince: number): boolean {
+		const {hosts, isAttended} = this.#settings;
+		if (owner === hosts.incarnation) {
+			return !isAttended(batch, share);
+		}
+
+		return hosts.describeOwner(owner, ownedSince).silentMs >= minSilenceMs && hosts.findTakeoverDelayMs(owner) <= maxReporterDelayMs;
+	}
+
 	#isDue(name: string): boolean {
 		const now = performance.now();
 		if (now - (this.#reportedAt.get(name) ?? Number.NEGATIVE_INFINITY) < repeatMs) {
