Count refused runs as time at no endpoint, and describe the room of endpoints once a scan

Cause: sample_idle took the end of a refused run for the begin of a new wait, so a sample that each endpoint refuses for good was never reported; and the room of the endpoints was described anew for each sample that waits, hundreds of times a second in an overload. Change: only a run that an endpoint accepted ends the time at no endpoint; samples with the same requirement share one description. Only logs change.

--- a/packages/batches/src/idle-work.ts
+++ b/packages/batches/src/idle-work.ts
@@ -1,11 +1,11 @@
 /**
  * Reports accepted work that nothing runs: samples at no endpoint although endpoints have room, and shares that no process works on.
  *
- * Load pattern: a step waits for its last sample. Each reason for which that sample is at no endpoint (no room, a backoff, a hold, a lost owner) looks the
+ * Load pattern: a step waits for its last sample. Each reason for which that sample is at no endpoint (no room, a backoff, a lost version, a lost owner) looks the
  * same from outside, so the line names the reason, its age and what the process believes of the endpoints. In an overload hundreds of samples wait;
  * only a few are named, the others are counted.
  */
-import type {EndpointDirectory} from '@wasabiusher/direct';
+import type {EndpointDirectory, EndpointRequirement, EndpointRoom} from '@wasabiusher/direct';
 import {dropOldest, type Log} from '@wasabiusher/shared';
 import type {KnownBatch, KnownBatches} from './known-batches.js';
 import type {HostRegistry} from './host-registry.js';
@@ -68,10 +68,11 @@
 	}
 
 	#reportSamples(): void {
-		const {directory, log, listOwners} = this.#settings;
+		const {log, listOwners} = this.#settings;
 		const found = [...listOwners()].flatMap(owner => owner.listIdle(idleReportMs).map(idle => ({owner, ...idle})));
+		const rooms = new Map<string, EndpointRoom>();
 		const due = found
-			.map(idle => ({...idle, room: 'requirement' in idle && idle.requirement ? directory.describeRoom(idle.requirement) : undefined}))
+			.map(idle => ({...idle, room: 'requirement' in idle && idle.requirement ? this.#describeRoom(idle.requirement, rooms) : undefined}))
 			.filter(({reason, room}) => reason !== 'search' || (room?.withRoom ?? 0) > 0)
 			.filter(({owner, sample}) => this.#isDue(`${owner.name}/${sample}`));
 		this.counts.samplesIdle += due.length;
@@ -85,6 +86,15 @@
 		}
 	}
 
+	/** Describes the room for a requirement, once a scan for all samples that need the same. */
+	#describeRoom(requirement: EndpointRequirement, rooms: Map<string, EndpointRoom>): EndpointRoom {
+		const {service, oldestVersion, exactVersion} = requirement;
+		const key = JSON.stringify([service, oldestVersion, exactVersion]);
+		const room = rooms.get(key) ?? this.#settings.directory.describeRoom(requirement);
+		rooms.set(key, room);
+		return room;
+	}
+
 	#reportShares(): void {
 		const before = this.#unattendedSince;
 		this.#unattendedSince = new Map();
--- a/packages/direct/__tests__/sample-run.spec.ts
+++ b/packages/direct/__tests__/sample-run.spec.ts
@@ -141,6 +141,31 @@
 		expect(requests.map(({resumeAfter, usesNewConnection}) => [resumeAfter, usesNewConnection])).to.deep.equal([[undefined, undefined], [14, true]]);
 	});
 
+	it('counts the time at no endpoint through runs that are refused', async () => {
+		const {directory, client, log} = bench;
+		for (const {switches} of bench.endpoints) {
+			switches.isFull = true;
+		}
+
+		const stop = new AbortController();
+		const sample = new SampleRun({
+			directory, client, log, findRoute: () => createRoute({kind: 'batch'}), chance: () => 0,
+		}, createSample({}), stop.signal);
+		const outcome = sample.run();
+		await clock.tickAsync(5000);
+		expect(sample.idle?.idleMs).to.be.at.least(4900);
+		expect(sample.idle?.runs).to.be.above(5);
+		for (const {switches} of bench.endpoints) {
+			Object.assign(switches, {isFull: false, eventMs: 100, events: 20});
+		}
+
+		await clock.tickAsync(1000);
+		expect(sample.idle).to.equal(undefined);
+		stop.abort();
+		await clock.tickAsync(200);
+		await outcome;
+	});
+
 	it('records the mean pace of a run, not the pace of events that arrive together after a network pause', async () => {
 		for (const endpoint of bench.endpoints) {
 			endpoint.switches.eventMs = 40;
--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -124,8 +124,9 @@
 	#avoided: string | undefined;
 	/** The endpoint that the last run moves to; the next run already counts as open there. */
 	#nextEndpoint: RegisteredEndpoint | undefined;
-	/** Why it is at no endpoint, and since when on the monotonic clock; no reason while a run is open. */
+	/** Why it is at no endpoint; undefined while a run is open. */
 	#idleReason: IdleReason | undefined = 'search';
+	/** Since when it is at no endpoint, on the monotonic clock; a refused run doesn't end that time. */
 	#idleSince = performance.now();
 
 	/**
@@ -229,13 +230,14 @@
 		const startedAt = performance.now();
 		let headMs: number | undefined;
 		let status: number | undefined;
+		let isRefused = false;
 		const watch = new SilenceWatch(stop, () => directory.findLastReceivedAt(id));
 		this.#runs += 1;
 		this.#idleReason = undefined;
 		try {
 			const run = await client.run(endpoint, this.#toServingRequest(route), signal);
 			headMs = Math.round(performance.now() - startedAt);
-			({status} = run);
+			({status, isNotRun: isRefused} = run);
 			this.#times.mark(this.#findHeadPhase(run));
 			directory.recordHead(id, run, this.#sample.model);
 			watch.recordReceived();
@@ -260,13 +262,12 @@
 			}
 
 			this.#avoided = id;
-			this.#idleReason = 'pause';
-			this.#idleSince = performance.now();
+			this.#recordIdle('pause', isRefused);
 			await this.#pause();
 			this.#times.mark('broken');
 			return 'again';
 		} finally {
-			this.#recordIdle();
+			this.#recordIdle('search', isRefused);
 			watch.end();
 			restart.end();
 			log.info('run_ended', {
@@ -401,13 +402,13 @@
 		};
 	}
 
-	/** Records the end of a run, unless the pause after it has counted already. */
-	#recordIdle(): void {
-		if (this.#idleReason === undefined) {
+	/** Records that the sample is at no endpoint any more, or why it still is at none. */
+	#recordIdle(reason: IdleReason, wasRefused: boolean): void {
+		if (this.#idleReason === undefined && !wasRefused) {
 			this.#idleSince = performance.now();
 		}
 
-		this.#idleReason = 'search';
+		this.#idleReason = reason;
 	}
 
 	async #pause(): Promise<void> {
