--- a/packages/batches/__tests__/idle-work.spec.ts
+++ b/packages/batches/__tests__/idle-work.spec.ts
@@ -11,6 +11,10 @@
 	beforeEach(() => {
 		clock = install();
 		cluster = createCluster();
+		for (const {switches} of cluster.serving.endpoints.values()) {
+			switches.eventMs = 500;
+			switches.events = 20;
+		}
 	});
 
 	afterEach(() => {
@@ -20,11 +24,6 @@
 	it('reports samples that wait although endpoints have room, and not those that wait for room', async () => {
 		const process = cluster.createProcess('a');
 		const {batches, directory} = process;
-		for (const {switches} of cluster.serving.endpoints.values()) {
-			switches.eventMs = 500;
-			switches.events = 20;
-		}
-
 		await tickUntilDone(clock, batches.submit('1', createSubmission(12)));
 		await clock.tickAsync(5000);
 		expect(batches.counts.samplesIdle).to.equal(0);
@@ -39,11 +38,6 @@
 
 	it('reports a share whose owner is silent while this process may not take it over', async () => {
 		const [a, b] = [cluster.createProcess('a'), cluster.createProcess('b')];
-		for (const {switches} of cluster.serving.endpoints.values()) {
-			switches.eventMs = 500;
-			switches.events = 20;
-		}
-
 		await tickUntilDone(clock, a.batches.submit('1', createSubmission(2)));
 		await clock.tickAsync(500);
 		b.store.switches.isDown = true;
@@ -55,11 +49,6 @@
 
 	it('reports no share that is taken over in time', async () => {
 		const [a, b] = [cluster.createProcess('a'), cluster.createProcess('b')];
-		for (const {switches} of cluster.serving.endpoints.values()) {
-			switches.eventMs = 500;
-			switches.events = 20;
-		}
-
 		await tickUntilDone(clock, a.batches.submit('1', createSubmission(2)));
 		await clock.tickAsync(3500);
 		a.kill();
