Give up the listener of a call's signal when the call has ended

Callers of large bodies saw a gateway grow by each body: six of 32 MB in a row, each answered before the next, took it to 309 MB on a host with 210.

Cause: `waitForAbort` added a listener to a combined signal and never removed it. Node.js keeps a combined signal for as long as it has a listener, and the closure holds the call with its request and body.

The listener is removed when the signal aborts, which it does at the end of each call.

--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -332,12 +332,12 @@
 	return error instanceof PlatformError && (error.code === 'unavailable' || error.code === 'refused');
 }
 
-/** Resolves when the signal aborts. */
+/** Resolves when the signal aborts. Node.js keeps a combined signal, and with it the request, for as long as it has a listener. */
 async function waitForAbort(signal: AbortSignal): Promise<undefined> {
 	return new Promise(resolve => {
 		signal.addEventListener('abort', () => {
 			resolve(undefined);
-		});
+		}, {once: true});
 	});
 }
 
