Bound what clients can make a process hold: bodies, connections, requests

Causes, one class: each limit was that of one client, none of all together. - Bodies had no bound together; chunks were kept as one buffer each and joined at the end, and the bodies of requests that are refused or read nothing were read without end. - A server accepted 10,000 connections, whatever the descriptors of its host. - One read of a connection holds thousands of pipelined requests, each with objects of its own, or ten thousand chunks of a byte. - Documents of batches were parsed whatever their structure. - Responses to requests that were queued behind others never closed, so that their calls went on after their connection was gone.

Now one budget for a process, drawn from the memory of its host, is charged with what bodies allocate. Connections are bounded by descriptors and memory, and those without a complete request give way first. Bodies over 64 KB, or in tiny chunks, take turns. A refusal reaches a client that still sends. Refusals are counted, logged and shown as metrics.

"while the process drains with a body in chunks of one byte" still fails: the first reads of 96 connections take 27 ms and more each, so that the server stops listening before the ordinary caller's connection is accepted.

--- a/packages/backends/src/serving.ts
+++ b/packages/backends/src/serving.ts
@@ -8,6 +8,9 @@
 /** The addressed endpoint: a server at an address, identified by the id of its start. */
 export type EndpointTarget = {id: string; address: string};
 
+/** Content of a request; a large one is not joined, so that it is held only once. */
+export type RequestContent = Uint8Array | readonly Uint8Array[];
+
 /** A request for an endpoint. */
 export type ServingRequest = {
 	method: string;
@@ -17,7 +20,7 @@
 	host: string;
 	/** Headers of the caller that are forwarded to the endpoint; names in lower case. */
 	headers: Record<string, string>;
-	body: Uint8Array;
+	body: RequestContent;
 	/** Customer that is reported to the endpoint; undefined if the request belongs to none. */
 	customer?: string;
 	/** Id of this attempt; the endpoint returns it with its answer. */
--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -6,9 +6,16 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import polka, {type Request} from 'polka';
-import {LayerError} from '@wasabiusher/shared';
-import {Connections} from './connections.js';
+import {Connections, type ClosedConnection} from './connections.js';
+import type {ConnectionState} from './connection-table.js';
+import {HttpError} from './http-error.js';
+import {LingeringResponse} from './lingering-response.js';
 import {listen} from './listen.js';
+import {PacedRequest} from './paced-request.js';
+import {MemoryBudget, type BudgetLimits} from './memory-budget.js';
+import {
+	continueIfExpected, hasBody, RequestBodies, type IncomingBody, type RefusalListener,
+} from './request-bodies.js';
 
 /** Timeout for the headers of a request, in milliseconds, so that slow senders do not occupy connections. */
 const headersTimeoutMs = 10_000;
@@ -31,17 +38,11 @@
 /** Maximum size of a request body, in bytes. */
 export const maxBodyBytes = 8 * 1024 * 1024;
 
-/**
- * - `too-large`: the body exceeds the limit
- * - `malformed`: the body is not JSON
- * - `cut-off`: the request was aborted before its body was complete
- */
-export type HttpErrorCode = 'too-large' | 'malformed' | 'cut-off';
+/** Memory for the bodies of a server whose settings name none, in bytes. */
+const defaultBudgetLimits: BudgetLimits = {totalBytes: 64 * 1_048_576, reservedBytes: 8 * 1_048_576, smallBytes: 65_536};
 
-/** An error of a request that can't be read. */
-export class HttpError extends LayerError<HttpErrorCode> {
-	override readonly name = 'HttpError';
-}
+/** Most requests of one connection that are not answered; clients that wait for each answer have one. */
+const maxPipelined = 4;
 
 /** The argument of a route's handler. */
 export type Exchange = {
@@ -68,32 +69,78 @@
 	/** Interval of the check for slow senders. */
 	checkMs: number;
 	maxConnections: number;
+	maxPipelined: number;
 	/** Time after the start of the shutdown in which connections without an exchange are kept open. */
 	closeGraceMs: number;
 };
 
+/** Limits that differ from the defaults, and who is told of what they end. */
+export type HttpServerSettings = Partial<HttpLimits> & {
+	/** Memory for bodies, which several servers of a process may share. */
+	budget?: MemoryBudget;
+	onRefuse?: RefusalListener;
+	onClose?(closed: ClosedConnection): void;
+};
+
 const defaultLimits: HttpLimits = {
-	headersTimeoutMs, requestTimeoutMs, checkMs, maxConnections, closeGraceMs,
+	headersTimeoutMs, requestTimeoutMs, checkMs, maxConnections, maxPipelined, closeGraceMs,
 };
 
+/** The owner of the body of each request, and its response. */
+const contexts = new WeakMap<IncomingMessage, {bodies: RequestBodies; response: ServerResponse}>();
+
 /** An HTTP server with routes. */
 export class HttpServer {
 	readonly server: Server;
-	readonly #routes = polka();
+	readonly #routes: ReturnType<typeof polka>;
 	readonly #onError: ErrorHandler;
 	readonly #limits: HttpLimits;
 	readonly #connections: Connections;
 
-	constructor(onError: ErrorHandler = sendPlainError, limits: Partial<HttpLimits> = {}) {
+	readonly #bodies: RequestBodies;
+
+	constructor(onError: ErrorHandler = sendPlainError, {budget = new MemoryBudget(defaultBudgetLimits), onRefuse, onClose, ...limits}: HttpServerSettings = {}) {
 		this.#onError = onError;
 		this.#limits = {...defaultLimits, ...limits};
+		this.#bodies = new RequestBodies(budget, onRefuse);
+		this.#routes = polka({
+			onNoMatch(_request, response) {
+				sendJson(response, 404, {detail: 'there is no such route'});
+			},
+		});
 		this.server = createServer({
 			headersTimeout: this.#limits.headersTimeoutMs, requestTimeout: this.#limits.requestTimeoutMs, connectionsCheckingInterval: this.#limits.checkMs,
-		}, (request, response) => {
-			this.#route(request, response);
+			// Names of Node.js.
+			// eslint-disable-next-line @typescript-eslint/naming-convention
+			IncomingMessage: PacedRequest, ServerResponse: LingeringResponse,
 		});
-		this.server.maxConnections = this.#limits.maxConnections;
-		this.#connections = new Connections(this.server);
+		this.#connections = new Connections(this.server, {
+			maxConnections: this.#limits.maxConnections, maxPipelined: this.#limits.maxPipelined, onClose,
+			onEnd: request => {
+				this.#bodies.end(request);
+			},
+		});
+		const handle = (request: PacedRequest, response: LingeringResponse) => {
+			if (this.#connections.begin(request, response)) {
+				request.begin();
+				response.closeUnlessWhole();
+				this.#route(request, response);
+			}
+		};
+
+		this.server.on('request', handle);
+		// With this listener, the client is told to continue only when its body is read.
+		this.server.on('checkContinue', handle);
+	}
+
+	/** Number of connections in a state. */
+	countConnections(state: ConnectionState): number {
+		return this.#connections.count(state);
+	}
+
+	/** Number of connections by state. */
+	get connectionCounts(): Readonly<Record<ConnectionState, number>> {
+		return this.#connections.counts;
 	}
 
 	/** Adds a route; `:name` in the path is a parameter, a final `*` matches the rest of the path. */
@@ -122,6 +169,7 @@
 	}
 
 	#route(request: IncomingMessage, response: ServerResponse): void {
+		contexts.set(request, {bodies: this.#bodies, response});
 		try {
 			// Polka adds the fields that it needs to the request of Node.js.
 			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
@@ -140,7 +188,9 @@
 		try {
 			exchange.parameters = decodeParameters(request.params);
 			exchange.query = readQuery(request.originalUrl);
-			await handler(exchange);
+			const handled = handler(exchange);
+			dropUnlessRead(request);
+			await handled;
 		} catch (error) {
 			this.#fail(error, exchange);
 		}
@@ -152,6 +202,7 @@
 			exchange.response.setHeader('connection', 'close');
 		}
 
+		dropUnlessRead(exchange.request);
 		try {
 			this.#onError(error, exchange);
 		} catch {
@@ -183,37 +234,42 @@
 	sendJson(response, 400, {detail: String(error)});
 }
 
-/** Reads a complete body; throws `HttpError`. */
-export async function readBytes(request: IncomingMessage, limitBytes = maxBodyBytes): Promise<Uint8Array> {
-	if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
-		throw createTooLarge(limitBytes);
-	}
-
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	try {
-		// The request is not destroyed when the loop ends early, so that the error response can still be sent.
-		for await (const chunk of request.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-			size += chunk.length;
-			if (size > limitBytes) {
-				break;
-			}
-
-			chunks.push(chunk);
-		}
-	} catch (error) {
-		throw new HttpError('cut-off', 'the request ended before its body was whole', error);
+/**
+ * Drops the body of a request whose handler has not begun to read it. Unread, its chunks would wait in memory while the handler works.
+ */
+function dropUnlessRead(request: IncomingMessage): void {
+	if (hasBody(request) && request.readableFlowing === null && !request.destroyed) {
+		request.resume();
 	}
+}
 
-	if (size > limitBytes) {
-		throw createTooLarge(limitBytes);
+/**
+ * Begins to read a body; to be called by a handler before it waits for anything.
+ *
+ * Its memory belongs to the budget of the server until the exchange ends.
+ */
+export function beginBody(request: IncomingMessage, limitBytes = maxBodyBytes): IncomingBody {
+	const context = contexts.get(request);
+	if (!context) {
+		throw new TypeError('expected a request of an `HttpServer`');
 	}
 
-	return Buffer.concat(chunks);
+	const body = context.bodies.begin(request, limitBytes);
+	continueIfExpected(request, context.response);
+	return body;
 }
 
-function createTooLarge(limitBytes: number): HttpError {
-	return new HttpError('too-large', `the body exceeds ${limitBytes} bytes`);
+/** Reads a complete body; to be called by a handler before it waits for anything. Throws `HttpError`. */
+export async function readBytes(request: IncomingMessage, limitBytes = maxBodyBytes): Promise<Uint8Array> {
+	const body = beginBody(request, limitBytes);
+	const segments = await body.readSegments();
+	if (segments.length === 1) {
+		return segments[0]!;
+	}
+
+	const length = segments.reduce((sum, segment) => sum + segment.length, 0);
+	body.charge(length);
+	return Buffer.concat(segments, length);
 }
 
 /** Reads a JSON body; resolves to undefined if it is empty. Throws `HttpError`. */
@@ -231,6 +287,8 @@
 }
 
 export function sendJson(response: ServerResponse, status: number, value: unknown, headers: Record<string, string> = {}): void {
-	response.writeHead(status, {'content-type': 'application/json', ...headers});
-	response.end(`${JSON.stringify(value)}\n`);
+	const content = `${JSON.stringify(value)}\n`;
+	// With a length, a client that is still sending sees the whole response before its connection is closed.
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': String(Buffer.byteLength(content)), ...headers});
+	response.end(content);
 }
--- a/packages/entry/src/answers.ts
+++ b/packages/entry/src/answers.ts
@@ -41,7 +41,7 @@
 };
 
 const httpKinds: Readonly<Record<HttpErrorCode, ProblemKind>> = {
-	'too-large': 'too-large', malformed: 'bad-request', 'cut-off': 'bad-request',
+	'too-large': 'too-large', malformed: 'bad-request', 'cut-off': 'bad-request', 'no-room': 'overloaded',
 };
 
 function toProblemError(error: unknown): ProblemError {
@@ -50,7 +50,7 @@
 	}
 
 	return new ProblemError(error instanceof HttpError
-		? createProblem(httpKinds[error.code], error.message, 'no')
+		? createProblem(httpKinds[error.code], error.message, 'no', error.retryAfterMs)
 		: createProblem('internal', describeError(error), 'unknown'));
 }
 
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -4,6 +4,7 @@
 import {
 	Counter, Gauge, Histogram, type Registry,
 } from 'prom-client';
+import type {ConnectionState} from '@wasabiusher/daemon';
 import type {CallOutcome, StreamOutcome} from '@wasabiusher/direct';
 import {storeWays, type GatewayStatus} from '@wasabiusher/shared';
 
@@ -58,6 +59,15 @@
 
 const prefix = 'wasabiusher_gateway_';
 
+/** What clients hold at present. */
+export type ClientUsage = {
+	/** Memory that the bodies of requests occupy, and may occupy, in bytes. */
+	bodyBytes: number;
+	bodyLimitBytes: number;
+	/** Connections of callers by state. */
+	connections: Readonly<Record<ConnectionState, number>>;
+};
+
 /** Counters, histograms and gauges of one gateway. */
 export class GatewayMetrics {
 	readonly #calls: Counter<'route' | 'outcome'>;
@@ -66,8 +76,9 @@
 	/**
 	 * @param readStatus - returns the state at the time of a scrape
 	 * @param readCounts - returns the event counts at the time of a scrape
+	 * @param readClients - returns what clients hold at the time of a scrape
 	 */
-	constructor(registry: Registry, readStatus: () => GatewayStatus, readCounts: () => EventCounts) {
+	constructor(registry: Registry, readStatus: () => GatewayStatus, readCounts: () => EventCounts, readClients: () => ClientUsage) {
 		const registers = [registry];
 		this.#calls = new Counter({
 			name: `${prefix}calls_total`, help: 'Requests of callers that have ended, by how', labelNames: ['route', 'outcome'], registers,
@@ -86,6 +97,20 @@
 			});
 		}
 
+		const bodies = new Gauge({
+			name: `${prefix}body_bytes`, help: 'Memory of the bodies of requests, held and at most', labelNames: ['kind'], registers, collect() {
+				const {bodyBytes, bodyLimitBytes} = readClients();
+				bodies.set({kind: 'held'}, bodyBytes);
+				bodies.set({kind: 'most'}, bodyLimitBytes);
+			},
+		});
+		const connections = new Gauge({
+			name: `${prefix}caller_connections`, help: 'Connections of callers by state', labelNames: ['state'], registers, collect() {
+				for (const [state, count] of Object.entries(readClients().connections)) {
+					connections.set({state}, count);
+				}
+			},
+		});
 		const events = new Gauge({
 			name: `${prefix}events`, help: 'What the parts have counted since the start, by name', labelNames: ['event'], registers, collect() {
 				for (const [event, value] of Object.entries(readCounts())) {
--- a/packages/gateway/src/poison-requests.ts
+++ b/packages/gateway/src/poison-requests.ts
@@ -309,5 +309,10 @@
 
 /** Hashes the parts of a request that stay the same when its caller retries it: path, customer and body. */
 function computeFingerprint({path, customer = '', body}: TrackedRequest): string {
-	return createHash('sha256').update(`${customer}\n${path}\n`).update(body).digest('base64url').slice(0, 32);
+	const hash = createHash('sha256').update(`${customer}\n${path}\n`);
+	for (const segment of body instanceof Uint8Array ? [body] : body) {
+		hash.update(segment);
+	}
+
+	return hash.digest('base64url').slice(0, 32);
 }
--- a/packages/standins/src/memory-serving.ts
+++ b/packages/standins/src/memory-serving.ts
@@ -1,8 +1,9 @@
 /**
  * In-memory stand-ins for directly called endpoints, with the failures that such endpoints document.
  */
+import {Buffer} from 'node:buffer';
 import {
-	PlatformError, type EndpointTarget, type OrderOutcome, type RunEvent, type ServingAnswer, type ServingClient, type ServingHead, type ServingReport,
+	PlatformError, type EndpointTarget, type OrderOutcome, type RequestContent, type RunEvent, type ServingAnswer, type ServingClient, type ServingHead, type ServingReport,
 	type ServingRequest, type ServingRun, type ServingStream, type WeightOrder,
 } from '@wasabiusher/backends';
 
@@ -145,7 +146,7 @@
 			throw new PlatformError('unknown', 'the answer was lost');
 		}
 
-		return {...createHead(endpoint, endpoint.switches.status), stamp: `${endpoint.id}/${request.attemptId}`, body: request.body};
+		return {...createHead(endpoint, endpoint.switches.status), stamp: `${endpoint.id}/${request.attemptId}`, body: joinContent(request.body)};
 	}
 
 	async open(target: EndpointTarget, request: ServingRequest, signal: AbortSignal): Promise<ServingStream> {
@@ -276,3 +277,7 @@
 		throw new PlatformError('unknown', 'the call was aborted');
 	}
 }
+
+function joinContent(content: RequestContent): Uint8Array {
+	return content instanceof Uint8Array ? content : Buffer.concat(content);
+}
--- a/scripts/metrics.ts
+++ b/scripts/metrics.ts
@@ -60,7 +60,11 @@
 			id: 'a', service: 'a', dataCentre: 'a', slots: 1, open: 0, others: 0, isDraining: false, isAvailable: true, versions: {},
 		}],
 	};
-	const metrics = new GatewayMetrics(registry, () => status, () => ({droppedLines: 0}));
+	const metrics = new GatewayMetrics(registry, () => status, () => ({droppedLines: 0}), () => ({
+		bodyBytes: 0, bodyLimitBytes: 1, connections: {
+			silent: 0, receiving: 0, idle: 0, working: 0,
+		},
+	}));
 	metrics.recordCall('a', 'answered', 0);
 	return metricsSchema.parse(await registry.getMetricsAsJSON());
 }
