--- a/packages/batches/src/batches.ts
+++ b/packages/batches/src/batches.ts
@@ -163,34 +163,6 @@
 		}
 	}
 
-	/** Refuses a submission for which there is no memory. Shares of batches that were accepted are taken over all the same. */
-	#assertRoom(bytes: number): void {
-		const {maxSubmissionBytes = Number.POSITIVE_INFINITY} = this.#settings;
-		const open = new Set([...this.#owners.values()].filter(({isComplete}) => !isComplete).map(({submission}) => submission));
-		const openBytes = [...open].reduce((sum, submission) => sum + estimateBytes(submission), 0);
-		if (openBytes + this.#acceptingBytes + bytes > maxSubmissionBytes) {
-			throw new BatchError('no-room', `the memory for batches is in use: ${openBytes + this.#acceptingBytes} of ${maxSubmissionBytes} bytes`);
-		}
-	}
-
-	async #accept(id: string, submission: Submission): Promise<void> {
-		const {store, hosts, readStoreMs} = this.#settings;
-		const {object, rows} = await prepareSubmission(store, id, submission);
-		const series = findSeries(submission);
-		const record: BatchRecord = {
-			id, shares: this.#planner.plan(submission, series, this.#isLeaving), series, isEnded: false, object, total: submission.samples.length,
-			...estimateWork(submission), customer: submission.customer ?? '', acceptedMs: readStoreMs(),
-		};
-		this.#submissions.cache(id, submission);
-		const stored = await writeAccepted(store, record, rows);
-		if (stored) {
-			this.#updateBatch(stored, true);
-			await hosts.sendHeartbeat();
-		} else {
-			await this.#confirmAccepted(id, submission.customer);
-		}
-	}
-
 	/** Counts since the start of the process: commits of results by outcome, checkpoints, and reports of idle work. */
 	get counts(): Readonly<Record<string, number>> {
 		const commits = Object.entries(this.#commitScheduler?.counts ?? {}).map(([outcome, count]): [string, number] => [`commits-${outcome}`, count]);
@@ -286,6 +258,34 @@
 		this.#commitScheduler?.stop();
 	}
 
+	/** Refuses a submission for which there is no memory. Shares of batches that were accepted are taken over all the same. */
+	#assertRoom(bytes: number): void {
+		const {maxSubmissionBytes = Number.POSITIVE_INFINITY} = this.#settings;
+		const open = new Set([...this.#owners.values()].filter(({isComplete}) => !isComplete).map(({submission}) => submission));
+		const openBytes = [...open].reduce((sum, submission) => sum + estimateBytes(submission), 0);
+		if (openBytes + this.#acceptingBytes + bytes > maxSubmissionBytes) {
+			throw new BatchError('no-room', `the memory for batches is in use: ${openBytes + this.#acceptingBytes} of ${maxSubmissionBytes} bytes`);
+		}
+	}
+
+	async #accept(id: string, submission: Submission): Promise<void> {
+		const {store, hosts, readStoreMs} = this.#settings;
+		const {object, rows} = await prepareSubmission(store, id, submission);
+		const series = findSeries(submission);
+		const record: BatchRecord = {
+			id, shares: this.#planner.plan(submission, series, this.#isLeaving), series, isEnded: false, object, total: submission.samples.length,
+			...estimateWork(submission), customer: submission.customer ?? '', acceptedMs: readStoreMs(),
+		};
+		this.#submissions.cache(id, submission);
+		const stored = await writeAccepted(store, record, rows);
+		if (stored) {
+			this.#updateBatch(stored, true);
+			await hosts.sendHeartbeat();
+		} else {
+			await this.#confirmAccepted(id, submission.customer);
+		}
+	}
+
 	async #handOver(owner: ShareOwner): Promise<void> {
 		const {stored, share, partials, isComplete} = owner;
 		this.#stopOwner(owner);
