Count upgraded connections as working, so that links never give way

Cause: a connection that was upgraded to a link has no request of its own, so the new bound on connections took it for one that had sent nothing, the first to be closed when a server has as many as it may. Found by reading; no caller saw it. The bound now counts it as working. The new test fails without the change: the link is closed instead of the newcomer.

--- a/packages/daemon/__tests__/http-server.spec.ts
+++ b/packages/daemon/__tests__/http-server.spec.ts
@@ -138,6 +138,16 @@
 		expect([working.destroyed, server.countConnections('working')]).to.deep.equal([false, 1]);
 	});
 
+	it('never closes a connection that was upgraded to another protocol', async () => {
+		await start({maxConnections: 1});
+		const upgrades = once(server.server, 'upgrade');
+		const upgraded = await open();
+		upgraded.write('GET /link HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n');
+		await upgrades;
+		await once(await open(), 'close');
+		expect([upgraded.destroyed, server.countConnections('working')]).to.deep.equal([false, 1]);
+	});
+
 	it('closes a connection with too many requests that are not answered, and parses no more of them', async () => {
 		await start({maxPipelined: 2});
 		const handled: string[] = [];
--- a/packages/daemon/src/connections.ts
+++ b/packages/daemon/src/connections.ts
@@ -46,6 +46,7 @@
 		server.on('connection', (socket: Socket) => {
 			this.#accept(socket);
 		});
+		server.on('newListener', this.#followUpgrades);
 	}
 
 	/** Number of connections in a state. */
@@ -117,6 +118,20 @@
 		}
 	}
 
+	/** Counts upgraded connections as working, once the server has a handler for them; without one, a listener here would make Node.js upgrade them. */
+	readonly #followUpgrades = (event: string | symbol): void => {
+		if (event !== 'upgrade') {
+			return;
+		}
+
+		this.#server.off('newListener', this.#followUpgrades);
+		this.#server.on('upgrade', ({socket}: IncomingMessage) => {
+			if (!socket.destroyed) {
+				this.#table.set(socket, 'working');
+			}
+		});
+	};
+
 	#accept(socket: Socket): void {
 		this.#exchanges.set(socket, new Map());
 		this.#table.set(socket, 'silent');
