--- a/packages/daemon/src/connection-table.ts
+++ b/packages/daemon/src/connection-table.ts
@@ -28,7 +28,7 @@
 		return this.#states.size;
 	}
 
-	/** Number of connections by state. */
+	/** Number of connections in each state. */
 	get counts(): Record<ConnectionState, number> {
 		const {silent, receiving, idle, working} = this.#connections;
 		return {
--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -96,7 +96,6 @@
 	readonly #onError: ErrorHandler;
 	readonly #limits: HttpLimits;
 	readonly #connections: Connections;
-
 	readonly #bodies: RequestBodies;
 
 	constructor(onError: ErrorHandler = sendPlainError, {budget = new MemoryBudget(defaultBudgetLimits), onRefuse, onClose, ...limits}: HttpServerSettings = {}) {
