Reset the connections of answers that are broken off

Cause: `response.destroy()` closes a socket in order; it doesn't reset it.

Change: a response that has begun and is broken off resets its connection. The same holds wherever else a connection of a caller is closed with an answer on it: too many requests, bytes that are no request, the end of the client's side, readers that stall, and the end of the process.

--- a/packages/daemon/src/connections.ts
+++ b/packages/daemon/src/connections.ts
@@ -9,6 +9,7 @@
 import type {Socket} from 'node:net';
 import {ConnectionTable, type ConnectionState} from './connection-table.js';
 import {stopParsing} from './paced-request.js';
+import {closeConnection, isPartlySent, refuseUnparsed} from './partial-answers.js';
 import {hasBody} from './request-bodies.js';
 
 /**
@@ -47,6 +48,11 @@
 			this.#accept(socket);
 		});
 		server.on('newListener', this.#followUpgrades);
+		server.on('clientError', (error, socket) => {
+			// All connections of an HTTP server are sockets.
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+			refuseUnparsed(socket as Socket, error, this.#listResponses(socket as Socket));
+		});
 	}
 
 	/** Number of connections in a state. */
@@ -118,6 +124,13 @@
 		}
 	}
 
+	/** Resets the connections on which an answer is incomplete; for the end of the process, which would end them in order. */
+	resetPartial(): void {
+		for (const socket of this.#exchanges.keys()) {
+			this.#resetIfPartial(socket);
+		}
+	}
+
 	/** Counts upgraded connections as working, once the server has a handler for them; without one, a listener here would make Node.js upgrade them. */
 	readonly #followUpgrades = (event: string | symbol): void => {
 		if (event !== 'upgrade') {
@@ -135,6 +148,10 @@
 	#accept(socket: Socket): void {
 		this.#exchanges.set(socket, new Map());
 		this.#table.set(socket, 'silent');
+		// Node.js ends the connection in order once the client has ended its side.
+		socket.prependListener('end', () => {
+			this.#resetIfPartial(socket);
+		});
 		socket.once('close', () => {
 			this.#remove(socket);
 		});
@@ -148,11 +165,22 @@
 		this.#settings.onClose?.({
 			reason, client: socket.remoteAddress ?? '', state, connections: this.#table.size, maxConnections: this.#settings.maxConnections,
 		});
-		socket.destroy();
+		closeConnection(socket, this.#listResponses(socket));
 		// The event follows later, and its place is free now.
 		this.#remove(socket);
 	}
 
+	#listResponses(socket: Socket): ServerResponse[] {
+		return [...this.#exchanges.get(socket)?.keys() ?? []];
+	}
+
+	#resetIfPartial(socket: Socket): void {
+		const responses = this.#listResponses(socket);
+		if (responses.some(response => isPartlySent(response))) {
+			closeConnection(socket, responses);
+		}
+	}
+
 	#remove(socket: Socket): void {
 		this.#table.delete(socket);
 		const exchanges = this.#exchanges.get(socket) ?? new Map<ServerResponse, IncomingMessage>();
--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -160,6 +160,11 @@
 		await this.#connections.close(this.#limits.closeGraceMs, this.#limits.requestTimeoutMs);
 	}
 
+	/** Resets the connections on which an answer is incomplete; to be called when the process ends. */
+	resetPartial(): void {
+		this.#connections.resetPartial();
+	}
+
 	/** Aborts all exchanges; for tests and stand-ins. */
 	async kill(): Promise<void> {
 		const closed = this.close();
--- a/packages/daemon/src/lingering-response.ts
+++ b/packages/daemon/src/lingering-response.ts
@@ -1,11 +1,12 @@
 /**
- * Responses that reach clients which are still sending.
+ * Responses that reach clients which are still sending, and that don't look complete if they are broken off.
  *
  * A connection that is closed while bytes of the client are unread is reset, and the reset can overtake the response. So after a response to an
  * incomplete request, a bounded number of bytes is read and dropped for a bounded time before the connection is closed.
  */
 import {Buffer} from 'node:buffer';
 import {ServerResponse, type IncomingMessage} from 'node:http';
+import {closeConnection, isPartlySent, resetDelayMs} from './partial-answers.js';
 import {hasBody} from './request-bodies.js';
 
 /** Bytes of the client that are dropped, and the time for which its connection is kept in milliseconds: many round trips. */
@@ -22,6 +23,9 @@
 
 /** A response after which the rest of a long request is dropped. */
 export class LingeringResponse<Request extends IncomingMessage = IncomingMessage> extends ServerResponse<Request> {
+	/** Whether it was broken off and its connection will be reset. */
+	#isBroken = false;
+
 	/** Closes the connection after this response, unless the whole request has been read before it begins. */
 	closeUnlessWhole(): void {
 		if (!this.shouldKeepAlive || !isLong(this.req)) {
@@ -62,6 +66,23 @@
 		return this;
 	}
 
+	/** Breaks off the response; if it has begun, its connection is reset once the client has had time to receive what was sent. */
+	override destroy(error?: Error): this {
+		const {socket} = this.req;
+		if (!isPartlySent(this) || socket.destroyed) {
+			return super.destroy(error);
+		}
+
+		if (!this.#isBroken) {
+			this.#isBroken = true;
+			setTimeout(() => {
+				closeConnection(socket, [this]);
+			}, resetDelayMs);
+		}
+
+		return this;
+	}
+
 	#finish(parameters: readonly unknown[]): this {
 		// The overloads of `end` take these parameters.
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
