Recognise resets of servers that libuv reports as orderly ends

What callers saw: a server that sent its last bytes and reset the connection at once seemed to have ended in order, and its answer without a length was passed on as whole, by calls and by streams.

Cause: libuv reports an end of the stream, and not the reset, if it finds the last bytes and the reset in one poll. A busy process finds them together though they came one after the other.

A hidden reset becomes the same error as an open one. Ruled out: looking for a closed state in the public fields of the socket, which are cached.

--- a/packages/backends/src/connections.ts
+++ b/packages/backends/src/connections.ts
@@ -4,6 +4,7 @@
  * A middlebox can lose its state for open connections while new ones work, and usually loses it for all connections of the same age. So one
  * silent connection retires the pool of its origin, and the next call, which may be a retry, gets a new connection.
  */
+import type {Socket} from 'node:net';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
 
 /** Connect timeout, in milliseconds; a live host answers within a few milliseconds. */
@@ -22,7 +23,7 @@
 };
 
 /**
- * Creates a connector that reports a connection reset under another error code.
+ * Creates a connector whose connections report a reset as an error that is not a reset.
  *
  * Undici treats a reset, which it recognises by its code, as the end of a response without a length, so a truncated response would count as
  * complete. The listener runs before that of undici, and undici then handles the error like any other.
@@ -32,11 +33,15 @@
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
-			socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
-				if (error.code === resetCode) {
-					error.code = cutCode;
-				}
-			});
+			if (socket) {
+				socket.prependListener('error', (error: NodeJS.ErrnoException) => {
+					if (error.code === resetCode) {
+						error.code = cutCode;
+					}
+				});
+				reportHiddenReset(socket);
+			}
+
 			callback(...result);
 		});
 	};
@@ -45,6 +50,26 @@
 const resetCode = 'ECONNRESET';
 const cutCode = 'ERR_CONNECTION_CUT';
 
+/**
+ * Makes a socket fail where libuv reports a reset as an orderly end, which it does if the last bytes and the reset have arrived together.
+ *
+ * After an orderly end the socket can still be written to; after a reset a write fails at once, even one without any bytes.
+ */
+function reportHiddenReset(socket: Socket): void {
+	const push = socket.push.bind(socket);
+	socket.push = (chunk, encoding) => {
+		if (chunk === null && socket.writable) {
+			socket.write('');
+			if (socket.errored) {
+				socket.destroy(Object.assign(new Error('the connection was reset'), {code: cutCode}));
+				return false;
+			}
+		}
+
+		return push(chunk, encoding);
+	};
+}
+
 /** Connection pools by origin. */
 export class Connections {
 	readonly #limits: ConnectionLimits;
