Begin runs of samples only at services of the route in force

Cause: a text moves to a faster endpoint by the requirement under which its run was begun, and the run there began without a look at the route in force.

Change: one question, `mayBegin`, right before a run begins, whatever decided before; the queue's own check goes.

--- a/packages/direct/src/sample-run.ts
+++ b/packages/direct/src/sample-run.ts
@@ -15,6 +15,7 @@
 import {appendEvent, discardText, type GeneratedText} from './generated-text.js';
 import {PhaseTimes, type RunPhase} from './phase-times.js';
 import {RestartWatch} from './restart-watch.js';
+import {allowsService, mayBegin, type RouteSource} from './run-permission.js';
 import {findUrgency, SampleSearch} from './sample-search.js';
 import {SilenceWatch} from './silence-watch.js';
 
@@ -59,7 +60,7 @@
 	/** Wait queue for slots; undefined if the sample polls for an endpoint itself. */
 	queue?: EndpointQueue;
 	/** The current route of the sample's batch; undefined once it was removed. */
-	findRoute(): Route | undefined;
+	findRoute: RouteSource;
 	/** Dedicated endpoints, which are used before others; undefined if all are equal. */
 	findDedicated?(): ReadonlySet<string> | undefined;
 	/** Returns a random number in [0, 1). */
@@ -177,7 +178,7 @@
 			this.#nextEndpoint = undefined;
 			// Each run resumes where the previous one broke off.
 			// eslint-disable-next-line no-await-in-loop
-			const step = endpoint ? await this.#runAt(endpoint, route) : 'again';
+			const step = endpoint ? await this.#beginAt(endpoint) : 'again';
 			if (step !== 'again') {
 				return step;
 			}
@@ -220,6 +221,21 @@
 		return this.#text.events.length > 0 ? 'resumed' : 'begun';
 	}
 
+	/** Runs at an endpoint unless the configuration in force no longer sends the sample to its service. */
+	async #beginAt(endpoint: RegisteredEndpoint): Promise<RunStep> {
+		const {directory, findRoute, log} = this.#settings;
+		const route = findRoute();
+		if (mayBegin(route, endpoint)) {
+			return this.#runAt(endpoint, route);
+		}
+
+		log.info('run_not_allowed', {
+			batch: this.#sample.batch, sample: this.#sample.id, endpoint: endpoint.id, service: endpoint.service,
+		});
+		directory.release(endpoint.id);
+		return 'again';
+	}
+
 	async #runAt(endpoint: RegisteredEndpoint, route: Route): Promise<RunStep> {
 		const {directory, client, log} = this.#settings;
 		const {id} = endpoint;
@@ -378,8 +394,9 @@
 	}
 
 	#acquireBetter(id: string, madeHere: number): RegisteredEndpoint | undefined {
-		const {directory} = this.#settings;
-		if (!this.#requirement) {
+		const {directory, findRoute} = this.#settings;
+		// A run may stay at a service that its route has left, but not move within it.
+		if (!this.#requirement || !allowsService(findRoute(), this.#requirement.service)) {
 			return undefined;
 		}
 
--- a/packages/direct/src/sample-search.ts
+++ b/packages/direct/src/sample-search.ts
@@ -148,7 +148,6 @@
 	}
 
 	async #waitInQueue(queue: EndpointQueue, route: Route, requirement: QueueRequirement): Promise<RegisteredEndpoint | undefined> {
-		const {directory, findRoute} = this.#settings;
 		const {
 			id, model = '', deadlineAt, queuePosition = {turn: model, dueAt: deadlineAt, rank: 0},
 		} = this.#sample;
@@ -156,17 +155,7 @@
 			id, kind: 'text', need: requirement, urgency: findUrgency(this.#sample, route), weight: 1, workMs: 0, ...queuePosition,
 			deadlineAt: Math.min(deadlineAt, performance.now() + recheckMs),
 		}, this.#signal);
-		if (answer.kind !== 'granted') {
-			return undefined;
-		}
-
-		// The route may have changed during the wait.
-		const isAllowed = findRoute()?.targets.some(({service}) => service === requirement.service);
-		if (!isAllowed) {
-			directory.release(answer.endpoint.id);
-		}
-
-		return isAllowed ? answer.endpoint : undefined;
+		return answer.kind === 'granted' ? answer.endpoint : undefined;
 	}
 
 	async #waitForChange(): Promise<undefined> {
