Make attempts of calls, streams and scores only at services of the route in force

A call that waited, was retried or hedged, a stream that was resumed and a call for a score went to the service that was chosen when they arrived, whatever the configuration said by then.

Cause: the service was chosen once and kept until the answer.

Change: the admission of a call, which hands out the endpoint of each attempt, asks for the route in force: it chooses the service again if the route has left it, and gives no endpoint once the route is gone or has another kind; a call that nothing has run of is then refused as not run. The lookup of a batch's route is kept for as long as the configuration is the same, since texts ask at each event.

--- a/packages/batches/src/scoring.ts
+++ b/packages/batches/src/scoring.ts
@@ -6,7 +6,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {DirectCall, type QueuePosition, type CallSettings} from '@wasabiusher/direct';
-import {findRoute, type Deployment, type Route} from '@wasabiusher/shared';
+import {findCurrentRoute, type Deployment, type Route} from '@wasabiusher/shared';
 import type {Sample} from './batch.js';
 import {pause} from './pause.js';
 
@@ -20,7 +20,7 @@
 const maxAttemptMs = 3000;
 
 /** Settings of calls but the tracker of poison requests: a sample is owed whatever happens to the endpoints that run it, and so is its score. */
-export type ScoringSettings = Omit<CallSettings, 'poisonRequests'> & {
+export type ScoringSettings = Omit<CallSettings, 'findRoute' | 'poisonRequests'> & {
 	/** Returns the active configuration. */
 	findDeployment(): Deployment | undefined;
 };
@@ -35,12 +35,17 @@
 export async function scoreSample(settings: ScoringSettings, {id: sample, score}: Sample, signal: AbortSignal, findPosition?: (route: Route) => QueuePosition): Promise<string | undefined> {
 	const {id, host, path, body} = score!;
 	const {log} = settings;
+	// A score may be made again, whatever the kind of its route.
+	const findScoreRoute = (): Route | undefined => {
+		const route = findCurrentRoute(settings.findDeployment(), {host, path});
+		return route && {...route, kind: 'idempotent'};
+	};
+
 	let failures = 0;
 	while (!signal.aborted) {
-		const deployment = settings.findDeployment();
-		const route = deployment && findRoute(deployment, host, path);
+		const route = findScoreRoute();
 		if (route) {
-			const call = new DirectCall(settings, {...route, kind: 'idempotent', maxAttempts: Math.min(maxOpenCalls, route.maxAttempts - failures)}, {
+			const call = new DirectCall({...settings, findRoute: findScoreRoute}, {...route, maxAttempts: Math.min(maxOpenCalls, route.maxAttempts - failures)}, {
 				method: 'POST', path, host, headers: {}, body: Buffer.from(body, 'base64'), attemptId: id,
 				deadlineAt: performance.now() + Math.min(maxAttemptMs, route.timeoutMs), queuePosition: findPosition?.(route),
 			}, signal);
--- a/packages/batches/src/share-owner.ts
+++ b/packages/batches/src/share-owner.ts
@@ -14,7 +14,7 @@
 	SampleRun, type IdleSample, type QueuePosition, type SampleOutcome, type SampleRequest, type GeneratedText,
 } from '@wasabiusher/direct';
 import {
-	applyCustomer, describeError, findRoute, type Route,
+	describeError, findCurrentRoute, type Deployment, type Route,
 } from '@wasabiusher/shared';
 import type {
 	Sample, SampleResult, StoredBatch, Submission,
@@ -116,6 +116,8 @@
 	readonly #positions: QueuePositions;
 	readonly #checkpoints: Checkpoints;
 	#regenerationTimer: NodeJS.Timeout | undefined;
+	/** The route of the batch, as last found, with the configuration that it was found in. */
+	#found: {deployment: Deployment | undefined; route: Route | undefined} | undefined;
 	/** Published version from which regenerations start: each earlier open batch publishes one more version before this batch ends. */
 	#regenerateFrom: number | undefined;
 
@@ -397,9 +399,12 @@
 
 	#findRoute(): Route | undefined {
 		const deployment = this.#settings.findDeployment();
-		const {host, path, customer} = this.#submission;
-		const route = deployment && findRoute(deployment, host, path);
-		return route && applyCustomer(route, deployment.customers?.get(customer ?? ''));
+		// Asked for each event of each text, while configurations with many routes change once in seconds.
+		if (deployment !== this.#found?.deployment) {
+			this.#found = {deployment, route: findCurrentRoute(deployment, this.#submission)};
+		}
+
+		return this.#found?.route;
 	}
 
 	/** Time at which the batch was accepted, on the monotonic clock. */
--- a/packages/direct/__tests__/run-permission.spec.ts
+++ b/packages/direct/__tests__/run-permission.spec.ts
@@ -2,9 +2,11 @@
 import {expect} from 'chai';
 import type {Route} from '@wasabiusher/shared';
 import type {MemoryEndpoint} from '@wasabiusher/standins';
-import {EndpointQueue, SampleRun, type SampleOutcome} from '../src/index.js';
 import {
-	createBench, createRoute, createSample, type Bench,
+	DirectCall, EndpointQueue, SampleRun, type CallOutcome, type SampleOutcome,
+} from '../src/index.js';
+import {
+	createBench, createRequest, createRoute, createSample, type Bench,
 } from './fixtures.js';
 
 const eventCount = 120;
@@ -150,4 +152,90 @@
 			route = undefined;
 		})).to.deep.equal([4, 0]);
 	});
+
+	/** Starts a call of a route to `s`, where each attempt takes `workMs`. */
+	async function startCall(kind: 'idempotent' | 'non-idempotent', queue?: EndpointQueue, attemptId = 'r1'): Promise<CallOutcome['kind']> {
+		const call = new DirectCall({...bench, queue, findRoute: () => route}, createRoute({kind, objectiveMs: 1000}), {...createRequest(20_000), attemptId, path: `/${attemptId}`}, new AbortController().signal);
+		const outcome = await call.run();
+		return outcome.kind;
+	}
+
+	function routeCallsTo(service: string, kind: Route['kind'] = 'idempotent'): void {
+		route = createRoute({kind, targets: [{service, weight: 1}]});
+	}
+
+	const callChanges: Readonly<Record<string, {expected: [outcome: CallOutcome['kind'], runs: number[]]; change(): void}>> = {
+		moved: {
+			expected: ['answered', [1, 0, 1]],
+			change() {
+				routeCallsTo('t');
+			},
+		},
+		dropped: {
+			expected: ['answered', [1, 0, 0]],
+			change() {
+				route = undefined;
+			},
+		},
+		'made one of calls that run once': {
+			expected: ['answered', [1, 0, 0]],
+			change() {
+				routeCallsTo('s', 'non-idempotent');
+			},
+		},
+		kept: {
+			expected: ['answered', [1, 1, 0]],
+			change() {
+				routeCallsTo('s');
+			},
+		},
+	};
+
+	async function changeBeforeRetry(change: () => void): Promise<unknown> {
+		createEndpoints(['s', 1], ['s', 1], ['t', 1]);
+		for (const {switches} of bench.endpoints.slice(0, 2)) {
+			Object.assign(switches, {status: 500, callMs: 300});
+		}
+
+		bench.directory.pause('i1', 200);
+		routeCallsTo('s');
+		const outcome = startCall('idempotent');
+		await clock.tickAsync(100);
+		change();
+		await clock.tickAsync(5000);
+		return [await outcome, countRuns()];
+	}
+
+	for (const [name, {change, expected}] of Object.entries(callChanges)) {
+		it(`makes a further attempt of a call only where its route sends it when it is ${name}`, async () => {
+			expect(await changeBeforeRetry(change)).to.deep.equal(expected);
+		});
+	}
+
+	it('serves a waiting call at the service that its route has moved to, and refuses it as not run when its route was dropped', async () => {
+		const play = async (change: () => void) => {
+			createEndpoints(['s', 1], ['t', 1]);
+			for (const {switches} of bench.endpoints) {
+				switches.callMs = 150;
+			}
+
+			routeCallsTo('s', 'non-idempotent');
+			const queue = new EndpointQueue(bench.directory);
+			const outcomes = Array.from({length: 7}, async (_, i) => startCall('non-idempotent', queue, `r${i}`));
+			await clock.tickAsync(100);
+			const begun = bench.endpoints[0]!.runs.length;
+			change();
+			await clock.tickAsync(5000);
+			const kinds = await Promise.all(outcomes);
+			const [former, present] = countRuns();
+			return [kinds.slice(begun), former! - begun, present];
+		};
+
+		expect(await play(() => {
+			routeCallsTo('t', 'non-idempotent');
+		})).to.deep.equal([['answered', 'answered'], 0, 2]);
+		expect(await play(() => {
+			route = undefined;
+		})).to.deep.equal([['not-run', 'not-run'], 0, 0]);
+	});
 });
--- a/packages/direct/__tests__/stream-call.spec.ts
+++ b/packages/direct/__tests__/stream-call.spec.ts
@@ -42,7 +42,7 @@
 		}
 	}
 
-	function start(scripts: Array<Script | undefined>, changes: Partial<Route> = {}, resumeAfter?: number) {
+	function start(scripts: Array<Script | undefined>, changes: Partial<Route> = {}, resumeAfter?: number, findRoute?: () => Route | undefined) {
 		const bench = createBench(4);
 		const requests: Array<ServingRequest & {endpoint: string}> = [];
 		const client = {
@@ -57,7 +57,7 @@
 			},
 		};
 		const route = createRoute({kind: 'stream', isResumable: true, ...changes});
-		const call = new StreamCall({...bench, client}, route, {...createRequest(20_000), resumeAfter}, new AbortController().signal);
+		const call = new StreamCall({...bench, client, findRoute}, route, {...createRequest(20_000), resumeAfter}, new AbortController().signal);
 		return {requests, outcome: call.open(), bench};
 	}
 
@@ -201,4 +201,21 @@
 
 		expect(reports).to.deep.equal(['broken', 'finished']);
 	});
+
+	// Guards against streams that are resumed at a service which their route has left.
+	it('resumes a stream at the service that its route has moved to, and nowhere if its route was dropped', async () => {
+		const play = async (routeAfterwards: Route | undefined) => {
+			let route: Route | undefined = createRoute({kind: 'stream', isResumable: true});
+			const {requests, outcome, bench} = start([
+				{pieces: [createEvents(1, 2)], end: 'broken'}, {pieces: [createEvents(3, 4)], end: 'whole'},
+			], {}, undefined, () => route);
+			bench.directory.put({...bench.directory.get('i3')!, id: 't0', service: 't'});
+			const opened = await outcome;
+			route = routeAfterwards;
+			return [await read(opened), requests.slice(1).map(({endpoint, resumeAfter}) => [endpoint, resumeAfter])];
+		};
+
+		expect(await play(createRoute({kind: 'stream', isResumable: true, targets: [{service: 't', weight: 1}]}))).to.deep.equal([createEvents(1, 4), [['t0', 2]]]);
+		expect(await play(undefined)).to.deep.equal([`${createEvents(1, 2)}(broken off)`, []]);
+	});
 });
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -16,6 +16,7 @@
 import type {EndpointQueue} from './endpoint-queue.js';
 import {BegunRuns, type RunMeter} from './run-meter.js';
 import {RestartWatch} from './restart-watch.js';
+import type {RouteSource} from './run-permission.js';
 
 /** A request as the caller has sent it. */
 export type CallerRequest = Omit<ServingRequest, 'remainingMs'> & {
@@ -53,6 +54,8 @@
 	queue?: EndpointQueue;
 	/** Budget of hedged attempts by service; undefined for no limit. */
 	hedges?: RetryBudget;
+	/** Finds the route that the request has in the configuration in force; its first one if undefined. */
+	findRoute?: RouteSource;
 };
 
 /** HTTP status of an endpoint that has run a request and failed. An answer with this or a higher status doesn't show that the run was complete. */
@@ -66,31 +69,12 @@
 		| {kind: 'not-run'; endpoint: string; reason: string}
 		| {kind: 'unknown'; endpoint: string; reason: string};
 
-/**
- * Chooses one of the route's target services by their weights.
- *
- * @param chance - a random number in [0, 1)
- */
-export function chooseService({targets}: Route, chance: number): string {
-	const total = targets.reduce((sum, {weight}) => sum + weight, 0);
-	let left = chance * total;
-	for (const {service, weight} of targets) {
-		left -= weight;
-		if (left < 0) {
-			return service;
-		}
-	}
-
-	return targets.at(-1)!.service;
-}
-
 /** Runs one request of a caller; call `run` once. */
 export class DirectCall {
 	readonly #settings: CallSettings;
 	readonly #route: Route;
 	readonly #request: CallerRequest;
 	readonly #signal: AbortSignal;
-	readonly #service: string;
 	/** Endpoints that may have begun to run the request. */
 	readonly #mayHaveRun: BegunRuns;
 	/** Endpoints that were tried already. */
@@ -112,9 +96,8 @@
 		this.#route = route;
 		this.#request = request;
 		this.#signal = signal;
-		this.#service = chooseService(route, settings.random.next());
 		this.#mayHaveRun = new BegunRuns(request.customer, settings.meter);
-		this.#admission = new CallAdmission(settings, route, request, this.#service);
+		this.#admission = new CallAdmission(settings, route, request);
 	}
 
 	/** Makes attempts until one is answered, the deadline passes or no further attempt is allowed. */
@@ -152,7 +135,7 @@
 		// The caller gets its answer in time even if an attempt is slow to notice that it was cancelled.
 		const ended = waitForAbort(signal);
 		let hedgeAt = Number.POSITIVE_INFINITY;
-		this.#settings.hedges?.recordFirstTry(this.#service);
+		this.#settings.hedges?.recordFirstTry(this.#admission.service);
 		for (;;) {
 			if (this.#signal.aborted) {
 				return {kind: 'stopped'};
@@ -202,7 +185,7 @@
 		}
 
 		// Without a budget, a service that is slow as a whole would get twice its load.
-		return openAttempts === 0 || (this.#settings.hedges?.tryTake(this.#service) ?? true);
+		return openAttempts === 0 || (this.#settings.hedges?.tryTake(this.#admission.service) ?? true);
 	}
 
 	/** The outcome when no attempt is in progress and no further one is allowed. */
@@ -213,7 +196,7 @@
 
 		return this.#mayHaveRun.size > 0
 			? {kind: 'unknown', reason: this.#lastReason}
-			: {...(this.#refusal ?? {reason: this.#lastReason, retryAfterMs: this.#settings.directory.planRetryAfterMs(this.#service)}), kind: 'not-run'};
+			: {...(this.#refusal ?? {reason: this.#lastReason, retryAfterMs: this.#settings.directory.planRetryAfterMs(this.#admission.service)}), kind: 'not-run'};
 	}
 
 	/** Records the outcome of an attempt; returns the outcome of the call if it is final. */
--- a/packages/direct/src/run-permission.ts
+++ b/packages/direct/src/run-permission.ts
@@ -19,3 +19,21 @@
 export function mayBegin(route: Route | undefined, {service}: RegisteredEndpoint): route is Route {
 	return allowsService(route, service);
 }
+
+/**
+ * Chooses one of the route's target services by their weights.
+ *
+ * @param chance - a random number in [0, 1)
+ */
+export function chooseService({targets}: Route, chance: number): string {
+	const total = targets.reduce((sum, {weight}) => sum + weight, 0);
+	let left = chance * total;
+	for (const {service, weight} of targets) {
+		left -= weight;
+		if (left < 0) {
+			return service;
+		}
+	}
+
+	return targets.at(-1)!.service;
+}
--- a/packages/direct/src/sample-search.ts
+++ b/packages/direct/src/sample-search.ts
@@ -2,9 +2,9 @@
  * Finds an endpoint for the next run of a sample, through the wait queue of the host or by polling.
  */
 import type {RegisteredEndpoint, Route} from '@wasabiusher/shared';
-import {chooseService} from './call.js';
 import type {EndpointRequirement} from './endpoint-requirement.js';
 import type {EndpointQueue, QueueRequirement} from './endpoint-queue.js';
+import {chooseService} from './run-permission.js';
 import type {SampleRequest, SampleRunSettings} from './sample-run.js';
 
 /** Maximum number of open requests of this process at an endpoint, as a multiple of its slots: further ones wait here, where they can still go to another endpoint. */
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -8,7 +8,7 @@
 import type {EndpointRun} from '@wasabiusher/decisions';
 import {describeError, type RegisteredEndpoint, type Route} from '@wasabiusher/shared';
 import {
-	chooseService, isProvenNotRun, serverErrorStatus, type CallOutcome, type CallerRequest, type CallSettings,
+	isProvenNotRun, serverErrorStatus, type CallOutcome, type CallerRequest, type CallSettings,
 } from './call.js';
 import {poisonRequestReason, recordBrokenAttempt} from './poison-requests.js';
 import {CallAdmission, type AdmissionOutcome} from './call-admission.js';
@@ -29,7 +29,6 @@
 	readonly #route: Route;
 	readonly #request: CallerRequest;
 	readonly #signal: AbortSignal;
-	readonly #service: string;
 	/** Endpoints that were tried already. */
 	readonly #excluded = new Set<string>();
 	/** Number of runs that have begun or may have begun. */
@@ -51,9 +50,8 @@
 		this.#route = route;
 		this.#request = request;
 		this.#signal = signal;
-		this.#service = chooseService(route, settings.random.next());
 		this.#runs = new BegunRuns(request.customer, settings.meter);
-		this.#admission = new CallAdmission(settings, route, request, this.#service);
+		this.#admission = new CallAdmission(settings, route, request);
 	}
 
 	async open(): Promise<StreamOutcome> {
@@ -157,7 +155,7 @@
 
 		return admission.kind === 'refused'
 			? {kind: 'not-run', reason: admission.reason, retryAfterMs: admission.retryAfterMs}
-			: {kind: 'not-run', reason: this.#lastReason, retryAfterMs: this.#settings.directory.planRetryAfterMs(this.#service)};
+			: {kind: 'not-run', reason: this.#lastReason, retryAfterMs: this.#settings.directory.planRetryAfterMs(this.#admission.service)};
 	}
 
 	/** Makes an attempt at one endpoint; undefined if another endpoint may be tried. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,7 @@
 import {ReferenceClock, Usage, UsageStore} from '@wasabiusher/duties';
 import {LeaseHolder, PartTables} from '@wasabiusher/record';
 import {
-	describeError, type Deployment, type GatewayStatus, type Route,
+	describeError, findCurrentRoute, type Deployment, type GatewayStatus, type Route,
 } from '@wasabiusher/shared';
 import {
 	decideAccess, identify, type Access, type AccessRequest, type Identity,
@@ -269,12 +269,12 @@
 
 	/** Runs a caller's request to completion. */
 	async call(route: Route, request: CallerRequest, signal: AbortSignal): Promise<CallOutcome> {
-		return new DirectCall(this.#callSettings, route, request, signal).run();
+		return new DirectCall(this.#createCallSettings(route, request), route, request, signal).run();
 	}
 
 	/** Opens a streamed answer to a caller's request. */
 	async openStream(route: Route, request: CallerRequest, signal: AbortSignal): Promise<StreamOutcome> {
-		return new StreamCall(this.#callSettings, route, request, signal).open();
+		return new StreamCall(this.#createCallSettings(route, request), route, request, signal).open();
 	}
 
 	/** Stops accepting work and hands over leases and batches to other hosts; calls in flight continue. Never rejects. */
@@ -358,11 +358,11 @@
 		}
 	}
 
-	get #callSettings(): CallSettings {
+	#createCallSettings({host}: Route, {path, customer}: CallerRequest): CallSettings {
 		const {client, random, log} = this.#settings;
 		return {
 			directory: this.#directory, queue: this.#endpointQueue, client, random, log, policy: this.#policy, meter: this.#usage, hedges: this.#hedges,
-			poisonRequests: this.#trackedPoisonRequests,
+			poisonRequests: this.#trackedPoisonRequests, findRoute: () => findCurrentRoute(this.#catalog.deployment, {host, path: path.split('?', 1)[0]!, customer}),
 		};
 	}
 
--- a/packages/shared/src/deployment.ts
+++ b/packages/shared/src/deployment.ts
@@ -127,3 +127,9 @@
 export function applyCustomer(route: Route, customer: Customer | undefined): Route {
 	return customer?.priority === undefined ? route : {...route, priority: customer.priority};
 }
+
+/** Finds the route of a customer's request, with the overrides of the customer; undefined if the configuration has none or isn't known. */
+export function findCurrentRoute(deployment: Deployment | undefined, {host, path, customer}: {host: string; path: string; customer?: string}): Route | undefined {
+	const route = deployment && findRoute(deployment, host, path);
+	return route && applyCustomer(route, deployment.customers?.get(customer ?? ''));
+}
