Bear the silence of a server as long as the caller does where nothing can be repeated

What callers saw: a stream that can't be resumed ended 4 s after its last event, and a call that may run once got 502 after 5 s, while their server was at work and the caller's time budget was longer.

Cause: the client of the servers gave up every answer after 4 s without a byte. The users' page says that a server's silence is no reason to end an answer sooner.

Change: requests that can't be repeated or resumed name their remaining time as the silence to bear.

--- a/packages/backends/src/serving.ts
+++ b/packages/backends/src/serving.ts
@@ -35,6 +35,8 @@
 	expectVersion?: number;
 	/** Whether it is sent on a connection that was opened for it, since those open before may be dead. */
 	usesNewConnection?: boolean;
+	/** Time without a byte before which the endpoint must not be given up, in milliseconds; the client's own limit applies if it is longer. */
+	silenceMs?: number;
 };
 
 /** The load of an endpoint, as reported with an answer. */
--- a/packages/direct/__tests__/call.spec.ts
+++ b/packages/direct/__tests__/call.spec.ts
@@ -164,4 +164,23 @@
 		expect(await readKind(outcome)).to.equal('not-run');
 		expect(bench.directory.get('i0')).to.equal(undefined);
 	});
+
+	// Guards against calls that may run once and get no answer because their server pauses.
+	it('gives up a silent endpoint before the deadline only if the call can be repeated', async () => {
+		const silences: unknown[] = [];
+		const {client} = bench;
+		bench.client = Object.assign(Object.create(client) as typeof client, {
+			async call(...[target, request, signal]: Parameters<typeof client.call>) {
+				silences.push(request.silenceMs);
+				return client.call(target, request, signal);
+			},
+		});
+		for (const kind of ['idempotent', 'non-idempotent'] as const) {
+			start(createRoute({kind}));
+			// eslint-disable-next-line no-await-in-loop
+			await clock.tickAsync(100);
+		}
+
+		expect(silences).to.deep.equal([undefined, 1000]);
+	});
 });
--- a/packages/direct/__tests__/stream-call.spec.ts
+++ b/packages/direct/__tests__/stream-call.spec.ts
@@ -218,4 +218,15 @@
 		expect(await play(createRoute({kind: 'stream', isResumable: true, targets: [{service: 't', weight: 1}]}))).to.deep.equal([createEvents(1, 4), [['t0', 2]]]);
 		expect(await play(undefined)).to.deep.equal([`${createEvents(1, 2)}(broken off)`, []]);
 	});
+
+	// Guards against streams that are cut because their server pauses, though nobody can resume them.
+	it('gives up a silent endpoint before the deadline only if the stream can be resumed', async () => {
+		const play = async (isResumable: boolean) => {
+			const {requests, outcome} = start([{pieces: [createEvents(1, 2)], end: 'whole'}], {isResumable});
+			await outcome;
+			return requests[0]!.silenceMs;
+		};
+
+		expect([await play(false), await play(true)]).to.deep.equal([20_000, undefined]);
+	});
 });
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -306,7 +306,9 @@
 
 	#toServingRequest(): ServingRequest {
 		const {deadlineAt, queuePosition, ...request} = this.#request;
-		return {...request, remainingMs: Math.max(1, Math.round(deadlineAt - performance.now()))};
+		const remainingMs = Math.max(1, Math.round(deadlineAt - performance.now()));
+		// What can't be repeated has nothing to gain from giving up a silent endpoint before the caller does.
+		return {...request, remainingMs, ...(this.#isRepeatable ? {} : {silenceMs: remainingMs})};
 	}
 }
 
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -249,7 +249,14 @@
 
 	#toServingRequest(after: number | undefined): ServingRequest {
 		const {deadlineAt, queuePosition, ...request} = this.#request;
-		return {...request, remainingMs: Math.max(1, Math.round(deadlineAt - performance.now())), ...(after === undefined ? {} : {resumeAfter: after})};
+		const remainingMs = Math.max(1, Math.round(deadlineAt - performance.now()));
+		return {
+			...request,
+			remainingMs,
+			...(after === undefined ? {} : {resumeAfter: after}),
+			// A stream that can't be resumed has nothing to gain from giving up a silent endpoint before the caller does.
+			...(this.#route.isResumable ? {} : {silenceMs: remainingMs}),
+		};
 	}
 }
 
