--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,3 +6,4 @@
 export type {GatewaySettings} from './gateway-settings.js';
 export * from './gateway-metrics.js';
 export * from './refused-clients.js';
+export * from './drain-window.js';
