--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -39,7 +39,7 @@
 export const maxBodyBytes = 8 * 1024 * 1024;
 
 /** Memory for the bodies of a server whose settings name none, in bytes. */
-const defaultBudgetLimits: BudgetLimits = {totalBytes: 64 * 1_048_576, reservedBytes: 8 * 1_048_576, smallBytes: 65_536};
+export const defaultBudgetLimits: BudgetLimits = {totalBytes: 64 * 1_048_576, reservedBytes: 8 * 1_048_576, smallBytes: 65_536};
 
 /** Most requests of one connection that are not answered; clients that wait for each answer have one. */
 const maxPipelined = 4;
