Parse the heads of answers in small parts

Cause: the HTTP library applies its limit for a head, but goes on through the rest of what it has read, a read of the system, and creates two buffers and, beyond the limit, an error for each header line.

Change: connections give the parser 4 KB at a time, and nothing once they are destroyed.

--- a/packages/backends/src/connections.ts
+++ b/packages/backends/src/connections.ts
@@ -16,6 +16,9 @@
 /** Time before the keep-alive timeout from which a connection is not reused, in milliseconds, so that no request races with the server's close. */
 const keepAliveMarginMs = 2000;
 
+/** Most bytes of a response that are parsed at once. */
+const maxParsedBytes = 4096;
+
 export type ConnectionLimits = {
 	connectTimeoutMs: number;
 	/** Time before the keep-alive timeout announced by the server from which its connections are not reused, in milliseconds. */
@@ -40,6 +43,7 @@
 					}
 				});
 				reportHiddenReset(socket);
+				limitReads(socket);
 			}
 
 			callback(...result);
@@ -70,6 +74,24 @@
 	};
 }
 
+/**
+ * Lets a response be parsed in small parts, and no further once its connection was given up.
+ *
+ * Undici applies its limit for the head of a response after each part, and creates two objects and, beyond the limit, an error for each header line of the
+ * part. In a whole read of the system thousands of lines fit, which take megabytes.
+ */
+function limitReads(socket: Socket): void {
+	const read = socket.read.bind(socket);
+	socket.read = (size?: number) => {
+		if (size !== undefined) {
+			return read(size) as unknown;
+		}
+
+		// Without a size, an empty buffer asks for more.
+		return (socket.destroyed ? null : read(socket.readableLength > maxParsedBytes ? maxParsedBytes : undefined)) as unknown;
+	};
+}
+
 /** Connection pools by origin. */
 export class Connections {
 	readonly #limits: ConnectionLimits;
