Keep serving routes that give no service any weight

A service is allowed where `chooseService` may return it.

Test: run-permission.spec.ts, the generation never began before.

--- a/packages/direct/__tests__/run-permission.spec.ts
+++ b/packages/direct/__tests__/run-permission.spec.ts
@@ -153,6 +153,14 @@
 		})).to.deep.equal([4, 0]);
 	});
 
+	it('runs a generation although its route gives no service any weight', async () => {
+		createEndpoints(['t', 26], ['s', 26]);
+		route = createRoute({kind: 'batch', targets: [{service: 't', weight: 0}, {service: 's', weight: 0}]});
+		const outcome = startSample();
+		await clock.tickAsync(9000);
+		expect([readEvents(await outcome), countRuns()]).to.deep.equal([eventCount, [0, 1]]);
+	});
+
 	/** Starts a call of a route to `s`, where each attempt takes `workMs`. */
 	async function startCall(kind: 'idempotent' | 'non-idempotent', queue?: EndpointQueue, attemptId = 'r1'): Promise<CallOutcome['kind']> {
 		const call = new DirectCall({...bench, queue, findRoute: () => route}, createRoute({kind, objectiveMs: 1000}), {...createRequest(20_000), attemptId, path: `/${attemptId}`}, new AbortController().signal);
--- a/packages/direct/src/run-permission.ts
+++ b/packages/direct/src/run-permission.ts
@@ -10,9 +10,11 @@
 /** Returns the route that a request has in the configuration in force; undefined if it has none. */
 export type RouteSource = () => Route | undefined;
 
-/** Whether a route sends requests to a service. */
+/** Whether a route sends requests to a service: one that `chooseService` may return. */
 export function allowsService(route: Route | undefined, service: string): boolean {
-	return route?.targets.some(target => target.service === service && target.weight > 0) ?? false;
+	const targets = route?.targets ?? [];
+	const weighted = targets.filter(({weight}) => weight > 0);
+	return (weighted.length > 0 ? weighted : targets.slice(-1)).some(target => target.service === service);
 }
 
 /** Whether a run may begin at an endpoint, by the route in force; to be asked right before it begins. */
