--- a/packages/daemon/src/connections.ts
+++ b/packages/daemon/src/connections.ts
@@ -9,7 +9,7 @@
 import type {Socket} from 'node:net';
 import {ConnectionTable, type ConnectionState} from './connection-table.js';
 import {stopParsing} from './paced-request.js';
-import {closeConnection, isPartlySent, refuseUnparsed} from './partial-answers.js';
+import {closeConnection, refuseUnparsed, resetIfPartial} from './partial-answers.js';
 import {hasBody} from './request-bodies.js';
 
 /**
@@ -127,7 +127,7 @@
 	/** Resets the connections on which an answer is incomplete; for the end of the process, which would end them in order. */
 	resetPartial(): void {
 		for (const socket of this.#exchanges.keys()) {
-			this.#resetIfPartial(socket);
+			resetIfPartial(socket, this.#listResponses(socket));
 		}
 	}
 
@@ -150,7 +150,7 @@
 		this.#table.set(socket, 'silent');
 		// Node.js ends the connection in order once the client has ended its side.
 		socket.prependListener('end', () => {
-			this.#resetIfPartial(socket);
+			resetIfPartial(socket, this.#listResponses(socket));
 		});
 		socket.once('close', () => {
 			this.#remove(socket);
@@ -174,13 +174,6 @@
 		return [...this.#exchanges.get(socket)?.keys() ?? []];
 	}
 
-	#resetIfPartial(socket: Socket): void {
-		const responses = this.#listResponses(socket);
-		if (responses.some(response => isPartlySent(response))) {
-			closeConnection(socket, responses);
-		}
-	}
-
 	#remove(socket: Socket): void {
 		this.#table.delete(socket);
 		const exchanges = this.#exchanges.get(socket) ?? new Map<ServerResponse, IncomingMessage>();
--- a/packages/daemon/src/partial-answers.ts
+++ b/packages/daemon/src/partial-answers.ts
@@ -18,11 +18,19 @@
 	return response.headersSent && !response.writableFinished;
 }
 
-/** Closes a connection, with a reset if one of its answers is incomplete. */
-export function closeConnection(socket: Socket, responses: Iterable<ServerResponse>): void {
-	if (!socket.destroyed && [...responses].some(response => isPartlySent(response))) {
+/** Resets a connection if one of its answers is incomplete; returns whether it did. */
+export function resetIfPartial(socket: Socket, responses: readonly ServerResponse[]): boolean {
+	const isPartial = !socket.destroyed && responses.some(response => isPartlySent(response));
+	if (isPartial) {
 		socket.resetAndDestroy();
-	} else {
+	}
+
+	return isPartial;
+}
+
+/** Closes a connection, with a reset if one of its answers is incomplete. */
+export function closeConnection(socket: Socket, responses: readonly ServerResponse[]): void {
+	if (!resetIfPartial(socket, responses)) {
 		socket.destroy();
 	}
 }
@@ -37,10 +45,9 @@
 const malformedStatus = 400;
 
 /** Answers a request that can't be parsed and closes its connection, as Node.js does without a listener for such errors. */
-export function refuseUnparsed(socket: Socket, {code}: NodeJS.ErrnoException, responses: Iterable<ServerResponse>): void {
-	const open = [...responses];
-	if (open.some(response => response.headersSent)) {
-		closeConnection(socket, open);
+export function refuseUnparsed(socket: Socket, {code}: NodeJS.ErrnoException, responses: readonly ServerResponse[]): void {
+	if (responses.some(response => response.headersSent)) {
+		closeConnection(socket, responses);
 		return;
 	}
 
