Send whole answers to their end before a connection ends in order

A client that ended its side, or sent bytes that are no request, after its answer was complete but not sent to its end got a reset, and lost what waited. Node.js sends what waits before it ends the connection.

Cause: an answer that waits to be sent counted as partial in both cases: when a connection is closed at once, which loses it, and when it ends in order.

Change: before an orderly end only an answer whose end isn't known yet leads to a reset. An immediate close resets as before, and the end of the process uses it.

Tests: two in partial-answers.spec.ts; both failed before.

--- a/packages/daemon/__tests__/partial-answers.spec.ts
+++ b/packages/daemon/__tests__/partial-answers.spec.ts
@@ -50,7 +50,7 @@
 	},
 	'the end of the process': {
 		cut(server) {
-			server.resetPartial();
+			server.closeAll();
 		},
 	},
 };
@@ -129,4 +129,27 @@
 		});
 		expect([text.endsWith(part + part), end]).to.deep.equal([true, 'ended']);
 	});
+
+	// Guards against whole answers that are lost since they wait to be sent when the client ends its side, or sends bytes that are no request.
+	for (const [name, endOrSpoil] of Object.entries({
+		'ends its side'(client: Socket) {
+			client.end();
+		},
+		'sends bytes that are no request'(client: Socket) {
+			client.write('no request\r\n\r\n');
+		},
+	})) {
+		it(`is sent to its end, when it is whole, to a client that ${name} and reads late`, async () => {
+			await start();
+			const {text, end} = await receive((_, answer, client) => {
+				client.pause();
+				answer.end(part.repeat(1_000_000));
+				endOrSpoil(client);
+				setTimeout(() => {
+					client.resume();
+				}, 100);
+			});
+			expect([text.length > part.length * 1_000_000, end]).to.deep.equal([true, 'ended']);
+		});
+	}
 });
--- a/packages/daemon/src/connections.ts
+++ b/packages/daemon/src/connections.ts
@@ -9,7 +9,7 @@
 import type {Socket} from 'node:net';
 import {ConnectionTable, type ConnectionState} from './connection-table.js';
 import {stopParsing} from './paced-request.js';
-import {closeConnection, refuseUnparsed, resetIfPartial} from './partial-answers.js';
+import {closeConnection, refuseUnparsed, resetIfUnfinished} from './partial-answers.js';
 import {hasBody} from './request-bodies.js';
 
 /**
@@ -124,10 +124,10 @@
 		}
 	}
 
-	/** Resets the connections on which an answer is incomplete; for the end of the process, which would end them in order. */
-	resetPartial(): void {
+	/** Closes all connections, with a reset where an answer is incomplete; for the end of the process, which would end them in order. */
+	closeAll(): void {
 		for (const socket of this.#exchanges.keys()) {
-			resetIfPartial(socket, this.#listResponses(socket));
+			closeConnection(socket, this.#listResponses(socket));
 		}
 	}
 
@@ -150,7 +150,7 @@
 		this.#table.set(socket, 'silent');
 		// Node.js ends the connection in order once the client has ended its side.
 		socket.prependListener('end', () => {
-			resetIfPartial(socket, this.#listResponses(socket));
+			resetIfUnfinished(socket, this.#listResponses(socket));
 		});
 		socket.once('close', () => {
 			this.#remove(socket);
--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -160,9 +160,9 @@
 		await this.#connections.close(this.#limits.closeGraceMs, this.#limits.requestTimeoutMs);
 	}
 
-	/** Resets the connections on which an answer is incomplete; to be called when the process ends. */
-	resetPartial(): void {
-		this.#connections.resetPartial();
+	/** Closes all connections, with a reset where an answer is incomplete; to be called when the process ends. */
+	closeAll(): void {
+		this.#connections.closeAll();
 	}
 
 	/** Aborts all exchanges; for tests and stand-ins. */
--- a/packages/daemon/src/partial-answers.ts
+++ b/packages/daemon/src/partial-answers.ts
@@ -18,23 +18,30 @@
 	return response.headersSent && !response.writableFinished;
 }
 
-/** Resets a connection if one of its answers is incomplete; returns whether it did. */
-export function resetIfPartial(socket: Socket, responses: readonly ServerResponse[]): boolean {
-	const isPartial = !socket.destroyed && responses.some(response => isPartlySent(response));
-	if (isPartial) {
-		socket.resetAndDestroy();
-	}
-
-	return isPartial;
+/** Whether an answer has begun and its end is not known yet, so that it would be cut even if all that waits is sent. */
+function isUnfinished(response: ServerResponse): boolean {
+	return response.headersSent && !response.writableEnded;
 }
 
-/** Closes a connection, with a reset if one of its answers is incomplete. */
+/** Closes a connection at once, with a reset if a part of an answer is lost with it. */
 export function closeConnection(socket: Socket, responses: readonly ServerResponse[]): void {
-	if (!resetIfPartial(socket, responses)) {
+	if (!socket.destroyed && responses.some(response => isPartlySent(response))) {
+		socket.resetAndDestroy();
+	} else {
 		socket.destroy();
 	}
 }
 
+/** Resets a connection that is about to end in order, once it has sent what waits, if that would cut an answer; returns whether it did. */
+export function resetIfUnfinished(socket: Socket, responses: readonly ServerResponse[]): boolean {
+	const isCut = !socket.destroyed && responses.some(response => isUnfinished(response));
+	if (isCut) {
+		socket.resetAndDestroy();
+	}
+
+	return isCut;
+}
+
 /** Statuses for requests that can't be parsed, by the code of the error. */
 const errorStatuses: ReadonlyMap<string | undefined, number> = new Map([
 	['ERR_HTTP_REQUEST_TIMEOUT', 408],
@@ -46,12 +53,11 @@
 
 /** Answers a request that can't be parsed and closes its connection, as Node.js does without a listener for such errors. */
 export function refuseUnparsed(socket: Socket, {code}: NodeJS.ErrnoException, responses: readonly ServerResponse[]): void {
-	if (responses.some(response => response.headersSent)) {
-		closeConnection(socket, responses);
+	if (resetIfUnfinished(socket, responses)) {
 		return;
 	}
 
-	if (socket.writable) {
+	if (socket.writable && !responses.some(response => response.headersSent)) {
 		const status = errorStatuses.get(code) ?? malformedStatus;
 		socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
 	}
