Recognise resets while a request is still being written

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. The caller got that part as a complete answer.

Cause: where the last bytes and the reset arrive together, libuv reports an orderly end. The check for that wrote no bytes to the socket's stream and looked whether the write had failed. While an upload waits to be written, that write waits behind it and can't have failed yet, so the end counted as orderly. The write that fails in the same iteration of the loop (EPIPE) comes after the HTTP library has taken the end for the end of the answer.

Change: the check writes no bytes to the file descriptor itself, past the stream, and takes ECONNRESET alone for a reset. So it doesn't depend on what waits, and a whole answer whose server ends in order and then drops the rest of an upload is no longer given up: with an upload that fits into the buffers such an answer became a 502 before.

--- a/packages/backends/src/connections.ts
+++ b/packages/backends/src/connections.ts
@@ -4,6 +4,7 @@
  * A middlebox can lose its state for open connections while new ones work, and usually loses it for all connections of the same age. So one
  * silent connection retires the pool of its origin, and the next call, which may be a retry, gets a new connection.
  */
+import {writeSync} from 'node:fs';
 import type {Socket} from 'node:net';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
 
@@ -54,26 +55,45 @@
 const resetCode = 'ECONNRESET';
 const cutCode = 'ERR_CONNECTION_CUT';
 
-/**
- * Makes a socket fail where libuv reports a reset as an orderly end, which it does if the last bytes and the reset have arrived together.
- *
- * After an orderly end the socket can still be written to; after a reset a write fails at once, even one without any bytes.
- */
+/** Makes a socket fail where libuv reports a reset as an orderly end, which it does if the last bytes and the reset have arrived together. */
 function reportHiddenReset(socket: Socket): void {
 	const push = socket.push.bind(socket);
 	socket.push = (chunk, encoding) => {
-		if (chunk === null && socket.writable) {
-			socket.write('');
-			if (socket.errored) {
-				socket.destroy(Object.assign(new Error('the connection was reset'), {code: cutCode}));
-				return false;
-			}
+		if (chunk === null && isReset(socket)) {
+			socket.destroy(Object.assign(new Error('the connection was reset'), {code: cutCode}));
+			return false;
 		}
 
 		return push(chunk, encoding);
 	};
 }
 
+/**
+ * Whether the peer has reset the connection without an orderly end of its side.
+ *
+ * A write of no bytes fails then with the code of a reset; after an orderly end it succeeds, or fails with `EPIPE` once a reset has followed. It bypasses the
+ * stream of the socket, in which it would wait behind an unfinished upload.
+ */
+function isReset(socket: Socket): boolean {
+	const descriptor = findDescriptor(socket);
+	try {
+		if (descriptor !== undefined) {
+			writeSync(descriptor, new Uint8Array());
+		}
+	} catch (error) {
+		return error instanceof Error && 'code' in error && error.code === resetCode;
+	}
+
+	return false;
+}
+
+/** File descriptor of a connection, which Node.js has on its internal handle only; undefined if the connection is closed. */
+function findDescriptor(socket: Socket): number | undefined {
+	const handle: unknown = Reflect.get(socket, '_handle');
+	const descriptor: unknown = handle instanceof Object ? Reflect.get(handle, 'fd') : undefined;
+	return typeof descriptor === 'number' && descriptor >= 0 ? descriptor : undefined;
+}
+
 /**
  * Lets a response be parsed in small parts, and no further once its connection was given up.
  *
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -12,6 +12,7 @@
 export * from './memory-storage.js';
 export * from './memory-weight-store.js';
 export * from './platform-server.js';
+export * from './raw-server.js';
 export * from './relay.js';
 export * from './scorer.js';
 export * from './settings.js';
