Fail calls whose answer breaks off in a body that nobody needs

What callers saw: nothing yet; found by a table of all places that read answers. A report of usage, an order to an engine, an imported cache and an object of the object store counted as done although the connection was reset within the answer.

Cause: where only the status matters, the body was read by undici's `dump`, which resolves also when the body fails.

Change: `discardBody` reads such a body to its end and throws if it breaks off, so the outcome is unknown, as after a lost answer; the calls are repeated as then. Bodies of failed runs of samples are still dumped: nothing is taken from them.

--- a/packages/backends/src/http.ts
+++ b/packages/backends/src/http.ts
@@ -1,6 +1,7 @@
 /**
  * HTTP calls whose failures are classified by whether the call may have had an effect.
  */
+import {finished} from 'node:stream/promises';
 import type {Dispatcher} from 'undici';
 import type {z} from 'zod';
 import {connections} from './connections.js';
@@ -119,6 +120,12 @@
 	}
 }
 
+/** Reads a body to its end and discards it; throws if it breaks off, which undici's `dump` does not. */
+export async function discardBody(body: Dispatcher.ResponseData['body']): Promise<void> {
+	body.resume();
+	await finished(body);
+}
+
 /**
  * Makes a call and validates its JSON response.
  *
@@ -131,7 +138,7 @@
 
 /** Makes a call and discards the body of its response. */
 export async function callEmpty(call: WholeCall): Promise<void> {
-	await callWhole(call, async body => body.dump());
+	await callWhole(call, discardBody);
 }
 
 /** Makes a call and returns the bytes of its response. */
--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -8,7 +8,9 @@
 export * from './row-pages.js';
 export type * from './serving.js';
 export type * from './storage.js';
-export {callEmpty, type HttpCall, type WholeCall} from './http.js';
+export {
+	callEmpty, discardBody, type HttpCall, type WholeCall,
+} from './http.js';
 export {Connections, type ConnectionLimits} from './connections.js';
 export {DeadlineError, isSilence, toPlatformError} from './failures.js';
 export * from './http-engine.js';
