Take statuses of 300 and more for no success of the store and of engines

What callers saw: nothing yet; found by a table of all places that read answers. A write to the users' store that was answered with 302, by a proxy for example, counted as done, and the body of such an answer was read as rows or as an object, if it had their form. So did calls to engines and to the platform of the embedded path.

Cause: these clients took each status below 400 for a success.

Change: only 2xx is a success; after a redirect the outcome is unknown. The health check of a plain service still counts a redirect as up, and says so.

--- a/packages/backends/__tests__/http.spec.ts
+++ b/packages/backends/__tests__/http.spec.ts
@@ -113,6 +113,10 @@
 		}
 	});
 
+	it('counts a plain service as up if its health check is redirected', async () => {
+		expect(await new HttpPlainService(await serve(reply('302 Found', ''))).check()).to.equal(true);
+	});
+
 	it('throws unavailable if no connection can be established', async () => {
 		const server = createServer();
 		server.listen(0, '127.0.0.1');
--- a/packages/backends/src/http-plain-service.ts
+++ b/packages/backends/src/http-plain-service.ts
@@ -12,6 +12,9 @@
 /** Maximum time for a health check, in milliseconds. */
 const checkTimeoutMs = 1000;
 
+/** Largest status of a health check that shows a service that is up; a redirect does. */
+const maxUpStatus = 399;
+
 /** Connection-specific (hop-by-hop) headers, which must not be forwarded (RFC 9110, section 7.6.1). */
 const connectionHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect']);
 
@@ -88,7 +91,7 @@
 	async check(): Promise<boolean> {
 		try {
 			await callEmpty({
-				origin: this.#origin, method: 'GET', path: '/healthz', timeoutMs: checkTimeoutMs,
+				origin: this.#origin, method: 'GET', path: '/healthz', timeoutMs: checkTimeoutMs, maxStatus: maxUpStatus,
 			});
 			return true;
 		} catch (error) {
--- a/packages/backends/src/http.ts
+++ b/packages/backends/src/http.ts
@@ -11,11 +11,14 @@
 /** Default timeout of a call, in milliseconds. */
 const defaultTimeoutMs = 3000;
 
+/** Largest status of a success; smaller ones than 200 are informational, and no final status. */
+export const maxSuccessStatus = 299;
+
 /** Maximum length of the text of an error response that is kept, in characters. */
 const maxDetailLength = 200;
 
 /**
- * Error codes of the platform's and the engines' HTTP statuses. Any other status of at least 400 is `unknown`: a 500, or a 502 of a proxy,
+ * Error codes of the platform's and the engines' HTTP statuses. Any other status that is no success is `unknown`: a 500, a 502 of a proxy or a redirect
  * may be sent after the effect.
  */
 const statusCodes: ReadonlyMap<number, PlatformErrorCode> = new Map([
@@ -39,6 +42,8 @@
 	path: string;
 	/** Sent as is if it is a `Uint8Array`, otherwise as JSON. */
 	body?: unknown;
+	/** Largest status that counts as a success; 299 by default. */
+	maxStatus?: number;
 	/** Maximum wait for the headers of the response, and between two chunks of its body, in milliseconds. */
 	timeoutMs?: number;
 	signal?: AbortSignal;
@@ -82,15 +87,15 @@
 }
 
 /**
- * Makes a call and returns its response with the unread body; the status is below 400.
+ * Makes a call and returns its response with the unread body; the status is a success.
  *
  * @throws {PlatformError} by the status; `unavailable` if nothing was sent, `unknown` if that is not certain
  */
-export async function callHttp({origin, method, path, body, timeoutMs = defaultTimeoutMs, signal}: HttpCall): Promise<Dispatcher.ResponseData> {
+export async function callHttp({origin, method, path, body, maxStatus = maxSuccessStatus, timeoutMs = defaultTimeoutMs, signal}: HttpCall): Promise<Dispatcher.ResponseData> {
 	const response = await sendRequest(origin, {
 		method, path, ...encodeBody(body), headersTimeout: timeoutMs, bodyTimeout: timeoutMs, signal,
 	});
-	if (response.statusCode >= 400) {
+	if (response.statusCode > maxStatus) {
 		const detail = await response.body.text().catch(() => '');
 		const code = statusCodes.get(response.statusCode) ?? 'unknown';
 		throw new PlatformError(code, `${method} ${path}: status ${response.statusCode} ${detail.slice(0, maxDetailLength)}`);
--- a/packages/backends/src/index.ts
+++ b/packages/backends/src/index.ts
@@ -9,7 +9,7 @@
 export type * from './serving.js';
 export type * from './storage.js';
 export {
-	callEmpty, discardBody, type HttpCall, type WholeCall,
+	callEmpty, discardBody, maxSuccessStatus, type HttpCall, type WholeCall,
 } from './http.js';
 export {Connections, type ConnectionLimits} from './connections.js';
 export {DeadlineError, isSilence, toPlatformError} from './failures.js';
