Break off relayed answers whose connection was reset

What callers saw: nothing yet; found by going through all places that read answers. A trainer's stream of samples that one entry relays for another ended as complete if the other entry's answer had no length and was reset. Entries send chunks, and a trainer looks for the terminal event, so a broken proxy between entries or another program at the address was needed.

Cause: the relay used undici's own connections, which take a reset for the end of an answer without a length.

Change: it uses `Connections` as all other clients do, with the same timeouts.

--- a/packages/entry/src/step-relay.ts
+++ b/packages/entry/src/step-relay.ts
@@ -6,7 +6,8 @@
  */
 import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
-import {Agent, request, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
+import {Connections} from '@wasabiusher/backends';
 import type {Exchange} from '@wasabiusher/daemon';
 
 /** Marks a relayed request, which is not relayed a second time. */
@@ -15,7 +16,7 @@
 /** Connection timeout, in milliseconds; a dead host does not respond at all. */
 const connectTimeoutMs = 1000;
 
-const connections = new Agent({connect: {timeout: connectTimeoutMs}});
+const connections = new Connections({connectTimeoutMs});
 
 /** Timeout for the response headers, in milliseconds; the other entry sends them before samples are available. */
 const headersTimeoutMs = 3000;
@@ -38,7 +39,8 @@
 	});
 	let answer: Dispatcher.ResponseData;
 	try {
-		answer = await request(new URL(incoming.url!, `http://${address}`), {
+		answer = await connections.send(`http://${address}`, {
+			path: incoming.url!,
 			method: incoming.method === 'POST' ? 'POST' : 'GET',
 			headers: {
 				[relayedHeader]: '1',
@@ -46,7 +48,6 @@
 				...(body === undefined ? {} : {'content-type': 'application/json'}),
 			},
 			body: body === undefined ? undefined : JSON.stringify(body),
-			dispatcher: connections,
 			headersTimeout: headersTimeoutMs,
 			bodyTimeout: bodyTimeoutMs,
 			signal: disconnect.signal,
