Show operators no answers with the status of a failure or a redirect

What callers saw: nothing yet; found by going through all places that read answers. The operators' command line showed the history or the current configuration from an answer with 302, and the burn of objectives from any answer whose body had the form of metrics, with 500 or 600 too.

Cause: statuses below 400 counted as successes of entries, and the status of metrics was only read for the error message.

Change: both want 2xx.

A reset can't pass for a whole answer here: a part of a JSON document is none.

--- a/packages/cli/src/burn-report.ts
+++ b/packages/cli/src/burn-report.ts
@@ -6,7 +6,7 @@
 import {
 	addWindowCounts, burnWindowNames, burnWindows, judgeBurn, mapBurnWindows, type BurnAlert, type BurnCounts, type BurnWindow, type WindowCounts,
 } from '@wasabiusher/decisions';
-import {toPlatformError} from '@wasabiusher/backends';
+import {maxSuccessStatus, toPlatformError} from '@wasabiusher/backends';
 import {describeError} from '@wasabiusher/shared';
 
 /** Names of the metrics that entries expose for the objectives of each profile. */
@@ -58,7 +58,7 @@
 			});
 			const content = await body.json();
 			const parsed = metricsSchema.safeParse(content);
-			return parsed.success ? {origin, metrics: parsed.data} : {origin, error: `status ${statusCode}, and no metrics in the answer`};
+			return parsed.success && statusCode <= maxSuccessStatus ? {origin, metrics: parsed.data} : {origin, error: `status ${statusCode}, and no metrics in the answer`};
 		} catch (error) {
 			return {origin, error: describeError(toPlatformError(error))};
 		}
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -5,7 +5,7 @@
  */
 import {request, type Dispatcher} from 'undici';
 import {z} from 'zod';
-import {PlatformError, toPlatformError} from '@wasabiusher/backends';
+import {maxSuccessStatus, PlatformError, toPlatformError} from '@wasabiusher/backends';
 import {acceptedConfigurationSchema, type AcceptedConfiguration, type Configuration} from '@wasabiusher/shared';
 import {CliError} from './errors.js';
 import {statusSchema, type EntryStatus} from './status.js';
@@ -87,7 +87,7 @@
 
 	async #call<Schema extends z.ZodType>(origin: string, schema: Schema, call: OperatorRequest): Promise<z.infer<Schema>> {
 		const {status, content} = await this.#send(origin, call);
-		if (status >= 400) {
+		if (status > maxSuccessStatus) {
 			throw toResponseError(origin, status, content);
 		}
 
