Name the request in the log line of a resumed stream

What operators saw: where a resumable stream broke off and went on at another endpoint, the line with the cause didn't say which request it was.

Change: `stream_resumed` carries the id of the request, as `attempt_failed` and `stream_broken` do.

Tests: a check in stream-call.spec.ts, which failed before.

--- a/packages/direct/__tests__/stream-call.spec.ts
+++ b/packages/direct/__tests__/stream-call.spec.ts
@@ -2,7 +2,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {PlatformError, type ServingRequest, type ServingStream} from '@wasabiusher/backends';
-import type {Route} from '@wasabiusher/shared';
+import {Log, type Route} from '@wasabiusher/shared';
 import {StreamCall, type PoisonRequestTracker, type StreamOutcome} from '../src/index.js';
 import {createBench, createRequest, createRoute} from './fixtures.js';
 
@@ -61,8 +61,16 @@
 			},
 		};
 		const route = createRoute({kind: 'stream', isResumable: true, ...changes});
-		const call = new StreamCall({...bench, client, findRoute}, route, {...createRequest(20_000), resumeAfter}, new AbortController().signal);
-		return {requests, outcome: call.open(), bench};
+		const lines: string[] = [];
+		const log = new Log('test', 'info', line => {
+			lines.push(line);
+		});
+		const call = new StreamCall({
+			...bench, client, findRoute, log,
+		}, route, {...createRequest(20_000), resumeAfter}, new AbortController().signal);
+		return {
+			requests, outcome: call.open(), bench, lines,
+		};
 	}
 
 	async function read(outcome: StreamOutcome): Promise<string> {
@@ -91,7 +99,9 @@
 	}
 
 	it('resumes at another endpoint after the last complete event, with the head of the first endpoint', async () => {
-		const {requests, outcome, bench} = start([
+		const {
+			requests, outcome, bench, lines,
+		} = start([
 			{pieces: [createEvents(1, 2), 'id: 3\nda'], end: 'broken'},
 			undefined,
 			{pieces: [createEvents(3, 4)], end: 'whole'},
@@ -101,6 +111,7 @@
 		expect(opened.kind === 'opened' && opened.stream.stamp).to.equal('mark-1');
 		expect(requests.map(({resumeAfter}) => resumeAfter)).to.deep.equal([undefined, 2, 2]);
 		expect(new Set(requests.map(({endpoint}) => endpoint)).size).to.equal(3);
+		expect(lines.filter(line => /event=stream_resumed request=\S+ after=2 reason=/v.test(line))).to.have.lengthOf(1);
 		expect(['i0', 'i1', 'i2', 'i3'].map(id => bench.directory.countOpen(id))).to.deep.equal([0, 0, 0, 0]);
 	});
 
--- a/packages/direct/src/resumed-stream.ts
+++ b/packages/direct/src/resumed-stream.ts
@@ -16,8 +16,13 @@
 
 const idPattern = /^id: ?(?<id>\d+)\r?$/mv;
 
-/** Reopens the stream after an event; resolves to undefined if no endpoint can resume it. */
-export type StreamReopener = (after: number | undefined) => Promise<ServingStream | undefined>;
+export type StreamResumption = {
+	/** Id of the caller's request, for logs. */
+	request: string;
+	log: Log;
+	/** Reopens the stream after an event; resolves to undefined if no endpoint can resume it. */
+	reopen(after: number | undefined): Promise<ServingStream | undefined>;
+};
 
 /** Splits a stream into complete events. */
 class EventSplitter {
@@ -66,7 +71,7 @@
  * @param after - id of the last event that the caller already has; undefined if it has none
  * @throws the error that broke the stream, if no endpoint can resume it
  */
-export async function * resumeStream(first: ServingStream, reopen: StreamReopener, log: Log, after?: number): AsyncIterable<Uint8Array> {
+export async function * resumeStream(first: ServingStream, {request, log, reopen}: StreamResumption, after?: number): AsyncIterable<Uint8Array> {
 	const splitter = new EventSplitter();
 	splitter.lastId = after;
 	let stream = first;
@@ -93,7 +98,7 @@
 		}
 
 		splitter.flush();
-		log.info('stream_resumed', {after: splitter.lastId, reason: describeError(failure)});
+		log.info('stream_resumed', {request, after: splitter.lastId, reason: describeError(failure)});
 		// Each run resumes where the previous one broke off.
 		// eslint-disable-next-line no-await-in-loop
 		const next = await reopen(splitter.lastId);
--- a/packages/direct/src/stream-call.ts
+++ b/packages/direct/src/stream-call.ts
@@ -72,7 +72,7 @@
 
 		const {endpoint, stream} = outcome;
 		const body = this.#route.isResumable && stream.status === 200
-			? resumeStream(stream, async after => this.#reopen(after), this.#settings.log, this.#request.resumeAfter)
+			? resumeStream(stream, {request: this.#request.attemptId, log: this.#settings.log, reopen: async after => this.#reopen(after)}, this.#request.resumeAfter)
 			: stream.body;
 		return {
 			kind: 'opened',
