Take every failure at the end of a connection but EPIPE for a broken answer

A connection that has timed out in the kernel, or whose peer became unreachable, fails with other codes, and was taken for an orderly end.

Change: only success, and EPIPE, which the kernel gives for a reset that has followed an orderly end, count as an orderly end.

--- a/packages/backends/src/connections.ts
+++ b/packages/backends/src/connections.ts
@@ -54,12 +54,13 @@
 
 const resetCode = 'ECONNRESET';
 const cutCode = 'ERR_CONNECTION_CUT';
+const endedCode = 'EPIPE';
 
 /** Makes a socket fail where libuv reports a reset as an orderly end, which it does if the last bytes and the reset have arrived together. */
 function reportHiddenReset(socket: Socket): void {
 	const push = socket.push.bind(socket);
 	socket.push = (chunk, encoding) => {
-		if (chunk === null && isReset(socket)) {
+		if (chunk === null && hasFailed(socket)) {
 			socket.destroy(Object.assign(new Error('the connection was reset'), {code: cutCode}));
 			return false;
 		}
@@ -69,22 +70,23 @@
 }
 
 /**
- * Whether the peer has reset the connection without an orderly end of its side.
+ * Whether the connection has failed, for example by a reset, before the peer has ended its side in order.
  *
- * A write of no bytes fails then with the code of a reset; after an orderly end it succeeds, or fails with `EPIPE` once a reset has followed. It bypasses the
- * stream of the socket, in which it would wait behind an unfinished upload.
+ * A write of no bytes tells, with the code of the failure. After an orderly end it succeeds, or fails with `EPIPE` if a reset has followed. It bypasses the stream
+ * of the socket, in which it would wait behind an unfinished upload.
  */
-function isReset(socket: Socket): boolean {
+function hasFailed(socket: Socket): boolean {
 	const descriptor = findDescriptor(socket);
+	if (descriptor === undefined) {
+		return false;
+	}
+
 	try {
-		if (descriptor !== undefined) {
-			writeSync(descriptor, new Uint8Array());
-		}
+		writeSync(descriptor, new Uint8Array());
+		return false;
 	} catch (error) {
-		return error instanceof Error && 'code' in error && error.code === resetCode;
+		return !(error instanceof Error && 'code' in error && error.code === endedCode);
 	}
-
-	return false;
 }
 
 /** File descriptor of a connection, which Node.js has on its internal handle only; undefined if the connection is closed. */
